--- /dev/null
+++ b/crates/coordination/src/held_bills.rs
@@ -0,0 +1,65 @@
+//! Bill records that a process holds until the ledger has them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use stallhoist_core::BillRecord;
+use stallhoist_core::MonoTime;
+use stallhoist_core::RequestId;
+
+#[derive(Debug, Clone)]
+struct Held {
+    record: BillRecord,
+    since: MonoTime,
+}
+
+/// Bill records that a process holds until the ledger has them.
+#[derive(Debug, Default)]
+pub struct HeldBills {
+    by_request: BTreeMap<RequestId, Held>,
+}
+
+impl HeldBills {
+    /// Holds a record. Of two records of one request the later attempt's is held.
+    pub fn hold(&mut self, now: MonoTime, record: BillRecord) {
+        let held = self.by_request.get(&record.request);
+        let is_older = held.is_some_and(|h| h.record.attempt_number > record.attempt_number);
+        if !is_older {
+            self.by_request.insert(record.request, Held { record, since: now });
+        }
+    }
+
+    /// The ledger has these requests' records.
+    pub fn settle<'a>(&mut self, requests: impl IntoIterator<Item = &'a RequestId>) {
+        for request in requests {
+            self.by_request.remove(request);
+        }
+    }
+
+    /// Up to `limit` records that have been held for at least `age`, oldest first. They
+    /// stay held, and count as held from now on.
+    pub fn older_than(&mut self, now: MonoTime, age: Duration, limit: usize) -> Vec<BillRecord> {
+        let is_old = |held: &&mut Held| now.since(held.since) >= age;
+        let old = self.by_request.values_mut().filter(is_old).take(limit);
+        old.map(|held| {
+            held.since = now;
+            held.record.clone()
+        })
+        .collect()
+    }
+
+    /// Up to `limit` records, oldest first.
+    pub fn oldest(&self, limit: usize) -> Vec<BillRecord> {
+        self.by_request.values().take(limit).map(|held| held.record.clone()).collect()
+    }
+
+    /// How many are held.
+    pub fn len(&self) -> usize {
+        self.by_request.len()
+    }
+
+    /// Whether none is.
+    pub fn is_empty(&self) -> bool {
+        self.by_request.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/lib.rs
@@ -0,0 +1,35 @@
+//! What processes must agree on or keep: the table, claims, the bill and leases.
+//!
+//! This crate exists so that each such matter has one owner that says what is kept
+//! where, what a lost reply means and what happens when the store is away. Nothing
+//! here elects or replicates: agreement comes from the platform's transactions, and
+//! what is only held in memory is held by several processes until the store has it.
+
+mod attempts;
+mod claims;
+mod clock;
+mod held_bills;
+mod leases;
+mod ledger;
+mod table_holder;
+mod table_store;
+
+pub use attempts::AttemptFate;
+pub use attempts::AttemptRegistry;
+pub use attempts::Registered;
+pub use claims::ClaimError;
+pub use claims::ClaimStore;
+pub use claims::PendingClaim;
+pub use clock::ProcessClock;
+pub use held_bills::HeldBills;
+pub use leases::Lease;
+pub use leases::LeaseError;
+pub use leases::LeaseStore;
+pub use ledger::BillLine;
+pub use ledger::Ledger;
+pub use ledger::LedgerBatch;
+pub use table_holder::Installed;
+pub use table_holder::TableHolder;
+pub use table_store::CommitError;
+pub use table_store::Head;
+pub use table_store::TableStore;
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,56 @@
+//! Identifiers, sizes, rates and outcomes that every other crate speaks in.
+//!
+//! This crate exists so that a host, a workspace or a token count has one type
+//! everywhere: a value is checked once, where it enters the system, and no
+//! function has to guess what a string or a number means. It has no sockets, no
+//! clocks and no dependencies on the rest of the workspace.
+
+mod answer_digest;
+mod attempt;
+mod bill_record;
+mod cost;
+mod instant;
+mod key_digest;
+mod model_version;
+mod names;
+mod not_run_reason;
+mod numbers;
+mod outcome;
+mod prefix;
+mod request_id;
+mod target;
+mod usage;
+
+pub use answer_digest::AnswerDigest;
+pub use attempt::AttemptId;
+pub use bill_record::BillRecord;
+pub use cost::CostMicros;
+pub use instant::MonoTime;
+pub use key_digest::KeyDigest;
+pub use model_version::ModelVersion;
+pub use model_version::ModelVersionError;
+pub use names::HostId;
+pub use names::IdempotencyKey;
+pub use names::ModelName;
+pub use names::NameError;
+pub use names::ServiceName;
+pub use names::TaskName;
+pub use names::VersionName;
+pub use names::WorkspaceName;
+pub use names::ZoneName;
+pub use not_run_reason::NotRunReason;
+pub use numbers::AttemptNumber;
+pub use numbers::FencingToken;
+pub use numbers::NumberError;
+pub use numbers::Revision;
+pub use numbers::TokenCount;
+pub use outcome::Outcome;
+pub use prefix::estimate_tokens;
+pub use prefix::prefix_hashes;
+pub use request_id::EditId;
+pub use request_id::IdError;
+pub use request_id::IncarnationId;
+pub use request_id::RequestId;
+pub use target::Target;
+pub use target::TargetError;
+pub use usage::Usage;
--- /dev/null
+++ b/crates/entry/src/background.rs
@@ -0,0 +1,80 @@
+//! What an entry does besides answering: heartbeats, the host list, the table's head,
+//! the ledger, and claims that wait for their release.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use stallhoist_wire::messages::frame::Body;
+
+use crate::bill_desk;
+use crate::claim_desk;
+use crate::shared::Shared;
+use crate::table_desk;
+
+const RELEASE_EVERY: Duration = Duration::from_millis(500);
+
+/// Polls are spread by up to this part of their period, so that hosts that started
+/// together do not ask together.
+const JITTER: f64 = 0.2;
+
+/// Says the status to all sidecars, again and again.
+pub(crate) async fn heartbeat(shared: Arc<Shared>) {
+    let every = Duration::from_millis(shared.settings.timing.heartbeat_ms);
+    loop {
+        tokio::time::sleep(every).await;
+        shared.links.broadcast(&Body::Status(shared.status()));
+        show_gauges(&shared);
+    }
+}
+
+/// Follows the host list. When it cannot be read the last one stands.
+pub(crate) async fn follow_hosts(shared: Arc<Shared>) {
+    let every = Duration::from_millis(shared.settings.platform.host_list_poll_ms);
+    loop {
+        match shared.platform.hosts().await {
+            Ok(list) => shared.links.reconcile(&shared, list.hosts),
+            Err(error) => log::warn!(error:%; "cannot read the host list"),
+        }
+        tokio::time::sleep(jittered(every)).await;
+    }
+}
+
+/// Follows the table's head, as a fallback to the mesh.
+pub(crate) async fn follow_table(shared: Arc<Shared>) {
+    let every = Duration::from_millis(shared.settings.platform.table_poll_ms);
+    loop {
+        if let Err(error) = table_desk::poll(&shared).await {
+            log::warn!(error:%; "cannot read the table's head");
+        }
+        tokio::time::sleep(jittered(every)).await;
+    }
+}
+
+/// Brings bill records to the ledger.
+pub(crate) async fn flush_bills(shared: Arc<Shared>) {
+    let every = Duration::from_millis(shared.settings.bill.flush_ms);
+    let mut unconfirmed = None;
+    loop {
+        tokio::time::sleep(jittered(every)).await;
+        bill_desk::flush(&shared, &mut unconfirmed).await;
+    }
+}
+
+/// Releases claims that could not be released at once.
+pub(crate) async fn release_claims(shared: Arc<Shared>) {
+    loop {
+        tokio::time::sleep(jittered(RELEASE_EVERY)).await;
+        claim_desk::release_left(&shared).await;
+    }
+}
+
+fn jittered(every: Duration) -> Duration {
+    every.mul_f64(1.0 - JITTER + rand::random_range(0.0..2.0 * JITTER))
+}
+
+fn show_gauges(shared: &Shared) {
+    let as_gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+    let connected = shared.links.all().iter().filter(|(_, l)| l.sender().is_some()).count();
+    shared.metrics.connected_sidecars.set(as_gauge(connected));
+    shared.metrics.unsettled_bills.set(as_gauge(shared.bills.lock().held.len()));
+}
--- /dev/null
+++ b/crates/entry/src/callers/call.rs
@@ -0,0 +1,115 @@
+//! What chat completions and services have in common: reading, permission, sessions,
+//! claims, deadlines.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rocket::data::Data;
+use rocket::data::ToByteUnit;
+use stallhoist_coordination::ClaimError;
+use stallhoist_coordination::PendingClaim;
+use stallhoist_core::MonoTime;
+use stallhoist_core::NotRunReason;
+use stallhoist_core::Target;
+use stallhoist_core::WorkspaceName;
+use stallhoist_table::Table;
+
+use super::headers::CallHeaders;
+use super::problem::Problem;
+use crate::claim_desk;
+use crate::request::Order;
+use crate::session::SessionToken;
+use crate::shared::Shared;
+
+/// When to come back while no table is in force.
+const RETRY_AFTER_TABLE: Duration = Duration::from_secs(1);
+/// When to come back while the store does not answer.
+const RETRY_AFTER_STORE: Duration = Duration::from_secs(2);
+
+/// Reads a body whole, within the bound.
+pub(crate) async fn read_body(shared: &Shared, data: Data<'_>) -> Result<Vec<u8>, Problem> {
+    let bound = shared.settings.callers.max_body_bytes;
+    let read = data.open(bound.bytes()).into_bytes().await;
+    let body = read.map_err(|error| {
+        Problem::not_routed(400, "body-broken-off", format!("the body broke off: {error}"))
+    })?;
+    if !body.is_complete() {
+        let detail = format!("the body has more than {bound} bytes");
+        return Err(Problem::not_routed(413, "body-too-large", detail));
+    }
+    Ok(body.into_inner())
+}
+
+/// The table in force.
+pub(crate) fn table(shared: &Shared) -> Result<Arc<Table>, Problem> {
+    let missing = || Problem::not_run(NotRunReason::NoTable, RETRY_AFTER_TABLE);
+    shared.table.current().ok_or_else(missing)
+}
+
+/// The deadline that the caller names, within the bound, or the default one.
+pub(crate) fn deadline(
+    shared: &Shared,
+    now: MonoTime,
+    headers: &CallHeaders,
+) -> Result<MonoTime, Problem> {
+    let callers = &shared.settings.callers;
+    let deadline_ms = headers.deadline_ms.unwrap_or(callers.default_deadline_ms);
+    if deadline_ms == 0 || deadline_ms > callers.max_deadline_ms {
+        let detail = format!("must be from 1 to {}", callers.max_deadline_ms);
+        return Err(Problem::bad_header(super::headers::DEADLINE_MS, &detail));
+    }
+    Ok(now.after(Duration::from_millis(deadline_ms)))
+}
+
+/// The session that the request goes on with, if any.
+pub(crate) fn session(
+    shared: &Shared,
+    headers: &CallHeaders,
+    workspace: &WorkspaceName,
+) -> Result<Option<SessionToken>, Problem> {
+    let Some(text) = &headers.session else {
+        return Ok(None);
+    };
+    let checked = shared.session_keys.check(text, workspace);
+    checked
+        .map(Some)
+        .map_err(|error| Problem::bad_header(super::headers::SESSION, &error.to_string()))
+}
+
+/// Whether the request may be repeated: not when the caller or the row says so.
+pub(crate) fn is_repeatable(
+    table: &Table,
+    headers: &CallHeaders,
+    workspace: &WorkspaceName,
+    target: &Target,
+) -> bool {
+    let by_row = table.row(workspace, target).is_none_or(|row| row.repeatable);
+    by_row && headers.repeatable.unwrap_or(true)
+}
+
+/// Claims the key of a request that must not be repeated; none when there is nothing
+/// to claim.
+pub(crate) async fn claim(shared: &Shared, order: &Order) -> Result<Option<PendingClaim>, Problem> {
+    let Some(key) = &order.idempotency_key else {
+        return Ok(None);
+    };
+    if order.is_repeatable {
+        return Ok(None);
+    }
+    let claim = PendingClaim {
+        workspace: order.workspace.clone(),
+        key: key.clone(),
+        request: order.request,
+    };
+    match claim_desk::claim(shared, &claim).await {
+        Ok(()) => Ok(Some(claim)),
+        Err(ClaimError::Taken(holder)) => {
+            let mut problem = Problem::not_run(NotRunReason::DuplicateKey, Duration::ZERO);
+            problem.detail = format!("{}: request {holder}", problem.detail);
+            Err(problem)
+        }
+        Err(ClaimError::Unavailable) => {
+            Err(Problem::not_run(NotRunReason::StoreUnavailable, RETRY_AFTER_STORE))
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/callers/chat.rs
@@ -0,0 +1,221 @@
+//! Chat completions.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Map;
+use serde_json::Value;
+use serde_json::json;
+use stallhoist_core::ModelName;
+use stallhoist_core::ModelVersion;
+use stallhoist_core::NotRunReason;
+use stallhoist_core::RequestId;
+use stallhoist_core::Target;
+use stallhoist_core::WorkspaceName;
+use stallhoist_core::estimate_tokens;
+use stallhoist_core::prefix_hashes;
+use stallhoist_policy::version::VersionFacts;
+use stallhoist_policy::version::VersionRefusal;
+use stallhoist_policy::version::split;
+use stallhoist_table::Row;
+use stallhoist_table::Table;
+use stallhoist_table::VersionState;
+
+use super::auth::Caller;
+use super::call;
+use super::headers::CallHeaders;
+use super::problem::Problem;
+use crate::request::Order;
+use crate::session::SessionToken;
+use crate::shared::Shared;
+
+const PATH: &str = "/v1/chat/completions";
+/// An answer's length when the caller names none.
+const DEFAULT_COMPLETION_TOKENS: u64 = 512;
+
+/// A request's body. What is not named here is passed on as it came.
+#[derive(Debug, Deserialize, Serialize)]
+struct ChatBody {
+    model: String,
+    #[serde(default)]
+    stream: bool,
+    messages: Vec<Message>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    max_tokens: Option<u64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    max_completion_tokens: Option<u64>,
+    #[serde(flatten)]
+    rest: Map<String, Value>,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+struct Message {
+    #[serde(default)]
+    content: Value,
+    #[serde(flatten)]
+    rest: Map<String, Value>,
+}
+
+/// Makes an order of a request.
+pub(crate) fn order(
+    shared: &Arc<Shared>,
+    caller: &Caller,
+    headers: CallHeaders,
+    body: &[u8],
+) -> Result<Order, Problem> {
+    let arrived = shared.now();
+    let deadline = call::deadline(shared, arrived, &headers)?;
+    let table = call::table(shared)?;
+    let mut chat: ChatBody = serde_json::from_slice(body).map_err(|error| {
+        Problem::not_routed(
+            400,
+            "malformed-body",
+            format!("the body is not a chat request: {error}"),
+        )
+    })?;
+    let session = call::session(shared, &headers, &caller.workspace)?;
+    let version = choose(&table, &caller.workspace, &chat.model, session.as_ref())?;
+    let target = Target::Version(version.clone());
+    let is_repeatable = call::is_repeatable(&table, &headers, &caller.workspace, &target);
+    let prompt = prompt(&chat.messages);
+    chat.model = version.to_string();
+    if chat.stream {
+        // The bill needs the usage, which engines leave out of streams unless asked.
+        chat.rest.insert("stream_options".to_owned(), json!({ "include_usage": true }));
+    }
+    let bound = chat.max_completion_tokens.or(chat.max_tokens);
+    let block_tokens = shared.settings.placement.prefix_block_tokens;
+    Ok(Order {
+        request: RequestId::generate(),
+        workspace: caller.workspace.clone(),
+        target,
+        session_host: session.map(|session| session.host),
+        is_repeatable,
+        is_streamed: chat.stream,
+        method: "POST".to_owned(),
+        path: PATH.to_owned(),
+        content_type: "application/json".to_owned(),
+        prompt_tokens: estimate_tokens(&prompt).0,
+        completion_tokens: bound.unwrap_or(DEFAULT_COMPLETION_TOKENS),
+        prefix_hashes: prefix_hashes(&prompt, block_tokens),
+        body: Bytes::from(serde_json::to_vec(&chat).expect("what was JSON is JSON")),
+        idempotency_key: headers.idempotency_key,
+        task: headers.task,
+        arrived,
+        deadline,
+    })
+}
+
+/// The version that answers: the session's, the one named, or one by the weights.
+fn choose(
+    table: &Table,
+    workspace: &WorkspaceName,
+    asked: &str,
+    session: Option<&SessionToken>,
+) -> Result<ModelVersion, Problem> {
+    if let Some(session) = session {
+        return of_session(table, workspace, asked, &session.target);
+    }
+    if let Ok(version) = asked.parse::<ModelVersion>() {
+        return named(table, workspace, version);
+    }
+    let model: ModelName = asked.parse().map_err(|_| unknown(asked))?;
+    let mut versions = Vec::new();
+    let mut is_known = false;
+    for row in table.rows_of(workspace) {
+        let Target::Version(version) = &row.target else {
+            continue;
+        };
+        if version.model != model {
+            continue;
+        }
+        is_known = true;
+        if row.allowed && row.state == VersionState::Active {
+            versions.push(facts(row, version));
+        }
+    }
+    if !is_known {
+        return Err(unknown(asked));
+    }
+    split(&versions, &mut rand::rng()).map_err(|refusal| {
+        let reason = match refusal {
+            VersionRefusal::NoneActive => NotRunReason::NotAllowed,
+            VersionRefusal::AllHeld => NotRunReason::Held,
+        };
+        Problem::not_run(reason, std::time::Duration::from_secs(1))
+    })
+}
+
+fn facts(row: &Row, version: &ModelVersion) -> VersionFacts {
+    VersionFacts {
+        version: version.clone(),
+        weight: row.weight,
+        cap_percent: f64::from(row.ramp_percent),
+        is_held: false,
+    }
+}
+
+/// A session keeps its version while that drains, and loses it when it is withdrawn.
+fn of_session(
+    table: &Table,
+    workspace: &WorkspaceName,
+    asked: &str,
+    target: &Target,
+) -> Result<ModelVersion, Problem> {
+    let Target::Version(version) = target else {
+        return Err(Problem::bad_header(super::headers::SESSION, "the session is on a service"));
+    };
+    let fits = asked == version.model.as_str() || asked == version.to_string();
+    if !fits {
+        let detail = format!("the session is on {version}, the request asks for {asked}");
+        return Err(Problem::bad_header(super::headers::SESSION, &detail));
+    }
+    let row = table.row(workspace, target).filter(|row| row.allowed);
+    match row.map(|row| row.state) {
+        Some(VersionState::Active | VersionState::Draining) => Ok(version.clone()),
+        Some(VersionState::Withdrawn) => Err(refuse(NotRunReason::Withdrawn)),
+        None => Err(refuse(NotRunReason::NotAllowed)),
+    }
+}
+
+fn named(
+    table: &Table,
+    workspace: &WorkspaceName,
+    version: ModelVersion,
+) -> Result<ModelVersion, Problem> {
+    let target = Target::Version(version.clone());
+    let Some(row) = table.row(workspace, &target) else {
+        return Err(unknown(&version.to_string()));
+    };
+    if !row.allowed {
+        return Err(refuse(NotRunReason::NotAllowed));
+    }
+    match row.state {
+        VersionState::Active => Ok(version),
+        VersionState::Draining => Err(refuse(NotRunReason::Draining)),
+        VersionState::Withdrawn => Err(refuse(NotRunReason::Withdrawn)),
+    }
+}
+
+fn refuse(reason: NotRunReason) -> Problem {
+    Problem::not_run(reason, std::time::Duration::ZERO)
+}
+
+fn unknown(asked: &str) -> Problem {
+    let detail = format!("the workspace has no model '{asked}'");
+    Problem::not_routed(404, "unknown-model", detail)
+}
+
+fn prompt(messages: &[Message]) -> String {
+    let mut text = String::new();
+    for message in messages {
+        match &message.content {
+            Value::String(content) => text.push_str(content),
+            other => text.push_str(&other.to_string()),
+        }
+        text.push('\n');
+    }
+    text
+}
--- /dev/null
+++ b/crates/entry/src/callers/reply.rs
@@ -0,0 +1,106 @@
+//! Replies to callers.
+
+use std::io::Cursor;
+
+use futures_util::stream::BoxStream;
+use rocket::Request;
+use rocket::Response;
+use rocket::http::Status;
+use rocket::response::Responder;
+use rocket::response::stream::Event;
+use rocket::response::stream::EventStream;
+use stallhoist_core::Outcome;
+use stallhoist_core::RequestId;
+
+use super::headers;
+use super::problem::Problem;
+use super::problem::millis;
+
+const PROBLEM_JSON: &str = "application/problem+json";
+const MS_PER_S: u64 = 1_000;
+
+/// What every reply to a routed request carries in its headers.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Marks {
+    pub(crate) request: Option<RequestId>,
+    pub(crate) target: Option<String>,
+    pub(crate) session: Option<String>,
+}
+
+/// A reply to a caller.
+pub(crate) enum Reply {
+    /// A whole body.
+    Whole { status: u16, content_type: String, body: Vec<u8>, outcome: Outcome, marks: Marks },
+    /// Events as they come; how it ends is said by its last event.
+    Events { events: BoxStream<'static, Event>, marks: Marks },
+    /// An error.
+    Problem(Problem, Marks),
+}
+
+impl From<Problem> for Reply {
+    fn from(problem: Problem) -> Self {
+        Self::Problem(problem, Marks::default())
+    }
+}
+
+impl<'r> Responder<'r, 'r> for Reply {
+    fn respond_to(self, request: &'r Request<'_>) -> rocket::response::Result<'r> {
+        match self {
+            Self::Whole { status, content_type, body, outcome, marks } => {
+                let mut response = whole(status, content_type, body);
+                set_outcome(&mut response, outcome);
+                set_marks(&mut response, marks);
+                Ok(response)
+            }
+            Self::Events { events, marks } => {
+                let mut response = EventStream::from(events).heartbeat(None).respond_to(request)?;
+                set_marks(&mut response, marks);
+                Ok(response)
+            }
+            Self::Problem(problem, marks) => {
+                let mut response = problem_response(&problem);
+                set_marks(&mut response, marks);
+                Ok(response)
+            }
+        }
+    }
+}
+
+fn whole<'r>(status: u16, content_type: String, body: Vec<u8>) -> Response<'r> {
+    let mut response = Response::new();
+    response.set_status(Status::new(status));
+    response.set_raw_header("Content-Type", content_type);
+    response.set_sized_body(body.len(), Cursor::new(body));
+    response
+}
+
+fn problem_response<'r>(problem: &Problem) -> Response<'r> {
+    let mut response = whole(problem.status, PROBLEM_JSON.to_owned(), problem.body());
+    set_outcome(&mut response, problem.outcome);
+    if let Some(after) = problem.retry_after {
+        let after_ms = millis(after);
+        // The standard header counts whole seconds; the second one is what the usual
+        // client libraries prefer.
+        response.set_raw_header("Retry-After", after_ms.div_ceil(MS_PER_S).to_string());
+        response.set_raw_header("Retry-After-Ms", after_ms.to_string());
+    }
+    let is_worth_repeating = problem.retry_after.is_some();
+    response.set_raw_header("X-Should-Retry", is_worth_repeating.to_string());
+    response
+}
+
+fn set_outcome(response: &mut Response<'_>, outcome: Outcome) {
+    response.set_raw_header(headers::OUTCOME, outcome.to_string());
+}
+
+fn set_marks(response: &mut Response<'_>, marks: Marks) {
+    if let Some(request) = marks.request {
+        response.set_raw_header(headers::REQUEST_ID, request.to_string());
+    }
+    if let Some(target) = marks.target {
+        response.set_raw_header(headers::TARGET, target);
+    }
+    if let Some(session) = marks.session {
+        response.set_raw_header(headers::SESSION, session);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/request/mod.rs
@@ -0,0 +1,12 @@
+//! A request from its order to its end.
+
+mod ending;
+mod execution;
+mod order;
+mod place;
+
+pub(crate) use ending::EndKind;
+pub(crate) use ending::Ending;
+pub(crate) use execution::Execution;
+pub(crate) use execution::Step;
+pub(crate) use order::Order;
--- /dev/null
+++ b/crates/entry/src/request/order.rs
@@ -0,0 +1,81 @@
+//! What is to be run.
+
+use bytes::Bytes;
+use stallhoist_core::AttemptId;
+use stallhoist_core::HostId;
+use stallhoist_core::IdempotencyKey;
+use stallhoist_core::MonoTime;
+use stallhoist_core::RequestId;
+use stallhoist_core::Revision;
+use stallhoist_core::Target;
+use stallhoist_core::TaskName;
+use stallhoist_core::WorkspaceName;
+use stallhoist_wire::attempt_to_wire;
+use stallhoist_wire::messages::Dispatch;
+use stallhoist_wire::messages::Probe;
+
+/// A request that is allowed and ready to be placed.
+#[derive(Debug, Clone)]
+pub(crate) struct Order {
+    pub(crate) request: RequestId,
+    pub(crate) workspace: WorkspaceName,
+    pub(crate) target: Target,
+    /// Set when the request goes on with a session: where its last answer came from.
+    pub(crate) session_host: Option<HostId>,
+    pub(crate) is_repeatable: bool,
+    pub(crate) is_streamed: bool,
+    pub(crate) method: String,
+    pub(crate) path: String,
+    pub(crate) content_type: String,
+    pub(crate) body: Bytes,
+    pub(crate) prompt_tokens: u64,
+    pub(crate) completion_tokens: u64,
+    pub(crate) prefix_hashes: Vec<u64>,
+    pub(crate) idempotency_key: Option<IdempotencyKey>,
+    /// The kind of work, as the caller says.
+    pub(crate) task: Option<TaskName>,
+    pub(crate) arrived: MonoTime,
+    pub(crate) deadline: MonoTime,
+}
+
+impl Order {
+    pub(crate) fn dispatch(&self, id: AttemptId, revision: Revision, now: MonoTime) -> Dispatch {
+        Dispatch {
+            attempt: attempt_to_wire(id),
+            workspace: self.workspace.to_string(),
+            target: self.target.to_string(),
+            revision: revision.0,
+            deadline_ms: self.deadline_ms(now),
+            repeatable: self.is_repeatable,
+            in_session: self.session_host.is_some(),
+            stream: self.is_streamed,
+            method: self.method.clone(),
+            path: self.path.clone(),
+            content_type: self.content_type.clone(),
+            body: self.body.clone(),
+            prompt_tokens: self.prompt_tokens,
+            expected_completion_tokens: self.completion_tokens,
+            prefix_hashes: self.prefix_hashes.clone(),
+            idempotency_key: self
+                .idempotency_key
+                .as_ref()
+                .map(ToString::to_string)
+                .unwrap_or_default(),
+        }
+    }
+
+    pub(crate) fn probe(&self, probe_id: u64, now: MonoTime) -> Probe {
+        Probe {
+            probe_id,
+            target: self.target.to_string(),
+            prompt_tokens: self.prompt_tokens,
+            expected_completion_tokens: self.completion_tokens,
+            deadline_ms: self.deadline_ms(now),
+            prefix_hashes: self.prefix_hashes.clone(),
+        }
+    }
+
+    fn deadline_ms(&self, now: MonoTime) -> u64 {
+        u64::try_from(self.deadline.since(now).as_millis()).unwrap_or(u64::MAX)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/shared.rs
@@ -0,0 +1,122 @@
+//! What all tasks of an entry share.
+
+use std::collections::HashMap;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use stallhoist_coordination::ClaimStore;
+use stallhoist_coordination::Ledger;
+use stallhoist_coordination::PendingClaim;
+use stallhoist_coordination::ProcessClock;
+use stallhoist_coordination::TableHolder;
+use stallhoist_coordination::TableStore;
+use stallhoist_core::HostId;
+use stallhoist_core::IncarnationId;
+use stallhoist_core::MonoTime;
+use stallhoist_core::Revision;
+use stallhoist_platform::PlatformClient;
+use stallhoist_policy::retry::Ejection;
+use stallhoist_policy::retry::EjectionConfig;
+use stallhoist_policy::retry::RetryBudget;
+use stallhoist_settings::EntrySettings;
+use stallhoist_wire::FleetKey;
+use stallhoist_wire::Identity;
+use stallhoist_wire::messages::Status;
+use tokio::sync::watch;
+
+use crate::bill_desk::BillDesk;
+use crate::mesh::Links;
+use crate::metrics::Metrics;
+use crate::session::SessionKeys;
+
+/// What all tasks of an entry share. The crate's page states the lock order.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) settings: EntrySettings,
+    pub(crate) identity: Identity,
+    pub(crate) fleet_key: FleetKey,
+    pub(crate) session_keys: SessionKeys,
+    pub(crate) clock: ProcessClock,
+    pub(crate) platform: PlatformClient,
+    pub(crate) table: TableHolder,
+    pub(crate) table_store: TableStore,
+    pub(crate) claims: ClaimStore,
+    pub(crate) ledger: Ledger,
+    pub(crate) links: Links,
+    pub(crate) bills: Mutex<BillDesk>,
+    /// The highest revision each host is known to have in force.
+    pub(crate) holders: watch::Sender<HashMap<HostId, Revision>>,
+    pub(crate) retries: Mutex<RetryBudget>,
+    pub(crate) ejection: Mutex<Ejection>,
+    /// Claims that may stand in the store though nothing ran for them.
+    pub(crate) unreleased: Mutex<Vec<PendingClaim>>,
+    pub(crate) metrics: Metrics,
+    pub(crate) in_flight: AtomicUsize,
+    is_leaving: AtomicBool,
+}
+
+impl Shared {
+    /// Must be called on a runtime, since the claims' writer starts here.
+    pub(crate) fn new(settings: EntrySettings) -> Self {
+        let call_timeout = Duration::from_millis(settings.platform.call_timeout_ms);
+        let platform = PlatformClient::new(&settings.platform.url, call_timeout);
+        let identity = Identity {
+            host: settings.host.id.clone(),
+            zone: settings.host.zone.clone(),
+            incarnation: IncarnationId::generate(),
+        };
+        let batch_time = Duration::from_millis(settings.claims.batch_ms);
+        let max_batch = settings.claims.max_batch;
+        let retries = &settings.retries;
+        let ejection = EjectionConfig {
+            after_failures: retries.eject_after_failures,
+            pause: Duration::from_millis(retries.eject_ms),
+            max_percent: retries.max_ejected_percent,
+        };
+        Self {
+            fleet_key: FleetKey::new(settings.host.fleet_key.reveal()),
+            session_keys: SessionKeys::new(&settings.session_keys),
+            identity,
+            clock: ProcessClock::start(),
+            table: TableHolder::default(),
+            table_store: TableStore::new(platform.clone()),
+            claims: ClaimStore::start(platform.clone(), batch_time, max_batch),
+            ledger: Ledger::new(platform.clone()),
+            platform,
+            links: Links::default(),
+            bills: Mutex::default(),
+            holders: watch::Sender::default(),
+            retries: Mutex::new(RetryBudget::new(retries.budget_percent, retries.burst)),
+            ejection: Mutex::new(Ejection::new(ejection)),
+            unreleased: Mutex::default(),
+            metrics: Metrics::default(),
+            in_flight: AtomicUsize::new(0),
+            is_leaving: AtomicBool::new(false),
+            settings,
+        }
+    }
+
+    pub(crate) fn now(&self) -> MonoTime {
+        self.clock.now()
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::SeqCst)
+    }
+
+    pub(crate) fn set_leaving(&self) {
+        self.is_leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// What this entry tells its sidecars of itself.
+    pub(crate) fn status(&self) -> Status {
+        Status {
+            revision: self.table.revision().0,
+            leaving: self.is_leaving(),
+            ..Status::default()
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/table_desk.rs
@@ -0,0 +1,229 @@
+//! The table in an entry: edits, their spread, and who has them in force.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Serialize;
+use stallhoist_coordination::CommitError;
+use stallhoist_coordination::Installed;
+use stallhoist_core::HostId;
+use stallhoist_core::Revision;
+use stallhoist_core::ZoneName;
+use stallhoist_platform::HostState;
+use stallhoist_table::Edit;
+use stallhoist_table::LogEntry;
+use stallhoist_table::Table;
+use stallhoist_wire::FrameSender;
+use stallhoist_wire::WireError;
+use stallhoist_wire::messages::TableEdit;
+use stallhoist_wire::messages::TableHeld;
+use stallhoist_wire::messages::TableProgress;
+use stallhoist_wire::messages::TablePull;
+use stallhoist_wire::messages::TableSnapshot;
+use stallhoist_wire::messages::frame::Body;
+
+use crate::shared::Shared;
+
+/// How long a committed edit waits to be held in another zone before it is reported
+/// as committed only.
+const ACCEPT_PATIENCE: Duration = Duration::from_secs(1);
+
+/// Where a revision is in force, as far as this entry knows.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub(crate) struct InForce {
+    pub(crate) revision: u64,
+    /// Hosts that have it.
+    pub(crate) in_force_hosts: usize,
+    /// Hosts that should.
+    pub(crate) hosts: usize,
+    /// Those that are not known to have it.
+    pub(crate) missing: Vec<HostId>,
+}
+
+/// Commits an edit, puts it in force here, spreads it, and waits until another zone
+/// holds it. The flag says whether one did: only then is the edit accepted.
+pub(crate) async fn commit(
+    shared: &Arc<Shared>,
+    edit: &Edit,
+) -> Result<(LogEntry, bool), CommitError> {
+    let entry = shared.table_store.commit(edit).await?;
+    if shared.table.apply(&entry) == Installed::Gap {
+        let table = shared.table_store.table().await?;
+        shared.table.install(table);
+    }
+    announce(shared);
+    spread_entry(shared, &entry);
+    let is_held = wait_held_elsewhere(shared, entry.revision).await;
+    Ok((entry, is_held))
+}
+
+async fn wait_held_elsewhere(shared: &Shared, revision: Revision) -> bool {
+    let mut holders = shared.holders.subscribe();
+    let is_held =
+        |holders: &HashMap<HostId, Revision>| is_held_elsewhere(shared, holders, revision);
+    let held = tokio::time::timeout(ACCEPT_PATIENCE, holders.wait_for(is_held)).await;
+    matches!(held, Ok(Ok(_)))
+}
+
+/// Held in another zone; where the fleet has but one, by another host.
+fn is_held_elsewhere(
+    shared: &Shared,
+    holders: &HashMap<HostId, Revision>,
+    revision: Revision,
+) -> bool {
+    let zones: HashMap<HostId, ZoneName> = zones(shared);
+    let is_far = |zone: &ZoneName| zone != &shared.identity.zone;
+    let has_other_zones = zones.values().any(is_far);
+    holders.iter().filter(|(_, held)| **held >= revision).any(|(host, _)| {
+        let zone = zones.get(host);
+        host != &shared.identity.host && (!has_other_zones || zone.is_some_and(is_far))
+    })
+}
+
+fn zones(shared: &Shared) -> HashMap<HostId, ZoneName> {
+    shared.links.hosts().into_iter().map(|entry| (entry.host, entry.zone)).collect()
+}
+
+/// Where a revision is in force, as far as is known here.
+pub(crate) fn in_force(shared: &Shared, revision: Revision) -> InForce {
+    let listed = shared.links.hosts();
+    let live = listed.iter().filter(|entry| entry.state == HostState::Live);
+    let mut hosts: BTreeSet<HostId> = live.map(|entry| entry.host.clone()).collect();
+    hosts.insert(shared.identity.host.clone());
+    let holders = shared.holders.borrow();
+    let own = shared.table.revision();
+    let holds = |host: &HostId| {
+        let held =
+            if host == &shared.identity.host { Some(own) } else { holders.get(host).copied() };
+        held.is_some_and(|held| held >= revision)
+    };
+    let missing: Vec<_> = hosts.iter().filter(|host| !holds(host)).cloned().collect();
+    InForce {
+        revision: revision.0,
+        in_force_hosts: hosts.len() - missing.len(),
+        hosts: hosts.len(),
+        missing,
+    }
+}
+
+/// Reads the store's head and, if it is newer, the table.
+pub(crate) async fn poll(shared: &Arc<Shared>) -> Result<(), CommitError> {
+    shared.metrics.store_reads.inc();
+    let Some(head) = shared.table_store.head().await? else {
+        return Ok(());
+    };
+    if head.revision > shared.table.revision() {
+        let table = shared.table_store.table().await?;
+        install(shared, table);
+    }
+    Ok(())
+}
+
+/// A host has a revision in force.
+pub(crate) fn note_holder(shared: &Shared, host: &HostId, revision: Revision) {
+    shared.holders.send_if_modified(|holders| {
+        let held = holders.entry(host.clone()).or_default();
+        let is_news = *held < revision;
+        *held = (*held).max(revision);
+        is_news
+    });
+}
+
+/// A sidecar has said which of its entries have a revision in force.
+pub(crate) fn take_progress(shared: &Shared, progress: &TableProgress) {
+    for host in progress.holders.iter().filter_map(|host| host.parse().ok()) {
+        note_holder(shared, &host, Revision(progress.revision));
+    }
+}
+
+/// A whole table came.
+pub(crate) fn take_snapshot(
+    shared: &Arc<Shared>,
+    message: &TableSnapshot,
+) -> Result<(), WireError> {
+    let table: Table = serde_json::from_slice(&message.table_json)
+        .map_err(|_| WireError::BadField("table_json"))?;
+    install(shared, table);
+    Ok(())
+}
+
+/// A committed edit came.
+pub(crate) fn take_edit(
+    shared: &Arc<Shared>,
+    from: &FrameSender,
+    message: &TableEdit,
+) -> Result<(), WireError> {
+    let entry: LogEntry = serde_json::from_slice(&message.entry_json)
+        .map_err(|_| WireError::BadField("entry_json"))?;
+    match shared.table.apply(&entry) {
+        Installed::Newer => {
+            announce(shared);
+            spread_entry(shared, &entry);
+        }
+        Installed::Gap => pull(shared, from),
+        Installed::NotNewer => {}
+    }
+    Ok(())
+}
+
+/// A sidecar has said which revision it holds: whoever is behind gets the table.
+pub(crate) fn compare(shared: &Shared, peer: &FrameSender, theirs: Revision) {
+    let ours = shared.table.revision();
+    if theirs > ours {
+        pull(shared, peer);
+    } else if theirs < ours {
+        send_snapshot(shared, peer);
+    }
+}
+
+pub(crate) fn send_snapshot(shared: &Shared, to: &FrameSender) {
+    if let Some(table) = shared.table.current() {
+        let _ = to.try_send(snapshot(&table));
+    }
+}
+
+fn install(shared: &Arc<Shared>, table: Table) {
+    if shared.table.install(table) != Installed::Newer {
+        return;
+    }
+    announce(shared);
+    let Some(table) = shared.table.current() else {
+        return;
+    };
+    let message = snapshot(&table);
+    for (_, link) in shared.links.all() {
+        if link.look(|connected| connected.revision < table.revision) == Some(true) {
+            let _ = link.try_send(message.clone());
+        }
+    }
+}
+
+fn announce(shared: &Shared) {
+    let revision = shared.table.revision();
+    log::info!(revision = revision.0; "table in force");
+    shared.metrics.revision.set(i64::try_from(revision.0).unwrap_or(i64::MAX));
+    shared.links.broadcast(&Body::TableHeld(TableHeld { revision: revision.0 }));
+}
+
+fn spread_entry(shared: &Shared, entry: &LogEntry) {
+    let entry_json = serde_json::to_vec(entry).expect("a log entry is plain data");
+    let message = Body::TableEdit(TableEdit { revision: entry.revision.0, entry_json });
+    let holders = shared.holders.borrow().clone();
+    for (host, link) in shared.links.all() {
+        if holders.get(&host).is_none_or(|held| *held < entry.revision) {
+            let _ = link.try_send(message.clone());
+        }
+    }
+}
+
+fn pull(shared: &Shared, from: &FrameSender) {
+    let held_revision = shared.table.revision().0;
+    let _ = from.try_send(Body::TablePull(TablePull { held_revision }));
+}
+
+fn snapshot(table: &Table) -> Body {
+    let table_json = serde_json::to_vec(table).expect("the table is plain data");
+    Body::TableSnapshot(TableSnapshot { revision: table.revision.0, table_json })
+}
--- /dev/null
+++ b/crates/policy/src/admission/mod.rs
@@ -0,0 +1,23 @@
+//! Admission at a sidecar: what runs now, what waits, what is refused at once.
+//!
+//! The step time of an engine is learnt online as `a + b * batch`; the number of
+//! requests that run at once is the largest that holds the time between tokens.
+//! Work whose first token is predicted to miss its time is refused when it arrives,
+//! with the time after which it is predicted to fit.
+
+mod config;
+mod controller;
+mod estimator;
+mod queue;
+mod step_model;
+mod work;
+
+pub use config::AdmissionConfig;
+pub use config::QueueOrder;
+pub use controller::Admission;
+pub use controller::Next;
+pub use controller::Offer;
+pub use controller::Prediction;
+pub use estimator::Estimator;
+pub use step_model::StepModel;
+pub use work::Work;
--- /dev/null
+++ b/crates/policy/src/admission/work.rs
@@ -0,0 +1,18 @@
+//! A piece of work that asks for admission.
+
+use stallhoist_core::MonoTime;
+
+/// A piece of work that asks for admission.
+#[derive(Debug, Clone)]
+pub struct Work<Id> {
+    /// Whose work it is.
+    pub id: Id,
+    /// When it arrived.
+    pub arrived: MonoTime,
+    /// When its whole answer is due.
+    pub deadline: MonoTime,
+    /// Prompt tokens that no cache holds.
+    pub uncached_tokens: u64,
+    /// Tokens the answer is expected to have; 0 for a plain service's call.
+    pub completion_tokens: u64,
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,12 @@
+//! Decisions without input or output: placement, admission, version choice, guard,
+//! limits and retries.
+//!
+//! This crate exists so that what is decided can be tested, measured and embedded
+//! without a network. Every function takes the time and the random numbers it
+//! needs, and typed facts; it returns a typed decision. No sockets, no clocks, no
+//! tasks. The same code runs in the daemons, in the tests and in the benches.
+
+pub mod admission;
+pub mod placement;
+pub mod retry;
+pub mod version;
--- /dev/null
+++ b/crates/policy/src/placement/probe_plan.rs
@@ -0,0 +1,41 @@
+//! Which upstreams are asked about a request.
+
+use rand::Rng;
+use rand::RngExt;
+use stallhoist_core::HostId;
+
+use super::rendezvous_order;
+
+/// What steers the choice of whom to ask.
+#[derive(Debug, Clone, Default)]
+pub struct ProbePlan {
+    /// How many are asked.
+    pub probes: usize,
+    /// Where the session's last answer came from.
+    pub session_host: Option<HostId>,
+    /// The hash of the prompt's first block, which steers equal prefixes together.
+    pub first_prefix_hash: Option<u64>,
+}
+
+/// Chooses whom to ask: the session's last upstream, the one the prefix is steered
+/// to, then random ones. `usable` are the connected ones; none is asked twice.
+pub fn plan_probes(plan: &ProbePlan, usable: &[HostId], rng: &mut impl Rng) -> Vec<HostId> {
+    let mut asked: Vec<HostId> = Vec::with_capacity(plan.probes);
+    if let Some(host) = &plan.session_host
+        && usable.contains(host)
+    {
+        asked.push(host.clone());
+    }
+    if let Some(hash) = plan.first_prefix_hash {
+        let key = format!("prefix {hash:016x}");
+        let steered = rendezvous_order(&key, usable).into_iter().next();
+        asked.extend(steered.filter(|host| !asked.contains(host)).cloned());
+    }
+    asked.truncate(plan.probes);
+    let mut others: Vec<_> = usable.iter().filter(|host| !asked.contains(host)).collect();
+    while asked.len() < plan.probes && !others.is_empty() {
+        let at = rng.random_range(0..others.len());
+        asked.push(others.swap_remove(at).clone());
+    }
+    asked
+}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,44 @@
+//! Settings files in JSON with comments, checked whole before anything starts.
+//!
+//! This crate exists so that a wrong setting is refused at start, with the file,
+//! the line, the key, the value and what would be right, and so that all that is
+//! wrong is said at once. `stallhoist check-settings` runs the same code.
+//!
+//! Every key carries its unit. Ranges are part of the type of each section, so a
+//! value in the wrong unit is caught as out of range.
+
+mod admission;
+mod claims;
+mod entry;
+mod error;
+mod host;
+mod load;
+mod placement;
+mod problems;
+mod secret;
+mod service;
+mod sidecar;
+mod timing;
+mod upstream;
+
+pub use admission::AdmissionSettings;
+pub use claims::BillSettings;
+pub use claims::ClaimSettings;
+pub use entry::CallerLimits;
+pub use entry::EntrySettings;
+pub use error::SettingsError;
+pub use error::SettingsProblem;
+pub use error::SettingsProblems;
+pub use host::HostSettings;
+pub use load::load;
+pub use load::parse;
+pub use placement::PlacementSettings;
+pub use placement::RetrySettings;
+pub use problems::Checked;
+pub use problems::Problems;
+pub use secret::Secret;
+pub use service::PlatformSettings;
+pub use sidecar::SidecarSettings;
+pub use timing::TimingSettings;
+pub use upstream::UpstreamKind;
+pub use upstream::UpstreamSettings;
--- /dev/null
+++ b/crates/settings/src/upstream.rs
@@ -0,0 +1,58 @@
+//! What stands behind a sidecar.
+
+use serde::Deserialize;
+use serde::Serialize;
+use stallhoist_core::Target;
+
+use crate::Checked;
+use crate::Problems;
+
+/// What kind of upstream stands behind a sidecar.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum UpstreamKind {
+    /// A model engine with the chat-completions interface.
+    Engine,
+    /// A plain service.
+    Service,
+}
+
+/// The upstream behind a sidecar.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct UpstreamSettings {
+    /// What kind it is.
+    pub kind: UpstreamKind,
+    /// Its address, `http://IP:PORT`.
+    pub url: String,
+    /// The model versions or the service it serves.
+    pub serves: Vec<Target>,
+}
+
+impl Checked for UpstreamSettings {
+    fn check(&self, problems: &mut Problems) {
+        problems.http_url("url", &self.url);
+        if self.serves.is_empty() {
+            problems.add("serves", "must name at least one model@version or service:name");
+        }
+        for target in &self.serves {
+            let fits = match target {
+                Target::Version(_) => self.kind == UpstreamKind::Engine,
+                Target::Service(_) => self.kind == UpstreamKind::Service,
+            };
+            if !fits {
+                problems.add("serves", format!("'{target}' does not fit the upstream's kind"));
+            }
+        }
+    }
+}
+
+impl Default for UpstreamSettings {
+    fn default() -> Self {
+        Self {
+            kind: UpstreamKind::Engine,
+            url: "http://127.0.0.1:7500".to_owned(),
+            serves: Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/attempts.rs
@@ -0,0 +1,304 @@
+//! Attempts from their arrival to their end.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use stallhoist_coordination::AttemptFate;
+use stallhoist_coordination::Registered;
+use stallhoist_core::AttemptId;
+use stallhoist_core::NotRunReason;
+use stallhoist_policy::admission::Next;
+use stallhoist_policy::admission::Offer;
+use stallhoist_policy::admission::Work;
+use stallhoist_wire::FrameSender;
+use stallhoist_wire::WireError;
+use stallhoist_wire::attempt_from_wire;
+use stallhoist_wire::attempt_to_wire;
+use stallhoist_wire::messages;
+use stallhoist_wire::messages::Attestation;
+use stallhoist_wire::messages::Dispatch;
+use stallhoist_wire::messages::Probe;
+use stallhoist_wire::messages::ProbeReply;
+use stallhoist_wire::messages::Refusal;
+use stallhoist_wire::messages::frame::Body;
+
+use crate::answer::Answer;
+use crate::answer::End;
+use crate::gate::GateFacts;
+use crate::gate::check_gate;
+use crate::shared::Shared;
+use crate::table_spread;
+use crate::upstream;
+
+/// When to come back after a refusal that only a change elsewhere can lift.
+const RETRY_AFTER_CHANGE: Duration = Duration::from_millis(100);
+
+/// Answers a probe.
+pub(crate) fn probe(shared: &Shared, probe: &Probe) -> Result<ProbeReply, WireError> {
+    shared.metrics.probes.inc();
+    let now = shared.now();
+    let target: stallhoist_core::Target =
+        probe.target.parse().map_err(|_| WireError::BadField("target"))?;
+    let uncached_tokens = uncached_tokens(shared, probe.prompt_tokens, &probe.prefix_hashes);
+    let admission = shared.admission.lock();
+    let prediction = admission.predict(
+        now,
+        Work {
+            id: placeholder_id(),
+            arrived: now,
+            deadline: now.after(Duration::from_millis(probe.deadline_ms)),
+            uncached_tokens,
+            completion_tokens: probe.expected_completion_tokens,
+        },
+    );
+    let in_flight_requests = u32::try_from(admission.in_flight()).unwrap_or(u32::MAX);
+    let queue_len_requests = u32::try_from(admission.queue_len()).unwrap_or(u32::MAX);
+    drop(admission);
+    let own_refusal = if shared.is_leaving() {
+        Some(NotRunReason::Leaving)
+    } else if !shared.settings.upstream.serves.contains(&target) {
+        Some(NotRunReason::NotServed)
+    } else {
+        None
+    };
+    let refusal = own_refusal.map(|reason| (reason, RETRY_AFTER_CHANGE)).or(prediction.refusal);
+    Ok(ProbeReply {
+        probe_id: probe.probe_id,
+        predicted_first_token_us: micros(prediction.first_token),
+        in_flight_requests,
+        queue_len_requests,
+        revision: shared.table.revision().0,
+        refusal_reason: refusal.map_or(0, |(reason, _)| reason.code()),
+        retry_after_ms: refusal.map_or(0, |(_, after)| micros(after).div_ceil(1_000)),
+    })
+}
+
+/// An attempt came to be run.
+pub(crate) fn dispatch(
+    shared: &Arc<Shared>,
+    from: &FrameSender,
+    dispatch: Dispatch,
+) -> Result<(), WireError> {
+    shared.metrics.dispatches.inc();
+    let now = shared.now();
+    let id = attempt_from_wire(dispatch.attempt.as_ref())?;
+    let workspace = dispatch.workspace.parse().map_err(|_| WireError::BadField("workspace"))?;
+    let target = dispatch.target.parse().map_err(|_| WireError::BadField("target"))?;
+    match shared.registry.lock().register(now, id) {
+        Registered::New => {}
+        // It is held already, and its answer is on its way.
+        Registered::Seen => return Ok(()),
+        Registered::Barred => {
+            refuse_unregistered(from, id, NotRunReason::Barred);
+            return Ok(());
+        }
+    }
+    if dispatch.revision > shared.table.revision().0 {
+        table_spread::compare(shared, from, stallhoist_core::Revision(dispatch.revision));
+    }
+    let deadline = now.after(Duration::from_millis(dispatch.deadline_ms));
+    let uncached_tokens = uncached_tokens(shared, dispatch.prompt_tokens, &dispatch.prefix_hashes);
+    let answer = Answer::new(id, workspace, target, dispatch, deadline, uncached_tokens);
+    let answer = Arc::new(answer);
+    shared.answers.lock().insert(id, Arc::clone(&answer));
+    forward(&answer, from, 0);
+    offer(shared, &answer);
+    Ok(())
+}
+
+/// Sends an answer to a connection, on a task of its own.
+pub(crate) fn forward(answer: &Arc<Answer>, to: &FrameSender, next_sequence: u64) {
+    let answer = Arc::clone(answer);
+    let to = to.clone();
+    tokio::spawn(async move { answer.forward(&to, next_sequence).await });
+}
+
+fn offer(shared: &Arc<Shared>, answer: &Arc<Answer>) {
+    if let Err(reason) = gate(shared, answer) {
+        return refuse(shared, answer, reason, RETRY_AFTER_CHANGE);
+    }
+    let now = shared.now();
+    let work = Work {
+        id: answer.id,
+        arrived: now,
+        deadline: answer.deadline,
+        uncached_tokens: answer.uncached_tokens,
+        completion_tokens: answer.dispatch.expected_completion_tokens,
+    };
+    let offered = shared.admission.lock().offer(now, work);
+    match offered {
+        Offer::Start => start(shared, answer),
+        Offer::Queued => shared.admission_changed.notify_one(),
+        Offer::Refused { reason, retry_after } => refuse(shared, answer, reason, retry_after),
+    }
+}
+
+fn gate(shared: &Shared, answer: &Answer) -> Result<(), NotRunReason> {
+    let is_full = shared.bills.lock().len() >= shared.settings.bill.max_held;
+    if is_full {
+        return Err(NotRunReason::StoreUnavailable);
+    }
+    let table = shared.table.current();
+    if answer.dispatch.revision > shared.table.revision().0 {
+        return Err(NotRunReason::NoTable);
+    }
+    let facts = GateFacts {
+        workspace: &answer.workspace,
+        target: &answer.target,
+        is_in_session: answer.dispatch.in_session,
+        serves: &shared.settings.upstream.serves,
+        is_leaving: shared.is_leaving(),
+    };
+    check_gate(table.as_deref(), &facts)
+}
+
+/// Starts or refuses waiting work whose turn or end has come.
+pub(crate) fn pump(shared: &Arc<Shared>) {
+    let decisions = shared.admission.lock().next(shared.now());
+    for decision in decisions {
+        match decision {
+            Next::Start(id) => {
+                let Some(answer) = shared.answers.lock().get(&id).cloned() else {
+                    shared.admission.lock().abandoned(&id);
+                    continue;
+                };
+                match gate(shared, &answer) {
+                    Ok(()) => start(shared, &answer),
+                    Err(reason) => {
+                        shared.admission.lock().abandoned(&id);
+                        refuse(shared, &answer, reason, RETRY_AFTER_CHANGE);
+                    }
+                }
+            }
+            Next::Refused { id, retry_after } => {
+                let answer = shared.answers.lock().get(&id).cloned();
+                if let Some(answer) = answer {
+                    refuse(shared, &answer, NotRunReason::Overloaded, retry_after);
+                }
+            }
+        }
+    }
+}
+
+fn start(shared: &Arc<Shared>, answer: &Arc<Answer>) {
+    answer.set_started();
+    tokio::spawn(run(Arc::clone(shared), Arc::clone(answer)));
+}
+
+async fn run(shared: Arc<Shared>, answer: Arc<Answer>) {
+    let time_left = answer.deadline.since(shared.now());
+    let call = upstream::call(&shared, &answer);
+    let called = tokio::select! {
+        called = call => called,
+        () = answer.cancelled.cancelled() => upstream::Called::cancelled("cancelled"),
+        () = tokio::time::sleep(time_left) => upstream::Called::cancelled("the deadline has passed"),
+    };
+    if called.is_cancelled() {
+        upstream::cancel(&shared, &answer).await;
+    }
+    let now = shared.now();
+    let mut admission = shared.admission.lock();
+    match called.completion_tokens() {
+        Some(tokens) => admission.finished(now, &answer.id, tokens),
+        None => admission.abandoned(&answer.id),
+    }
+    drop(admission);
+    conclude(&shared, &answer, called);
+    shared.admission_changed.notify_one();
+}
+
+fn conclude(shared: &Shared, answer: &Answer, called: upstream::Called) {
+    let now = shared.now();
+    let (end, fate) = called.into_end(shared, answer);
+    if let End::Started { kind, bill, .. } = &end {
+        let is_failure = upstream::is_failure(*kind);
+        shared.evidence.lock().count(&answer.target, is_failure);
+        if is_failure { &shared.metrics.failures } else { &shared.metrics.answers }.inc();
+        if let Some(record) = bill {
+            shared.bills.lock().hold(now, record.clone());
+        }
+    } else {
+        shared.metrics.refusals.inc();
+    }
+    // The record is held before the last message can go out.
+    shared.registry.lock().end(&answer.id, fate);
+    answer.end(now, end);
+}
+
+fn refuse(shared: &Shared, answer: &Answer, reason: NotRunReason, retry_after: Duration) {
+    shared.metrics.refusals.inc();
+    shared.registry.lock().end(&answer.id, AttemptFate::NotRun);
+    answer.end(shared.now(), End::NotRun { reason, retry_after });
+}
+
+fn refuse_unregistered(to: &FrameSender, id: AttemptId, reason: NotRunReason) {
+    let _ = to.try_send(Body::Refusal(Refusal {
+        attempt: attempt_to_wire(id),
+        reason: reason.code(),
+        retry_after_ms: 0,
+        revision: 0,
+    }));
+}
+
+/// Nobody waits for an attempt any more.
+pub(crate) fn cancel(shared: &Arc<Shared>, id: AttemptId) {
+    // Barred if it is still on its way here.
+    let fate = shared.registry.lock().attest(shared.now(), id);
+    if fate != AttemptFate::Held {
+        return;
+    }
+    let Some(answer) = shared.answers.lock().get(&id).cloned() else {
+        return;
+    };
+    answer.cancelled.cancel();
+    if !answer.was_started() {
+        shared.admission.lock().abandoned(&id);
+        refuse(shared, &answer, NotRunReason::DeadlinePassed, RETRY_AFTER_CHANGE);
+    }
+}
+
+/// Says what is known of an attempt, and bars it if nothing is.
+pub(crate) fn attest(shared: &Shared, id: AttemptId) -> Attestation {
+    let fate = shared.registry.lock().attest(shared.now(), id);
+    let has_answer = shared.answers.lock().contains_key(&id);
+    let fate = match fate {
+        AttemptFate::Barred => messages::AttemptFate::Barred,
+        AttemptFate::NotRun => messages::AttemptFate::NotRun,
+        AttemptFate::Held => messages::AttemptFate::Held,
+        AttemptFate::Finished if has_answer => messages::AttemptFate::Finished,
+        AttemptFate::Finished => messages::AttemptFate::Forgotten,
+    };
+    Attestation { attempt: attempt_to_wire(id), fate: fate as i32 }
+}
+
+/// Sends an answer again from a sequence number.
+pub(crate) fn resume(shared: &Shared, to: &FrameSender, id: AttemptId, next_sequence: u64) {
+    let Some(answer) = shared.answers.lock().get(&id).cloned() else {
+        let fate = messages::AttemptFate::Forgotten as i32;
+        let _ = to.try_send(Body::Attestation(Attestation { attempt: attempt_to_wire(id), fate }));
+        return;
+    };
+    shared.metrics.resumes.inc();
+    forward(&answer, to, next_sequence);
+}
+
+fn uncached_tokens(shared: &Shared, prompt_tokens: u64, prefix_hashes: &[u64]) -> u64 {
+    if prefix_hashes.is_empty() {
+        return prompt_tokens;
+    }
+    let cached_blocks = shared.cache_view.lock().cached_prefix(prefix_hashes) as u64;
+    // The entry hashes whole blocks, so the blocks' size follows from their number.
+    let block_tokens = prompt_tokens / (prefix_hashes.len() as u64).max(1);
+    prompt_tokens.saturating_sub(cached_blocks * block_tokens)
+}
+
+fn placeholder_id() -> AttemptId {
+    AttemptId {
+        request: stallhoist_core::RequestId::from_u128(0),
+        number: stallhoist_core::AttemptNumber(0),
+    }
+}
+
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/sidecar/src/background.rs
@@ -0,0 +1,172 @@
+//! What a sidecar does besides answering: heartbeats, the queue's clock, sweeping,
+//! orphaned bills, and the view of the engine's cache.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+use stallhoist_wire::bill_to_wire;
+use stallhoist_wire::messages::BillOrphans;
+use stallhoist_wire::messages::frame::Body;
+
+use crate::answer::Answer;
+use crate::attempts;
+use crate::shared::Shared;
+
+const SWEEP_EVERY: Duration = Duration::from_millis(250);
+const CACHE_POLL_EVERY: Duration = Duration::from_millis(250);
+/// Records in one message to an entry.
+const MAX_ORPHANS: usize = 500;
+
+/// Says the status to all entries, again and again.
+pub(crate) async fn heartbeat(shared: Arc<Shared>) {
+    let every = Duration::from_millis(shared.settings.timing.heartbeat_ms);
+    loop {
+        tokio::time::sleep(every).await;
+        let status = Body::Status(shared.status(false));
+        shared.peers.lock().broadcast(&status);
+    }
+}
+
+/// Starts and refuses waiting work when its time has come.
+pub(crate) async fn run_queue(shared: Arc<Shared>) {
+    loop {
+        let due = shared.admission.lock().next_due();
+        let changed = shared.admission_changed.notified();
+        match due {
+            Some(due) => {
+                let due = shared.clock.instant(due).into();
+                tokio::select! {
+                    () = changed => {}
+                    () = tokio::time::sleep_until(due) => {}
+                }
+            }
+            None => changed.await,
+        }
+        attempts::pump(&shared);
+    }
+}
+
+/// Ends what nobody waits for and forgets what nobody will ask for.
+pub(crate) async fn sweep(shared: Arc<Shared>) {
+    loop {
+        tokio::time::sleep(SWEEP_EVERY).await;
+        sweep_answers(&shared);
+        offer_orphans(&shared);
+        show_gauges(&shared);
+    }
+}
+
+fn sweep_answers(shared: &Arc<Shared>) {
+    let now = shared.now();
+    let window = Duration::from_millis(shared.settings.timing.resume_window_ms);
+    let all: Vec<Arc<Answer>> = shared.answers.lock().values().cloned().collect();
+    let mut finished = Vec::new();
+    for answer in all {
+        match answer.ended_at() {
+            Some(ended) if now.since(ended) > window => {
+                shared.answers.lock().remove(&answer.id);
+            }
+            Some(ended) => finished.push((ended, answer)),
+            // What must not be repeated is run to its end, so that its fate is known.
+            None if answer.dispatch.repeatable && answer.unread_for(now) > window => {
+                attempts::cancel(shared, answer.id);
+            }
+            None => {}
+        }
+    }
+    forget_beyond(shared, finished);
+}
+
+/// Keeps finished answers within their bound of bytes; the oldest go first.
+fn forget_beyond(shared: &Shared, mut finished: Vec<(stallhoist_core::MonoTime, Arc<Answer>)>) {
+    finished.sort_by_key(|(ended, _)| *ended);
+    let mut kept: usize = finished.iter().map(|(_, answer)| answer.kept_bytes()).sum();
+    for (_, answer) in finished {
+        if kept <= shared.settings.max_kept_answer_bytes {
+            return;
+        }
+        kept -= answer.kept_bytes();
+        shared.answers.lock().remove(&answer.id);
+    }
+}
+
+/// Records that no entry has settled for long go to any entry, to be brought to the ledger.
+fn offer_orphans(shared: &Shared) {
+    let age = Duration::from_millis(shared.settings.bill.orphan_ms);
+    let peers = shared.peers.lock().all();
+    if peers.is_empty() {
+        return;
+    }
+    let orphans = shared.bills.lock().older_than(shared.now(), age, MAX_ORPHANS);
+    if orphans.is_empty() {
+        return;
+    }
+    let peer = &peers[rand::random_range(0..peers.len())];
+    let records = orphans.iter().map(bill_to_wire).collect();
+    let _ = peer.sender.try_send(Body::BillOrphans(BillOrphans { records }));
+}
+
+fn show_gauges(shared: &Shared) {
+    let as_gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+    let admission = shared.admission.lock();
+    shared.metrics.in_flight_requests.set(as_gauge(admission.in_flight()));
+    shared.metrics.queue_len_requests.set(as_gauge(admission.queue_len()));
+    drop(admission);
+    shared.metrics.unsettled_bills.set(as_gauge(shared.bills.lock().len()));
+}
+
+#[derive(Debug, Deserialize)]
+struct CacheEvents {
+    events: Vec<CacheEvent>,
+}
+
+#[derive(Debug, Deserialize)]
+struct CacheEvent {
+    sequence: u64,
+    kind: CacheEventKind,
+    block: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum CacheEventKind {
+    Stored,
+    Removed,
+}
+
+#[derive(Debug, Deserialize)]
+struct CacheBlocks {
+    last_sequence: u64,
+    blocks: Vec<u64>,
+}
+
+/// Follows the engine's cache events; a gap asks for the whole list.
+pub(crate) async fn follow_cache(shared: Arc<Shared>) {
+    if !shared.is_engine() {
+        return;
+    }
+    loop {
+        tokio::time::sleep(CACHE_POLL_EVERY).await;
+        // An engine without the events is used without them.
+        let _ = poll_cache(&shared).await;
+    }
+}
+
+async fn poll_cache(shared: &Shared) -> Result<(), reqwest::Error> {
+    let base = shared.settings.upstream.url.trim_end_matches('/');
+    let after = shared.cache_view.lock().last_sequence();
+    let url = format!("{base}/v1/cache-events?after={after}");
+    let reply: CacheEvents = shared.http.get(url).send().await?.json().await?;
+    let mut has_gap = false;
+    for event in reply.events {
+        let is_stored = event.kind == CacheEventKind::Stored;
+        has_gap |= !shared.cache_view.lock().event(event.sequence, is_stored, event.block);
+    }
+    if has_gap {
+        let url = format!("{base}/v1/cache-blocks");
+        let whole: CacheBlocks = shared.http.get(url).send().await?.json().await?;
+        shared.cache_view.lock().replace(whole.last_sequence, whole.blocks);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/sidecar/src/cache_view.rs
@@ -0,0 +1,44 @@
+//! What is known of the engine's prefix cache, from events that come late and with gaps.
+
+use std::collections::HashSet;
+
+/// The known blocks. A missing event only makes the estimate worse; a gap in the
+/// numbers asks for the whole list.
+#[derive(Debug, Default)]
+pub(crate) struct CacheView {
+    blocks: HashSet<u64>,
+    last_sequence: u64,
+}
+
+impl CacheView {
+    pub(crate) fn last_sequence(&self) -> u64 {
+        self.last_sequence
+    }
+
+    /// Takes in one event; false when events before it are missing.
+    pub(crate) fn event(&mut self, sequence: u64, is_stored: bool, block: u64) -> bool {
+        let follows = sequence == self.last_sequence + 1;
+        self.last_sequence = self.last_sequence.max(sequence);
+        if is_stored {
+            self.blocks.insert(block);
+        } else {
+            self.blocks.remove(&block);
+        }
+        follows
+    }
+
+    /// Takes in the whole list.
+    pub(crate) fn replace(&mut self, last_sequence: u64, blocks: impl IntoIterator<Item = u64>) {
+        self.blocks = blocks.into_iter().collect();
+        self.last_sequence = last_sequence;
+    }
+
+    /// How many of a prompt's leading blocks are cached.
+    pub(crate) fn cached_prefix(&self, hashes: &[u64]) -> usize {
+        hashes.iter().take_while(|hash| self.blocks.contains(hash)).count()
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.blocks.len()
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/connection.rs
@@ -0,0 +1,145 @@
+//! One connection of an entry.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use stallhoist_core::IncarnationId;
+use stallhoist_core::RequestId;
+use stallhoist_core::Revision;
+use stallhoist_wire::FrameReader;
+use stallhoist_wire::FrameSender;
+use stallhoist_wire::Side;
+use stallhoist_wire::WireError;
+use stallhoist_wire::attempt_from_wire;
+use stallhoist_wire::bill_from_wire;
+use stallhoist_wire::handshake;
+use stallhoist_wire::messages::BillHeld;
+use stallhoist_wire::messages::BillHold;
+use stallhoist_wire::messages::frame::Body;
+use stallhoist_wire::request_from_wire;
+use stallhoist_wire::start_writer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use crate::attempts;
+use crate::peers::Peer;
+use crate::shared::Shared;
+use crate::table_spread;
+
+/// Takes connections until the process ends.
+pub(crate) async fn accept_all(shared: Arc<Shared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve(Arc::clone(&shared), stream));
+            }
+            Err(error) => {
+                // Out of descriptors, most likely: they come back as connections end.
+                log::warn!(error:%; "cannot accept a connection");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+async fn serve(shared: Arc<Shared>, stream: TcpStream) {
+    let max_frame_bytes = shared.settings.max_frame_bytes;
+    let shaken =
+        handshake(stream, Side::Accepter, &shared.identity, &shared.fleet_key, max_frame_bytes);
+    let (framed, identity) = match shaken.await {
+        Ok(done) => done,
+        Err(error) => return log::warn!(error:%; "handshake failed"),
+    };
+    let (sender, mut reader) = start_writer(framed);
+    let incarnation = identity.incarnation;
+    log::info!(entry:% = identity.host, zone:% = identity.zone; "entry connected");
+    let peer = Peer { identity, sender: sender.clone(), revision: Revision::default() };
+    shared.peers.lock().add(peer);
+    let _ = sender.send(Body::Status(shared.status(true))).await;
+    let ended = read_all(&shared, &sender, &mut reader, incarnation).await;
+    shared.peers.lock().remove(incarnation, &sender);
+    sender.close();
+    log::info!(reason:% = ended; "entry disconnected");
+}
+
+async fn read_all(
+    shared: &Arc<Shared>,
+    sender: &FrameSender,
+    reader: &mut FrameReader,
+    peer: IncarnationId,
+) -> WireError {
+    let silence = Duration::from_millis(shared.settings.timing.peer_timeout_ms);
+    loop {
+        let body = match tokio::time::timeout(silence, reader.next()).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(error)) => return error,
+            Err(_) => return WireError::Closed,
+        };
+        if let Err(error) = take(shared, sender, peer, body) {
+            return error;
+        }
+    }
+}
+
+fn take(
+    shared: &Arc<Shared>,
+    sender: &FrameSender,
+    peer: IncarnationId,
+    body: Body,
+) -> Result<(), WireError> {
+    match body {
+        Body::Probe(probe) => {
+            let reply = attempts::probe(shared, &probe)?;
+            let _ = sender.try_send(Body::ProbeReply(reply));
+        }
+        Body::Dispatch(dispatch) => attempts::dispatch(shared, sender, dispatch)?,
+        Body::Cancel(cancel) => {
+            attempts::cancel(shared, attempt_from_wire(cancel.attempt.as_ref())?);
+        }
+        Body::Attest(attest) => {
+            let id = attempt_from_wire(attest.attempt.as_ref())?;
+            let _ = sender.try_send(Body::Attestation(attempts::attest(shared, id)));
+        }
+        Body::Resume(resume) => {
+            let id = attempt_from_wire(resume.attempt.as_ref())?;
+            attempts::resume(shared, sender, id, resume.next_sequence);
+        }
+        Body::Status(status) => note_revision(shared, sender, peer, Revision(status.revision)),
+        Body::TableHeld(held) => {
+            shared.peers.lock().note_revision(peer, Revision(held.revision));
+            table_spread::report_progress(shared);
+        }
+        Body::TableSnapshot(snapshot) => {
+            shared.peers.lock().note_revision(peer, Revision(snapshot.revision));
+            table_spread::take_snapshot(shared, &snapshot)?;
+        }
+        Body::TableEdit(edit) => {
+            shared.peers.lock().note_revision(peer, Revision(edit.revision));
+            table_spread::take_edit(shared, sender, &edit)?;
+        }
+        Body::TablePull(_) => table_spread::send_snapshot(shared, sender),
+        Body::BillHold(hold) => hold_bill(shared, sender, &hold)?,
+        Body::BillSettled(settled) => settle(shared, &settled.requests)?,
+        _ => return Err(WireError::BadField("a message that only sidecars send")),
+    }
+    Ok(())
+}
+
+fn note_revision(shared: &Shared, sender: &FrameSender, peer: IncarnationId, theirs: Revision) {
+    shared.peers.lock().note_revision(peer, theirs);
+    table_spread::compare(shared, sender, theirs);
+}
+
+fn hold_bill(shared: &Shared, sender: &FrameSender, hold: &BillHold) -> Result<(), WireError> {
+    let record = hold.record.as_ref().ok_or(WireError::BadField("record"))?;
+    shared.bills.lock().hold(shared.now(), bill_from_wire(record)?);
+    let _ = sender.try_send(Body::BillHeld(BillHeld { request: record.request.clone() }));
+    Ok(())
+}
+
+fn settle(shared: &Shared, requests: &[Vec<u8>]) -> Result<(), WireError> {
+    let requests: Result<Vec<RequestId>, WireError> =
+        requests.iter().map(|bytes| request_from_wire(bytes)).collect();
+    shared.bills.lock().settle(&requests?);
+    Ok(())
+}
--- /dev/null
+++ b/crates/sidecar/src/upstream/called.rs
@@ -0,0 +1,82 @@
+//! What became of a call.
+
+use std::time::Duration;
+
+use stallhoist_coordination::AttemptFate;
+use stallhoist_core::BillRecord;
+use stallhoist_core::CostMicros;
+use stallhoist_core::NotRunReason;
+use stallhoist_core::Usage;
+use stallhoist_wire::messages::FinalKind;
+
+use crate::answer::Answer;
+use crate::answer::End;
+use crate::shared::Shared;
+
+/// When to try an upstream again that refused the connection.
+const RETRY_AFTER_UNREACHABLE: Duration = Duration::from_millis(500);
+
+/// What became of a call to the upstream.
+#[derive(Debug)]
+pub(crate) enum Called {
+    /// The connection was refused: nothing ran.
+    Unreachable,
+    /// The whole answer came.
+    Whole(Usage),
+    /// It ended otherwise.
+    Other { kind: FinalKind, detail: String },
+}
+
+impl Called {
+    pub(crate) fn cancelled(why: &str) -> Self {
+        Self::Other { kind: FinalKind::Cancelled, detail: why.to_owned() }
+    }
+
+    pub(crate) fn truncated(why: impl Into<String>) -> Self {
+        Self::Other { kind: FinalKind::Truncated, detail: why.into() }
+    }
+
+    pub(crate) fn is_cancelled(&self) -> bool {
+        matches!(self, Self::Other { kind: FinalKind::Cancelled, .. })
+    }
+
+    /// The length of a whole answer, in tokens.
+    pub(crate) fn completion_tokens(&self) -> Option<u64> {
+        match self {
+            Self::Whole(usage) => Some(usage.completion_tokens.0),
+            _ => None,
+        }
+    }
+
+    pub(crate) fn into_end(self, shared: &Shared, answer: &Answer) -> (End, AttemptFate) {
+        match self {
+            Self::Unreachable => {
+                let reason = NotRunReason::UpstreamUnreachable;
+                let end = End::NotRun { reason, retry_after: RETRY_AFTER_UNREACHABLE };
+                (end, AttemptFate::NotRun)
+            }
+            Self::Whole(usage) => {
+                let bill = Some(bill(shared, answer, usage));
+                let end = End::Started { kind: FinalKind::Whole, detail: String::new(), bill };
+                (end, AttemptFate::Finished)
+            }
+            Self::Other { kind, detail } => {
+                (End::Started { kind, detail, bill: None }, AttemptFate::Finished)
+            }
+        }
+    }
+}
+
+fn bill(shared: &Shared, answer: &Answer, usage: Usage) -> BillRecord {
+    let table = shared.table.current();
+    let row = table.as_ref().and_then(|table| table.row(&answer.workspace, &answer.target));
+    let price = row.map_or(CostMicros::default(), |row| row.cost_micros_per_1k_tokens);
+    BillRecord {
+        request: answer.id.request,
+        attempt_number: answer.id.number,
+        workspace: answer.workspace.clone(),
+        target: answer.target.clone(),
+        usage,
+        cost_micros: price.for_tokens(usage.total_tokens()),
+    }
+}
--- /dev/null
+++ b/crates/standins/src/service.rs
@@ -0,0 +1,167 @@
+//! A plain service's stand-in: it counts what it executes, by key.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use rocket::Build;
+use rocket::Request;
+use rocket::Rocket;
+use rocket::State;
+use rocket::data::Data;
+use rocket::data::ToByteUnit;
+use rocket::get;
+use rocket::http::Status;
+use rocket::post;
+use rocket::request::FromRequest;
+use rocket::request::Outcome;
+use rocket::routes;
+use rocket::serde::json::Json;
+use serde::Deserialize;
+use serde::Serialize;
+use stallhoist_http::HttpServer;
+use stallhoist_http::ServerError;
+use stallhoist_http::ServerSettings;
+
+const MAX_BODY_MIB: u64 = 32;
+
+/// One call that was executed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceExecution {
+    /// The path that was called.
+    pub path: String,
+    /// The body that came.
+    pub body: String,
+    /// The request's identity, as the sidecar gave it.
+    pub request_id: String,
+    /// The idempotency key, as the sidecar passed it on.
+    pub idempotency_key: String,
+}
+
+/// What the service does with calls.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ServiceSwitches {
+    /// How long each call takes.
+    pub delay_ms: u64,
+    /// Every call is answered with status 500, after it was executed.
+    pub fail: bool,
+}
+
+/// Lock order: `switches`, then `executions`.
+#[derive(Debug, Default)]
+struct Shared {
+    switches: Mutex<ServiceSwitches>,
+    executions: Mutex<Vec<ServiceExecution>>,
+}
+
+/// A plain service's stand-in, serving.
+#[derive(Debug)]
+pub struct ServiceStandin {
+    shared: Arc<Shared>,
+    server: HttpServer,
+}
+
+impl ServiceStandin {
+    /// Starts it on an address; port 0 takes a free one.
+    ///
+    /// # Errors
+    /// Fails when the address cannot be listened on.
+    pub async fn start(addr: SocketAddr) -> Result<Self, ServerError> {
+        let shared = Arc::new(Shared::default());
+        let settings = ServerSettings { addr, ..ServerSettings::default() };
+        let server = HttpServer::start(mount(Arc::clone(&shared)), &settings).await?;
+        Ok(Self { shared, server })
+    }
+
+    /// The address as a URL.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.server.addr())
+    }
+
+    /// Makes each call take this long.
+    pub fn set_delay(&self, delay: Duration) {
+        let delay_ms = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
+        self.shared.switches.lock().delay_ms = delay_ms;
+    }
+
+    /// Makes each call fail after it was executed.
+    pub fn set_fail(&self, fail: bool) {
+        self.shared.switches.lock().fail = fail;
+    }
+
+    /// What was executed, in order.
+    pub fn executions(&self) -> Vec<ServiceExecution> {
+        self.shared.executions.lock().clone()
+    }
+
+    /// Stops serving.
+    pub async fn stop(self) {
+        self.server.stop().await;
+    }
+}
+
+fn mount(shared: Arc<Shared>) -> Rocket<Build> {
+    rocket::build().manage(shared).mount("/", routes![call, executions, switches, look])
+}
+
+/// The headers the service looks at.
+struct Marks {
+    request_id: String,
+    idempotency_key: String,
+}
+
+#[rocket::async_trait]
+impl<'r> FromRequest<'r> for Marks {
+    type Error = ();
+
+    async fn from_request(request: &'r Request<'_>) -> Outcome<Self, ()> {
+        let header = |name| request.headers().get_one(name).unwrap_or_default().to_owned();
+        Outcome::Success(Self {
+            request_id: header("X-Request-Id"),
+            idempotency_key: header("Idempotency-Key"),
+        })
+    }
+}
+
+#[post("/<path..>", data = "<body>", rank = 10)]
+async fn call(
+    shared: &State<Arc<Shared>>,
+    path: PathBuf,
+    marks: Marks,
+    body: Data<'_>,
+) -> Result<Json<ServiceExecution>, Status> {
+    let body =
+        body.open(MAX_BODY_MIB.mebibytes()).into_string().await.map_err(|_| Status::BadRequest)?;
+    let execution = ServiceExecution {
+        path: path.display().to_string(),
+        body: body.into_inner(),
+        request_id: marks.request_id,
+        idempotency_key: marks.idempotency_key,
+    };
+    // Executed from here on, whatever becomes of the answer.
+    shared.executions.lock().push(execution.clone());
+    let switches = shared.switches.lock().clone();
+    tokio::time::sleep(Duration::from_millis(switches.delay_ms)).await;
+    if switches.fail {
+        return Err(Status::InternalServerError);
+    }
+    Ok(Json(execution))
+}
+
+#[get("/<path..>", rank = 10)]
+fn look(path: PathBuf) -> String {
+    format!("looked at {}", path.display())
+}
+
+#[get("/standin/executions")]
+fn executions(shared: &State<Arc<Shared>>) -> Json<Vec<ServiceExecution>> {
+    Json(shared.executions.lock().clone())
+}
+
+#[post("/standin/switches", data = "<switches>")]
+fn switches(shared: &State<Arc<Shared>>, switches: Json<ServiceSwitches>) {
+    *shared.switches.lock() = switches.into_inner();
+}
--- /dev/null
+++ b/crates/table/src/row.rs
@@ -0,0 +1,136 @@
+//! A row: one workspace and one target.
+
+use std::str::FromStr;
+
+use serde::Deserialize;
+use serde::Serialize;
+use stallhoist_core::CostMicros;
+use stallhoist_core::Target;
+use stallhoist_core::WorkspaceName;
+
+use crate::CellError;
+use crate::Column;
+use crate::VersionState;
+
+const YES: &str = "yes";
+const NO: &str = "no";
+const MAX_PERCENT: u32 = 100;
+
+/// One row: what one workspace may do with one model version or service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// The workspace.
+    pub workspace: WorkspaceName,
+    /// The model version or service.
+    pub target: Target,
+    /// Whether the workspace may use it.
+    pub allowed: bool,
+    /// Whether the version takes work.
+    pub state: VersionState,
+    /// Its part of its model's new work, against its siblings.
+    pub weight: u32,
+    /// The most of its model's new work it may take, in percent.
+    pub ramp_percent: u32,
+    /// The most requests in progress over the whole fleet; 0 means no limit.
+    pub max_in_flight_requests: u32,
+    /// The most requests a second over the whole fleet; 0 means no limit.
+    pub max_requests_per_s: u32,
+    /// The most tokens a second over the whole fleet; 0 means no limit.
+    pub max_tokens_per_s: u32,
+    /// What a thousand tokens cost.
+    pub cost_micros_per_1k_tokens: CostMicros,
+    /// Whether calls may be repeated.
+    pub repeatable: bool,
+    /// The place in the cascade of models, from 1; 0 means none.
+    pub cascade_place: u32,
+}
+
+impl Row {
+    /// The row an edit starts from when none is there: nothing is allowed yet.
+    pub fn new(workspace: WorkspaceName, target: Target) -> Self {
+        Self {
+            workspace,
+            target,
+            allowed: false,
+            state: VersionState::default(),
+            weight: 1,
+            ramp_percent: MAX_PERCENT,
+            max_in_flight_requests: 0,
+            max_requests_per_s: 0,
+            max_tokens_per_s: 0,
+            cost_micros_per_1k_tokens: CostMicros::default(),
+            repeatable: true,
+            cascade_place: 0,
+        }
+    }
+
+    /// What a cell of the row shows; empty for a workspace's own columns.
+    pub fn cell(&self, column: Column) -> String {
+        match column {
+            Column::Allowed => yes_or_no(self.allowed),
+            Column::State => self.state.to_string(),
+            Column::Weight => self.weight.to_string(),
+            Column::RampPercent => self.ramp_percent.to_string(),
+            Column::MaxInFlightRequests => self.max_in_flight_requests.to_string(),
+            Column::MaxRequestsPerS => self.max_requests_per_s.to_string(),
+            Column::MaxTokensPerS => self.max_tokens_per_s.to_string(),
+            Column::CostMicrosPer1kTokens => self.cost_micros_per_1k_tokens.to_string(),
+            Column::Repeatable => yes_or_no(self.repeatable),
+            Column::CascadePlace => self.cascade_place.to_string(),
+            Column::KeyDigest | Column::QualityTargetPercent => String::new(),
+        }
+    }
+
+    /// Writes a cell of the row.
+    ///
+    /// # Errors
+    /// Fails when the value does not fit the column.
+    pub fn set_cell(&mut self, column: Column, value: &str) -> Result<(), CellError> {
+        match column {
+            Column::Allowed => self.allowed = parse_yes_or_no(value)?,
+            Column::State => self.state = value.parse()?,
+            Column::Weight => self.weight = parse_number(value)?,
+            Column::RampPercent => self.ramp_percent = parse_percent(value)?,
+            Column::MaxInFlightRequests => self.max_in_flight_requests = parse_number(value)?,
+            Column::MaxRequestsPerS => self.max_requests_per_s = parse_number(value)?,
+            Column::MaxTokensPerS => self.max_tokens_per_s = parse_number(value)?,
+            Column::CostMicrosPer1kTokens => {
+                self.cost_micros_per_1k_tokens = CostMicros(parse_number(value)?);
+            }
+            Column::Repeatable => self.repeatable = parse_yes_or_no(value)?,
+            Column::CascadePlace => self.cascade_place = parse_number(value)?,
+            Column::KeyDigest | Column::QualityTargetPercent => {
+                return Err(CellError::OfWorkspace(column.to_string()));
+            }
+        }
+        Ok(())
+    }
+}
+
+fn yes_or_no(flag: bool) -> String {
+    if flag { YES } else { NO }.to_owned()
+}
+
+fn parse_yes_or_no(value: &str) -> Result<bool, CellError> {
+    match value {
+        YES => Ok(true),
+        NO => Ok(false),
+        _ => Err(bad_value(value, "yes or no")),
+    }
+}
+
+fn parse_number<T: FromStr>(value: &str) -> Result<T, CellError> {
+    value.parse().map_err(|_| bad_value(value, "a whole number from 0"))
+}
+
+pub(crate) fn parse_percent(value: &str) -> Result<u32, CellError> {
+    let percent = parse_number(value)?;
+    if percent > MAX_PERCENT {
+        return Err(bad_value(value, "a percentage from 0 to 100"));
+    }
+    Ok(percent)
+}
+
+pub(crate) fn bad_value(value: &str, expected: &'static str) -> CellError {
+    CellError::BadValue { value: value.to_owned(), expected }
+}
--- /dev/null
+++ b/crates/table/src/sheet.rs
@@ -0,0 +1,93 @@
+//! The table as a sheet in CSV.
+
+use stallhoist_core::Target;
+use stallhoist_core::WorkspaceName;
+
+use crate::CellAddress;
+use crate::CellChange;
+use crate::CellError;
+use crate::Column;
+use crate::SheetError;
+use crate::Table;
+use crate::address::WHOLE_WORKSPACE;
+
+const WORKSPACE_HEADING: &str = "workspace";
+const TARGET_HEADING: &str = "target";
+const KEY_COLUMNS: usize = 2;
+
+/// The table as CSV: a heading, then a line a row; `*` stands for the target in a
+/// workspace's own line.
+///
+/// # Errors
+/// Fails only when the CSV writer does.
+pub fn to_csv(table: &Table) -> Result<String, SheetError> {
+    let mut writer = csv::Writer::from_writer(Vec::new());
+    let headings = Column::ALL.iter().map(ToString::to_string);
+    let keys = [WORKSPACE_HEADING.to_owned(), TARGET_HEADING.to_owned()];
+    writer.write_record(keys.into_iter().chain(headings))?;
+    for row in &table.workspaces {
+        let cells = Column::ALL.iter().map(|column| row.cell(*column));
+        let keys = [row.workspace.to_string(), WHOLE_WORKSPACE.to_owned()];
+        writer.write_record(keys.into_iter().chain(cells))?;
+    }
+    for row in &table.rows {
+        let cells = Column::ALL.iter().map(|column| row.cell(*column));
+        let keys = [row.workspace.to_string(), row.target.to_string()];
+        writer.write_record(keys.into_iter().chain(cells))?;
+    }
+    let bytes = writer.into_inner().map_err(|e| csv::Error::from(e.into_error()))?;
+    Ok(String::from_utf8_lossy(&bytes).into_owned())
+}
+
+/// The cells in which a sheet differs from the table, as changes that expect what
+/// the table holds now. Empty cells are left as they are.
+///
+/// # Errors
+/// Fails on anything but a sheet, naming the line.
+pub fn changes_from_csv(table: &Table, text: &str) -> Result<Vec<CellChange>, SheetError> {
+    let mut reader = csv::Reader::from_reader(text.as_bytes());
+    let columns = read_headings(reader.headers()?)?;
+    let mut changes = Vec::new();
+    for record in reader.records() {
+        let record = record?;
+        let line = record.position().map_or(0, csv::Position::line);
+        let in_line = |cause| SheetError::Cell { line, cause };
+        let found = row_changes(table, &columns, &record).map_err(in_line)?;
+        changes.extend(found);
+    }
+    Ok(changes)
+}
+
+fn read_headings(headings: &csv::StringRecord) -> Result<Vec<Column>, SheetError> {
+    if headings.get(0) != Some(WORKSPACE_HEADING) || headings.get(1) != Some(TARGET_HEADING) {
+        return Err(SheetError::Heading);
+    }
+    let in_heading = |cause| SheetError::Cell { line: 1, cause };
+    headings.iter().skip(KEY_COLUMNS).map(|name| name.parse().map_err(in_heading)).collect()
+}
+
+fn row_changes(
+    table: &Table,
+    columns: &[Column],
+    record: &csv::StringRecord,
+) -> Result<Vec<CellChange>, CellError> {
+    let workspace: WorkspaceName = record.get(0).unwrap_or_default().parse()?;
+    let target: Option<Target> = match record.get(1).unwrap_or_default() {
+        WHOLE_WORKSPACE => None,
+        named => Some(named.parse()?),
+    };
+    let mut changes = Vec::new();
+    for (column, value) in columns.iter().zip(record.iter().skip(KEY_COLUMNS)) {
+        if value.is_empty() {
+            continue;
+        }
+        let address =
+            CellAddress { workspace: workspace.clone(), target: target.clone(), column: *column };
+        address.check()?;
+        let expect = table.cell(&address);
+        if expect != value {
+            changes.push(CellChange { address, expect, value: value.to_owned() });
+        }
+    }
+    Ok(changes)
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,38 @@
+//! Messages between entries and sidecars, their framing and the handshake.
+//!
+//! This crate exists so that there is one place where bytes become typed messages
+//! and back. Frames are length-delimited (`tokio-util`), bodies are protocol
+//! buffers (`prost`, generated code committed). Nothing is read from a peer before
+//! both sides have proved that they hold the fleet key; until then frames are
+//! bounded to a small size. The connection is authenticated, not encrypted.
+
+mod codec;
+mod connection;
+mod convert;
+mod error;
+mod fleet_key;
+mod handshake;
+mod identity;
+
+/// The generated messages. Made by `cargo run -p stallhoist-wire-codegen`.
+#[allow(missing_docs, clippy::all, clippy::pedantic)]
+#[rustfmt::skip]
+pub mod messages {
+    include!("generated/messages.rs");
+}
+
+pub use codec::FrameCodec;
+pub use connection::FrameReader;
+pub use connection::FrameSender;
+pub use connection::start_writer;
+pub use convert::attempt_from_wire;
+pub use convert::attempt_to_wire;
+pub use convert::bill_from_wire;
+pub use convert::bill_to_wire;
+pub use convert::request_from_wire;
+pub use error::HandshakeError;
+pub use error::WireError;
+pub use fleet_key::FleetKey;
+pub use handshake::Side;
+pub use handshake::handshake;
+pub use identity::Identity;
--- /dev/null
+++ b/src/error.rs
@@ -0,0 +1,50 @@
+//! What can go wrong on the command line.
+
+use displaydoc::Display;
+use stallhoist_entry::EntryError;
+use stallhoist_http::ServerError;
+use stallhoist_settings::SettingsError;
+use stallhoist_sidecar::SidecarError;
+use stallhoist_table::CellError;
+use stallhoist_table::SheetError;
+
+/// What can go wrong on the command line.
+#[derive(Debug, Display, thiserror::Error)]
+pub(crate) enum CliError {
+    /// {0}
+    Settings(#[from] SettingsError),
+    /// cannot reach the operators' endpoint: {0}
+    Unreachable(#[from] reqwest::Error),
+    /// the operators' endpoint answered with status {status}: {detail}
+    Refused {
+        /// The HTTP status.
+        status: u16,
+        /// What it said.
+        detail: String,
+    },
+    /// {0}
+    Cell(#[from] CellError),
+    /// {0}
+    Sheet(#[from] SheetError),
+    /// '{0}' is not WORKSPACE/TARGET/COLUMN=VALUE
+    Assignment(String),
+    /// '{0}' is not an edit's identity
+    EditId(String),
+    /// {file}: {cause}
+    File {
+        /// The file.
+        file: String,
+        /// Why.
+        cause: std::io::Error,
+    },
+    /// a stand-in or an endpoint did not start: {0}
+    Server(#[from] ServerError),
+    /// the entry did not start: {0}
+    Entry(#[from] EntryError),
+    /// a sidecar did not start: {0}
+    Sidecar(#[from] SidecarError),
+    /// the local system was not ready in time
+    NotReady,
+    /// signals cannot be listened for: {0}
+    Signal(std::io::Error),
+}
--- /dev/null
+++ b/src/local/mod.rs
@@ -0,0 +1,44 @@
+//! `stallhoist local`: the whole path in one process on loopback, over stand-ins.
+
+mod addresses;
+mod fleet;
+mod table;
+
+use std::fs;
+use std::path::PathBuf;
+
+use clap::ArgMatches;
+use stallhoist_telemetry::LogLevel;
+use stallhoist_telemetry::start_logging;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use crate::commands::say;
+use crate::error::CliError;
+use crate::local::fleet::LocalFleet;
+use crate::local::fleet::LocalPorts;
+
+/// Starts everything, says where it is, and serves until it is told to stop.
+pub(crate) async fn run(matches: &ArgMatches) -> Result<(), CliError> {
+    let level = matches.get_one::<String>("log-level").and_then(|text| text.parse().ok());
+    start_logging(level.unwrap_or(LogLevel::Warn));
+    let mut terminate = signal(SignalKind::terminate()).map_err(CliError::Signal)?;
+    let port = |name| matches.get_one::<u16>(name).copied().unwrap_or_default();
+    let ports = LocalPorts { callers: port("callers-port"), operators: port("operators-port") };
+    let engines = matches.get_one::<u16>("engines").copied().unwrap_or(1);
+    let fleet = LocalFleet::start(ports, engines).await?;
+    let addresses = fleet.addresses();
+    if let Some(path) = matches.get_one::<PathBuf>("addresses-file") {
+        let json = serde_json::to_string_pretty(&addresses).unwrap_or_default();
+        let cause = |cause| CliError::File { file: path.display().to_string(), cause };
+        fs::write(path, json).map_err(cause)?;
+    }
+    say(format_args!("{addresses}"));
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+    say(format_args!("stopping\n"));
+    fleet.stop().await;
+    Ok(())
+}
--- /dev/null
+++ b/tests/all/harness/mod.rs
@@ -0,0 +1,25 @@
+//! What the tests are built with.
+
+mod caller;
+mod fleet;
+mod process;
+mod settings;
+mod wait;
+
+pub(crate) use caller::Caller;
+pub(crate) use caller::send;
+pub(crate) use fleet::Fleet;
+pub(crate) use fleet::Plan;
+pub(crate) use process::Process;
+pub(crate) use wait::wait_until;
+
+/// Names a case of an asynchronous test: its body runs on a runtime of its own.
+macro_rules! case {
+    ($name:ident, $body:expr) => {
+        #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+        async fn $name() {
+            $body.await
+        }
+    };
+}
+pub(crate) use case;
--- /dev/null
+++ b/tests/all/harness/settings.rs
@@ -0,0 +1,53 @@
+//! Settings of the daemons under test: everything happens faster than in use.
+
+use serde_json::Value;
+use serde_json::json;
+
+pub(crate) const FLEET_KEY: &str = "fleet-key-of-the-tests";
+pub(crate) const OPERATORS_KEY: &str = "operators-key-of-the-tests";
+pub(crate) const WORKSPACE_KEY: &str = "workspace-key-of-the-tests";
+
+fn host(id: &str, zone: &str) -> Value {
+    json!({ "id": id, "zone": zone, "fleet_key": FLEET_KEY, "operators_key": OPERATORS_KEY })
+}
+
+fn platform(url: &str) -> Value {
+    json!({ "url": url, "call_timeout_ms": 1000, "host_list_poll_ms": 50, "table_poll_ms": 200 })
+}
+
+fn timing() -> Value {
+    json!({
+        "heartbeat_ms": 100,
+        "peer_timeout_ms": 600,
+        "reconnect_max_ms": 100,
+        "resume_window_ms": 2000,
+        "stop_lag_ms": 100,
+        "stop_grace_ms": 20000,
+    })
+}
+
+/// An entry's settings.
+pub(crate) fn entry(id: &str, zone: &str, platform_url: &str) -> Value {
+    json!({
+        "host": host(id, zone),
+        "callers_addr": "127.0.0.1:0",
+        "operators_addr": "127.0.0.1:0",
+        "platform": platform(platform_url),
+        "session_keys": ["session-key-of-the-tests"],
+        "timing": timing(),
+        "bill": { "flush_ms": 50, "orphan_ms": 1000 },
+    })
+}
+
+/// A sidecar's settings.
+pub(crate) fn sidecar(id: &str, zone: &str, platform_url: &str, upstream: &Value) -> Value {
+    json!({
+        "host": host(id, zone),
+        "entries_addr": "127.0.0.1:0",
+        "operators_addr": "127.0.0.1:0",
+        "platform": platform(platform_url),
+        "upstream": upstream,
+        "timing": timing(),
+        "bill": { "flush_ms": 50, "orphan_ms": 1000 },
+    })
+}
