--- a/crates/entry/src/background.rs
+++ b/crates/entry/src/background.rs
@@ -30,6 +30,7 @@
 /// Follows the host list. When it cannot be read the last one stands.
 pub(crate) async fn follow_hosts(shared: Arc<Shared>) {
     let every = Duration::from_millis(shared.settings.platform.host_list_poll_ms);
+    shared.links.connect_seeds(&shared);
     loop {
         match shared.platform.hosts().await {
             Ok(list) => shared.links.reconcile(&shared, list.hosts),
--- a/crates/entry/src/callers/reply.rs
+++ b/crates/entry/src/callers/reply.rs
@@ -1,6 +1,11 @@
 //! Replies to callers.
 
+use std::io;
 use std::io::Cursor;
+use std::io::SeekFrom;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
 
 use futures_util::stream::BoxStream;
 use rocket::Request;
@@ -11,8 +16,12 @@
 use rocket::response::stream::EventStream;
 use stallhoist_core::Outcome;
 use stallhoist_core::RequestId;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncSeek;
+use tokio::io::ReadBuf;
 
 use super::headers;
+use super::in_flight::InFlight;
 use super::problem::Problem;
 use super::problem::millis;
 
@@ -20,11 +29,46 @@
 const MS_PER_S: u64 = 1_000;
 
 /// What every reply to a routed request carries in its headers.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Default)]
 pub(crate) struct Marks {
     pub(crate) request: Option<RequestId>,
     pub(crate) target: Option<String>,
     pub(crate) session: Option<String>,
+    /// Held until the body has gone out, so that a planned stop waits for it.
+    pub(crate) place: Option<InFlight>,
+}
+
+impl Marks {
+    /// The same with a request's place, to be given back when the body has gone out.
+    pub(crate) fn held(self, place: InFlight) -> Self {
+        Self { place: Some(place), ..self }
+    }
+}
+
+/// A body that holds its request's place.
+struct HeldBody {
+    bytes: Cursor<Vec<u8>>,
+    _place: Option<InFlight>,
+}
+
+impl AsyncRead for HeldBody {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.bytes).poll_read(context, buffer)
+    }
+}
+
+impl AsyncSeek for HeldBody {
+    fn start_seek(mut self: Pin<&mut Self>, position: SeekFrom) -> io::Result<()> {
+        Pin::new(&mut self.bytes).start_seek(position)
+    }
+
+    fn poll_complete(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<u64>> {
+        Pin::new(&mut self.bytes).poll_complete(context)
+    }
 }
 
 /// A reply to a caller.
@@ -47,7 +91,8 @@
     fn respond_to(self, request: &'r Request<'_>) -> rocket::response::Result<'r> {
         match self {
             Self::Whole { status, content_type, body, outcome, marks } => {
-                let mut response = whole(status, content_type, body);
+                let mut marks = marks;
+                let mut response = whole(status, content_type, body, marks.place.take());
                 set_outcome(&mut response, outcome);
                 set_marks(&mut response, marks);
                 Ok(response)
@@ -58,7 +103,8 @@
                 Ok(response)
             }
             Self::Problem(problem, marks) => {
-                let mut response = problem_response(&problem);
+                let mut marks = marks;
+                let mut response = problem_response(&problem, marks.place.take());
                 set_marks(&mut response, marks);
                 Ok(response)
             }
@@ -66,16 +112,22 @@
     }
 }
 
-fn whole<'r>(status: u16, content_type: String, body: Vec<u8>) -> Response<'r> {
+fn whole<'r>(
+    status: u16,
+    content_type: String,
+    body: Vec<u8>,
+    place: Option<InFlight>,
+) -> Response<'r> {
     let mut response = Response::new();
     response.set_status(Status::new(status));
     response.set_raw_header("Content-Type", content_type);
-    response.set_sized_body(body.len(), Cursor::new(body));
+    let length = body.len();
+    response.set_sized_body(length, HeldBody { bytes: Cursor::new(body), _place: place });
     response
 }
 
-fn problem_response<'r>(problem: &Problem) -> Response<'r> {
-    let mut response = whole(problem.status, PROBLEM_JSON.to_owned(), problem.body());
+fn problem_response<'r>(problem: &Problem, place: Option<InFlight>) -> Response<'r> {
+    let mut response = whole(problem.status, PROBLEM_JSON.to_owned(), problem.body(), place);
     set_outcome(&mut response, problem.outcome);
     if let Some(after) = problem.retry_after {
         let after_ms = millis(after);
--- a/crates/entry/src/callers/run.rs
+++ b/crates/entry/src/callers/run.rs
@@ -34,24 +34,24 @@
     let marks = Marks {
         request: Some(order.request),
         target: Some(order.target.to_string()),
-        session: None,
+        ..Marks::default()
     };
     let claim = match call::claim(shared, &order).await {
         Ok(claim) => claim,
         Err(problem) => {
             log_end(shared, &order, &problem.code, problem.outcome, 0);
-            return Reply::Problem(problem, marks);
+            return Reply::Problem(problem, marks.held(place));
         }
     };
     let is_streamed = order.is_streamed;
-    let run = Run { execution: Execution::new(Arc::clone(shared), order), claim, _place: place };
+    let run = Run { execution: Execution::new(Arc::clone(shared), order), claim, place };
     if is_streamed { run.streamed(shared, marks).await } else { run.whole(shared, marks).await }
 }
 
 struct Run {
     execution: Execution,
     claim: Option<PendingClaim>,
-    _place: InFlight,
+    place: InFlight,
 }
 
 impl Run {
@@ -59,7 +59,7 @@
         let answer = self.execution.run_whole().await;
         self.ended(shared, &answer.ending).await;
         if !matches!(answer.ending.kind, EndKind::Whole) {
-            return failure(&answer.ending, marks);
+            return failure(&answer.ending, marks.held(self.place));
         }
         let served_by = self.execution.served_by().cloned();
         let marks = Marks { session: session(shared, &self.execution.order, served_by), ..marks };
@@ -69,7 +69,7 @@
             content_type: content_type(head.content_type),
             body: answer.body,
             outcome: Outcome::Completed,
-            marks,
+            marks: marks.held(self.place),
         }
     }
 
@@ -82,8 +82,8 @@
                 Step::End(ending) => {
                     self.ended(shared, &ending).await;
                     return match ending.kind {
-                        EndKind::Whole => empty_stream(marks),
-                        _ => failure(&ending, marks),
+                        EndKind::Whole => empty_stream(marks.held(self.place)),
+                        _ => failure(&ending, marks.held(self.place)),
                     };
                 }
             }
@@ -147,7 +147,7 @@
         EndKind::NotRun { .. } => "not-run",
         EndKind::UpstreamError { .. } => "upstream-error",
         EndKind::Truncated { .. } => "truncated",
-        EndKind::DeadlinePassed => "deadline-passed",
+        EndKind::DeadlinePassed { .. } => "deadline-passed",
         EndKind::Unknown => "unknown",
     }
 }
@@ -178,8 +178,8 @@
             Problem::without_answer(outcome, code, detail)
         }
         EndKind::Truncated { detail } => Problem::without_answer(outcome, code, detail.clone()),
-        EndKind::DeadlinePassed => {
-            Problem::without_answer(outcome, code, "the deadline passed while it ran")
+        EndKind::DeadlinePassed { .. } => {
+            Problem::without_answer(outcome, code, "the deadline passed before its end")
         }
         EndKind::Whole | EndKind::Unknown => {
             let detail = "it may have run: what became of it cannot be found out";
--- a/crates/entry/src/mesh/links.rs
+++ b/crates/entry/src/mesh/links.rs
@@ -76,15 +76,23 @@
             is_kept
         });
         for (host, addr) in wanted {
-            inner.by_host.entry(host).or_insert_with(|| {
-                let link = Arc::new(Link::new(addr));
-                tokio::spawn(Arc::clone(&link).run(Arc::clone(shared)));
-                link
-            });
+            inner.by_host.entry(host).or_insert_with(|| open(shared, addr));
         }
         inner.hosts = hosts;
     }
 
+    /// Connects to the seeds of the settings, until the host list has been read. Their
+    /// hosts are not known yet, so their addresses stand in for the names.
+    pub(crate) fn connect_seeds(&self, shared: &Arc<Shared>) {
+        let mut inner = self.inner.write();
+        for seed in &shared.settings.placement.seed_addrs {
+            let (Ok(addr), Ok(host)) = (seed.parse(), format!("seed-{seed}").parse()) else {
+                continue;
+            };
+            inner.by_host.insert(host, open(shared, addr));
+        }
+    }
+
     /// Closes all connections.
     pub(crate) fn close_all(&self) {
         for link in self.inner.read().by_host.values() {
@@ -93,6 +101,12 @@
     }
 }
 
+fn open(shared: &Arc<Shared>, addr: SocketAddr) -> Arc<Link> {
+    let link = Arc::new(Link::new(addr));
+    tokio::spawn(Arc::clone(&link).run(Arc::clone(shared)));
+    link
+}
+
 /// The upstream hosts to be connected to: for each target a subset, and leaving ones
 /// too, since work may still run there.
 fn wanted(shared: &Shared, hosts: &[HostEntry]) -> BTreeMap<HostId, SocketAddr> {
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -22,6 +22,8 @@
 use crate::operators;
 use crate::shared::Shared;
 
+/// How long replies that were handed to the server are given to go out.
+const STOP_LINGER: Duration = Duration::from_millis(200);
 const CHECK_EVERY: Duration = Duration::from_millis(20);
 const LAST_FLUSH_PAUSE: Duration = Duration::from_millis(200);
 
@@ -126,8 +128,8 @@
         }
         self.tasks.abort_all();
         self.shared.links.close_all();
-        self.callers.stop().await;
-        self.operators.stop().await;
+        self.callers.stop(STOP_LINGER).await;
+        self.operators.stop(STOP_LINGER).await;
         log::info!("entry stopped");
     }
 
--- a/crates/entry/src/request/ending.rs
+++ b/crates/entry/src/request/ending.rs
@@ -16,8 +16,9 @@
     UpstreamError { http_status: u16, content_type: String, body: Vec<u8> },
     /// The upstream broke off, and it was not tried again.
     Truncated { detail: String },
-    /// It was running when its deadline passed.
-    DeadlinePassed,
+    /// Its deadline passed before its answer was whole. Whether its answer had begun: if
+    /// not, it may or may not have run.
+    DeadlinePassed { has_begun: bool },
     /// What became of it cannot be found out.
     Unknown,
 }
@@ -34,10 +35,9 @@
         match self.kind {
             EndKind::Whole => Outcome::Completed,
             EndKind::NotRun { .. } => Outcome::NotRun,
-            EndKind::UpstreamError { .. } | EndKind::Truncated { .. } | EndKind::DeadlinePassed => {
-                Outcome::Failed
-            }
-            EndKind::Unknown => Outcome::Unknown,
+            EndKind::UpstreamError { .. } | EndKind::Truncated { .. } => Outcome::Failed,
+            EndKind::DeadlinePassed { has_begun: true } => Outcome::Failed,
+            EndKind::DeadlinePassed { has_begun: false } | EndKind::Unknown => Outcome::Unknown,
         }
     }
 }
--- a/crates/entry/src/request/execution.rs
+++ b/crates/entry/src/request/execution.rs
@@ -173,10 +173,8 @@
     fn give_up(&mut self) -> Step {
         let has_begun = self.attempt.as_ref().is_some_and(|attempt| attempt.head.is_some());
         self.attempt = None;
-        let kind = if has_begun || self.is_delivered {
-            EndKind::DeadlinePassed
-        } else if self.unproved_attempts > 0 {
-            EndKind::Unknown
+        let kind = if self.unproved_attempts > 0 {
+            EndKind::DeadlinePassed { has_begun: has_begun || self.is_delivered }
         } else {
             let reason = NotRunReason::DeadlinePassed;
             EndKind::NotRun { reason, retry_after: RETRY_AFTER_NOBODY }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -105,10 +105,15 @@
         self.shutdown.clone().notify();
     }
 
-    /// Stops, waiting for requests in progress within the grace.
-    pub async fn stop(self) {
+    /// Stops, giving what is still being written `linger` to go out. The caller knows
+    /// when its requests have ended; the server itself would wait out its whole grace
+    /// for connections that are merely kept alive.
+    pub async fn stop(self, linger: Duration) {
         self.begin_stop();
-        let _ = self.task.await;
+        let mut task = self.task;
+        if tokio::time::timeout(linger, &mut task).await.is_err() {
+            task.abort();
+        }
     }
 }
 
--- a/crates/policy/src/retry/ejection.rs
+++ b/crates/policy/src/retry/ejection.rs
@@ -18,7 +18,7 @@
     pub after_failures: u32,
     /// The first pause; it doubles each time in a row.
     pub pause: Duration,
-    /// The most that may be left out at once, in percent of those known.
+    /// The most that may be left out at once, in percent of those known, rounded up.
     pub max_percent: u32,
 }
 
@@ -54,13 +54,20 @@
     /// part is left out, those longest out come back first; with none out, all are used.
     pub fn usable(&self, now: MonoTime, hosts: &[HostId]) -> Vec<HostId> {
         let mut out: Vec<_> = hosts.iter().filter(|h| self.is_out(now, h)).collect();
-        let max_out = hosts.len() * self.config.max_percent as usize / 100;
+        let max_out = self.max_out(hosts.len());
         out.sort_by_key(|host| self.by_host[*host].ejected_until);
         let surplus = out.len().saturating_sub(max_out);
         let kept_out = &out[surplus..];
         hosts.iter().filter(|host| !kept_out.contains(host)).cloned().collect()
     }
 
+    /// How many of so many may be left out: the stated part, rounded up, since one of
+    /// two must be, but never the last one.
+    fn max_out(&self, hosts: usize) -> usize {
+        let part = (hosts * self.config.max_percent as usize).div_ceil(100);
+        part.min(hosts.saturating_sub(1))
+    }
+
     /// Work was sent to an upstream.
     pub fn sent(&mut self, host: &HostId) {
         if let Some(health) = self.by_host.get_mut(host)
--- a/crates/settings/src/placement.rs
+++ b/crates/settings/src/placement.rs
@@ -18,11 +18,19 @@
     pub probe_timeout_ms: u64,
     /// How many tokens of a prompt one block of the prefix cache holds.
     pub prefix_block_tokens: u64,
+    /// Sidecars to connect to while the host list has never been read, `IP:PORT`.
+    pub seed_addrs: Vec<String>,
 }
 
 impl Default for PlacementSettings {
     fn default() -> Self {
-        Self { subset_size: 24, probes: 3, probe_timeout_ms: 20, prefix_block_tokens: 64 }
+        Self {
+            subset_size: 24,
+            probes: 3,
+            probe_timeout_ms: 20,
+            prefix_block_tokens: 64,
+            seed_addrs: Vec::new(),
+        }
     }
 }
 
@@ -32,6 +40,9 @@
         problems.range("probes", self.probes, 1..=16);
         problems.range("probe_timeout_ms", self.probe_timeout_ms, 1..=5_000);
         problems.range("prefix_block_tokens", self.prefix_block_tokens, 1..=4_096);
+        for addr in &self.seed_addrs {
+            problems.address("seed_addrs", addr);
+        }
     }
 }
 
--- a/crates/sidecar/src/process.rs
+++ b/crates/sidecar/src/process.rs
@@ -20,6 +20,8 @@
 use crate::operators;
 use crate::shared::Shared;
 
+/// How long an operator's reply is given to go out.
+const STOP_LINGER: Duration = Duration::from_millis(100);
 const CHECK_EVERY: Duration = Duration::from_millis(20);
 
 /// Why a sidecar did not start.
@@ -136,7 +138,7 @@
             );
         }
         self.tasks.abort_all();
-        self.operators.stop().await;
+        self.operators.stop(STOP_LINGER).await;
         log::info!("sidecar stopped");
     }
 
--- a/crates/standins/src/engine/server.rs
+++ b/crates/standins/src/engine/server.rs
@@ -60,6 +60,6 @@
 
     /// Stops serving.
     pub async fn stop(self) {
-        self.server.stop().await;
+        self.server.stop(crate::STOP_LINGER).await;
     }
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -11,6 +11,9 @@
 mod proxy;
 mod service;
 
+/// How long a stopping stand-in lets what it still writes go out.
+const STOP_LINGER: std::time::Duration = std::time::Duration::from_millis(50);
+
 pub use proxy::Direction;
 pub use proxy::FaultProxy;
 pub use service::ServiceExecution;
--- a/crates/standins/src/platform/server.rs
+++ b/crates/standins/src/platform/server.rs
@@ -126,6 +126,6 @@
 
     /// Stops serving.
     pub async fn stop(self) {
-        self.server.stop().await;
+        self.server.stop(crate::STOP_LINGER).await;
     }
 }
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -99,7 +99,7 @@
 
     /// Stops serving.
     pub async fn stop(self) {
-        self.server.stop().await;
+        self.server.stop(crate::STOP_LINGER).await;
     }
 }
 
--- a/tests/all/harness/fleet.rs
+++ b/tests/all/harness/fleet.rs
@@ -159,6 +159,11 @@
         self.entries[number] = start_entry(&self.entry_settings[number]);
     }
 
+    /// Changes a setting of an entry for its next start.
+    pub(crate) fn set_entry(&mut self, number: usize, section: &str, key: &str, value: Value) {
+        self.entry_settings[number][section][key] = value;
+    }
+
     /// A caller of an entry.
     pub(crate) fn caller(&self, entry: usize) -> Caller {
         Caller::new(self.entries[entry].addr("callers_addr"))
--- /dev/null
+++ b/tests/all/promises/leaving.rs
@@ -0,0 +1,66 @@
+//! P8: an upstream that is leaving receives no new work after a few seconds.
+
+use stallhoist_platform::HostState;
+use stallhoist_standins::engine::EngineSwitches;
+use stallhoist_standins::platform::Faults;
+
+use crate::harness::Fleet;
+use crate::harness::Plan;
+use crate::harness::case;
+use crate::harness::send;
+use crate::harness::wait_until;
+
+async fn ten_go_elsewhere(fleet: &Fleet, leaving: usize) {
+    let before = fleet.engines[leaving].executions().len();
+    for _ in 0..10 {
+        let answer = send(fleet.caller(0).chat("m", "x", 2, false)).await.expect("an answer");
+        assert_eq!(answer.outcome, "completed");
+    }
+    assert_eq!(fleet.engines[leaving].executions().len(), before);
+}
+
+fn plan() -> Plan {
+    Plan {
+        engines: vec!["m@v1", "m@v1"],
+        services: 0,
+        switches: EngineSwitches { step_base_us: 5_000, ..EngineSwitches::default() },
+        ..Plan::default()
+    }
+}
+
+// It says so itself; a running answer keeps it up, new work goes elsewhere at once.
+case!(told_by_the_sidecar_with_the_platform_down, async {
+    let fleet = Fleet::start(plan()).await;
+    fleet.platform.set_faults(Faults { outage: true, ..Faults::default() });
+    let running = tokio::spawn(send(fleet.caller(0).chat("m", "long", 200, true)));
+    wait_until("it runs", || async {
+        fleet.engines.iter().any(|engine| !engine.executions().is_empty())
+    })
+    .await;
+    let leaving = usize::from(fleet.engines[0].executions().is_empty());
+    fleet.hosts[leaving].sidecar.terminate();
+    wait_until("the sidecar is leaving", || async {
+        fleet.sidecar_state(leaving).await["is_leaving"] == true
+    })
+    .await;
+    ten_go_elsewhere(&fleet, leaving).await;
+    let answer = running.await.expect("the call ends").expect("an answer");
+    assert_eq!(answer.events().last().map(String::as_str), Some("[DONE]"));
+});
+
+// Only the host list says so, and late.
+case!(told_by_a_lagging_host_list, async {
+    let mut fleet = Fleet::start(plan()).await;
+    fleet.platform.set_faults(Faults { host_list_lag_ms: 300, ..Faults::default() });
+    fleet.hosts[0].listed.state = HostState::Leaving;
+    fleet.list_hosts();
+    wait_until("no request goes there any more", || async {
+        let before = fleet.engines[0].executions().len();
+        for _ in 0..10 {
+            send(fleet.caller(0).chat("m", "x", 2, false)).await.expect("an answer");
+        }
+        fleet.engines[0].executions().len() == before
+    })
+    .await;
+    ten_go_elsewhere(&fleet, 0).await;
+});
