--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -194,7 +194,7 @@
         let plan = ProbePlan {
             probes: PROBES,
             session_host: None,
-            first_prefix_hash: request.blocks.first().copied(),
+            steering_key: request.blocks.first().copied().unwrap_or(request.arrives.0),
         };
         let asked = plan_probes(&plan, &self.hosts, &mut self.rng);
         self.probes += asked.len();
@@ -245,7 +245,7 @@
         }
         let end = MonoTime::default().after(scenario.shape.lasts * 3);
         let mut first_tokens = vec![None; requests.len()];
-        while let Some((now, event)) = queue.next() {
+        while let Some((now, event)) = queue.pop() {
             match event {
                 Event::Arrive(id) => {
                     let entry = id % scenario.entries;
--- a/crates/entry/src/callers/call.rs
+++ b/crates/entry/src/callers/call.rs
@@ -13,6 +13,7 @@
 use stallhoist_core::Target;
 use stallhoist_core::WorkspaceName;
 use stallhoist_table::Table;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::headers::CallHeaders;
 use super::problem::Problem;
@@ -40,6 +41,13 @@
     Ok(body.into_inner())
 }
 
+/// Knows the same request when it comes again: same workspace, target and body.
+pub(crate) fn work_key(workspace: &WorkspaceName, target: &Target, body: &[u8]) -> u64 {
+    let seed = xxh3_64_with_seed(workspace.as_str().as_bytes(), 0);
+    let seed = xxh3_64_with_seed(target.to_string().as_bytes(), seed);
+    xxh3_64_with_seed(body, seed)
+}
+
 /// The table in force.
 pub(crate) fn table(shared: &Shared) -> Result<Arc<Table>, Problem> {
     let missing = || Problem::not_run(NotRunReason::NoTable, RETRY_AFTER_TABLE);
--- a/crates/entry/src/callers/chat.rs
+++ b/crates/entry/src/callers/chat.rs
@@ -85,6 +85,7 @@
         // The bill needs the usage, which engines leave out of streams unless asked.
         chat.rest.insert("stream_options".to_owned(), json!({ "include_usage": true }));
     }
+    let work_key = call::work_key(&caller.workspace, &target, body);
     let bound = chat.max_completion_tokens.or(chat.max_tokens);
     let block_tokens = shared.settings.placement.prefix_block_tokens;
     Ok(Order {
@@ -102,6 +103,7 @@
         prefix_hashes: prefix_hashes(&prompt, block_tokens),
         body: Bytes::from(serde_json::to_vec(&chat).expect("what was JSON is JSON")),
         idempotency_key: headers.idempotency_key,
+        work_key,
         task: headers.task,
         arrived,
         deadline,
--- a/crates/entry/src/callers/services.rs
+++ b/crates/entry/src/callers/services.rs
@@ -51,6 +51,7 @@
         return Err(Problem::not_run(NotRunReason::Withdrawn, std::time::Duration::ZERO));
     }
     let is_repeatable = call::is_repeatable(&table, &headers, &caller.workspace, &target);
+    let work_key = call::work_key(&caller.workspace, &target, &service_call.body);
     Ok(Order {
         request: RequestId::generate(),
         workspace: caller.workspace.clone(),
@@ -66,6 +67,7 @@
         completion_tokens: 0,
         prefix_hashes: Vec::new(),
         idempotency_key: headers.idempotency_key,
+        work_key,
         task: headers.task,
         arrived,
         deadline,
--- a/crates/entry/src/request/order.rs
+++ b/crates/entry/src/request/order.rs
@@ -32,6 +32,8 @@
     pub(crate) completion_tokens: u64,
     pub(crate) prefix_hashes: Vec<u64>,
     pub(crate) idempotency_key: Option<IdempotencyKey>,
+    /// Knows the same request when its caller comes back after a refusal.
+    pub(crate) work_key: u64,
     /// The kind of work, as the caller says.
     pub(crate) task: Option<TaskName>,
     pub(crate) arrived: MonoTime,
@@ -56,6 +58,7 @@
             prompt_tokens: self.prompt_tokens,
             expected_completion_tokens: self.completion_tokens,
             prefix_hashes: self.prefix_hashes.clone(),
+            work_key: self.work_key,
             idempotency_key: self
                 .idempotency_key
                 .as_ref()
@@ -72,6 +75,7 @@
             expected_completion_tokens: self.completion_tokens,
             deadline_ms: self.deadline_ms(now),
             prefix_hashes: self.prefix_hashes.clone(),
+            work_key: self.work_key,
         }
     }
 
--- a/crates/entry/src/request/place.rs
+++ b/crates/entry/src/request/place.rs
@@ -14,6 +14,7 @@
 use stallhoist_policy::placement::ProbePlan;
 use stallhoist_policy::placement::choose;
 use stallhoist_policy::placement::plan_probes;
+use stallhoist_policy::placement::steered;
 use stallhoist_wire::messages::frame::Body;
 
 use super::Order;
@@ -30,10 +31,11 @@
     let healthy = shared.ejection.lock().usable(shared.now(), &connected);
     let fresh: Vec<_> = healthy.iter().filter(|host| !avoid.contains(host)).cloned().collect();
     let usable = if fresh.is_empty() { healthy } else { fresh };
+    let steering_key = order.prefix_hashes.first().copied().unwrap_or(order.work_key);
     let plan = ProbePlan {
         probes: shared.settings.placement.probes,
         session_host: order.session_host.clone(),
-        first_prefix_hash: order.prefix_hashes.first().copied(),
+        steering_key,
     };
     let asked = plan_probes(&plan, &usable, &mut rand::rng());
     // With one to choose from there is nothing to ask: the sidecar decides on arrival.
@@ -45,7 +47,15 @@
         // All silent within the time: the sidecar's own admission has the last word.
         return Choice::Send(asked[0].clone());
     }
-    choose(&candidates, &mut rand::rng())
+    match choose(&candidates, &mut rand::rng()) {
+        // A probe keeps no place. The one that the caller will be steered to when it comes
+        // back gets the request all the same: it keeps a place, or has one by now.
+        Choice::Refuse { .. } if avoid.is_empty() => match steered(steering_key, &usable).first() {
+            Some(host) => Choice::Send((*host).clone()),
+            None => Choice::Nobody,
+        },
+        choice => choice,
+    }
 }
 
 async fn ask(shared: &Shared, order: &Order, asked: &[HostId]) -> Vec<Candidate> {
--- a/crates/measure/src/events.rs
+++ b/crates/measure/src/events.rs
@@ -29,7 +29,7 @@
     }
 
     /// Takes the next event.
-    pub fn next(&mut self) -> Option<(MonoTime, E)> {
+    pub fn pop(&mut self) -> Option<(MonoTime, E)> {
         let Reverse((at, number)) = self.heap.pop()?;
         self.events.remove(&number).map(|event| (at, event))
     }
--- a/crates/measure/src/fake_engine.rs
+++ b/crates/measure/src/fake_engine.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 /// How long the fake engine takes: a step of `base + batch * per_request`, lengthened
-/// by the prefill of what was admitted since the last step.
+/// by the part of prompts that it takes in with it.
 #[derive(Debug, Clone, Copy)]
 pub struct EngineTimes {
     /// The fixed part of a step.
@@ -12,6 +12,8 @@
     pub step_per_request: Duration,
     /// Time to take in one uncached prompt token.
     pub prefill_per_token: Duration,
+    /// The most prompt tokens taken in with one step.
+    pub prefill_tokens_per_step: u64,
     /// All times are multiplied by this.
     pub slowness: f64,
 }
@@ -22,6 +24,7 @@
             step_base: Duration::from_millis(12),
             step_per_request: Duration::from_micros(600),
             prefill_per_token: Duration::from_micros(100),
+            prefill_tokens_per_step: 128,
             slowness: 1.0,
         }
     }
--- a/crates/measure/src/upstream.rs
+++ b/crates/measure/src/upstream.rs
@@ -36,7 +36,7 @@
     pub refused: Vec<(usize, Duration)>,
     /// How long the step took: the time between tokens of all in the batch.
     pub took: Duration,
-    /// How many were in the batch.
+    /// How many got a token.
     pub batch: usize,
 }
 
@@ -120,11 +120,15 @@
     pub fn true_first_token(&self, now: MonoTime, request: &FakeRequest) -> Duration {
         let cached = request.blocks.iter().take_while(|b| self.cached.contains(b)).count() as u64;
         let own = request.prompt_tokens - cached * self.block_tokens;
-        let joining: u64 = self.joining.iter().map(|active| active.prefill_tokens).sum();
+        let running = self.active.iter().chain(&self.joining);
+        let running: u64 = running.map(|active| active.prefill_tokens).sum();
         let waiting: u64 = self.waiting.values().map(|waiting| waiting.prompt_tokens).sum();
         let batch = self.active.len() + self.joining.len() + 1;
         let rest_of_step = self.step_ends.map(|ends| ends.since(now)).unwrap_or_default();
-        rest_of_step + self.times.step(batch, own + joining + waiting)
+        let tokens = own + running + waiting;
+        let steps = tokens.div_ceil(self.times.prefill_tokens_per_step).max(1);
+        let steps = u32::try_from(steps).unwrap_or(u32::MAX);
+        rest_of_step + self.times.step(batch, 0) * (steps - 1) + self.times.step(batch, tokens)
     }
 
     /// Offers a request.
@@ -157,28 +161,41 @@
             return None;
         }
         self.step_began = Some(now);
-        let prefill = self.active.iter().map(|active| active.prefill_tokens).sum();
+        let prefill = self.take_in_prompts();
         self.step_ends = Some(now.after(self.times.step(self.active.len(), prefill)));
         self.step_ends
     }
 
+    /// Takes the next part of prompts into a step, in the order they came.
+    fn take_in_prompts(&mut self) -> u64 {
+        let mut room = self.times.prefill_tokens_per_step;
+        for active in &mut self.active {
+            let part = active.prefill_tokens.min(room);
+            active.prefill_tokens -= part;
+            room -= part;
+        }
+        self.times.prefill_tokens_per_step - room
+    }
+
     /// Ends the step under way.
     pub fn end_step(&mut self, now: MonoTime) -> StepEnd {
-        let mut end = StepEnd { batch: self.active.len(), ..StepEnd::default() };
+        let mut end = StepEnd::default();
         self.step_ends = None;
         if let Some(began) = self.step_began.take() {
             end.took = now.since(began);
         }
-        for active in &mut self.active {
-            active.prefill_tokens = 0;
+        let made = self.active.iter_mut().filter(|active| active.prefill_tokens == 0);
+        for active in made {
             active.tokens_left -= 1;
             active.tokens_made += 1;
             if active.tokens_made == 1 {
                 end.first_tokens.push(active.id);
             }
         }
-        for active in &self.active {
+        let made = self.active.iter().filter(|active| active.tokens_made > 0);
+        for active in made {
             self.admission.token(now, &active.id);
+            end.batch += 1;
         }
         let (over, left): (Vec<_>, Vec<_>) =
             self.active.drain(..).partition(|active| active.tokens_left == 0);
@@ -272,6 +289,7 @@
         let known = request.blocks.iter().take_while(|b| self.known.contains(b)).count() as u64;
         Work {
             id,
+            key: id as u64,
             arrived: now,
             deadline,
             uncached_tokens: request.prompt_tokens - known * self.block_tokens,
--- a/crates/policy/src/admission/mod.rs
+++ b/crates/policy/src/admission/mod.rs
@@ -3,11 +3,13 @@
 //! The step time of an engine is learnt online as `a + b * batch`; the number of
 //! requests that run at once is the largest that holds the time between tokens.
 //! Work whose first token is predicted to miss its time is refused when it arrives,
-//! with the time after which it is predicted to fit.
+//! with the time after which a place is kept for it.
 
 mod config;
 mod controller;
 mod estimator;
+mod prediction_error;
+mod promises;
 mod queue;
 mod step_model;
 mod work;
@@ -19,5 +21,6 @@
 pub use controller::Offer;
 pub use controller::Prediction;
 pub use estimator::Estimator;
+pub use prediction_error::PredictionError;
 pub use step_model::StepModel;
 pub use work::Work;
--- a/crates/policy/src/admission/queue.rs
+++ b/crates/policy/src/admission/queue.rs
@@ -1,5 +1,7 @@
 //! The waiting work, in its order.
 
+use std::time::Duration;
+
 use stallhoist_core::MonoTime;
 
 use super::QueueOrder;
@@ -10,8 +12,21 @@
 pub(crate) struct Waiting<Id> {
     pub(crate) work: Work<Id>,
     pub(crate) first_token_due: MonoTime,
-    /// Predicted service time, in microseconds.
-    pub(crate) service_us: u64,
+    /// Whether a place was kept for it: then it goes before all that have none.
+    pub(crate) is_promised: bool,
+    /// The wait that was predicted when it came.
+    pub(crate) predicted_wait: Duration,
+    /// Predicted time from its start to its first token.
+    pub(crate) own_first: Duration,
+    /// Predicted time from its start to its end.
+    pub(crate) service: Duration,
+}
+
+impl<Id> Waiting<Id> {
+    /// When it must have started to have its first token in time.
+    pub(crate) fn latest_start(&self) -> MonoTime {
+        MonoTime(self.first_token_due.0.saturating_sub(self.own_first.as_micros() as u64))
+    }
 }
 
 /// The waiting work, the next to start first.
@@ -63,12 +78,12 @@
         Some(self.waiting.remove(at))
     }
 
-    /// Takes out work whose first token is overdue.
+    /// Takes out work that can no longer have its first token in time.
     pub(crate) fn take_overdue(&mut self, now: MonoTime) -> Vec<Waiting<Id>> {
         let mut overdue = Vec::new();
         let mut at = 0;
         while at < self.waiting.len() {
-            if self.waiting[at].first_token_due <= now {
+            if self.waiting[at].latest_start() < now {
                 overdue.push(self.waiting.remove(at));
             } else {
                 at += 1;
@@ -77,14 +92,19 @@
         overdue
     }
 
-    fn rank(&self, now: MonoTime, waiting: &Waiting<Id>) -> u64 {
+    fn rank(&self, now: MonoTime, waiting: &Waiting<Id>) -> (bool, u64) {
+        (!waiting.is_promised, self.rank_in_order(now, waiting))
+    }
+
+    fn rank_in_order(&self, now: MonoTime, waiting: &Waiting<Id>) -> u64 {
         match self.order {
             QueueOrder::Fifo => waiting.work.arrived.0,
             QueueOrder::EarliestDeadline => waiting.first_token_due.0,
             QueueOrder::UtilityDensity => {
                 let left_us = waiting.first_token_due.since(now).as_micros() as u64;
                 // The density is 1 / (service * time left): the largest goes first.
-                waiting.service_us.max(1).saturating_mul(left_us.max(1))
+                let service_us = waiting.service.as_micros() as u64;
+                service_us.max(1).saturating_mul(left_us.max(1))
             }
         }
     }
--- a/crates/policy/src/admission/step_model.rs
+++ b/crates/policy/src/admission/step_model.rs
@@ -10,6 +10,9 @@
 const MIN_WEIGHT: f64 = 8.0;
 /// How far beyond the largest batch seen the model is believed.
 const BELIEVED_GROWTH: f64 = 1.25;
+/// A part of 95 in 100 lies within so many standard deviations above the mean.
+const SPREADS_TO_95_OF_100: f64 = 1.645;
+const RESIDUAL_SMOOTHING: f64 = 0.005;
 /// A batch that any engine is trusted with before anything is known.
 const FIRST_BATCH: usize = 4;
 
@@ -23,6 +26,8 @@
     sum_batch_sq: f64,
     sum_batch_step: f64,
     largest_batch: f64,
+    /// The mean square of the distance from the line.
+    residual_sq: f64,
 }
 
 impl StepModel {
@@ -30,6 +35,11 @@
     pub fn observe(&mut self, batch: usize, step: Duration) {
         let batch = batch as f64;
         let step = step.as_secs_f64();
+        if self.weight >= MIN_WEIGHT {
+            let (base, slope) = self.line();
+            let residual = step - (base + slope * batch);
+            self.residual_sq += RESIDUAL_SMOOTHING * (residual * residual - self.residual_sq);
+        }
         for sum in [
             &mut self.weight,
             &mut self.sum_batch,
@@ -55,14 +65,15 @@
         Duration::from_secs_f64((base + slope * batch as f64).max(0.0))
     }
 
-    /// The largest batch whose step is predicted to take no longer than `target`,
-    /// from 1 to `max_batch`.
+    /// The largest batch whose steps are predicted to take no longer than `target` in 95
+    /// of 100 cases, from 1 to `max_batch`.
     pub fn largest_batch_within(&self, target: Duration, max_batch: usize) -> usize {
         if self.weight < MIN_WEIGHT {
             return FIRST_BATCH.min(max_batch);
         }
         let (base, slope) = self.line();
-        let room = target.as_secs_f64() - base;
+        let spread = SPREADS_TO_95_OF_100 * self.residual_sq.sqrt();
+        let room = target.as_secs_f64() - base - spread;
         let fitting = if slope <= f64::EPSILON {
             if room >= 0.0 { f64::INFINITY } else { 1.0 }
         } else {
@@ -73,6 +84,11 @@
         (batch.max(1.0) as usize).min(max_batch)
     }
 
+    /// The standard deviation of steps from the line, in seconds.
+    pub fn spread(&self) -> f64 {
+        self.residual_sq.sqrt()
+    }
+
     /// Base and slope in seconds. Without a spread of batch sizes all time is laid
     /// on the base: that forgets no time, and growth is bounded by what was seen.
     fn line(&self) -> (f64, f64) {
--- a/crates/policy/src/admission/work.rs
+++ b/crates/policy/src/admission/work.rs
@@ -7,6 +7,8 @@
 pub struct Work<Id> {
     /// Whose work it is.
     pub id: Id,
+    /// Knows the same work when it comes back after a refusal.
+    pub key: u64,
     /// When it arrived.
     pub arrived: MonoTime,
     /// When its whole answer is due.
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -14,6 +14,7 @@
 pub use choose::choose;
 pub use probe_plan::ProbePlan;
 pub use probe_plan::plan_probes;
+pub use probe_plan::steered;
 pub use subset::Member;
 pub use subset::rendezvous_order;
 pub use subset::subset;
--- a/crates/policy/src/placement/probe_plan.rs
+++ b/crates/policy/src/placement/probe_plan.rs
@@ -6,7 +6,7 @@
 
 use super::rendezvous_order;
 
-/// Upstreams that a prefix is steered to: with a second one, what spills over from the
+/// Upstreams that a request is steered to: with a second one, what spills over from the
 /// first is cached too.
 const STEERED: usize = 2;
 
@@ -17,12 +17,13 @@
     pub probes: usize,
     /// Where the session's last answer came from.
     pub session_host: Option<HostId>,
-    /// The hash of the prompt's first block, which steers equal prefixes together.
-    pub first_prefix_hash: Option<u64>,
+    /// What steers equal requests together: the hash of the prompt's first block, or of
+    /// the request where the prompt has no whole block.
+    pub steering_key: u64,
 }
 
-/// Chooses whom to ask: the session's last upstream, the two that the prefix is steered
-/// to, then random ones. `usable` are the connected ones; none is asked twice.
+/// Chooses whom to ask: the session's last upstream, the two that the request is
+/// steered to, then random ones. `usable` are the connected ones; none is asked twice.
 pub fn plan_probes(plan: &ProbePlan, usable: &[HostId], rng: &mut impl Rng) -> Vec<HostId> {
     let mut asked: Vec<HostId> = Vec::with_capacity(plan.probes);
     if let Some(host) = &plan.session_host
@@ -30,13 +31,9 @@
     {
         asked.push(host.clone());
     }
-    if let Some(hash) = plan.first_prefix_hash {
-        let key = format!("prefix {hash:016x}");
-        let steered = rendezvous_order(&key, usable).into_iter().take(STEERED);
-        let new = steered.filter(|host| !asked.contains(host)).cloned();
-        let new: Vec<_> = new.collect();
-        asked.extend(new);
-    }
+    let steered = steered(plan.steering_key, usable).into_iter().take(STEERED);
+    let new: Vec<_> = steered.filter(|host| !asked.contains(host)).cloned().collect();
+    asked.extend(new);
     asked.truncate(plan.probes);
     let mut others: Vec<_> = usable.iter().filter(|host| !asked.contains(host)).collect();
     while asked.len() < plan.probes && !others.is_empty() {
@@ -45,3 +42,9 @@
     }
     asked
 }
+
+/// The upstreams in the order in which a key is steered to them. The first is the one
+/// that keeps a refused caller's place.
+pub fn steered(steering_key: u64, usable: &[HostId]) -> Vec<&HostId> {
+    rendezvous_order(&format!("steer {steering_key:016x}"), usable)
+}
--- a/crates/sidecar/src/attempts.rs
+++ b/crates/sidecar/src/attempts.rs
@@ -45,6 +45,7 @@
         now,
         Work {
             id: placeholder_id(),
+            key: probe.work_key,
             arrived: now,
             deadline: now.after(Duration::from_millis(probe.deadline_ms)),
             uncached_tokens,
@@ -120,6 +121,7 @@
     let now = shared.now();
     let work = Work {
         id: answer.id,
+        key: answer.dispatch.work_key,
         arrived: now,
         deadline: answer.deadline,
         uncached_tokens: answer.uncached_tokens,
