--- /dev/null
+++ b/benches/capacity.rs
@@ -0,0 +1,458 @@
+//! Slopes of what each role costs: `cargo bench --bench capacity`.
+//!
+//! Real processes, release build. Each measurement varies one thing over at least four
+//! points, fits a line and prints its worst residual. `docs/CAPACITY.md` multiplies the
+//! slopes. Two plots are written beside the CSV files.
+
+#[allow(dead_code, unused_imports)]
+#[path = "../tests/all/harness/mod.rs"]
+mod harness;
+
+use std::fmt::Write;
+use std::fs;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures_util::future::join_all;
+use harness::FakeEntry;
+use harness::Fleet;
+use harness::Plan;
+use harness::chat_dispatch;
+use harness::edit_of;
+use harness::new_attempt;
+use harness::send;
+use serde_json::Value;
+use stallhoist_core::AttemptNumber;
+use stallhoist_core::BillRecord;
+use stallhoist_core::CostMicros;
+use stallhoist_core::RequestId;
+use stallhoist_core::Revision;
+use stallhoist_core::TokenCount;
+use stallhoist_core::Usage;
+use stallhoist_measure::LineFit;
+use stallhoist_measure::ProcessUsage;
+use stallhoist_measure::Report;
+use stallhoist_standins::engine::EngineSwitches;
+use stallhoist_table::LogEntry;
+use stallhoist_wire::attempt_to_wire;
+use stallhoist_wire::bill_to_wire;
+use stallhoist_wire::messages::Attest;
+use stallhoist_wire::messages::BillHold;
+use stallhoist_wire::messages::Frame;
+use stallhoist_wire::messages::Probe;
+use stallhoist_wire::messages::Status;
+use stallhoist_wire::messages::TableEdit;
+use stallhoist_wire::messages::frame::Body;
+
+use prost::Message;
+
+/// Fewer than a connection lets wait, so that no answer is dropped.
+const MESSAGES_AT_ONCE: usize = 500;
+
+/// A slope with what it was measured from.
+struct Slope {
+    name: &'static str,
+    unit: &'static str,
+    points: Vec<(f64, f64)>,
+}
+
+impl Slope {
+    fn fit(&self) -> LineFit {
+        LineFit::through(&self.points)
+    }
+}
+
+fn quiet() -> Plan {
+    Plan {
+        engines: vec!["m@v1"],
+        services: 0,
+        switches: EngineSwitches {
+            step_base_us: 0,
+            step_per_request_us: 0,
+            ..EngineSwitches::default()
+        },
+        entry_settings: vec![
+            ("timing", "heartbeat_ms", 1_000.into()),
+            ("timing", "peer_timeout_ms", 60_000.into()),
+            ("platform", "table_poll_ms", 10_000.into()),
+            ("platform", "host_list_poll_ms", 10_000.into()),
+            ("bill", "flush_ms", 20_000.into()),
+        ],
+        sidecar_settings: vec![
+            ("timing", "heartbeat_ms", 1_000.into()),
+            ("timing", "peer_timeout_ms", 60_000.into()),
+            ("bill", "orphan_ms", 3_000_000.into()),
+        ],
+        ..Plan::default()
+    }
+}
+
+/// Waits for a figure of a sidecar's state.
+async fn wait_state(fleet: &Fleet, key: &str, reached: impl Fn(u64) -> bool) {
+    harness::wait_until(key, || async {
+        reached(fleet.sidecar_state(0).await[key].as_u64().unwrap_or_default())
+    })
+    .await;
+}
+
+fn micros_between(before: ProcessUsage, after: ProcessUsage) -> f64 {
+    (after.processor - before.processor).as_secs_f64() * 1e6
+}
+
+/// Processor time of a sidecar for each message that `make` makes; `settle` waits until
+/// all have been taken.
+async fn per_message(
+    fleet: &Fleet,
+    peer: &mut FakeEntry,
+    name: &'static str,
+    make: impl Fn(usize) -> Body,
+) -> Slope {
+    let sidecar = fleet.hosts[0].sidecar.id();
+    let mut points = Vec::new();
+    for count in [2_000, 4_000, 8_000, 16_000] {
+        let before = ProcessUsage::of(sidecar);
+        for part in 0..count / MESSAGES_AT_ONCE {
+            for number in 0..MESSAGES_AT_ONCE {
+                peer.send(make(part * MESSAGES_AT_ONCE + number)).await;
+            }
+            // A probe behind them: its answer says that they have been taken.
+            let last = Probe { probe_id: u64::MAX, target: "m@v1".to_owned(), ..Probe::default() };
+            peer.send(Body::Probe(last)).await;
+            peer.receive(|body| match body {
+                Body::ProbeReply(reply) if reply.probe_id == u64::MAX => Some(()),
+                _ => None,
+            })
+            .await;
+        }
+        points.push((count as f64, micros_between(before, ProcessUsage::of(sidecar))));
+    }
+    Slope { name, unit: "us of processor", points }
+}
+
+fn probe(number: usize) -> Body {
+    Body::Probe(Probe {
+        probe_id: number as u64,
+        target: "m@v1".to_owned(),
+        prompt_tokens: 500,
+        expected_completion_tokens: 120,
+        deadline_ms: 60_000,
+        prefix_hashes: (0..8).collect(),
+        work_key: number as u64,
+    })
+}
+
+fn record() -> BillRecord {
+    BillRecord {
+        request: RequestId::generate(),
+        attempt_number: AttemptNumber(1),
+        workspace: "workspace-1".parse().expect("a name"),
+        target: "review@v12".parse().expect("a target"),
+        usage: Usage { prompt_tokens: TokenCount(500), completion_tokens: TokenCount(120) },
+        cost_micros: CostMicros(1_240),
+    }
+}
+
+fn hold(_: usize) -> Body {
+    Body::BillHold(BillHold { record: Some(bill_to_wire(&record())) })
+}
+
+fn attest(_: usize) -> Body {
+    Body::Attest(Attest { attempt: attempt_to_wire(new_attempt()) })
+}
+
+fn status(_: usize) -> Body {
+    Body::Status(Status { revision: 1, ..Status::default() })
+}
+
+/// Edits that follow each other: each flips one weight.
+fn table_edit(number: usize, first_revision: u64) -> Body {
+    let (before, after) = if number.is_multiple_of(2) { ("1", "2") } else { ("2", "1") };
+    let revision = first_revision + number as u64;
+    let entry = LogEntry {
+        revision: Revision(revision),
+        committed_unix_ms: 0,
+        edit: edit_of(&[("w/m@v1/weight", before, after)]),
+    };
+    let entry_json = serde_json::to_vec(&entry).expect("an entry is plain data");
+    Body::TableEdit(TableEdit { revision, entry_json })
+}
+
+async fn sidecar_messages() -> Vec<Slope> {
+    let fleet = Fleet::start(quiet()).await;
+    let mut peer = FakeEntry::connect(fleet.hosts[0].sidecar.addr("entries_addr")).await;
+    // The first messages warm up what is made once.
+    per_message(&fleet, &mut peer, "", probe).await;
+    vec![
+        per_message(&fleet, &mut peer, "sidecar, a probe", probe).await,
+        per_message(&fleet, &mut peer, "sidecar, a status of an entry", status).await,
+        per_message(&fleet, &mut peer, "sidecar, a bill record to hold", hold).await,
+        per_message(&fleet, &mut peer, "sidecar, an attest", attest).await,
+    ]
+}
+
+async fn sidecar_edits() -> Slope {
+    let fleet = Fleet::start(quiet()).await;
+    let sidecar = fleet.hosts[0].sidecar.id();
+    let peer = FakeEntry::connect(fleet.hosts[0].sidecar.addr("entries_addr")).await;
+    let mut points = Vec::new();
+    let mut next_revision = 2;
+    for count in [50, 100, 200, 400] {
+        let before = ProcessUsage::of(sidecar);
+        for number in 0..count {
+            peer.send(table_edit(number, next_revision)).await;
+        }
+        next_revision += count as u64;
+        wait_state(&fleet, "revision", |revision| revision + 1 >= next_revision).await;
+        points.push((count as f64, micros_between(before, ProcessUsage::of(sidecar))));
+    }
+    Slope { name: "sidecar, an edit of a small table", unit: "us of processor", points }
+}
+
+/// Memory of a sidecar against what it holds.
+async fn sidecar_memory(name: &'static str, key: &str, make: impl Fn(usize) -> Body) -> Slope {
+    let fleet = Fleet::start(quiet()).await;
+    let sidecar = fleet.hosts[0].sidecar.id();
+    let peer = FakeEntry::connect(fleet.hosts[0].sidecar.addr("entries_addr")).await;
+    let mut points = vec![(0.0, ProcessUsage::of(sidecar).resident_mib * 1_024.0)];
+    for target in [20_000_usize, 40_000, 60_000, 80_000] {
+        let held = points.last().map_or(0, |(count, _)| *count as usize);
+        for number in held..target {
+            peer.send(make(number)).await;
+        }
+        wait_state(&fleet, key, |count| count as usize >= target).await;
+        points.push((target as f64, ProcessUsage::of(sidecar).resident_mib * 1_024.0));
+    }
+    Slope { name, unit: "KiB of memory", points }
+}
+
+/// Idle cost of connections at a sidecar: entries that only say their status.
+async fn sidecar_connections() -> Vec<Slope> {
+    let fleet = Fleet::start(quiet()).await;
+    let sidecar = fleet.hosts[0].sidecar.id();
+    let mut peers = Vec::new();
+    let (mut processor, mut memory, mut bytes) = (Vec::new(), Vec::new(), Vec::new());
+    for target in [0_usize, 16, 32, 64, 128] {
+        while peers.len() < target {
+            peers.push(FakeEntry::connect(fleet.hosts[0].sidecar.addr("entries_addr")).await);
+        }
+        let lasts = Duration::from_secs(4);
+        let sent_before = sent_bytes(&fleet.sidecar_state(0).await);
+        let before = ProcessUsage::of(sidecar);
+        let began = Instant::now();
+        while began.elapsed() < lasts {
+            for peer in &peers {
+                peer.send(status(0)).await;
+            }
+            tokio::time::sleep(Duration::from_secs(1)).await;
+        }
+        let seconds = began.elapsed().as_secs_f64();
+        let after = ProcessUsage::of(sidecar);
+        let sent = sent_bytes(&fleet.sidecar_state(0).await) - sent_before;
+        let count = target as f64;
+        processor.push((count, micros_between(before, after) / seconds));
+        memory.push((count, after.resident_mib * 1_024.0));
+        bytes.push((count, sent / seconds));
+    }
+    vec![
+        Slope {
+            name: "sidecar, a connected entry, status each second",
+            unit: "us of processor a second",
+            points: processor,
+        },
+        Slope { name: "sidecar, a connected entry", unit: "KiB of memory", points: memory },
+        Slope {
+            name: "sidecar, a connected entry, status each second",
+            unit: "bytes a second sent",
+            points: bytes,
+        },
+    ]
+}
+
+fn sent_bytes(state: &Value) -> f64 {
+    let entries = state["entries"].as_array().cloned().unwrap_or_default();
+    entries.iter().filter_map(|entry| entry["control_sent_bytes"].as_f64()).sum()
+}
+
+fn link_bytes(state: &Value) -> f64 {
+    let links = state["links"].as_array().cloned().unwrap_or_default();
+    links.iter().filter_map(|link| link["control_sent_bytes"].as_f64()).sum()
+}
+
+/// Idle cost of connections at an entry, over real sidecars.
+async fn entry_connections() -> Vec<Slope> {
+    let (mut processor, mut memory, mut bytes) = (Vec::new(), Vec::new(), Vec::new());
+    for count in [4_usize, 12, 24, 48] {
+        let plan = Plan {
+            engines: vec!["m@v1"; count],
+            entry_settings: [
+                quiet().entry_settings,
+                vec![("placement", "subset_size", 1_000.into())],
+            ]
+            .concat(),
+            ..quiet()
+        };
+        let fleet = Fleet::start(plan).await;
+        let entry = fleet.entries[0].id();
+        // The start's own work comes to rest first.
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        let sent_before = link_bytes(&fleet.entry_state(0).await);
+        let before = ProcessUsage::of(entry);
+        let began = Instant::now();
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        let seconds = began.elapsed().as_secs_f64();
+        let after = ProcessUsage::of(entry);
+        let sent = link_bytes(&fleet.entry_state(0).await) - sent_before;
+        let count = count as f64;
+        processor.push((count, micros_between(before, after) / seconds));
+        memory.push((count, after.resident_mib * 1_024.0));
+        bytes.push((count, sent / seconds));
+    }
+    vec![
+        Slope {
+            name: "entry, a connected sidecar, status each second",
+            unit: "us of processor a second",
+            points: processor,
+        },
+        Slope { name: "entry, a connected sidecar", unit: "KiB of memory", points: memory },
+        Slope {
+            name: "entry, a connected sidecar, status each second",
+            unit: "bytes a second sent",
+            points: bytes,
+        },
+    ]
+}
+
+/// What a request costs entry and sidecar, and in control bytes and store calls.
+async fn requests() -> Vec<Slope> {
+    let plan = Plan {
+        engines: vec!["m@v1", "m@v1", "m@v1"],
+        entry_settings: [quiet().entry_settings, vec![("bill", "flush_ms", 1_000.into())]].concat(),
+        ..quiet()
+    };
+    let fleet = Fleet::start(plan).await;
+    let (entry, sidecar) = (fleet.entries[0].id(), fleet.hosts[0].sidecar.id());
+    let (mut at_entry, mut at_sidecar) = (Vec::new(), Vec::new());
+    let (mut bytes, mut writes) = (Vec::new(), Vec::new());
+    let caller = fleet.caller(0);
+    for count in [0_usize, 1_000, 2_000, 4_000, 8_000] {
+        let before = (ProcessUsage::of(entry), ProcessUsage::of(sidecar));
+        let sent_before = link_bytes(&fleet.entry_state(0).await);
+        let writes_before = fleet.platform.counts().writes;
+        let one = || async {
+            for _ in 0..count / 8 {
+                send(caller.chat("m", "hello", 4, false)).await.expect("an answer");
+            }
+        };
+        join_all((0..8).map(|_| one())).await;
+        harness::wait_until("all is settled", || async {
+            fleet.entry_state(0).await["unsettled_bills"] == 0
+        })
+        .await;
+        let after = (ProcessUsage::of(entry), ProcessUsage::of(sidecar));
+        let hosts = fleet.hosts.len() as f64;
+        let x = count as f64;
+        at_entry.push((x, micros_between(before.0, after.0)));
+        at_sidecar.push((x / hosts, micros_between(before.1, after.1)));
+        bytes.push((x, link_bytes(&fleet.entry_state(0).await) - sent_before));
+        writes.push((x, (fleet.platform.counts().writes - writes_before) as f64));
+    }
+    vec![
+        Slope { name: "entry, a request", unit: "us of processor", points: at_entry },
+        Slope { name: "sidecar, a request", unit: "us of processor", points: at_sidecar },
+        Slope { name: "entry, a request, 3 probes", unit: "control bytes sent", points: bytes },
+        Slope { name: "store, a request, flush each second", unit: "writes", points: writes },
+    ]
+}
+
+/// Sizes of messages, encoded with their length prefix.
+fn message_sizes() -> Report {
+    let mut report = Report::new("message-sizes", &["message", "bytes"]);
+    let size = |body: Body| Frame { body: Some(body) }.encoded_len() + 4;
+    let dispatch = chat_dispatch(new_attempt(), "m@v1", 4);
+    for (name, body) in [
+        ("probe with 8 prefix hashes", probe(1)),
+        ("status without changes", status(1)),
+        ("bill record to hold", hold(1)),
+        ("attest or cancel", attest(1)),
+        ("edit of one cell", table_edit(0, 2)),
+        ("dispatch without its body", Body::Dispatch(dispatch)),
+    ] {
+        report.row([name.to_owned(), size(body).to_string()]);
+    }
+    report
+}
+
+/// A plot of measured points and their line, as SVG.
+fn plot(slope: &Slope, x_title: &str, file: &str) {
+    let (width, height, margin) = (640.0, 360.0, 60.0);
+    let largest = |values: Vec<f64>| values.into_iter().fold(f64::EPSILON, f64::max);
+    let max_x = largest(slope.points.iter().map(|(x, _)| *x).collect());
+    let max_y = largest(slope.points.iter().map(|(_, y)| *y).collect()) * 1.1;
+    let at = |x: f64, y: f64| {
+        let px = margin + x / max_x * (width - 2.0 * margin);
+        let py = height - margin - y / max_y * (height - 2.0 * margin);
+        (px, py)
+    };
+    let fit = slope.fit();
+    let (x1, y1) = at(0.0, fit.at(0.0).max(0.0));
+    let (x2, y2) = at(max_x, fit.at(max_x));
+    let (left, bottom) = at(0.0, 0.0);
+    let (right, top) = at(max_x, max_y);
+    let mut svg = format!(
+        "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"{width}\" height=\"{height}\" \
+         font-family=\"sans-serif\" font-size=\"12\">\n\
+         <rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n\
+         <path d=\"M{left} {top} V{bottom} H{right}\" stroke=\"black\" fill=\"none\"/>\n\
+         <line x1=\"{x1}\" y1=\"{y1}\" x2=\"{x2}\" y2=\"{y2}\" stroke=\"steelblue\"/>\n"
+    );
+    for (x, y) in &slope.points {
+        let (cx, cy) = at(*x, *y);
+        let _ = writeln!(svg, "<circle cx=\"{cx}\" cy=\"{cy}\" r=\"4\" fill=\"crimson\"/>");
+        let _ = writeln!(svg, "<text x=\"{}\" y=\"{}\">{y:.0}</text>", cx + 6.0, cy - 6.0);
+    }
+    let _ = writeln!(
+        svg,
+        "<text x=\"{margin}\" y=\"24\">{}: {:.2} {} each, from {:.0}</text>\n\
+         <text x=\"{}\" y=\"{}\">{x_title}, 0 to {max_x:.0}</text>\n</svg>",
+        slope.name,
+        fit.slope,
+        slope.unit,
+        fit.base,
+        width / 2.0,
+        height - 20.0
+    );
+    fs::create_dir_all("docs/plots").expect("the folder can be made");
+    fs::write(format!("docs/plots/{file}"), svg).expect("the plot can be written");
+}
+
+#[tokio::main]
+async fn main() {
+    message_sizes().finish();
+    let mut slopes = sidecar_messages().await;
+    slopes.push(sidecar_edits().await);
+    slopes.push(sidecar_memory("sidecar, a held bill record", "unsettled_bills", hold).await);
+    slopes
+        .push(sidecar_memory("sidecar, a remembered attempt", "remembered_attempts", attest).await);
+    let at_sidecar = sidecar_connections().await;
+    plot(&at_sidecar[0], "connected entries", "sidecar-processor.svg");
+    slopes.extend(at_sidecar);
+    let at_entry = entry_connections().await;
+    plot(&at_entry[0], "connected sidecars", "entry-processor.svg");
+    slopes.extend(at_entry);
+    slopes.extend(requests().await);
+    let headings = ["what", "unit", "slope", "at none", "worst residual", "points"];
+    let mut report = Report::new("slopes", &headings);
+    for slope in &slopes {
+        let fit = slope.fit();
+        let points = slope.points.iter().map(|(x, y)| format!("{x:.0}:{y:.0}"));
+        report.row([
+            slope.name.to_owned(),
+            slope.unit.to_owned(),
+            format!("{:.3}", fit.slope),
+            format!("{:.0}", fit.base),
+            format!("{:.1} %", fit.worst_residual * 100.0),
+            points.collect::<Vec<_>>().join(" "),
+        ]);
+    }
+    report.finish();
+}
--- /dev/null
+++ b/benches/overhead.rs
@@ -0,0 +1,166 @@
+//! What the path adds to the engine, what one entry carries, and what memory stays:
+//! `cargo bench --bench overhead`.
+//!
+//! Real processes, release build. The engine answers as fast as it can. Direct and
+//! routed requests alternate in one run, so that the machine's noise falls on both.
+
+#[allow(dead_code, unused_imports)]
+#[path = "../tests/all/harness/mod.rs"]
+mod harness;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use futures_util::future::join_all;
+use harness::Fleet;
+use harness::Plan;
+use reqwest::RequestBuilder;
+use serde_json::json;
+use stallhoist_measure::ProcessUsage;
+use stallhoist_measure::Report;
+use stallhoist_measure::percentile;
+use stallhoist_standins::engine::EngineSwitches;
+
+const ROUNDS: usize = 3_000;
+const LONG_RUN: usize = 100_000;
+const LONG_RUN_CALLERS: usize = 64;
+
+fn plan() -> Plan {
+    Plan {
+        engines: vec!["m@v1", "m@v1", "m@v1"],
+        services: 0,
+        switches: EngineSwitches {
+            step_base_us: 0,
+            step_per_request_us: 0,
+            ..EngineSwitches::default()
+        },
+        entry_settings: vec![
+            ("bill", "flush_ms", 1_000.into()),
+            ("timing", "heartbeat_ms", 1_000.into()),
+            ("timing", "peer_timeout_ms", 5_000.into()),
+            ("platform", "table_poll_ms", 2_000.into()),
+            ("platform", "host_list_poll_ms", 2_000.into()),
+        ],
+        sidecar_settings: vec![
+            ("timing", "heartbeat_ms", 1_000.into()),
+            ("timing", "peer_timeout_ms", 5_000.into()),
+        ],
+        ..Plan::default()
+    }
+}
+
+fn direct(http: &reqwest::Client, url: &str) -> RequestBuilder {
+    http.post(format!("{url}/v1/chat/completions")).json(&json!({
+        "model": "m@v1",
+        "messages": [{ "role": "user", "content": "hello" }],
+        "max_tokens": 4,
+    }))
+}
+
+async fn timed(request: RequestBuilder) -> f64 {
+    let began = Instant::now();
+    let response = request.send().await.expect("an answer");
+    assert_eq!(response.status().as_u16(), 200);
+    response.bytes().await.expect("a whole answer");
+    began.elapsed().as_secs_f64() * 1_000.0
+}
+
+/// Milliseconds of direct and of routed requests, with so many callers at once.
+async fn compare(fleet: &Fleet, callers: usize) -> (Vec<f64>, Vec<f64>) {
+    let http = reqwest::Client::builder().no_proxy().build().expect("a client can be made");
+    let url = fleet.engines[0].url();
+    let caller = fleet.caller(0);
+    let one = || async {
+        let (mut direct_ms, mut routed_ms) = (Vec::new(), Vec::new());
+        for round in 0..ROUNDS / callers + 20 {
+            let plain = timed(direct(&http, &url)).await;
+            let routed = timed(caller.chat("m", "hello", 4, false)).await;
+            // The first few open connections.
+            if round >= 20 {
+                direct_ms.push(plain);
+                routed_ms.push(routed);
+            }
+        }
+        (direct_ms, routed_ms)
+    };
+    let all = join_all((0..callers).map(|_| one())).await;
+    let (direct_ms, routed_ms): (Vec<_>, Vec<_>) = all.into_iter().unzip();
+    (direct_ms.concat(), routed_ms.concat())
+}
+
+async fn measure_latency(fleet: &Fleet) {
+    let headings = ["callers", "figure", "direct ms", "routed ms", "added ms"];
+    let mut report = Report::new("added-latency", &headings);
+    for callers in [1, 64] {
+        let (mut direct_ms, mut routed_ms) = compare(fleet, callers).await;
+        for (figure, quantile) in [("p50", 0.50), ("p99", 0.99)] {
+            let plain = percentile(&mut direct_ms, quantile);
+            let routed = percentile(&mut routed_ms, quantile);
+            report.row([
+                callers.to_string(),
+                figure.to_owned(),
+                format!("{plain:.3}"),
+                format!("{routed:.3}"),
+                format!("{:.3}", routed - plain),
+            ]);
+        }
+    }
+    report.finish();
+}
+
+async fn measure_long_run(fleet: &Fleet) {
+    let headings = ["after requests", "entry MiB", "sidecar MiB"];
+    let mut memory = Report::new("memory", &headings);
+    let entry = fleet.entries[0].id();
+    let sidecar = fleet.hosts[0].sidecar.id();
+    let mut note = |after: usize| {
+        memory.row([
+            after.to_string(),
+            format!("{:.1}", ProcessUsage::of(entry).resident_mib),
+            format!("{:.1}", ProcessUsage::of(sidecar).resident_mib),
+        ]);
+    };
+    note(0);
+    let before = (ProcessUsage::of(entry), ProcessUsage::of(sidecar));
+    let began = Instant::now();
+    let caller = fleet.caller(0);
+    let parts = 4;
+    for part in 1..=parts {
+        let one = || async {
+            for _ in 0..LONG_RUN / parts / LONG_RUN_CALLERS {
+                timed(caller.chat("m", "hello", 4, false)).await;
+            }
+        };
+        join_all((0..LONG_RUN_CALLERS).map(|_| one())).await;
+        fleet.engines.iter().for_each(|engine| engine.forget_executions());
+        note(LONG_RUN / parts * part);
+    }
+    let took = began.elapsed();
+    // The ledger and the sweeps come to rest.
+    tokio::time::sleep(Duration::from_secs(8)).await;
+    note(LONG_RUN);
+    memory.finish();
+    let after = (ProcessUsage::of(entry), ProcessUsage::of(sidecar));
+    let per_request = |before: ProcessUsage, after: ProcessUsage, requests: usize| {
+        (after.processor - before.processor).as_secs_f64() * 1e6 / requests as f64
+    };
+    let mut report = Report::new("throughput", &["figure", "value"]);
+    let rate = LONG_RUN as f64 / took.as_secs_f64();
+    report.row(["requests a second through one entry".to_owned(), format!("{rate:.0}")]);
+    report.row([
+        "entry processor time a request, us".to_owned(),
+        format!("{:.0}", per_request(before.0, after.0, LONG_RUN)),
+    ]);
+    report.row([
+        "sidecar processor time a request, us".to_owned(),
+        format!("{:.0}", per_request(before.1, after.1, LONG_RUN / fleet.hosts.len())),
+    ]);
+    report.finish();
+}
+
+#[tokio::main]
+async fn main() {
+    let fleet = Fleet::start(plan()).await;
+    measure_latency(&fleet).await;
+    measure_long_run(&fleet).await;
+}
--- a/crates/entry/src/callers/chat.rs
+++ b/crates/entry/src/callers/chat.rs
@@ -16,10 +16,8 @@
 use stallhoist_core::WorkspaceName;
 use stallhoist_core::estimate_tokens;
 use stallhoist_core::prefix_hashes;
-use stallhoist_policy::version::VersionFacts;
 use stallhoist_policy::version::VersionRefusal;
 use stallhoist_policy::version::split;
-use stallhoist_table::Row;
 use stallhoist_table::Table;
 use stallhoist_table::VersionState;
 
@@ -27,6 +25,7 @@
 use super::call;
 use super::headers::CallHeaders;
 use super::problem::Problem;
+use crate::guard_desk;
 use crate::request::Order;
 use crate::session::SessionToken;
 use crate::shared::Shared;
@@ -76,7 +75,7 @@
         )
     })?;
     let session = call::session(shared, &headers, &caller.workspace)?;
-    let version = choose(&table, &caller.workspace, &chat.model, session.as_ref())?;
+    let version = choose(shared, &table, &caller.workspace, &chat.model, session.as_ref())?;
     let target = Target::Version(version.clone());
     let is_repeatable = call::is_repeatable(&table, &headers, &caller.workspace, &target);
     let prompt = prompt(&chat.messages);
@@ -112,6 +111,7 @@
 
 /// The version that answers: the session's, the one named, or one by the weights.
 fn choose(
+    shared: &Shared,
     table: &Table,
     workspace: &WorkspaceName,
     asked: &str,
@@ -135,7 +135,7 @@
         }
         is_known = true;
         if row.allowed && row.state == VersionState::Active {
-            versions.push(facts(row, version));
+            versions.push(guard_desk::facts(shared, table, row, version));
         }
     }
     if !is_known {
@@ -150,15 +150,6 @@
     })
 }
 
-fn facts(row: &Row, version: &ModelVersion) -> VersionFacts {
-    VersionFacts {
-        version: version.clone(),
-        weight: row.weight,
-        cap_percent: f64::from(row.ramp_percent),
-        is_held: false,
-    }
-}
-
 /// A session keeps its version while that drains, and loses it when it is withdrawn.
 fn of_session(
     table: &Table,
--- a/crates/entry/src/callers/run.rs
+++ b/crates/entry/src/callers/run.rs
@@ -17,6 +17,7 @@
 use super::reply::Reply;
 use crate::claim_desk;
 use crate::metrics::OutcomeLabel;
+use crate::ratings;
 use crate::request::EndKind;
 use crate::request::Ending;
 use crate::request::Execution;
@@ -62,6 +63,10 @@
             return failure(&answer.ending, marks.held(self.place));
         }
         let served_by = self.execution.served_by().cloned();
+        if let Some(host) = &served_by {
+            let order = &self.execution.order;
+            ratings::sample(shared, order.request, &order.target, host, &answer.body);
+        }
         let marks = Marks { session: session(shared, &self.execution.order, served_by), ..marks };
         let head = answer.head.unwrap_or_default();
         Reply::Whole {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,16 +8,18 @@
 //! called "not run" that was not proved so.
 //!
 //! Lock order: `links`, `link state`, `waiters`, `bills`, `holders`, `retries`,
-//! `ejection`, `unreleased`. No lock is held across an await point.
+//! `ejection`, `guard`, `unreleased`. No lock is held across an await point.
 
 mod background;
 mod bill_desk;
 mod callers;
 mod claim_desk;
+mod guard_desk;
 mod mesh;
 mod metrics;
 mod operators;
 mod process;
+mod ratings;
 mod request;
 mod session;
 mod shared;
--- a/crates/entry/src/mesh/link.rs
+++ b/crates/entry/src/mesh/link.rs
@@ -32,6 +32,7 @@
 use super::AttemptEvent;
 use super::waiters::Waiters;
 use crate::bill_desk;
+use crate::guard_desk;
 use crate::shared::Shared;
 use crate::table_desk;
 
@@ -265,6 +266,7 @@
                 held.serves = serves;
             }
         });
+        guard_desk::take_evidence(shared, &identity.host, &status.evidence)?;
         table_desk::note_holder(shared, &identity.host, revision);
         table_desk::compare(shared, sender, revision);
         Ok(())
--- a/crates/entry/src/operators/dump.rs
+++ b/crates/entry/src/operators/dump.rs
@@ -4,6 +4,7 @@
 
 use serde::Serialize;
 use stallhoist_core::HostId;
+use stallhoist_policy::guard::Hold;
 use stallhoist_settings::EntrySettings;
 
 use crate::mesh::Link;
@@ -39,6 +40,7 @@
     unreleased_claims: usize,
     listed_hosts: usize,
     ejected: Vec<HostId>,
+    holds: Vec<Hold>,
     links: Vec<LinkDump>,
     settings: EntrySettings,
 }
@@ -56,6 +58,7 @@
         unsettled_bills: shared.bills.lock().held.len(),
         unreleased_claims: shared.unreleased.lock().len(),
         listed_hosts: shared.links.hosts().len(),
+        holds: shared.guard.lock().holds(),
         ejected: shared.ejection.lock().ejected(shared.now()),
         links: links.iter().map(|(host, link)| dump_link(host, link)).collect(),
         settings: shared.settings.clone(),
--- a/crates/entry/src/operators/routes.rs
+++ b/crates/entry/src/operators/routes.rs
@@ -15,8 +15,11 @@
 use rocket::serde::json::Json;
 use serde::Serialize;
 use stallhoist_coordination::BillLine;
+use stallhoist_core::HostId;
+use stallhoist_core::ModelVersion;
 use stallhoist_http::OperatorsKey;
 use stallhoist_http::OperatorsKeyDigest;
+use stallhoist_policy::guard::Hold;
 use stallhoist_telemetry::MetricsPage;
 
 use super::dump;
@@ -38,7 +41,7 @@
         .manage(shared)
         .manage(page)
         .manage(key)
-        .mount("/", routes![livez, readyz, metrics, state, bill])
+        .mount("/", routes![livez, readyz, metrics, state, bill, holds])
         .mount("/", table_routes::routes())
         .register("/", catchers![refused])
 }
@@ -79,6 +82,20 @@
     Json(dump::dump(entry))
 }
 
+/// What the guard holds back.
+#[derive(Debug, Serialize)]
+struct Holds {
+    holds: Vec<Hold>,
+    /// Upstreams that fail while their version does not.
+    sick_upstreams: Vec<(HostId, ModelVersion)>,
+}
+
+#[get("/v1/holds")]
+fn holds(_key: OperatorsKey, entry: &Entry) -> Json<Holds> {
+    let guard = entry.guard.lock();
+    Json(Holds { holds: guard.holds(), sick_upstreams: guard.sick_upstreams() })
+}
+
 /// The bill of some hours.
 #[derive(Debug, Serialize)]
 struct Bill {
--- a/crates/entry/src/request/execution.rs
+++ b/crates/entry/src/request/execution.rs
@@ -79,7 +79,6 @@
     next_sequence: u64,
     digest: AnswerDigest,
     error_body: Vec<u8>,
-    is_over: bool,
 }
 
 impl Attempt {
@@ -89,13 +88,12 @@
 }
 
 impl Drop for Attempt {
-    /// Nobody listens any more: an attempt that is not over is cancelled at once.
+    /// Nobody listens any more: an attempt that runs is cancelled at once, and the kept
+    /// answer of one that is over is freed.
     fn drop(&mut self) {
         self.link.drop_attempt(self.id);
-        if !self.is_over {
-            let cancel = Cancel { attempt: attempt_to_wire(self.id) };
-            let _ = self.link.try_send(Body::Cancel(cancel));
-        }
+        let cancel = Cancel { attempt: attempt_to_wire(self.id) };
+        let _ = self.link.try_send(Body::Cancel(cancel));
     }
 }
 
@@ -240,7 +238,6 @@
             next_sequence: 0,
             digest: AnswerDigest::default(),
             error_body: Vec::new(),
-            is_over: false,
         });
         self.unproved_attempts += 1;
         // A connection that breaks here is noticed as any other cut.
@@ -295,7 +292,6 @@
         let Some(attempt) = self.attempt.as_mut() else {
             return Err(AttemptEnd::Unknown);
         };
-        attempt.is_over = true;
         let is_whole =
             last.chunk_count == attempt.next_sequence && last.digest == attempt.digest.value();
         match last.kind() {
@@ -368,9 +364,7 @@
     /// An attempt goes no further: the request is tried elsewhere or ends.
     fn attempt_ended(&mut self, end: AttemptEnd) -> Option<Step> {
         let is_proved_not_run = matches!(end, AttemptEnd::Refused { .. });
-        if let Some(mut attempt) = self.attempt.take() {
-            // Only an attempt of unknown fate may still run and is worth a cancel.
-            attempt.is_over = !matches!(end, AttemptEnd::Unknown);
+        if let Some(attempt) = self.attempt.take() {
             self.note_health(&attempt.host, &end);
             self.avoid.insert(attempt.host.clone());
         }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -18,6 +18,8 @@
 use stallhoist_core::MonoTime;
 use stallhoist_core::Revision;
 use stallhoist_platform::PlatformClient;
+use stallhoist_policy::guard::Guard;
+use stallhoist_policy::guard::GuardConfig;
 use stallhoist_policy::retry::Ejection;
 use stallhoist_policy::retry::EjectionConfig;
 use stallhoist_policy::retry::RetryBudget;
@@ -51,6 +53,7 @@
     pub(crate) holders: watch::Sender<HashMap<HostId, Revision>>,
     pub(crate) retries: Mutex<RetryBudget>,
     pub(crate) ejection: Mutex<Ejection>,
+    pub(crate) guard: Mutex<Guard>,
     /// Claims that may stand in the store though nothing ran for them.
     pub(crate) unreleased: Mutex<Vec<PendingClaim>>,
     pub(crate) metrics: Metrics,
@@ -91,6 +94,7 @@
             holders: watch::Sender::default(),
             retries: Mutex::new(RetryBudget::new(retries.budget_percent, retries.burst)),
             ejection: Mutex::new(Ejection::new(ejection)),
+            guard: Mutex::new(Guard::new(GuardConfig::default())),
             unreleased: Mutex::default(),
             metrics: Metrics::default(),
             in_flight: AtomicUsize::new(0),
--- a/crates/entry/src/table_desk.rs
+++ b/crates/entry/src/table_desk.rs
@@ -180,7 +180,7 @@
 
 pub(crate) fn send_snapshot(shared: &Shared, to: &FrameSender) {
     if let Some(table) = shared.table.current() {
-        let _ = to.try_send(snapshot(&table));
+        to.send_or_close(snapshot(&table));
     }
 }
 
@@ -220,7 +220,7 @@
 
 fn pull(shared: &Shared, from: &FrameSender) {
     let held_revision = shared.table.revision().0;
-    let _ = from.try_send(Body::TablePull(TablePull { held_revision }));
+    from.send_or_close(Body::TablePull(TablePull { held_revision }));
 }
 
 fn snapshot(table: &Table) -> Body {
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -8,6 +8,7 @@
 mod events;
 mod fake_engine;
 mod line_fit;
+mod process_usage;
 mod report;
 mod spread;
 mod upstream;
@@ -16,6 +17,7 @@
 pub use events::EventQueue;
 pub use fake_engine::EngineTimes;
 pub use line_fit::LineFit;
+pub use process_usage::ProcessUsage;
 pub use report::Report;
 pub use spread::Spread;
 pub use spread::percentile;
--- a/crates/policy/src/admission/controller.rs
+++ b/crates/policy/src/admission/controller.rs
@@ -183,8 +183,14 @@
         self.queue.iter().map(Waiting::latest_start).min()
     }
 
-    /// A token of running work came.
-    pub fn token(&mut self, now: MonoTime, id: &Id) {
+    /// A token of running work came. Whether waiting work may start now, because the
+    /// step time that was just learnt leaves room for more.
+    pub fn token(&mut self, now: MonoTime, id: &Id) -> bool {
+        self.learn_from_token(now, id);
+        self.queue.len() > 0 && self.has_free_place()
+    }
+
+    fn learn_from_token(&mut self, now: MonoTime, id: &Id) {
         let batch = self.running.len();
         let Some(running) = self.running.get_mut(id) else {
             return;
@@ -320,7 +326,7 @@
             || (!waiting.is_promised && self.delays_another(now, waiting, position));
         let refusal = if waiting.work.deadline <= now {
             Some((NotRunReason::DeadlinePassed, MIN_RETRY_AFTER))
-        } else if first_token > budget {
+        } else if first_token > budget && self.estimator.has_learnt() {
             let earliest = first_token.saturating_sub(budget).max(MIN_RETRY_AFTER);
             Some((NotRunReason::Overloaded, earliest))
         } else if is_crowded {
--- a/crates/policy/src/admission/estimator.rs
+++ b/crates/policy/src/admission/estimator.rs
@@ -91,6 +91,11 @@
         &self.steps
     }
 
+    /// Whether anything was learnt; before that nothing is refused on a prediction.
+    pub fn has_learnt(&self) -> bool {
+        self.steps.has_seen() || self.call_s > 0.0
+    }
+
     /// Tokens that an answer is expected to have when at most `bound` are asked for.
     pub fn expected_tokens(&self, bound: u64) -> u64 {
         if self.mean_tokens == 0.0 {
--- a/crates/policy/src/admission/step_model.rs
+++ b/crates/policy/src/admission/step_model.rs
@@ -13,8 +13,10 @@
 /// A part of 95 in 100 lies within so many standard deviations above the mean.
 const SPREADS_TO_95_OF_100: f64 = 1.645;
 const RESIDUAL_SMOOTHING: f64 = 0.005;
+/// A step before any was seen.
+const GUESSED_STEP: Duration = Duration::from_millis(5);
 /// A batch that any engine is trusted with before anything is known.
-const FIRST_BATCH: usize = 4;
+const FIRST_BATCH: usize = 8;
 
 /// The time of a step against the size of the batch, fitted online by least squares
 /// with exponential forgetting.
@@ -59,8 +61,18 @@
         self.largest_batch = (self.largest_batch * 0.9999).max(batch);
     }
 
-    /// The predicted time of a step with `batch` requests; zero before any was seen.
+    /// Whether any step was seen.
+    pub fn has_seen(&self) -> bool {
+        self.weight > 0.0
+    }
+
+    /// The predicted time of a step with `batch` requests. Before any was seen it is zero
+    /// for a first request, so that a new engine is tried, and a guess for more, so that
+    /// not everybody tries it at once.
     pub fn step(&self, batch: usize) -> Duration {
+        if self.weight <= 0.0 {
+            return if batch <= 1 { Duration::ZERO } else { GUESSED_STEP };
+        }
         let (base, slope) = self.line();
         Duration::from_secs_f64((base + slope * batch as f64).max(0.0))
     }
--- a/crates/policy/src/placement/choose.rs
+++ b/crates/policy/src/placement/choose.rs
@@ -38,10 +38,14 @@
     Nobody,
 }
 
-/// Takes the one with the earliest predicted first token; of equal ones the least
-/// loaded, of those a random one.
+/// Takes the one with the earliest predicted first token; of those equal to the
+/// millisecond the least loaded, of those a random one. Finer differences are noise of
+/// the connection, and would drown the load.
 pub fn choose(candidates: &[Candidate], rng: &mut impl Rng) -> Choice {
-    let cost = |c: &Candidate| (c.first_token + c.round_trip / 2, c.load_requests);
+    let cost = |c: &Candidate| {
+        let first_token = c.first_token + c.round_trip / 2;
+        (first_token.as_millis(), c.load_requests)
+    };
     let willing: Vec<_> = candidates.iter().filter(|c| c.refusal.is_none()).collect();
     if let Some(least) = willing.iter().map(|c| cost(c)).min() {
         let best: Vec<_> = willing.iter().filter(|c| cost(c) == least).collect();
--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -54,6 +54,26 @@
     }
 }
 
+/// How answers are rated.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RatingSettings {
+    /// The part of whole answers that is rated, in percent.
+    pub sample_percent: f64,
+}
+
+impl Default for RatingSettings {
+    fn default() -> Self {
+        Self { sample_percent: 5.0 }
+    }
+}
+
+impl Checked for RatingSettings {
+    fn check(&self, problems: &mut Problems) {
+        problems.range("sample_percent", self.sample_percent, 0.0..=100.0);
+    }
+}
+
 /// All settings of an entry.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -77,6 +97,9 @@
     /// How it tries again.
     #[serde(default)]
     pub retries: RetrySettings,
+    /// How answers are rated.
+    #[serde(default)]
+    pub ratings: RatingSettings,
     /// How it claims idempotency keys.
     #[serde(default)]
     pub claims: ClaimSettings,
@@ -106,6 +129,7 @@
             callers: CallerLimits::default(),
             placement: PlacementSettings::default(),
             retries: RetrySettings::default(),
+            ratings: RatingSettings::default(),
             claims: ClaimSettings::default(),
             bill: BillSettings::default(),
             timing: TimingSettings::default(),
@@ -130,6 +154,7 @@
         problems.section("callers", &self.callers);
         problems.section("placement", &self.placement);
         problems.section("retries", &self.retries);
+        problems.section("ratings", &self.ratings);
         problems.section("claims", &self.claims);
         problems.section("bill", &self.bill);
         problems.section("timing", &self.timing);
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -26,6 +26,7 @@
 pub use claims::ClaimSettings;
 pub use entry::CallerLimits;
 pub use entry::EntrySettings;
+pub use entry::RatingSettings;
 pub use error::SettingsError;
 pub use error::SettingsProblem;
 pub use error::SettingsProblems;
--- a/crates/sidecar/src/attempts.rs
+++ b/crates/sidecar/src/attempts.rs
@@ -212,9 +212,10 @@
 
 fn conclude(shared: &Shared, answer: &Answer, called: upstream::Called) {
     let now = shared.now();
+    let is_empty = shared.is_engine() && called.completion_tokens() == Some(0);
     let (end, fate) = called.into_end(shared, answer);
     if let End::Started { kind, bill, .. } = &end {
-        let is_failure = upstream::is_failure(*kind);
+        let is_failure = upstream::is_failure(*kind) || is_empty;
         shared.evidence.lock().count(&answer.target, is_failure);
         if is_failure { &shared.metrics.failures } else { &shared.metrics.answers }.inc();
         if let Some(record) = bill {
@@ -235,7 +236,7 @@
 }
 
 fn refuse_unregistered(to: &FrameSender, id: AttemptId, reason: NotRunReason) {
-    let _ = to.try_send(Body::Refusal(Refusal {
+    to.send_or_close(Body::Refusal(Refusal {
         attempt: attempt_to_wire(id),
         reason: reason.code(),
         retry_after_ms: 0,
@@ -248,6 +249,8 @@
     // Barred if it is still on its way here.
     let fate = shared.registry.lock().attest(shared.now(), id);
     if fate != AttemptFate::Held {
+        // Its answer, if it is still kept, has been read to its end.
+        shared.answers.lock().remove(&id);
         return;
     }
     let Some(answer) = shared.answers.lock().get(&id).cloned() else {
@@ -278,7 +281,7 @@
 pub(crate) fn resume(shared: &Shared, to: &FrameSender, id: AttemptId, next_sequence: u64) {
     let Some(answer) = shared.answers.lock().get(&id).cloned() else {
         let fate = messages::AttemptFate::Forgotten as i32;
-        let _ = to.try_send(Body::Attestation(Attestation { attempt: attempt_to_wire(id), fate }));
+        to.send_or_close(Body::Attestation(Attestation { attempt: attempt_to_wire(id), fate }));
         return;
     };
     shared.metrics.resumes.inc();
--- a/crates/sidecar/src/background.rs
+++ b/crates/sidecar/src/background.rs
@@ -2,6 +2,7 @@
 //! orphaned bills, and the view of the engine's cache.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -12,6 +13,7 @@
 use crate::answer::Answer;
 use crate::attempts;
 use crate::shared::Shared;
+use crate::table_spread;
 
 const SWEEP_EVERY: Duration = Duration::from_millis(250);
 const CACHE_POLL_EVERY: Duration = Duration::from_millis(250);
@@ -53,6 +55,9 @@
         tokio::time::sleep(SWEEP_EVERY).await;
         sweep_answers(&shared);
         offer_orphans(&shared);
+        if shared.progress_changed.swap(false, Ordering::SeqCst) {
+            table_spread::report_progress(&shared);
+        }
         show_gauges(&shared);
     }
 }
--- a/crates/sidecar/src/connection.rs
+++ b/crates/sidecar/src/connection.rs
@@ -1,6 +1,7 @@
 //! One connection of an entry.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use stallhoist_core::IncarnationId;
@@ -98,7 +99,7 @@
         }
         Body::Attest(attest) => {
             let id = attempt_from_wire(attest.attempt.as_ref())?;
-            let _ = sender.try_send(Body::Attestation(attempts::attest(shared, id)));
+            sender.send_or_close(Body::Attestation(attempts::attest(shared, id)));
         }
         Body::Resume(resume) => {
             let id = attempt_from_wire(resume.attempt.as_ref())?;
@@ -107,7 +108,8 @@
         Body::Status(status) => note_revision(shared, sender, peer, Revision(status.revision)),
         Body::TableHeld(held) => {
             shared.peers.lock().note_revision(peer, Revision(held.revision));
-            table_spread::report_progress(shared);
+            // Reported by the sweep: once for all that hold it by then, not for each.
+            shared.progress_changed.store(true, Ordering::SeqCst);
         }
         Body::TableSnapshot(snapshot) => {
             shared.peers.lock().note_revision(peer, Revision(snapshot.revision));
@@ -119,6 +121,10 @@
         }
         Body::TablePull(_) => table_spread::send_snapshot(shared, sender),
         Body::BillHold(hold) => hold_bill(shared, sender, &hold)?,
+        Body::Rated(rated) => {
+            let target = rated.target.parse().map_err(|_| WireError::BadField("target"))?;
+            shared.evidence.lock().rated(&target, rated.poor);
+        }
         Body::BillSettled(settled) => settle(shared, &settled.requests)?,
         _ => return Err(WireError::BadField("a message that only sidecars send")),
     }
--- a/crates/sidecar/src/evidence.rs
+++ b/crates/sidecar/src/evidence.rs
@@ -9,8 +9,12 @@
 pub struct Evidence {
     /// Attempts that were started and ended, good or bad.
     pub answers: u64,
-    /// Those that ended in an error or broke off.
+    /// Those that ended in an error, broke off or came empty.
     pub failures: u64,
+    /// Answers that an entry had rated.
+    pub ratings: u64,
+    /// Those that were rated poor.
+    pub poor_ratings: u64,
 }
 
 /// Counts by target.
@@ -22,9 +26,22 @@
 
 impl EvidenceBook {
     pub(crate) fn count(&mut self, target: &Target, is_failure: bool) {
+        self.change(target, |evidence| {
+            evidence.answers += 1;
+            evidence.failures += u64::from(is_failure);
+        });
+    }
+
+    pub(crate) fn rated(&mut self, target: &Target, is_poor: bool) {
+        self.change(target, |evidence| {
+            evidence.ratings += 1;
+            evidence.poor_ratings += u64::from(is_poor);
+        });
+    }
+
+    fn change(&mut self, target: &Target, change: impl FnOnce(&mut Evidence)) {
         let evidence = self.by_target.entry(target.clone()).or_default();
-        evidence.answers += 1;
-        evidence.failures += u64::from(is_failure);
+        change(evidence);
         self.changed.insert(target.clone(), *evidence);
     }
 
--- a/crates/sidecar/src/operators.rs
+++ b/crates/sidecar/src/operators.rs
@@ -17,6 +17,7 @@
 use stallhoist_settings::SidecarSettings;
 use stallhoist_telemetry::MetricsPage;
 
+use crate::evidence::Evidence;
 use crate::shared::Shared;
 
 type Sidecar = State<Arc<Shared>>;
@@ -83,8 +84,8 @@
 #[derive(Debug, Serialize)]
 struct EvidenceDump {
     target: String,
-    answers: u64,
-    failures: u64,
+    #[serde(flatten)]
+    counts: Evidence,
 }
 
 /// The whole state, as the dump shows it.
@@ -131,8 +132,7 @@
     let evidence =
         sidecar.evidence.lock().all().into_iter().map(|(target, evidence)| EvidenceDump {
             target: target.to_string(),
-            answers: evidence.answers,
-            failures: evidence.failures,
+            counts: evidence,
         });
     let (concurrency_requests, in_flight_requests, queue_len_requests) = {
         let admission = sidecar.admission.lock();
--- a/crates/sidecar/src/shared.rs
+++ b/crates/sidecar/src/shared.rs
@@ -52,6 +52,8 @@
     pub(crate) metrics: Metrics,
     /// Told whenever waiting work may start or has changed.
     pub(crate) admission_changed: Notify,
+    /// Whether an entry has said that it holds a revision since the last report.
+    pub(crate) progress_changed: AtomicBool,
     is_leaving: AtomicBool,
 }
 
@@ -83,6 +85,7 @@
             evidence: Mutex::default(),
             metrics: Metrics::default(),
             admission_changed: Notify::new(),
+            progress_changed: AtomicBool::new(false),
             is_leaving: AtomicBool::new(false),
             settings,
         }
@@ -112,6 +115,8 @@
             target: target.to_string(),
             answers: evidence.answers,
             failures: evidence.failures,
+            ratings: evidence.ratings,
+            poor_ratings: evidence.poor_ratings,
         });
         let serves = if is_first { self.settings.upstream.serves.as_slice() } else { &[] };
         Status {
--- a/crates/sidecar/src/upstream/engine.rs
+++ b/crates/sidecar/src/upstream/engine.rs
@@ -81,7 +81,10 @@
         if let Some(reported) = reported_usage(&event.data) {
             *usage = Some(reported);
         } else {
-            shared.admission.lock().token(shared.now(), &answer.id);
+            let has_room = shared.admission.lock().token(shared.now(), &answer.id);
+            if has_room {
+                shared.admission_changed.notify_one();
+            }
         }
         answer.push(Bytes::from(event.data));
     }
--- a/crates/table/src/column.rs
+++ b/crates/table/src/column.rs
@@ -63,6 +63,9 @@
     Repeatable = "repeatable",
     /// The place in the cascade of models, from 1, cheapest first; 0 means none.
     CascadePlace = "cascade_place",
+    /// How often the guard's hold of the version was cleared; `stallhoist hold clear`
+    /// raises it.
+    GuardResets = "guard_resets",
     /// The SHA-256 of the workspace's bearer key.
     KeyDigest = "key_digest",
     /// The share of answers that must be good, in percent.
--- a/crates/table/src/row.rs
+++ b/crates/table/src/row.rs
@@ -43,6 +43,9 @@
     pub repeatable: bool,
     /// The place in the cascade of models, from 1; 0 means none.
     pub cascade_place: u32,
+    /// How often the guard's hold of the version was cleared.
+    #[serde(default)]
+    pub guard_resets: u32,
 }
 
 impl Row {
@@ -61,6 +64,7 @@
             cost_micros_per_1k_tokens: CostMicros::default(),
             repeatable: true,
             cascade_place: 0,
+            guard_resets: 0,
         }
     }
 
@@ -77,6 +81,7 @@
             Column::CostMicrosPer1kTokens => self.cost_micros_per_1k_tokens.to_string(),
             Column::Repeatable => yes_or_no(self.repeatable),
             Column::CascadePlace => self.cascade_place.to_string(),
+            Column::GuardResets => self.guard_resets.to_string(),
             Column::KeyDigest | Column::QualityTargetPercent => String::new(),
         }
     }
@@ -99,6 +104,7 @@
             }
             Column::Repeatable => self.repeatable = parse_yes_or_no(value)?,
             Column::CascadePlace => self.cascade_place = parse_number(value)?,
+            Column::GuardResets => self.guard_resets = parse_number(value)?,
             Column::KeyDigest | Column::QualityTargetPercent => {
                 return Err(CellError::OfWorkspace(column.to_string()));
             }
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -63,6 +63,14 @@
         self.frames.try_send(body).map_err(|_| WireError::Closed)
     }
 
+    /// Queues a message that must not be lost, or closes the connection: a peer that is
+    /// so slow connects again and learns what it missed.
+    pub fn send_or_close(&self, body: Body) {
+        if self.frames.try_send(body).is_err() {
+            self.close();
+        }
+    }
+
     /// Bytes of messages written so far, without the length prefixes.
     pub fn sent_bytes(&self) -> u64 {
         self.sent_bytes.load(Ordering::Relaxed)
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -17,6 +17,7 @@
         .arg_required_else_help(true)
         .subcommand(local())
         .subcommand(table())
+        .subcommand(hold())
         .subcommand(dump())
         .subcommand(bill())
         .subcommand(check_settings())
@@ -130,6 +131,20 @@
         .help("Who makes the edit, for the history")
 }
 
+fn hold() -> Command {
+    Command::new("hold")
+        .about("Shows and clears what the guard holds back")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(with_endpoint(Command::new("list").about("Prints versions held back")))
+        .subcommand(with_endpoint(
+            Command::new("clear")
+                .about("Lets a held version take work again and forgets the evidence so far")
+                .arg(Arg::new("version").required(true).value_name("MODEL@VERSION"))
+                .arg(author()),
+        ))
+}
+
 fn dump() -> Command {
     with_endpoint(Command::new("dump").about("Prints the state of an entry or a sidecar"))
 }
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! What the commands do.
 
 mod bill;
+mod hold;
 mod table;
 
 use std::io::Write;
@@ -27,6 +28,7 @@
     match matches.subcommand() {
         Some(("local", matches)) => local::run(matches).await?,
         Some(("table", matches)) => table::run(matches).await?,
+        Some(("hold", matches)) => hold::run(matches).await?,
         Some(("dump", matches)) => dump(matches).await?,
         Some(("bill", matches)) => bill::run(matches).await?,
         Some(("check-settings", matches)) => check_settings(matches)?,
--- a/src/commands/table.rs
+++ b/src/commands/table.rs
@@ -79,7 +79,7 @@
 }
 
 /// Commits an edit and shows how far it is until it is in force everywhere.
-async fn commit(client: &OperatorClient, edit: &Edit) -> Result<(), CliError> {
+pub(super) async fn commit(client: &OperatorClient, edit: &Edit) -> Result<(), CliError> {
     say(format_args!("edit {} changes {} cells\n", edit.id, edit.cells.len()));
     let reply = client.edit(edit).await?;
     say(format_args!("{}: revision {}\n", reply.status, reply.revision));
--- a/src/error.rs
+++ b/src/error.rs
@@ -28,6 +28,8 @@
     Sheet(#[from] SheetError),
     /// '{0}' is not WORKSPACE/TARGET/COLUMN=VALUE
     Assignment(String),
+    /// the table has no row of '{0}'
+    UnknownVersion(String),
     /// '{0}' is not an edit's identity
     EditId(String),
     /// {file}: {cause}
--- a/src/operator_client.rs
+++ b/src/operator_client.rs
@@ -29,6 +29,24 @@
     pub(crate) revision: u64,
 }
 
+/// A version that is held back.
+#[derive(Debug, Clone, Deserialize)]
+pub(crate) struct Hold {
+    pub(crate) version: String,
+    pub(crate) cause: String,
+    pub(crate) answers: u64,
+    pub(crate) failures: u64,
+    pub(crate) ratings: u64,
+    pub(crate) poor_ratings: u64,
+}
+
+/// What the guard says.
+#[derive(Debug, Clone, Deserialize)]
+pub(crate) struct Holds {
+    pub(crate) holds: Vec<Hold>,
+    pub(crate) sick_upstreams: Vec<(String, String)>,
+}
+
 #[derive(Debug, Default, Deserialize)]
 #[serde(default)]
 struct Refusal {
@@ -75,6 +93,10 @@
         self.get("/v1/state").await
     }
 
+    pub(crate) async fn holds(&self) -> Result<Holds, CliError> {
+        self.get("/v1/holds").await
+    }
+
     pub(crate) async fn bill(&self, first: u64, last: u64) -> Result<Vec<BillLine>, CliError> {
         let path = format!("/v1/bill?first_hour={first}&last_hour={last}");
         let bill: Bill = self.get(&path).await?;
--- a/tests/all/callers.rs
+++ b/tests/all/callers.rs
@@ -11,11 +11,11 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
+use crate::case::case;
 use crate::harness::Answer;
 use crate::harness::Caller;
 use crate::harness::Fleet;
 use crate::harness::Plan;
-use crate::harness::case;
 use crate::harness::send;
 use crate::harness::wait_until;
 
--- /dev/null
+++ b/tests/all/guard.rs
@@ -0,0 +1,108 @@
+//! The guard in the running path: a version that turns bad is held, visibly, and cleared
+//! by one command; no cell of the operators' is touched.
+
+use std::process::Command;
+
+use stallhoist_standins::engine::EngineSwitches;
+
+use crate::case::case;
+use crate::harness::Fleet;
+use crate::harness::Plan;
+use crate::harness::operators_key;
+use crate::harness::send;
+use crate::harness::wait_until;
+
+/// Two versions with two engines each; ratings are of every answer.
+fn plan() -> Plan {
+    Plan {
+        engines: vec!["m@v1", "m@v1", "m@v2", "m@v2"],
+        services: 0,
+        entry_settings: vec![("ratings", "sample_percent", 100.0.into())],
+        ..Plan::default()
+    }
+}
+
+fn failing() -> EngineSwitches {
+    EngineSwitches { fail_percent: 100, ..EngineSwitches::default() }
+}
+
+async fn is_held(fleet: &Fleet, version: &str) -> bool {
+    let addr = fleet.entries[0].addr("operators_addr");
+    let holds = fleet.operators(addr, "/v1/holds").await;
+    let holds = holds["holds"].as_array().cloned().unwrap_or_default();
+    holds.iter().any(|hold| hold["version"] == version)
+}
+
+async fn ask_until_held(fleet: &Fleet, version: &str) -> usize {
+    for asked in 0..600 {
+        if is_held(fleet, version).await {
+            return asked;
+        }
+        send(fleet.caller(0).chat("m", "x", 2, false)).await.expect("an answer");
+    }
+    panic!("{version} was never held");
+}
+
+async fn all_go_to(fleet: &Fleet, version: &str) {
+    for _ in 0..20 {
+        let answer = send(fleet.caller(0).chat("m", "x", 2, false)).await.expect("an answer");
+        assert_eq!((answer.outcome.as_str(), answer.target.as_str()), ("completed", version));
+    }
+}
+
+case!(a_failing_version_is_held_and_cleared, async {
+    let fleet = Fleet::start(plan()).await;
+    fleet.engines[2].set_switches(failing());
+    fleet.engines[3].set_switches(failing());
+    ask_until_held(&fleet, "m@v2").await;
+    all_go_to(&fleet, "m@v1").await;
+    let addr = fleet.entries[0].addr("operators_addr");
+    let table = fleet.operators(addr, "/v1/table").await;
+    assert_eq!(table["revision"], 1, "no cell was touched");
+    fleet.engines[2].set_switches(EngineSwitches::default());
+    fleet.engines[3].set_switches(EngineSwitches::default());
+    let clear = move || {
+        Command::new(env!("CARGO_BIN_EXE_stallhoist"))
+            .args(["hold", "clear", "m@v2"])
+            .env("STALLHOIST_OPERATORS_URL", format!("http://{addr}"))
+            .env("STALLHOIST_OPERATORS_KEY", operators_key())
+            .status()
+            .expect("the command runs")
+    };
+    assert!(tokio::task::spawn_blocking(clear).await.expect("it ends").success());
+    wait_until("the version serves again", || async {
+        let answer = send(fleet.caller(0).chat("m", "x", 2, false)).await.expect("an answer");
+        answer.target == "m@v2"
+    })
+    .await;
+    assert!(!is_held(&fleet, "m@v2").await);
+});
+
+case!(a_version_with_poor_ratings_is_held, async {
+    let fleet = Fleet::start(plan()).await;
+    fleet.platform.set_quality("m@v2", 0.1);
+    ask_until_held(&fleet, "m@v2").await;
+    all_go_to(&fleet, "m@v1").await;
+});
+
+// One of two upstreams is sick; the version is not.
+case!(a_sick_upstream_is_told_from_a_sick_version, async {
+    let fleet = Fleet::start(plan()).await;
+    fleet.engines[3].set_switches(failing());
+    for _ in 0..150 {
+        send(fleet.caller(0).chat("m", "x", 2, false)).await.expect("an answer");
+    }
+    assert!(!is_held(&fleet, "m@v2").await);
+});
+
+// A session on a held version goes on: only new work is held back.
+case!(sessions_of_a_held_version_go_on, async {
+    let fleet = Fleet::start(plan()).await;
+    let first = send(fleet.caller(0).chat("m@v2", "x", 2, false)).await.expect("an answer");
+    let session = first.session.expect("a session");
+    fleet.platform.set_quality("m@v2", 0.1);
+    ask_until_held(&fleet, "m@v2").await;
+    let request = fleet.caller(0).chat("m", "x", 2, false).header("Stallhoist-Session", session);
+    let answer = send(request).await.expect("an answer");
+    assert_eq!((answer.outcome.as_str(), answer.target.as_str()), ("completed", "m@v2"));
+});
--- a/tests/all/harness/mod.rs
+++ b/tests/all/harness/mod.rs
@@ -19,14 +19,3 @@
 pub(crate) use process::Process;
 pub(crate) use settings::operators_key;
 pub(crate) use wait::wait_until;
-
-/// Names a case of an asynchronous test: its body runs on a runtime of its own.
-macro_rules! case {
-    ($name:ident, $body:expr) => {
-        #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-        async fn $name() {
-            $body.await
-        }
-    };
-}
-pub(crate) use case;
--- a/tests/all/harness/process.rs
+++ b/tests/all/harness/process.rs
@@ -71,6 +71,11 @@
         self.log.lock().expect("no reader panicked").clone()
     }
 
+    /// Its number, by which the kernel counts what it uses.
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Kills it as a crash would.
     pub(crate) fn kill(&mut self) {
         self.child.kill().expect("the daemon can be killed");
@@ -99,7 +104,7 @@
     }
 
     fn signal(&self, signal: Signal) {
-        let id = i32::try_from(self.child.id()).expect("process numbers are small");
+        let id = i32::try_from(self.id()).expect("process numbers are small");
         kill(Pid::from_raw(id), signal).expect("the daemon can be signalled");
     }
 }
--- a/tests/all/local.rs
+++ b/tests/all/local.rs
@@ -9,8 +9,8 @@
 use nix::unistd::Pid;
 use serde_json::Value;
 
+use crate::case::case;
 use crate::harness::Caller;
-use crate::harness::case;
 use crate::harness::send;
 use crate::harness::wait_until;
 
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,6 +2,8 @@
 //! and a fault-injecting proxy before each sidecar.
 
 mod callers;
+mod case;
+mod guard;
 mod harness;
 mod local;
 mod operators;
--- a/tests/all/operators.rs
+++ b/tests/all/operators.rs
@@ -7,9 +7,9 @@
 use reqwest::StatusCode;
 use stallhoist_standins::platform::Faults;
 
+use crate::case::case;
 use crate::harness::Fleet;
 use crate::harness::Plan;
-use crate::harness::case;
 use crate::harness::operators_key;
 use crate::harness::send;
 use crate::harness::wait_until;
--- a/tests/all/path.rs
+++ b/tests/all/path.rs
@@ -2,9 +2,9 @@
 
 use reqwest::Method;
 
+use crate::case::case;
 use crate::harness::Fleet;
 use crate::harness::Plan;
-use crate::harness::case;
 use crate::harness::send;
 use crate::harness::wait_until;
 
--- a/tests/all/promises/allowed.rs
+++ b/tests/all/promises/allowed.rs
@@ -1,8 +1,8 @@
 //! P1: a request runs only on a model and version its workspace allows.
 
+use crate::case::case;
 use crate::harness::Fleet;
 use crate::harness::Plan;
-use crate::harness::case;
 use crate::harness::edit_of;
 use crate::harness::send;
 
--- a/tests/all/promises/at_most_once.rs
+++ b/tests/all/promises/at_most_once.rs
@@ -6,10 +6,10 @@
 use futures_util::future::join_all;
 use stallhoist_standins::platform::Faults;
 
+use crate::case::case;
 use crate::harness::Caller;
 use crate::harness::Fleet;
 use crate::harness::Plan;
-use crate::harness::case;
 use crate::harness::send;
 use crate::harness::wait_until;
 
--- a/tests/all/promises/billing.rs
+++ b/tests/all/promises/billing.rs
@@ -8,10 +8,10 @@
 use stallhoist_platform::PlatformClient;
 use stallhoist_standins::platform::Faults;
 
+use crate::case::case;
 use crate::harness::Answer;
 use crate::harness::Fleet;
 use crate::harness::Plan;
-use crate::harness::case;
 use crate::harness::send;
 use crate::harness::wait_until;
 
--- a/tests/all/promises/configuration.rs
+++ b/tests/all/promises/configuration.rs
@@ -5,9 +5,9 @@
 
 use stallhoist_standins::platform::Faults;
 
+use crate::case::case;
 use crate::harness::Fleet;
 use crate::harness::Plan;
-use crate::harness::case;
 use crate::harness::edit_of;
 use crate::harness::wait_until;
 
--- a/tests/all/promises/leaving.rs
+++ b/tests/all/promises/leaving.rs
@@ -2,12 +2,13 @@
 
 use futures_util::future::join_all;
 use stallhoist_platform::HostState;
+use stallhoist_standins::engine::EngineStandin;
 use stallhoist_standins::engine::EngineSwitches;
 use stallhoist_standins::platform::Faults;
 
+use crate::case::case;
 use crate::harness::Fleet;
 use crate::harness::Plan;
-use crate::harness::case;
 use crate::harness::send;
 use crate::harness::wait_until;
 
@@ -34,24 +35,32 @@
     }
 }
 
-// It says so itself; a running answer keeps it up, new work goes elsewhere at once.
+// It says so itself; running answers keep it up, new work goes elsewhere at once. Both
+// engines are busy, so that the leaving one would be chosen as often as the other.
 case!(told_by_the_sidecar_with_the_platform_down, async {
     let fleet = Fleet::start(plan()).await;
     fleet.platform.set_faults(Faults { outage: true, ..Faults::default() });
-    let running = tokio::spawn(send(fleet.caller(0).chat("m", "long", 200, true)));
-    wait_until("it runs", || async {
-        fleet.engines.iter().any(|engine| !engine.executions().is_empty())
+    // Both engines' step times are learnt first.
+    twenty_at_once(&fleet).await;
+    let long = || tokio::spawn(send(fleet.caller(0).chat("m", "long", 400, true)));
+    let running: Vec<_> = (0..20).map(|_| long()).collect();
+    wait_until("both engines are busy", || async {
+        let is_long = |engine: &EngineStandin| engine.executions().iter().any(|e| e.tokens > 4);
+        fleet.engines.iter().all(is_long)
     })
     .await;
-    let leaving = usize::from(fleet.engines[0].executions().is_empty());
-    fleet.hosts[leaving].sidecar.terminate();
+    fleet.hosts[0].sidecar.terminate();
     wait_until("the sidecar is leaving", || async {
-        fleet.sidecar_state(leaving).await["is_leaving"] == true
+        fleet.sidecar_state(0).await["is_leaving"] == true
     })
     .await;
-    all_go_elsewhere(&fleet, leaving).await;
-    let answer = running.await.expect("the call ends").expect("an answer");
-    assert_eq!(answer.events().last().map(String::as_str), Some("[DONE]"));
+    for _ in 0..3 {
+        all_go_elsewhere(&fleet, 0).await;
+    }
+    for call in running {
+        let answer = call.await.expect("the call ends").expect("an answer");
+        assert_eq!(answer.events().last().map(String::as_str), Some("[DONE]"));
+    }
 });
 
 // Only the host list says so, and late.
--- a/tests/all/promises/planned_stops.rs
+++ b/tests/all/promises/planned_stops.rs
@@ -4,9 +4,9 @@
 use stallhoist_standins::engine::EngineSwitches;
 use stallhoist_standins::platform::Faults;
 
+use crate::case::case;
 use crate::harness::Fleet;
 use crate::harness::Plan;
-use crate::harness::case;
 use crate::harness::send;
 use crate::harness::wait_until;
 
--- a/tests/all/promises/sessions.rs
+++ b/tests/all/promises/sessions.rs
@@ -1,10 +1,10 @@
 //! P3: a session keeps the version it started on.
 
+use crate::case::case;
 use crate::harness::Answer;
 use crate::harness::Caller;
 use crate::harness::Fleet;
 use crate::harness::Plan;
-use crate::harness::case;
 use crate::harness::edit_of;
 use crate::harness::send;
 
--- a/tests/all/promises/whole_answers.rs
+++ b/tests/all/promises/whole_answers.rs
@@ -4,10 +4,10 @@
 use stallhoist_standins::Direction;
 use stallhoist_standins::engine::EngineSwitches;
 
+use crate::case::case;
 use crate::harness::Answer;
 use crate::harness::Fleet;
 use crate::harness::Plan;
-use crate::harness::case;
 use crate::harness::send;
 use crate::harness::wait_until;
 
--- a/tests/all/sidecar_contract.rs
+++ b/tests/all/sidecar_contract.rs
@@ -17,10 +17,10 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
+use crate::case::case;
 use crate::harness::FakeEntry;
 use crate::harness::Fleet;
 use crate::harness::Plan;
-use crate::harness::case;
 use crate::harness::chat_dispatch;
 use crate::harness::edit_of;
 use crate::harness::new_attempt;
