--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -39,6 +39,7 @@
 use stallhoist_wire::messages::Attest;
 use stallhoist_wire::messages::BillHold;
 use stallhoist_wire::messages::Frame;
+use stallhoist_wire::messages::Prefix;
 use stallhoist_wire::messages::Probe;
 use stallhoist_wire::messages::Status;
 use stallhoist_wire::messages::TableEdit;
@@ -136,7 +137,7 @@
         prompt_tokens: 500,
         expected_completion_tokens: 120,
         deadline_ms: 60_000,
-        prefix_hashes: (0..8).collect(),
+        prefix: Some(Prefix { blocks: 8, block_tokens: 64, mark_hashes: (0..6).collect() }),
         work_key: number as u64,
     })
 }
@@ -370,7 +371,7 @@
     let size = |body: Body| Frame { body: Some(body) }.encoded_len() + 4;
     let dispatch = chat_dispatch(new_attempt(), "m@v1", 4);
     for (name, body) in [
-        ("probe with 8 prefix hashes", probe(1)),
+        ("probe of a prompt of 8 blocks", probe(1)),
         ("status without changes", status(1)),
         ("bill record to hold", hold(1)),
         ("attest or cancel", attest(1)),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -47,6 +47,7 @@
 pub use outcome::Outcome;
 pub use prefix::estimate_tokens;
 pub use prefix::prefix_hashes;
+pub use prefix::prefix_marks;
 pub use request_id::EditId;
 pub use request_id::IdError;
 pub use request_id::IncarnationId;
--- a/crates/core/src/prefix.rs
+++ b/crates/core/src/prefix.rs
@@ -26,3 +26,24 @@
     }
     hashes
 }
+
+/// The numbers of leading blocks whose hashes are worth telling: every one up to four,
+/// two in each doubling after that, and all. The hash of a block covers all before it,
+/// so a few marks tell how far a prompt is cached, to within a half; telling each block
+/// of a long prompt would cost more than all other control.
+pub fn prefix_marks(blocks: usize) -> Vec<usize> {
+    let mut marks = Vec::new();
+    let mut octave = 1;
+    while octave <= blocks {
+        marks.push(octave);
+        let half_way = octave + octave / 2;
+        if octave > 1 && half_way <= blocks {
+            marks.push(half_way);
+        }
+        octave *= 2;
+    }
+    if blocks > 0 && marks.last() != Some(&blocks) {
+        marks.push(blocks);
+    }
+    marks
+}
--- a/crates/entry/src/callers/chat.rs
+++ b/crates/entry/src/callers/chat.rs
@@ -16,10 +16,12 @@
 use stallhoist_core::WorkspaceName;
 use stallhoist_core::estimate_tokens;
 use stallhoist_core::prefix_hashes;
+use stallhoist_core::prefix_marks;
 use stallhoist_policy::version::VersionRefusal;
 use stallhoist_policy::version::split;
 use stallhoist_table::Table;
 use stallhoist_table::VersionState;
+use stallhoist_wire::messages::Prefix;
 
 use super::auth::Caller;
 use super::call;
@@ -99,7 +101,7 @@
         content_type: "application/json".to_owned(),
         prompt_tokens: estimate_tokens(&prompt).0,
         completion_tokens: bound.unwrap_or(DEFAULT_COMPLETION_TOKENS),
-        prefix_hashes: prefix_hashes(&prompt, block_tokens),
+        prefix: prefix(&prompt, block_tokens),
         body: Bytes::from(serde_json::to_vec(&chat).expect("what was JSON is JSON")),
         idempotency_key: headers.idempotency_key,
         work_key,
@@ -201,6 +203,20 @@
     Problem::not_routed(404, "unknown-model", detail)
 }
 
+/// The prompt's leading blocks, told by a few marks.
+fn prefix(prompt: &str, block_tokens: u64) -> Option<Prefix> {
+    let hashes = prefix_hashes(prompt, block_tokens);
+    if hashes.is_empty() {
+        return None;
+    }
+    let marks = prefix_marks(hashes.len());
+    Some(Prefix {
+        blocks: u32::try_from(hashes.len()).unwrap_or(u32::MAX),
+        block_tokens: u32::try_from(block_tokens).unwrap_or(u32::MAX),
+        mark_hashes: marks.into_iter().map(|blocks| hashes[blocks - 1]).collect(),
+    })
+}
+
 fn prompt(messages: &[Message]) -> String {
     let mut text = String::new();
     for message in messages {
--- a/crates/entry/src/callers/services.rs
+++ b/crates/entry/src/callers/services.rs
@@ -65,7 +65,7 @@
         body: Bytes::from(service_call.body),
         prompt_tokens: 0,
         completion_tokens: 0,
-        prefix_hashes: Vec::new(),
+        prefix: None,
         idempotency_key: headers.idempotency_key,
         work_key,
         task: headers.task,
--- a/crates/entry/src/request/order.rs
+++ b/crates/entry/src/request/order.rs
@@ -12,6 +12,7 @@
 use stallhoist_core::WorkspaceName;
 use stallhoist_wire::attempt_to_wire;
 use stallhoist_wire::messages::Dispatch;
+use stallhoist_wire::messages::Prefix;
 use stallhoist_wire::messages::Probe;
 
 /// A request that is allowed and ready to be placed.
@@ -30,7 +31,8 @@
     pub(crate) body: Bytes,
     pub(crate) prompt_tokens: u64,
     pub(crate) completion_tokens: u64,
-    pub(crate) prefix_hashes: Vec<u64>,
+    /// The prompt's leading blocks; none where it has no whole one.
+    pub(crate) prefix: Option<Prefix>,
     pub(crate) idempotency_key: Option<IdempotencyKey>,
     /// Knows the same request when its caller comes back after a refusal.
     pub(crate) work_key: u64,
@@ -57,7 +59,7 @@
             body: self.body.clone(),
             prompt_tokens: self.prompt_tokens,
             expected_completion_tokens: self.completion_tokens,
-            prefix_hashes: self.prefix_hashes.clone(),
+            prefix: self.prefix.clone(),
             work_key: self.work_key,
             idempotency_key: self
                 .idempotency_key
@@ -74,11 +76,18 @@
             prompt_tokens: self.prompt_tokens,
             expected_completion_tokens: self.completion_tokens,
             deadline_ms: self.deadline_ms(now),
-            prefix_hashes: self.prefix_hashes.clone(),
+            prefix: self.prefix.clone(),
             work_key: self.work_key,
         }
     }
 
+    /// What steers equal requests to the same upstreams: the prompt's first block, or
+    /// the whole request where there is none.
+    pub(crate) fn steering_key(&self) -> u64 {
+        let first_block = self.prefix.as_ref().and_then(|prefix| prefix.mark_hashes.first());
+        first_block.copied().unwrap_or(self.work_key)
+    }
+
     fn deadline_ms(&self, now: MonoTime) -> u64 {
         u64::try_from(self.deadline.since(now).as_millis()).unwrap_or(u64::MAX)
     }
--- a/crates/entry/src/request/place.rs
+++ b/crates/entry/src/request/place.rs
@@ -31,7 +31,7 @@
     let healthy = shared.ejection.lock().usable(shared.now(), &connected);
     let fresh: Vec<_> = healthy.iter().filter(|host| !avoid.contains(host)).cloned().collect();
     let usable = if fresh.is_empty() { healthy } else { fresh };
-    let steering_key = order.prefix_hashes.first().copied().unwrap_or(order.work_key);
+    let steering_key = order.steering_key();
     let plan = ProbePlan {
         probes: shared.settings.placement.probes,
         session_host: order.session_host.clone(),
--- a/crates/measure/src/upstream.rs
+++ b/crates/measure/src/upstream.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use stallhoist_core::MonoTime;
+use stallhoist_core::prefix_marks;
 use stallhoist_policy::admission::Admission;
 use stallhoist_policy::admission::AdmissionConfig;
 use stallhoist_policy::admission::Next;
@@ -286,7 +287,10 @@
                 None => break,
             }
         }
-        let known = request.blocks.iter().take_while(|b| self.known.contains(b)).count() as u64;
+        // Only the marks are told, as on the wire.
+        let marks = prefix_marks(request.blocks.len());
+        let is_known = |blocks: &usize| self.known.contains(&request.blocks[blocks - 1]);
+        let known = marks.into_iter().take_while(is_known).last().unwrap_or_default() as u64;
         Work {
             id,
             key: id as u64,
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -88,6 +88,7 @@
     problems: &mut Vec<SettingsProblem>,
 ) -> Option<T> {
     let mut value = Value::from(tree.clone());
+    let mut taken_out: Vec<Vec<String>> = Vec::new();
     while problems.len() < MAX_PROBLEMS {
         let error = match serde_path_to_error::deserialize::<_, T>(value.clone()) {
             Ok(settings) => return Some(settings),
@@ -100,10 +101,14 @@
         {
             path.push(unknown);
         }
-        problems.push(problem_at(tree, text, &path.join("."), message));
+        // What was taken out for being wrong is not missing.
+        if !is_missing_for(&message, &path, &taken_out) {
+            problems.push(problem_at(tree, text, &path.join("."), message));
+        }
         if !take_out(&mut value, &path) {
             return None;
         }
+        taken_out.push(path);
     }
     None
 }
@@ -122,6 +127,16 @@
     rest.split('`').next().map(str::to_owned)
 }
 
+/// Whether an error only says that a value is missing which was taken out before.
+fn is_missing_for(message: &str, path: &[String], taken_out: &[Vec<String>]) -> bool {
+    let Some(field) = message.strip_prefix("missing field `").and_then(|m| m.strip_suffix('`'))
+    else {
+        return false;
+    };
+    let missing: Vec<&str> = path.iter().map(String::as_str).chain([field]).collect();
+    taken_out.iter().any(|taken| taken.iter().map(String::as_str).eq(missing.iter().copied()))
+}
+
 fn take_out(value: &mut Value, path: &[String]) -> bool {
     let Some((last, sections)) = path.split_last() else {
         return false;
--- a/crates/sidecar/src/attempts.rs
+++ b/crates/sidecar/src/attempts.rs
@@ -17,6 +17,7 @@
 use stallhoist_wire::messages;
 use stallhoist_wire::messages::Attestation;
 use stallhoist_wire::messages::Dispatch;
+use stallhoist_wire::messages::Prefix;
 use stallhoist_wire::messages::Probe;
 use stallhoist_wire::messages::ProbeReply;
 use stallhoist_wire::messages::Refusal;
@@ -39,7 +40,7 @@
     let now = shared.now();
     let target: stallhoist_core::Target =
         probe.target.parse().map_err(|_| WireError::BadField("target"))?;
-    let uncached_tokens = uncached_tokens(shared, probe.prompt_tokens, &probe.prefix_hashes);
+    let uncached_tokens = uncached_tokens(shared, probe.prompt_tokens, probe.prefix.as_ref());
     let admission = shared.admission.lock();
     let prediction = admission.predict(
         now,
@@ -98,7 +99,7 @@
         table_spread::compare(shared, from, stallhoist_core::Revision(dispatch.revision));
     }
     let deadline = now.after(Duration::from_millis(dispatch.deadline_ms));
-    let uncached_tokens = uncached_tokens(shared, dispatch.prompt_tokens, &dispatch.prefix_hashes);
+    let uncached_tokens = uncached_tokens(shared, dispatch.prompt_tokens, dispatch.prefix.as_ref());
     let answer = Answer::new(id, workspace, target, dispatch, deadline, uncached_tokens);
     let answer = Arc::new(answer);
     shared.answers.lock().insert(id, Arc::clone(&answer));
@@ -184,7 +185,9 @@
 
 fn start(shared: &Arc<Shared>, answer: &Arc<Answer>) {
     answer.set_started();
-    shared.cache_view.lock().started(&answer.dispatch.prefix_hashes);
+    if let Some(prefix) = &answer.dispatch.prefix {
+        shared.cache_view.lock().started(&prefix.mark_hashes);
+    }
     tokio::spawn(run(Arc::clone(shared), Arc::clone(answer)));
 }
 
@@ -288,14 +291,9 @@
     forward(&answer, to, next_sequence);
 }
 
-fn uncached_tokens(shared: &Shared, prompt_tokens: u64, prefix_hashes: &[u64]) -> u64 {
-    if prefix_hashes.is_empty() {
-        return prompt_tokens;
-    }
-    let cached_blocks = shared.cache_view.lock().cached_prefix(prefix_hashes) as u64;
-    // The entry hashes whole blocks, so the blocks' size follows from their number.
-    let block_tokens = prompt_tokens / (prefix_hashes.len() as u64).max(1);
-    prompt_tokens.saturating_sub(cached_blocks * block_tokens)
+fn uncached_tokens(shared: &Shared, prompt_tokens: u64, prefix: Option<&Prefix>) -> u64 {
+    let cached = prefix.map(|prefix| shared.cache_view.lock().cached_tokens(prefix));
+    prompt_tokens.saturating_sub(cached.unwrap_or_default())
 }
 
 fn placeholder_id() -> AttemptId {
--- a/crates/sidecar/src/cache_view.rs
+++ b/crates/sidecar/src/cache_view.rs
@@ -2,6 +2,9 @@
 
 use std::collections::HashSet;
 
+use stallhoist_core::prefix_marks;
+use stallhoist_wire::messages::Prefix;
+
 /// The known blocks. A missing event only makes the estimate worse; a gap in the
 /// numbers asks for the whole list.
 #[derive(Debug, Default)]
@@ -39,9 +42,12 @@
         self.last_sequence = last_sequence;
     }
 
-    /// How many of a prompt's leading blocks are cached.
-    pub(crate) fn cached_prefix(&self, hashes: &[u64]) -> usize {
-        hashes.iter().take_while(|hash| self.blocks.contains(hash)).count()
+    /// How many tokens of a prompt's leading blocks are cached, as far as its marks tell.
+    pub(crate) fn cached_tokens(&self, prefix: &Prefix) -> u64 {
+        let marks = prefix_marks(prefix.blocks as usize);
+        let known = prefix.mark_hashes.iter().zip(marks);
+        let cached = known.take_while(|(hash, _)| self.blocks.contains(hash)).last();
+        cached.map_or(0, |(_, blocks)| blocks as u64 * u64::from(prefix.block_tokens))
     }
 
     pub(crate) fn len(&self) -> usize {
--- /dev/null
+++ b/tests/all/settings.rs
@@ -0,0 +1,139 @@
+//! Settings files: the examples are right, and what is wrong is said with its place.
+
+use std::path::Path;
+
+use expect_test::Expect;
+use expect_test::expect;
+use stallhoist_settings::Checked;
+use stallhoist_settings::EntrySettings;
+use stallhoist_settings::SidecarSettings;
+use stallhoist_settings::load;
+use stallhoist_settings::parse;
+
+const ENTRY: &str = r#"{
+  "host": { "id": "e", "zone": "z", "fleet_key": "sixteen-and-more", "operators_key": "sixteen-and-more" },
+  "callers_addr": "127.0.0.1:1",
+  "operators_addr": "127.0.0.1:2",
+  "platform": { "url": "http://127.0.0.1:3" },
+  "session_keys": ["sixteen-and-more"]
+}"#;
+
+/// An entry's settings with one text in place of another.
+fn refused(from: &str, to: &str, expected: &Expect) {
+    assert!(ENTRY.contains(from), "the text to replace is there");
+    let error = parse::<EntrySettings>("entry.jsonc", &ENTRY.replace(from, to));
+    expected.assert_eq(&error.expect_err("it is refused").to_string());
+}
+
+macro_rules! refuses {
+    ($name:ident, $from:expr, $to:expr, $expected:expr) => {
+        #[test]
+        fn $name() {
+            refused($from, $to, &$expected);
+        }
+    };
+}
+
+#[test]
+fn the_base_of_these_tests_is_right() {
+    parse::<EntrySettings>("entry.jsonc", ENTRY).expect("it is taken");
+}
+
+fn example_is_right<T: serde::de::DeserializeOwned + Checked>(name: &str) {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("examples").join(name);
+    load::<T>(&path).map(|_| ()).expect("the example is right");
+}
+
+#[test]
+fn examples_are_right() {
+    example_is_right::<EntrySettings>("entry.jsonc");
+    example_is_right::<SidecarSettings>("sidecar-engine.jsonc");
+    example_is_right::<SidecarSettings>("sidecar-service.jsonc");
+}
+
+refuses!(
+    unknown_key,
+    "\"callers_addr\"",
+    "\"caller_addr\"",
+    expect![[r#"
+    entry.jsonc: line 1: key '(whole file)': missing field `callers_addr`
+      line 3: key 'caller_addr', value "127.0.0.1:1": unknown field `caller_addr`, expected one of `host`, `callers_addr`, `operators_addr`, `platform`, `session_keys`, `callers`, `placement`, `retries`, `ratings`, `claims`, `bill`, `timing`, `max_frame_bytes`"#]]
+);
+refuses!(
+    wrong_unit,
+    "\"platform\": { \"url\": \"http://127.0.0.1:3\" }",
+    "\"platform\": { \"url\": \"http://127.0.0.1:3\", \"table_poll_s\": 2 }",
+    expect![
+        "entry.jsonc: line 5: key 'platform.table_poll_s', value 2: unknown field `table_poll_s`, expected one of `url`, `call_timeout_ms`, `host_list_poll_ms`, `table_poll_ms`"
+    ]
+);
+refuses!(
+    text_for_a_number,
+    "\"platform\": { \"url\": \"http://127.0.0.1:3\" }",
+    "\"platform\": { \"url\": \"http://127.0.0.1:3\", \"table_poll_ms\": \"2s\" }",
+    expect![[
+        r#"entry.jsonc: line 5: key 'platform.table_poll_ms', value "2s": invalid type: string "2s", expected u64"#
+    ]]
+);
+refuses!(
+    out_of_range,
+    "\"platform\": { \"url\": \"http://127.0.0.1:3\" }",
+    "\"platform\": { \"url\": \"http://127.0.0.1:3\", \"table_poll_ms\": 2 }",
+    expect!["entry.jsonc: line 5: key 'platform.table_poll_ms', value 2: must be from 50 to 60000"]
+);
+refuses!(
+    bad_address,
+    "127.0.0.1:1",
+    "localhost:1",
+    expect![[
+        r#"entry.jsonc: line 3: key 'callers_addr', value "localhost:1": must be an IP address with a port, as in 10.0.0.7:7000"#
+    ]]
+);
+refuses!(
+    bad_url,
+    "http://127.0.0.1:3",
+    "https://platform",
+    expect![[
+        r#"entry.jsonc: line 5: key 'platform.url', value "https://platform": must be http:// with an IP address and a port, as in http://10.0.0.7:8000"#
+    ]]
+);
+refuses!(
+    short_secret_is_not_shown,
+    "[\"sixteen-and-more\"]",
+    "[\"hush\"]",
+    expect!["entry.jsonc: line 6: key 'session_keys': each must have at least 16 characters"]
+);
+refuses!(
+    bad_name,
+    "\"id\": \"e\"",
+    "\"id\": \"a b\"",
+    expect![[
+        r#"entry.jsonc: line 2: key 'host.id', value "a b": ' ' is not allowed in a name: use letters, digits and - _ . : /"#
+    ]]
+);
+refuses!(
+    doubled_key,
+    "\"session_keys\"",
+    "\"callers_addr\": \"127.0.0.1:9\", \"session_keys\"",
+    expect!["entry.jsonc: line 6: key 'callers_addr': the key stands twice"]
+);
+refuses!(
+    not_json,
+    "\"session_keys\": [",
+    "\"session_keys\": ",
+    expect!["entry.jsonc: line 6, column 37: not JSON with comments: Unexpected token in object"]
+);
+refuses!(
+    all_at_once,
+    "\"callers_addr\": \"127.0.0.1:1\"",
+    "\"callers_addr\": 5, \"colour\": \"red\"",
+    expect![[r#"
+        entry.jsonc: line 3: key 'callers_addr', value 5: invalid type: integer `5`, expected a string
+          line 3: key 'colour', value "red": unknown field `colour`, expected one of `host`, `callers_addr`, `operators_addr`, `platform`, `session_keys`, `callers`, `placement`, `retries`, `ratings`, `claims`, `bill`, `timing`, `max_frame_bytes`"#]]
+);
+
+#[test]
+fn a_missing_file_is_named() {
+    let error = load::<EntrySettings>(Path::new("no/such/file.jsonc")).expect_err("not there");
+    assert!(error.to_string().contains("no/such/file.jsonc"), "{error}");
+}
