Cascade: the model `auto`, learnt for each workspace and task

Cause: several models of unequal cost and quality stood behind one API, and the caller had to choose. An entry now learns quality (ratings, discounted), cost and latency, and chooses the cheapest plan, direct or cheap-then-better judged by the rater, that surely meets the workspace's target and fits the deadline.

Tried first and not kept: falling back to the best known quality when nothing meets the target. What is not known is hoped for now.

Found by the cascade's test, failing in half its runs: the first leg's record was on its way to the ledger when the second leg's replaced it, and settling by request dropped the second: the request was billed 5 in place of 10. Ruled out: retries (each leg took one attempt), a lost message (the record was held at the entry). Records are settled by attempt now, at entries and sidecars; `held_bills` holds the case. The same could have hit a request whose first attempt's answer was lost and that ran again.

Also: the guard judged a model's ratings against an assumption where it had no siblings, and so held every cheap model; ratings are judged against siblings alone now.

--- a/crates/coordination/src/held_bills.rs
+++ b/crates/coordination/src/held_bills.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use stallhoist_core::AttemptId;
 use stallhoist_core::BillRecord;
 use stallhoist_core::MonoTime;
 use stallhoist_core::RequestId;
@@ -29,13 +30,22 @@
         }
     }
 
-    /// The ledger has these requests' records.
-    pub fn settle<'a>(&mut self, requests: impl IntoIterator<Item = &'a RequestId>) {
-        for request in requests {
-            self.by_request.remove(request);
+    /// The ledger has the records of these attempts. A later attempt's record that came
+    /// meanwhile stays: the ledger has not got that one.
+    pub fn settle<'a>(&mut self, attempts: impl IntoIterator<Item = &'a AttemptId>) {
+        for attempt in attempts {
+            let held = self.by_request.get(&attempt.request);
+            if held.is_some_and(|held| held.record.attempt_number <= attempt.number) {
+                self.by_request.remove(&attempt.request);
+            }
         }
     }
 
+    /// Whether a record of this request is held.
+    pub fn holds(&self, request: &RequestId) -> bool {
+        self.by_request.contains_key(request)
+    }
+
     /// Up to `limit` records that have been held for at least `age`, oldest first. They
     /// stay held, and count as held from now on.
     pub fn older_than(&mut self, now: MonoTime, age: Duration, limit: usize) -> Vec<BillRecord> {
--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -9,6 +9,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use stallhoist_core::AttemptId;
 use stallhoist_core::BillRecord;
 use stallhoist_core::EditId;
 use stallhoist_core::RequestId;
@@ -36,9 +37,10 @@
         Self { id: EditId::generate(), records }
     }
 
-    /// The requests whose records the batch holds.
-    pub fn requests(&self) -> impl Iterator<Item = &RequestId> {
-        self.records.iter().map(|record| &record.request)
+    /// The attempts whose records the batch holds.
+    pub fn attempts(&self) -> impl Iterator<Item = AttemptId> {
+        let attempt = |r: &BillRecord| AttemptId { request: r.request, number: r.attempt_number };
+        self.records.iter().map(attempt)
     }
 
     /// How many records the batch holds.
--- a/crates/entry/src/bill_desk.rs
+++ b/crates/entry/src/bill_desk.rs
@@ -11,11 +11,13 @@
 
 use stallhoist_coordination::HeldBills;
 use stallhoist_coordination::LedgerBatch;
+use stallhoist_core::AttemptId;
 use stallhoist_core::BillRecord;
 use stallhoist_core::HostId;
 use stallhoist_core::MonoTime;
 use stallhoist_core::RequestId;
 use stallhoist_wire::WireError;
+use stallhoist_wire::attempt_to_wire;
 use stallhoist_wire::bill_from_wire;
 use stallhoist_wire::bill_to_wire;
 use stallhoist_wire::messages;
@@ -47,12 +49,17 @@
     }
 
     /// The ledger has these: forgets them and gives who is to be told of which.
-    fn settle(&mut self, requests: &[RequestId]) -> HashMap<HostId, Vec<RequestId>> {
-        self.held.settle(requests);
-        let mut told: HashMap<HostId, Vec<RequestId>> = HashMap::new();
-        for request in requests {
-            for host in self.holders.remove(request).unwrap_or_default() {
-                told.entry(host).or_default().push(*request);
+    fn settle(&mut self, attempts: &[AttemptId]) -> HashMap<HostId, Vec<AttemptId>> {
+        self.held.settle(attempts);
+        let mut told: HashMap<HostId, Vec<AttemptId>> = HashMap::new();
+        for attempt in attempts {
+            let holders = self.holders.get(&attempt.request).cloned().unwrap_or_default();
+            for host in holders {
+                told.entry(host).or_default().push(*attempt);
+            }
+            // A later attempt's record that came meanwhile has the same holders and more.
+            if !self.held.holds(&attempt.request) {
+                self.holders.remove(&attempt.request);
             }
         }
         told
@@ -117,10 +124,10 @@
             *unconfirmed = Some(batch);
             return;
         }
-        let requests: Vec<_> = batch.requests().copied().collect();
-        let told = shared.bills.lock().settle(&requests);
-        for (host, requests) in told {
-            tell_settled(shared, &host, &requests);
+        let attempts: Vec<_> = batch.attempts().collect();
+        let told = shared.bills.lock().settle(&attempts);
+        for (host, attempts) in told {
+            tell_settled(shared, &host, &attempts);
         }
     }
 }
@@ -129,10 +136,10 @@
     LedgerBatch::new(shared.bills.lock().held.oldest(shared.settings.bill.max_batch))
 }
 
-fn tell_settled(shared: &Shared, host: &HostId, requests: &[RequestId]) {
-    let requests = requests.iter().map(|request| request.as_bytes().to_vec()).collect();
+fn tell_settled(shared: &Shared, host: &HostId, attempts: &[AttemptId]) {
+    let attempts = attempts.iter().filter_map(|attempt| attempt_to_wire(*attempt)).collect();
     // A holder that does not hear it offers the records again, and hears it then.
     if let Some(link) = shared.links.get(host) {
-        let _ = link.try_send(Body::BillSettled(BillSettled { requests }));
+        let _ = link.try_send(Body::BillSettled(BillSettled { attempts }));
     }
 }
--- /dev/null
+++ b/crates/entry/src/callers/cascade.rs
@@ -0,0 +1,152 @@
+//! A cheaper model first, a better one if the rater finds the answer poor.
+//!
+//! Both legs are one request: one identity, one claim, one bill record that includes
+//! both. The first answer is kept until it is judged; if the second leg fails, the
+//! first answer is given after all, since it is whole.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures_util::stream;
+use rocket::response::stream::Event;
+use stallhoist_core::HostId;
+use stallhoist_core::Outcome;
+
+use super::call;
+use super::in_flight::InFlight;
+use super::reply::Marks;
+use super::reply::Reply;
+use super::run;
+use crate::cascade_desk;
+use crate::claim_desk;
+use crate::ratings;
+use crate::request::EndKind;
+use crate::request::Ending;
+use crate::request::Execution;
+use crate::request::Order;
+use crate::request::Prior;
+use crate::request::WholeAnswer;
+use crate::shared::Shared;
+
+/// What one leg came to.
+struct Leg {
+    order: Order,
+    answer: WholeAnswer,
+    served_by: Option<HostId>,
+    prior: Prior,
+}
+
+impl Leg {
+    async fn run(shared: &Arc<Shared>, order: Order) -> Self {
+        let mut execution = Execution::new(Arc::clone(shared), order);
+        let answer = execution.run_whole().await;
+        run::learn(shared, &execution);
+        let bill = execution.bill();
+        let prior = Prior {
+            usage: bill.map(|bill| bill.usage).unwrap_or_default(),
+            cost: bill.map(|bill| bill.cost_micros).unwrap_or_default(),
+            attempts: execution.order.prior.attempts + answer.ending.attempts,
+        };
+        let served_by = execution.served_by().cloned();
+        Self { order: execution.order.clone(), answer, served_by, prior }
+    }
+
+    fn is_whole(&self) -> bool {
+        matches!(self.answer.ending.kind, EndKind::Whole)
+    }
+}
+
+/// Claims what must be claimed, then runs the legs.
+pub(crate) async fn run(shared: &Arc<Shared>, orders: [Order; 2], place: InFlight) -> Reply {
+    let [first, second] = orders;
+    let claim = match call::claim(shared, &first).await {
+        Ok(claim) => claim,
+        Err(problem) => {
+            run::log_end(shared, &first, &problem.code, problem.outcome, 0);
+            let marks = Marks { request: Some(first.request), ..Marks::default() };
+            return Reply::Problem(problem, marks.held(place));
+        }
+    };
+    let leg = run_legs(shared, first, second).await;
+    let ending = &leg.answer.ending;
+    run::log_end(shared, &leg.order, run::code(&ending.kind), ending.outcome(), ending.attempts);
+    if ending.outcome() == Outcome::NotRun
+        && let Some(claim) = claim
+    {
+        claim_desk::release(shared, claim).await;
+    }
+    reply(shared, leg, place)
+}
+
+/// The leg whose answer the caller gets.
+async fn run_legs(shared: &Arc<Shared>, first: Order, second: Order) -> Leg {
+    let one = Leg::run(shared, first).await;
+    // A first leg of unknown fate must not be followed by a second run of what must run
+    // at most once; and where it provably did not run, the caller is told when to come.
+    let may_go_on = one.order.is_repeatable;
+    if (!one.is_whole() && !may_go_on) || is_good(shared, &one).await {
+        return one;
+    }
+    let order = Order { prior: one.prior, ..second };
+    let two = Leg::run(shared, order).await;
+    if let Some(host) = &two.served_by {
+        ratings::sample(shared, &two.order, host, &two.answer.parts);
+    }
+    if one.is_whole() && !two.is_whole() { one } else { two }
+}
+
+/// Whether the first answer is given. Without the rater's word, what is known of the
+/// model decides.
+async fn is_good(shared: &Shared, leg: &Leg) -> bool {
+    if !leg.is_whole() {
+        return false;
+    }
+    // What must run at most once has run.
+    if !leg.order.is_repeatable {
+        return true;
+    }
+    let text = ratings::answer_text(&leg.answer.parts, leg.order.is_streamed);
+    let (Some(text), Some(host)) = (text, &leg.served_by) else {
+        return false;
+    };
+    if let Some(is_good) = ratings::rate(shared, &leg.order, host, text).await {
+        return is_good;
+    }
+    let table = shared.table.current();
+    let row = table.as_ref().and_then(|table| table.workspace(&leg.order.workspace));
+    let target = row.map_or(0.0, |row| f64::from(row.quality_target_percent) / 100.0);
+    let model = cascade_desk::model_of(&leg.order.target);
+    let mut cascades = shared.cascades.lock();
+    model.is_some_and(|model| cascades.learner(&leg.order.kind()).is_trusted(model, target))
+}
+
+fn reply(shared: &Shared, leg: Leg, place: InFlight) -> Reply {
+    let marks = Marks {
+        request: Some(leg.order.request),
+        target: Some(leg.order.target.to_string()),
+        session: run::session(shared, &leg.order, leg.served_by),
+        ..Marks::default()
+    };
+    let WholeAnswer { ending, head, parts } = leg.answer;
+    if !matches!(ending.kind, EndKind::Whole) {
+        return run::failure(&ending, marks.held(place));
+    }
+    if leg.order.is_streamed {
+        return events(parts, marks.held(place));
+    }
+    let head = head.unwrap_or_default();
+    Reply::Whole {
+        status: u16::try_from(head.http_status).unwrap_or(200),
+        content_type: run::content_type(head.content_type),
+        body: parts.concat(),
+        outcome: Ending::outcome(&ending),
+        marks: marks.held(place),
+    }
+}
+
+/// The kept events, and the end mark, since the answer is known to be whole.
+fn events(parts: Vec<Bytes>, marks: Marks) -> Reply {
+    let parts = parts.into_iter().map(|part| run::event(&part));
+    let all: Vec<Event> = parts.chain([Event::data(run::END_MARK)]).collect();
+    Reply::Events { events: Box::pin(stream::iter(all)), marks }
+}
--- a/crates/entry/src/callers/chat.rs
+++ b/crates/entry/src/callers/chat.rs
@@ -10,6 +10,7 @@
 use serde_json::json;
 use stallhoist_core::ModelName;
 use stallhoist_core::ModelVersion;
+use stallhoist_core::MonoTime;
 use stallhoist_core::NotRunReason;
 use stallhoist_core::RequestId;
 use stallhoist_core::Target;
@@ -17,6 +18,7 @@
 use stallhoist_core::estimate_tokens;
 use stallhoist_core::prefix_hashes;
 use stallhoist_core::prefix_marks;
+use stallhoist_policy::cascade::Plan;
 use stallhoist_policy::version::VersionRefusal;
 use stallhoist_policy::version::split;
 use stallhoist_table::Table;
@@ -27,11 +29,16 @@
 use super::call;
 use super::headers::CallHeaders;
 use super::problem::Problem;
+use crate::cascade_desk;
+use crate::cascade_desk::WorkKind;
 use crate::guard_desk;
 use crate::request::Order;
+use crate::request::Prior;
 use crate::session::SessionToken;
 use crate::shared::Shared;
 
+/// The model name that leaves the choice of the model to the system.
+pub(crate) const AUTO: &str = "auto";
 const PATH: &str = "/v1/chat/completions";
 /// An answer's length when the caller names none.
 const DEFAULT_COMPLETION_TOKENS: u64 = 512;
@@ -59,13 +66,22 @@
     rest: Map<String, Value>,
 }
 
+/// What a chat request asks for.
+#[derive(Debug)]
+pub(crate) enum ChatOrder {
+    /// One model answers.
+    Single(Box<Order>),
+    /// The second answers if the first's answer is poor.
+    Cascade(Box<[Order; 2]>),
+}
+
 /// Makes an order of a request.
 pub(crate) fn order(
     shared: &Arc<Shared>,
     caller: &Caller,
     headers: CallHeaders,
     body: &[u8],
-) -> Result<Order, Problem> {
+) -> Result<ChatOrder, Problem> {
     let arrived = shared.now();
     let deadline = call::deadline(shared, arrived, &headers)?;
     let table = call::table(shared)?;
@@ -77,38 +93,95 @@
         )
     })?;
     let session = call::session(shared, &headers, &caller.workspace)?;
-    let version = choose(shared, &table, &caller.workspace, &chat.model, session.as_ref())?;
-    let target = Target::Version(version.clone());
-    let is_repeatable = call::is_repeatable(&table, &headers, &caller.workspace, &target);
-    let prompt = prompt(&chat.messages);
-    chat.model = version.to_string();
     if chat.stream {
         // The bill needs the usage, which engines leave out of streams unless asked.
         chat.rest.insert("stream_options".to_owned(), json!({ "include_usage": true }));
     }
-    let work_key = call::work_key(&caller.workspace, &target, body);
-    let bound = chat.max_completion_tokens.or(chat.max_tokens);
-    let block_tokens = shared.settings.placement.prefix_block_tokens;
-    Ok(Order {
-        request: RequestId::generate(),
-        workspace: caller.workspace.clone(),
-        target,
-        session_host: session.map(|session| session.host),
-        is_repeatable,
-        is_streamed: chat.stream,
-        method: "POST".to_owned(),
-        path: PATH.to_owned(),
-        content_type: "application/json".to_owned(),
-        prompt_tokens: estimate_tokens(&prompt).0,
-        completion_tokens: bound.unwrap_or(DEFAULT_COMPLETION_TOKENS),
-        prefix: prefix(&prompt, block_tokens),
-        body: Bytes::from(serde_json::to_vec(&chat).expect("what was JSON is JSON")),
-        idempotency_key: headers.idempotency_key,
-        work_key,
-        task: headers.task,
-        arrived,
-        deadline,
-    })
+    let asked = chat.model.clone();
+    let draft = Draft { shared, caller, headers, table, arrived, deadline, body };
+    if asked != AUTO || session.is_some() {
+        let version = choose(shared, &draft.table, &caller.workspace, &asked, session.as_ref())?;
+        return Ok(ChatOrder::Single(Box::new(draft.order(&mut chat, version, session))));
+    }
+    let version_of =
+        |model: &ModelName| choose(shared, &draft.table, &caller.workspace, model.as_str(), None);
+    match draft.plan()? {
+        Plan::Direct(model) => {
+            Ok(ChatOrder::Single(Box::new(draft.order(&mut chat, version_of(&model)?, None))))
+        }
+        Plan::Cascade(first, second) => {
+            let first = draft.order(&mut chat, version_of(&first)?, None);
+            let second = Order {
+                request: first.request,
+                ..draft.order(&mut chat, version_of(&second)?, None)
+            };
+            Ok(ChatOrder::Cascade(Box::new([first, second])))
+        }
+    }
+}
+
+/// What all orders of one request have in common.
+struct Draft<'a> {
+    shared: &'a Shared,
+    caller: &'a Caller,
+    headers: CallHeaders,
+    table: Arc<Table>,
+    arrived: MonoTime,
+    deadline: MonoTime,
+    body: &'a [u8],
+}
+
+impl Draft<'_> {
+    /// Which models answer, by what was learnt of them.
+    fn plan(&self) -> Result<Plan, Problem> {
+        let workspace = &self.caller.workspace;
+        let models = cascade_desk::models(&self.table, workspace, &self.shared.guard.lock());
+        let target = self.table.workspace(workspace).map_or(0, |row| row.quality_target_percent);
+        let kind = WorkKind { workspace: workspace.clone(), task: self.headers.task.clone() };
+        let time_left = self.deadline.since(self.arrived);
+        let mut cascades = self.shared.cascades.lock();
+        let has_rater = cascades.has_rater(self.arrived);
+        let target = f64::from(target) / 100.0;
+        let learner = cascades.learner(&kind);
+        let plan = learner.choose(&models, target, time_left, has_rater, &mut rand::rng());
+        plan.ok_or_else(|| unknown(AUTO))
+    }
+
+    fn order(
+        &self,
+        chat: &mut ChatBody,
+        version: ModelVersion,
+        session: Option<SessionToken>,
+    ) -> Order {
+        let workspace = &self.caller.workspace;
+        let target = Target::Version(version.clone());
+        let is_repeatable = call::is_repeatable(&self.table, &self.headers, workspace, &target);
+        let prompt = prompt(&chat.messages);
+        chat.model = version.to_string();
+        let work_key = call::work_key(workspace, &target, self.body);
+        let bound = chat.max_completion_tokens.or(chat.max_tokens);
+        Order {
+            request: RequestId::generate(),
+            workspace: workspace.clone(),
+            target,
+            session_host: session.map(|session| session.host),
+            is_repeatable,
+            is_streamed: chat.stream,
+            method: "POST".to_owned(),
+            path: PATH.to_owned(),
+            content_type: "application/json".to_owned(),
+            prompt_tokens: estimate_tokens(&prompt).0,
+            completion_tokens: bound.unwrap_or(DEFAULT_COMPLETION_TOKENS),
+            prefix: prefix(&prompt, self.shared.settings.placement.prefix_block_tokens),
+            body: Bytes::from(serde_json::to_vec(&chat).expect("what was JSON is JSON")),
+            idempotency_key: self.headers.idempotency_key.clone(),
+            work_key,
+            task: self.headers.task.clone(),
+            prior: Prior::default(),
+            arrived: self.arrived,
+            deadline: self.deadline,
+        }
+    }
 }
 
 /// The version that answers: the session's, the one named, or one by the weights.
@@ -162,7 +235,7 @@
     let Target::Version(version) = target else {
         return Err(Problem::bad_header(super::headers::SESSION, "the session is on a service"));
     };
-    let fits = asked == version.model.as_str() || asked == version.to_string();
+    let fits = asked == AUTO || asked == version.model.as_str() || asked == version.to_string();
     if !fits {
         let detail = format!("the session is on {version}, the request asks for {asked}");
         return Err(Problem::bad_header(super::headers::SESSION, &detail));
--- a/crates/entry/src/callers/mod.rs
+++ b/crates/entry/src/callers/mod.rs
@@ -2,6 +2,7 @@
 
 mod auth;
 mod call;
+mod cascade;
 mod chat;
 mod headers;
 mod in_flight;
--- a/crates/entry/src/callers/models.rs
+++ b/crates/entry/src/callers/models.rs
@@ -8,6 +8,8 @@
 use stallhoist_table::Table;
 use stallhoist_table::VersionState;
 
+use super::chat::AUTO;
+
 /// One model of the list.
 #[derive(Debug, Serialize)]
 pub(crate) struct ModelItem {
@@ -34,6 +36,9 @@
         if row.allowed && row.state == VersionState::Active {
             names.insert(version.model.to_string());
             names.insert(version.to_string());
+            if row.cascade_place > 0 {
+                names.insert(AUTO.to_owned());
+            }
         }
     }
     let item = |id| ModelItem { id, object: "model", created: 0, owned_by: "stallhoist" };
--- a/crates/entry/src/callers/routes.rs
+++ b/crates/entry/src/callers/routes.rs
@@ -23,7 +23,9 @@
 
 use super::auth::Caller;
 use super::call;
+use super::cascade;
 use super::chat;
+use super::chat::ChatOrder;
 use super::headers::RawHeaders;
 use super::in_flight::InFlight;
 use super::models;
@@ -70,7 +72,8 @@
         chat::order(entry, &caller, headers.check()?, &body)
     };
     match ordered.await {
-        Ok(order) => run::run(entry, order, place).await,
+        Ok(ChatOrder::Single(order)) => run::run(entry, *order, place).await,
+        Ok(ChatOrder::Cascade(orders)) => cascade::run(entry, *orders, place).await,
         Err(problem) => problem.into(),
     }
 }
--- a/crates/entry/src/callers/run.rs
+++ b/crates/entry/src/callers/run.rs
@@ -6,6 +6,7 @@
 use futures_util::stream::BoxStream;
 use rocket::response::stream::Event;
 use stallhoist_coordination::PendingClaim;
+use stallhoist_core::CostMicros;
 use stallhoist_core::HostId;
 use stallhoist_core::Outcome;
 use stallhoist_core::Target;
@@ -15,6 +16,7 @@
 use super::problem::Problem;
 use super::reply::Marks;
 use super::reply::Reply;
+use crate::cascade_desk;
 use crate::claim_desk;
 use crate::metrics::OutcomeLabel;
 use crate::ratings;
@@ -27,7 +29,7 @@
 use crate::shared::Shared;
 
 /// The event that ends a whole stream.
-const END_MARK: &str = "[DONE]";
+pub(super) const END_MARK: &str = "[DONE]";
 const DEFAULT_CONTENT_TYPE: &str = "application/json";
 
 /// Claims what must be claimed, then runs.
@@ -63,16 +65,16 @@
             return failure(&answer.ending, marks.held(self.place));
         }
         let served_by = self.execution.served_by().cloned();
+        learn(shared, &self.execution);
         if let Some(host) = &served_by {
-            let order = &self.execution.order;
-            ratings::sample(shared, order.request, &order.target, host, &answer.body);
+            ratings::sample(shared, &self.execution.order, host, &answer.parts);
         }
         let marks = Marks { session: session(shared, &self.execution.order, served_by), ..marks };
         let head = answer.head.unwrap_or_default();
         Reply::Whole {
             status: u16::try_from(head.http_status).unwrap_or(200),
             content_type: content_type(head.content_type),
-            body: answer.body,
+            body: answer.parts.concat(),
             outcome: Outcome::Completed,
             marks: marks.held(self.place),
         }
@@ -128,7 +130,19 @@
     }
 }
 
-fn log_end(shared: &Shared, order: &Order, code: &str, outcome: Outcome, attempts: u32) {
+/// Takes in what a whole answer cost and how long it took.
+pub(super) fn learn(shared: &Shared, execution: &Execution) {
+    let order = &execution.order;
+    let (Some(model), Some(bill)) = (cascade_desk::model_of(&order.target), execution.bill())
+    else {
+        return;
+    };
+    let cost = CostMicros(bill.cost_micros.0.saturating_sub(order.prior.cost.0));
+    let took = shared.now().since(order.arrived);
+    shared.cascades.lock().learner(&order.kind()).answered(model, cost, took);
+}
+
+pub(super) fn log_end(shared: &Shared, order: &Order, code: &str, outcome: Outcome, attempts: u32) {
     let label = OutcomeLabel { outcome: outcome.to_string() };
     shared.metrics.requests.get_or_create(&label).inc();
     let took = shared.now().since(order.arrived);
@@ -146,7 +160,7 @@
     );
 }
 
-fn code(kind: &EndKind) -> &'static str {
+pub(super) fn code(kind: &EndKind) -> &'static str {
     match kind {
         EndKind::Whole => "whole",
         EndKind::NotRun { .. } => "not-run",
@@ -157,7 +171,7 @@
     }
 }
 
-fn failure(ending: &Ending, marks: Marks) -> Reply {
+pub(super) fn failure(ending: &Ending, marks: Marks) -> Reply {
     // What the upstream itself says of a bad request is for the caller.
     if let EndKind::UpstreamError { http_status, content_type: kind, body } = &ending.kind
         && (400..500).contains(http_status)
@@ -195,7 +209,7 @@
 
 /// A token by which the caller's next request goes on with this one's version.
 /// Plain services have no versions to stay on.
-fn session(shared: &Shared, order: &Order, host: Option<HostId>) -> Option<String> {
+pub(super) fn session(shared: &Shared, order: &Order, host: Option<HostId>) -> Option<String> {
     if matches!(order.target, Target::Service(_)) {
         return None;
     }
@@ -207,11 +221,11 @@
     Some(shared.session_keys.sign(&token))
 }
 
-fn content_type(given: String) -> String {
+pub(super) fn content_type(given: String) -> String {
     if given.is_empty() { DEFAULT_CONTENT_TYPE.to_owned() } else { given }
 }
 
-fn event(part: &[u8]) -> Event {
+pub(super) fn event(part: &[u8]) -> Event {
     Event::data(String::from_utf8_lossy(part).into_owned())
 }
 
--- a/crates/entry/src/callers/services.rs
+++ b/crates/entry/src/callers/services.rs
@@ -14,6 +14,7 @@
 use super::headers::CallHeaders;
 use super::problem::Problem;
 use crate::request::Order;
+use crate::request::Prior;
 use crate::shared::Shared;
 
 /// A call of a plain service, as it came.
@@ -69,6 +70,7 @@
         idempotency_key: headers.idempotency_key,
         work_key,
         task: headers.task,
+        prior: Prior::default(),
         arrived,
         deadline,
     })
--- /dev/null
+++ b/crates/entry/src/cascade_desk.rs
@@ -0,0 +1,81 @@
+//! What an entry has learnt of models, for each workspace and task.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use stallhoist_core::ModelName;
+use stallhoist_core::MonoTime;
+use stallhoist_core::Target;
+use stallhoist_core::TaskName;
+use stallhoist_core::WorkspaceName;
+use stallhoist_policy::cascade::CascadeLearner;
+use stallhoist_policy::cascade::ModelFacts;
+use stallhoist_policy::guard::Guard;
+use stallhoist_table::Table;
+use stallhoist_table::VersionState;
+
+/// After the rater did not answer, it is not counted on for so long.
+const RATER_PAUSE: Duration = Duration::from_secs(5);
+/// Kinds of work that are learnt; beyond it everything starts anew.
+const MAX_KINDS: usize = 1_000;
+
+/// A kind of work.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(crate) struct WorkKind {
+    pub(crate) workspace: WorkspaceName,
+    pub(crate) task: Option<TaskName>,
+}
+
+/// What an entry has learnt, by kind of work.
+#[derive(Debug, Default)]
+pub(crate) struct CascadeDesk {
+    learners: HashMap<WorkKind, CascadeLearner>,
+    rater_failed: Option<MonoTime>,
+}
+
+impl CascadeDesk {
+    pub(crate) fn learner(&mut self, kind: &WorkKind) -> &mut CascadeLearner {
+        if self.learners.len() >= MAX_KINDS && !self.learners.contains_key(kind) {
+            self.learners.clear();
+        }
+        self.learners.entry(kind.clone()).or_default()
+    }
+
+    pub(crate) fn rater_failed(&mut self, now: MonoTime) {
+        self.rater_failed = Some(now);
+    }
+
+    pub(crate) fn has_rater(&self, now: MonoTime) -> bool {
+        self.rater_failed.is_none_or(|failed| now.since(failed) > RATER_PAUSE)
+    }
+}
+
+/// The models of a workspace's cascade, the cheapest first. One whose versions are all
+/// held back is none.
+pub(crate) fn models(table: &Table, workspace: &WorkspaceName, guard: &Guard) -> Vec<ModelFacts> {
+    let mut models: Vec<(u32, ModelFacts)> = Vec::new();
+    for row in table.rows_of(workspace) {
+        let Target::Version(version) = &row.target else {
+            continue;
+        };
+        let is_open = row.allowed && row.state == VersionState::Active && row.weight > 0;
+        let is_open = is_open && !guard.is_held(version);
+        let is_known = models.iter().any(|(_, facts)| facts.model == version.model);
+        if row.cascade_place == 0 || !is_open || is_known {
+            continue;
+        }
+        let price = row.cost_micros_per_1k_tokens.0 as f64;
+        let facts = ModelFacts { model: version.model.clone(), price };
+        models.push((row.cascade_place, facts));
+    }
+    models.sort_by_key(|(place, _)| *place);
+    models.into_iter().map(|(_, facts)| facts).collect()
+}
+
+/// The model of a target that is one.
+pub(crate) fn model_of(target: &Target) -> Option<&ModelName> {
+    match target {
+        Target::Version(version) => Some(&version.model),
+        Target::Service(_) => None,
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,11 +8,13 @@
 //! called "not run" that was not proved so.
 //!
 //! Lock order: `links`, `link state`, `waiters`, `bills`, `holders`, `retries`,
-//! `ejection`, `guard`, `unreleased`. No lock is held across an await point.
+//! `ejection`, `guard`, `cascades`,
+//! `unreleased`. No lock is held across an await point.
 
 mod background;
 mod bill_desk;
 mod callers;
+mod cascade_desk;
 mod claim_desk;
 mod guard_desk;
 mod mesh;
--- a/crates/entry/src/request/execution.rs
+++ b/crates/entry/src/request/execution.rs
@@ -8,6 +8,7 @@
 use stallhoist_core::AnswerDigest;
 use stallhoist_core::AttemptId;
 use stallhoist_core::AttemptNumber;
+use stallhoist_core::BillRecord;
 use stallhoist_core::HostId;
 use stallhoist_core::IncarnationId;
 use stallhoist_core::NotRunReason;
@@ -56,7 +57,7 @@
 pub(crate) struct WholeAnswer {
     pub(crate) ending: Ending,
     pub(crate) head: Option<ResponseHead>,
-    pub(crate) body: Vec<u8>,
+    pub(crate) parts: Vec<Bytes>,
 }
 
 /// What an attempt has come to, when it goes no further.
@@ -109,6 +110,7 @@
     /// Attempts of which it is not proved that they did not run.
     unproved_attempts: u32,
     served_by: Option<HostId>,
+    bill: Option<BillRecord>,
 }
 
 impl Execution {
@@ -123,6 +125,7 @@
             is_delivered: false,
             unproved_attempts: 0,
             served_by: None,
+            bill: None,
         }
     }
 
@@ -131,18 +134,23 @@
         self.served_by.as_ref()
     }
 
+    /// What the whole answer is billed.
+    pub(crate) fn bill(&self) -> Option<&BillRecord> {
+        self.bill.as_ref()
+    }
+
     /// Runs to the end and gives the whole answer. A part is never given as a whole.
     pub(crate) async fn run_whole(&mut self) -> WholeAnswer {
         let mut head = None;
-        let mut body = Vec::new();
+        let mut parts: Vec<Bytes> = Vec::new();
         loop {
             match self.step().await {
                 Step::Head(new) => {
                     head = Some(new);
-                    body.clear();
+                    parts.clear();
                 }
-                Step::Part(part) => body.extend_from_slice(&part),
-                Step::End(ending) => return WholeAnswer { ending, head, body },
+                Step::Part(part) => parts.push(part),
+                Step::End(ending) => return WholeAnswer { ending, head, parts },
             }
         }
     }
@@ -221,7 +229,8 @@
         let link = self.shared.links.get(&host).ok_or_else(nobody)?;
         let connected = link.connected().ok_or_else(nobody)?;
         self.attempts += 1;
-        let number = AttemptNumber(u64::from(self.attempts));
+        // A later leg of a cascade goes on counting, so that its record stands.
+        let number = AttemptNumber(u64::from(self.order.prior.attempts + self.attempts));
         let id = AttemptId { request: self.order.request, number };
         let events = link.waiters.lock().add_attempt(id);
         let revision = self.shared.table.revision();
@@ -314,6 +323,7 @@
         let host = attempt.host.clone();
         self.shared.ejection.lock().succeeded(&host);
         if let Some(record) = last.bill.as_ref().and_then(|bill| bill_from_wire(bill).ok()) {
+            self.bill = Some(record.clone());
             bill_desk::take_in(&self.shared, record, &host).await;
         }
         self.served_by = Some(host);
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -9,4 +9,6 @@
 pub(crate) use ending::Ending;
 pub(crate) use execution::Execution;
 pub(crate) use execution::Step;
+pub(crate) use execution::WholeAnswer;
 pub(crate) use order::Order;
+pub(crate) use order::Prior;
--- a/crates/entry/src/request/order.rs
+++ b/crates/entry/src/request/order.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use stallhoist_core::AttemptId;
+use stallhoist_core::CostMicros;
 use stallhoist_core::HostId;
 use stallhoist_core::IdempotencyKey;
 use stallhoist_core::MonoTime;
@@ -9,12 +10,23 @@
 use stallhoist_core::Revision;
 use stallhoist_core::Target;
 use stallhoist_core::TaskName;
+use stallhoist_core::Usage;
 use stallhoist_core::WorkspaceName;
 use stallhoist_wire::attempt_to_wire;
 use stallhoist_wire::messages::Dispatch;
 use stallhoist_wire::messages::Prefix;
 use stallhoist_wire::messages::Probe;
 
+use crate::cascade_desk::WorkKind;
+
+/// What earlier models of a cascade used for a request, and the attempts they took.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Prior {
+    pub(crate) usage: Usage,
+    pub(crate) cost: CostMicros,
+    pub(crate) attempts: u32,
+}
+
 /// A request that is allowed and ready to be placed.
 #[derive(Debug, Clone)]
 pub(crate) struct Order {
@@ -38,6 +50,8 @@
     pub(crate) work_key: u64,
     /// The kind of work, as the caller says.
     pub(crate) task: Option<TaskName>,
+    /// What earlier models of a cascade used for this request.
+    pub(crate) prior: Prior,
     pub(crate) arrived: MonoTime,
     pub(crate) deadline: MonoTime,
 }
@@ -61,6 +75,9 @@
             expected_completion_tokens: self.completion_tokens,
             prefix: self.prefix.clone(),
             work_key: self.work_key,
+            prior_prompt_tokens: self.prior.usage.prompt_tokens.0,
+            prior_completion_tokens: self.prior.usage.completion_tokens.0,
+            prior_cost_micros: self.prior.cost.0,
             idempotency_key: self
                 .idempotency_key
                 .as_ref()
@@ -81,6 +98,11 @@
         }
     }
 
+    /// The kind of work that models are learnt for.
+    pub(crate) fn kind(&self) -> WorkKind {
+        WorkKind { workspace: self.workspace.clone(), task: self.task.clone() }
+    }
+
     /// What steers equal requests to the same upstreams: the prompt's first block, or
     /// the whole request where there is none.
     pub(crate) fn steering_key(&self) -> u64 {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -30,6 +30,7 @@
 use tokio::sync::watch;
 
 use crate::bill_desk::BillDesk;
+use crate::cascade_desk::CascadeDesk;
 use crate::mesh::Links;
 use crate::metrics::Metrics;
 use crate::session::SessionKeys;
@@ -54,6 +55,7 @@
     pub(crate) retries: Mutex<RetryBudget>,
     pub(crate) ejection: Mutex<Ejection>,
     pub(crate) guard: Mutex<Guard>,
+    pub(crate) cascades: Mutex<CascadeDesk>,
     /// Claims that may stand in the store though nothing ran for them.
     pub(crate) unreleased: Mutex<Vec<PendingClaim>>,
     pub(crate) metrics: Metrics,
@@ -95,6 +97,7 @@
             retries: Mutex::new(RetryBudget::new(retries.budget_percent, retries.burst)),
             ejection: Mutex::new(Ejection::new(ejection)),
             guard: Mutex::new(Guard::new(GuardConfig::default())),
+            cascades: Mutex::default(),
             unreleased: Mutex::default(),
             metrics: Metrics::default(),
             in_flight: AtomicUsize::new(0),
--- a/crates/policy/src/guard/version_guard.rs
+++ b/crates/policy/src/guard/version_guard.rs
@@ -143,11 +143,16 @@
         counts: EvidenceCounts,
     ) -> Option<Hold> {
         let failure_rate = self.base_rate(version, |c| (c.answers, c.failures));
+        // Models differ in how well they answer, so ratings are judged against siblings
+        // alone; failures are judged against an assumption where there are none.
+        let has_rated_sibling = self.rated_siblings(version) >= self.config.prior_answers;
         let poor_rate = self.base_rate(version, |c| (c.ratings, c.poor_ratings));
         let evidence = self.versions.entry(version.clone()).or_default();
         let new = evidence.take(host, counts);
         evidence.failures.observe(host, new.answers, new.failures, failure_rate);
-        evidence.ratings.observe(host, new.ratings, new.poor_ratings, poor_rate);
+        if has_rated_sibling {
+            evidence.ratings.observe(host, new.ratings, new.poor_ratings, poor_rate);
+        }
         if evidence.hold.is_some() {
             return None;
         }
@@ -245,6 +250,12 @@
         self.versions.iter().filter(move |(other, _)| is_sibling(other))
     }
 
+    /// Ratings of a version's siblings.
+    fn rated_siblings(&self, version: &ModelVersion) -> f64 {
+        let ratings = self.siblings(version).map(|(_, evidence)| evidence.total().ratings);
+        ratings.sum::<u64>() as f64
+    }
+
     /// The rate that is still good for a version: its healthy siblings' and the margin.
     fn base_rate(&self, version: &ModelVersion, of: fn(&EvidenceCounts) -> (u64, u64)) -> f64 {
         let healthy = self.siblings(version).filter(|(_, evidence)| evidence.hold.is_none());
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 //! tasks. The same code runs in the daemons, in the tests and in the benches.
 
 pub mod admission;
+pub mod cascade;
 pub mod guard;
 pub mod placement;
 pub mod retry;
--- a/crates/sidecar/src/connection.rs
+++ b/crates/sidecar/src/connection.rs
@@ -4,8 +4,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use stallhoist_core::AttemptId;
 use stallhoist_core::IncarnationId;
-use stallhoist_core::RequestId;
 use stallhoist_core::Revision;
 use stallhoist_wire::FrameReader;
 use stallhoist_wire::FrameSender;
@@ -14,10 +14,10 @@
 use stallhoist_wire::attempt_from_wire;
 use stallhoist_wire::bill_from_wire;
 use stallhoist_wire::handshake;
+use stallhoist_wire::messages::Attempt;
 use stallhoist_wire::messages::BillHeld;
 use stallhoist_wire::messages::BillHold;
 use stallhoist_wire::messages::frame::Body;
-use stallhoist_wire::request_from_wire;
 use stallhoist_wire::start_writer;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -125,7 +125,7 @@
             let target = rated.target.parse().map_err(|_| WireError::BadField("target"))?;
             shared.evidence.lock().rated(&target, rated.poor);
         }
-        Body::BillSettled(settled) => settle(shared, &settled.requests)?,
+        Body::BillSettled(settled) => settle(shared, &settled.attempts)?,
         _ => return Err(WireError::BadField("a message that only sidecars send")),
     }
     Ok(())
@@ -143,9 +143,9 @@
     Ok(())
 }
 
-fn settle(shared: &Shared, requests: &[Vec<u8>]) -> Result<(), WireError> {
-    let requests: Result<Vec<RequestId>, WireError> =
-        requests.iter().map(|bytes| request_from_wire(bytes)).collect();
-    shared.bills.lock().settle(&requests?);
+fn settle(shared: &Shared, attempts: &[Attempt]) -> Result<(), WireError> {
+    let attempts: Result<Vec<AttemptId>, WireError> =
+        attempts.iter().map(|attempt| attempt_from_wire(Some(attempt))).collect();
+    shared.bills.lock().settle(&attempts?);
     Ok(())
 }
--- a/crates/sidecar/src/upstream/called.rs
+++ b/crates/sidecar/src/upstream/called.rs
@@ -6,6 +6,7 @@
 use stallhoist_core::BillRecord;
 use stallhoist_core::CostMicros;
 use stallhoist_core::NotRunReason;
+use stallhoist_core::TokenCount;
 use stallhoist_core::Usage;
 use stallhoist_wire::messages::FinalKind;
 
@@ -71,12 +72,18 @@
     let table = shared.table.current();
     let row = table.as_ref().and_then(|table| table.row(&answer.workspace, &answer.target));
     let price = row.map_or(CostMicros::default(), |row| row.cost_micros_per_1k_tokens);
+    let dispatch = &answer.dispatch;
+    let cost = price.for_tokens(usage.total_tokens()) + CostMicros(dispatch.prior_cost_micros);
+    let usage = Usage {
+        prompt_tokens: TokenCount(usage.prompt_tokens.0 + dispatch.prior_prompt_tokens),
+        completion_tokens: TokenCount(usage.completion_tokens.0 + dispatch.prior_completion_tokens),
+    };
     BillRecord {
         request: answer.id.request,
         attempt_number: answer.id.number,
         workspace: answer.workspace.clone(),
         target: answer.target.clone(),
         usage,
-        cost_micros: price.for_tokens(usage.total_tokens()),
+        cost_micros: cost,
     }
 }
--- /dev/null
+++ b/tests/all/cascade.rs
@@ -0,0 +1,100 @@
+//! The cascade in the running path: cheap first, better if the answer is poor.
+
+use std::collections::BTreeMap;
+
+use stallhoist_standins::platform::Faults;
+
+use crate::case::case;
+use crate::harness::Fleet;
+use crate::harness::Plan;
+use crate::harness::send;
+use crate::harness::wait_until;
+
+fn plan() -> Plan {
+    Plan {
+        engines: vec!["cheap@v1", "best@v1"],
+        services: 0,
+        cells: vec![
+            ("w/*/quality_target_percent", "80"),
+            ("w/cheap@v1/cascade_place", "1"),
+            ("w/best@v1/cascade_place", "2"),
+        ],
+        ..Plan::default()
+    }
+}
+
+/// Asks for `auto` so often; how often each version answered.
+async fn answers(fleet: &Fleet, count: usize, stream: bool) -> BTreeMap<String, usize> {
+    let mut by_target = BTreeMap::new();
+    for _ in 0..count {
+        let answer = send(fleet.caller(0).chat("auto", "x", 4, stream)).await.expect("an answer");
+        assert_eq!(answer.status, 200, "{answer:?}");
+        let expected = format!("[{}] x w2 w3", answer.target);
+        let text = if stream { answer.streamed_text() } else { answer.text() };
+        assert_eq!(text, expected, "the answer is one model's, whole");
+        if stream {
+            assert_eq!(answer.events().last().map(String::as_str), Some("[DONE]"));
+        }
+        *by_target.entry(answer.target).or_insert(0) += 1;
+    }
+    by_target
+}
+
+case!(good_cheap_answers_are_given, async {
+    let fleet = Fleet::start(plan()).await;
+    let by_target = answers(&fleet, 40, false).await;
+    assert!(by_target["cheap@v1"] >= 38, "{by_target:?}");
+});
+
+// Poor answers of the cheap model reach nobody, and it is soon left out.
+async fn poor_cheap_answers_are_replaced(stream: bool) {
+    let fleet = Fleet::start(plan()).await;
+    fleet.platform.set_quality("cheap@v1", 0.1);
+    let by_target = answers(&fleet, 60, stream).await;
+    assert_eq!(by_target.get("cheap@v1"), None, "{by_target:?}");
+    let cheap_runs = fleet.engines[0].executions().len();
+    assert!((1..=40).contains(&cheap_runs), "{cheap_runs} of 60");
+    // One record a request, with what both models used.
+    wait_until("all are billed", || async { fleet.entry_state(0).await["unsettled_bills"] == 0 })
+        .await;
+    let mut bills = BTreeMap::new();
+    for record in fleet.ledger_records() {
+        let held: &mut u64 = bills.entry(record.request).or_default();
+        *held = (*held).max(record.cost_micros.0);
+    }
+    assert_eq!(bills.len(), 60);
+    // Five tokens at a thousandth each: once for one model, twice for both.
+    let cascaded = bills.values().filter(|cost| **cost == 10).count();
+    assert_eq!(cascaded, cheap_runs, "{bills:?}");
+}
+
+case!(poor_cheap_whole_answers_are_replaced, poor_cheap_answers_are_replaced(false));
+case!(poor_cheap_streamed_answers_are_replaced, poor_cheap_answers_are_replaced(true));
+
+// Nobody judges: what was learnt before decides.
+case!(a_rater_outage_falls_back_to_what_is_known, async {
+    let fleet = Fleet::start(plan()).await;
+    answers(&fleet, 40, false).await;
+    fleet.platform.set_faults(Faults { outage: true, ..Faults::default() });
+    let by_target = answers(&fleet, 20, false).await;
+    assert!(by_target["cheap@v1"] >= 18, "{by_target:?}");
+});
+
+case!(an_unknown_rater_means_the_best_model, async {
+    let fleet = Fleet::start(plan()).await;
+    fleet.platform.set_faults(Faults { outage: true, ..Faults::default() });
+    let by_target = answers(&fleet, 20, false).await;
+    assert!(by_target["best@v1"] >= 10, "{by_target:?}");
+});
+
+// A session that began by the system's choice stays on the version it got.
+case!(a_session_stays_on_the_version_that_answered, async {
+    let fleet = Fleet::start(plan()).await;
+    let first = send(fleet.caller(0).chat("auto", "x", 4, false)).await.expect("an answer");
+    let session = first.session.expect("a session");
+    for _ in 0..5 {
+        let request = fleet.caller(0).chat("auto", "x", 4, false);
+        let answer = send(request.header("Stallhoist-Session", &session)).await.expect("an answer");
+        assert_eq!(answer.target, first.target);
+    }
+});
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,9 +2,11 @@
 //! and a fault-injecting proxy before each sidecar.
 
 mod callers;
+mod cascade;
 mod case;
 mod guard;
 mod harness;
+mod held_bills;
 mod leases;
 mod local;
 mod operators;
