--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -49,6 +49,7 @@
 
 /// Fewer than a connection lets wait, so that no answer is dropped.
 const MESSAGES_AT_ONCE: usize = 500;
+const STREAMS: u64 = 100;
 
 /// A slope with what it was measured from.
 struct Slope {
@@ -365,6 +366,29 @@
     ]
 }
 
+/// What a streamed token costs entry and sidecar, without the request around it.
+async fn streamed_tokens() -> Vec<Slope> {
+    let fleet = Fleet::start(quiet()).await;
+    let (entry, sidecar) = (fleet.entries[0].id(), fleet.hosts[0].sidecar.id());
+    let caller = fleet.caller(0);
+    let (mut at_entry, mut at_sidecar) = (Vec::new(), Vec::new());
+    for tokens in [100_u64, 200, 400, 800] {
+        let before = (ProcessUsage::of(entry), ProcessUsage::of(sidecar));
+        for _ in 0..STREAMS {
+            let answer = send(caller.chat("m", "x", tokens, true)).await.expect("an answer");
+            assert!(answer.body.contains("[DONE]"));
+        }
+        let after = (ProcessUsage::of(entry), ProcessUsage::of(sidecar));
+        let streamed = (tokens * STREAMS) as f64;
+        at_entry.push((streamed, micros_between(before.0, after.0)));
+        at_sidecar.push((streamed, micros_between(before.1, after.1)));
+    }
+    vec![
+        Slope { name: "entry, a streamed token", unit: "us of processor", points: at_entry },
+        Slope { name: "sidecar, a streamed token", unit: "us of processor", points: at_sidecar },
+    ]
+}
+
 /// Sizes of messages, encoded with their length prefix.
 fn message_sizes() -> Report {
     let mut report = Report::new("message-sizes", &["message", "bytes"]);
@@ -441,6 +465,7 @@
     plot(&at_entry[0], "connected sidecars", "entry-processor.svg");
     slopes.extend(at_entry);
     slopes.extend(requests().await);
+    slopes.extend(streamed_tokens().await);
     let headings = ["what", "unit", "slope", "at none", "worst residual", "points"];
     let mut report = Report::new("slopes", &headings);
     for slope in &slopes {
--- a/crates/settings/src/claims.rs
+++ b/crates/settings/src/claims.rs
@@ -20,7 +20,7 @@
 
 impl Default for ClaimSettings {
     fn default() -> Self {
-        Self { batch_ms: 5, max_batch: 100, timeout_ms: 2_000 }
+        Self { batch_ms: 0, max_batch: 100, timeout_ms: 2_000 }
     }
 }
 
