Read as a newcomer: large files split, doubled logic joined, plain names

- Tables and edits became messages in two places; `wire` does it for both roles now.
- The daemons' binaries were copies of each other; `stallhoist-daemon` holds arguments, log, settings and signals, and the one-process mode uses its signals too.
- "desk" and "promise" were our own pictures: the modules are `billing`, `claiming`, `table_sync`, `holds`, `learners`, and a refused caller's place is a reservation.
- The benches share the quiet fleet and the slope with its plot.

Behaviour is unchanged.

--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -7,9 +7,11 @@
 #[allow(dead_code, unused_imports)]
 #[path = "../tests/all/harness/mod.rs"]
 mod harness;
+#[path = "support/quiet.rs"]
+mod quiet;
+#[path = "support/slope.rs"]
+mod slope;
 
-use std::fmt::Write;
-use std::fs;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -21,7 +23,10 @@
 use harness::edit_of;
 use harness::new_attempt;
 use harness::send;
+use quiet::quiet;
 use serde_json::Value;
+use slope::Slope;
+use slope::plot;
 use stallhoist_core::AttemptNumber;
 use stallhoist_core::BillRecord;
 use stallhoist_core::CostMicros;
@@ -29,10 +34,8 @@
 use stallhoist_core::Revision;
 use stallhoist_core::TokenCount;
 use stallhoist_core::Usage;
-use stallhoist_measure::LineFit;
 use stallhoist_measure::ProcessUsage;
 use stallhoist_measure::Report;
-use stallhoist_standins::engine::EngineSwitches;
 use stallhoist_table::LogEntry;
 use stallhoist_wire::attempt_to_wire;
 use stallhoist_wire::bill_to_wire;
@@ -50,44 +53,7 @@
 /// Fewer than a connection lets wait, so that no answer is dropped.
 const MESSAGES_AT_ONCE: usize = 500;
 const STREAMS: u64 = 100;
-
-/// A slope with what it was measured from.
-struct Slope {
-    name: &'static str,
-    unit: &'static str,
-    points: Vec<(f64, f64)>,
-}
-
-impl Slope {
-    fn fit(&self) -> LineFit {
-        LineFit::through(&self.points)
-    }
-}
-
-fn quiet() -> Plan {
-    Plan {
-        engines: vec!["m@v1"],
-        services: 0,
-        switches: EngineSwitches {
-            step_base_us: 0,
-            step_per_request_us: 0,
-            ..EngineSwitches::default()
-        },
-        entry_settings: vec![
-            ("timing", "heartbeat_ms", 1_000.into()),
-            ("timing", "peer_timeout_ms", 60_000.into()),
-            ("platform", "table_poll_ms", 10_000.into()),
-            ("platform", "host_list_poll_ms", 10_000.into()),
-            ("bill", "flush_ms", 20_000.into()),
-        ],
-        sidecar_settings: vec![
-            ("timing", "heartbeat_ms", 1_000.into()),
-            ("timing", "peer_timeout_ms", 60_000.into()),
-            ("bill", "orphan_ms", 3_000_000.into()),
-        ],
-        ..Plan::default()
-    }
-}
+const EDITS_A_TABLE: usize = 200;
 
 /// Waits for a figure of a sidecar's state.
 async fn wait_state(fleet: &Fleet, key: &str, reached: impl Fn(u64) -> bool) {
@@ -210,6 +176,31 @@
     Slope { name: "sidecar, an edit of a small table", unit: "us of processor", points }
 }
 
+/// What rows of the table cost a sidecar: in memory, and in each edit.
+async fn sidecar_rows() -> Vec<Slope> {
+    let (mut memory, mut edits) = (Vec::new(), Vec::new());
+    for rows in [50_usize, 200, 800, 1_600] {
+        // The harness takes texts that live as long as the program, as benches do.
+        let cell = |n: usize| -> &'static str { format!("w{n}/x@v1/weight").leak() };
+        let cells = (0..rows).map(|n| (cell(n), "3")).collect();
+        let fleet = Fleet::start(Plan { cells, ..quiet() }).await;
+        let sidecar = fleet.hosts[0].sidecar.id();
+        let peer = FakeEntry::connect(fleet.hosts[0].sidecar.addr("entries_addr")).await;
+        let before = ProcessUsage::of(sidecar);
+        for number in 0..EDITS_A_TABLE {
+            peer.send(table_edit(number, 2)).await;
+        }
+        wait_state(&fleet, "revision", |revision| revision > EDITS_A_TABLE as u64).await;
+        let after = ProcessUsage::of(sidecar);
+        memory.push((rows as f64, after.resident_mib * 1_024.0));
+        edits.push((rows as f64, micros_between(before, after) / EDITS_A_TABLE as f64));
+    }
+    vec![
+        Slope { name: "sidecar, a row of the table", unit: "KiB of memory", points: memory },
+        Slope { name: "sidecar, a row in each edit", unit: "us of processor", points: edits },
+    ]
+}
+
 /// Memory of a sidecar against what it holds.
 async fn sidecar_memory(name: &'static str, key: &str, make: impl Fn(usize) -> Body) -> Slope {
     let fleet = Fleet::start(quiet()).await;
@@ -407,54 +398,12 @@
     report
 }
 
-/// A plot of measured points and their line, as SVG.
-fn plot(slope: &Slope, x_title: &str, file: &str) {
-    let (width, height, margin) = (640.0, 360.0, 60.0);
-    let largest = |values: Vec<f64>| values.into_iter().fold(f64::EPSILON, f64::max);
-    let max_x = largest(slope.points.iter().map(|(x, _)| *x).collect());
-    let max_y = largest(slope.points.iter().map(|(_, y)| *y).collect()) * 1.1;
-    let at = |x: f64, y: f64| {
-        let px = margin + x / max_x * (width - 2.0 * margin);
-        let py = height - margin - y / max_y * (height - 2.0 * margin);
-        (px, py)
-    };
-    let fit = slope.fit();
-    let (x1, y1) = at(0.0, fit.at(0.0).max(0.0));
-    let (x2, y2) = at(max_x, fit.at(max_x));
-    let (left, bottom) = at(0.0, 0.0);
-    let (right, top) = at(max_x, max_y);
-    let mut svg = format!(
-        "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"{width}\" height=\"{height}\" \
-         font-family=\"sans-serif\" font-size=\"12\">\n\
-         <rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n\
-         <path d=\"M{left} {top} V{bottom} H{right}\" stroke=\"black\" fill=\"none\"/>\n\
-         <line x1=\"{x1}\" y1=\"{y1}\" x2=\"{x2}\" y2=\"{y2}\" stroke=\"steelblue\"/>\n"
-    );
-    for (x, y) in &slope.points {
-        let (cx, cy) = at(*x, *y);
-        let _ = writeln!(svg, "<circle cx=\"{cx}\" cy=\"{cy}\" r=\"4\" fill=\"crimson\"/>");
-        let _ = writeln!(svg, "<text x=\"{}\" y=\"{}\">{y:.0}</text>", cx + 6.0, cy - 6.0);
-    }
-    let _ = writeln!(
-        svg,
-        "<text x=\"{margin}\" y=\"24\">{}: {:.2} {} each, from {:.0}</text>\n\
-         <text x=\"{}\" y=\"{}\">{x_title}, 0 to {max_x:.0}</text>\n</svg>",
-        slope.name,
-        fit.slope,
-        slope.unit,
-        fit.base,
-        width / 2.0,
-        height - 20.0
-    );
-    fs::create_dir_all("docs/plots").expect("the folder can be made");
-    fs::write(format!("docs/plots/{file}"), svg).expect("the plot can be written");
-}
-
 #[tokio::main]
 async fn main() {
     message_sizes().finish();
     let mut slopes = sidecar_messages().await;
     slopes.push(sidecar_edits().await);
+    slopes.extend(sidecar_rows().await);
     slopes.push(sidecar_memory("sidecar, a held bill record", "unsettled_bills", hold).await);
     slopes
         .push(sidecar_memory("sidecar, a remembered attempt", "remembered_attempts", attest).await);
--- a/benches/overhead.rs
+++ b/benches/overhead.rs
@@ -7,6 +7,8 @@
 #[allow(dead_code, unused_imports)]
 #[path = "../tests/all/harness/mod.rs"]
 mod harness;
+#[path = "support/quiet.rs"]
+mod quiet;
 
 use std::time::Duration;
 use std::time::Instant;
@@ -14,38 +16,29 @@
 use futures_util::future::join_all;
 use harness::Fleet;
 use harness::Plan;
+use quiet::quiet;
 use reqwest::RequestBuilder;
 use serde_json::json;
 use stallhoist_measure::ProcessUsage;
 use stallhoist_measure::Report;
 use stallhoist_measure::percentile;
-use stallhoist_standins::engine::EngineSwitches;
 
 const ROUNDS: usize = 3_000;
 const LONG_RUN: usize = 100_000;
 const LONG_RUN_CALLERS: usize = 64;
 
+/// Three engines, polls and flushes as often as with default settings.
 fn plan() -> Plan {
+    let quiet = quiet();
+    let often = vec![
+        ("bill", "flush_ms", 1_000.into()),
+        ("platform", "table_poll_ms", 2_000.into()),
+        ("platform", "host_list_poll_ms", 2_000.into()),
+    ];
     Plan {
         engines: vec!["m@v1", "m@v1", "m@v1"],
-        services: 0,
-        switches: EngineSwitches {
-            step_base_us: 0,
-            step_per_request_us: 0,
-            ..EngineSwitches::default()
-        },
-        entry_settings: vec![
-            ("bill", "flush_ms", 1_000.into()),
-            ("timing", "heartbeat_ms", 1_000.into()),
-            ("timing", "peer_timeout_ms", 5_000.into()),
-            ("platform", "table_poll_ms", 2_000.into()),
-            ("platform", "host_list_poll_ms", 2_000.into()),
-        ],
-        sidecar_settings: vec![
-            ("timing", "heartbeat_ms", 1_000.into()),
-            ("timing", "peer_timeout_ms", 5_000.into()),
-        ],
-        ..Plan::default()
+        entry_settings: [quiet.entry_settings.clone(), often].concat(),
+        ..quiet
     }
 }
 
--- a/crates/entry/src/background.rs
+++ b/crates/entry/src/background.rs
@@ -6,10 +6,10 @@
 
 use stallhoist_wire::messages::frame::Body;
 
-use crate::bill_desk;
-use crate::claim_desk;
+use crate::billing;
+use crate::claiming;
 use crate::shared::Shared;
-use crate::table_desk;
+use crate::table_sync;
 
 const RELEASE_EVERY: Duration = Duration::from_millis(500);
 
@@ -44,7 +44,7 @@
 pub(crate) async fn follow_table(shared: Arc<Shared>) {
     let every = Duration::from_millis(shared.settings.platform.table_poll_ms);
     loop {
-        if let Err(error) = table_desk::poll(&shared).await {
+        if let Err(error) = table_sync::poll(&shared).await {
             log::warn!(error:%; "cannot read the table's head");
         }
         tokio::time::sleep(jittered(every)).await;
@@ -57,7 +57,7 @@
     let mut unconfirmed = None;
     loop {
         tokio::time::sleep(jittered(every)).await;
-        bill_desk::flush(&shared, &mut unconfirmed).await;
+        billing::flush(&shared, &mut unconfirmed).await;
     }
 }
 
@@ -65,7 +65,7 @@
 pub(crate) async fn release_claims(shared: Arc<Shared>) {
     loop {
         tokio::time::sleep(jittered(RELEASE_EVERY)).await;
-        claim_desk::release_left(&shared).await;
+        claiming::release_left(&shared).await;
     }
 }
 
--- a/crates/entry/src/bill_desk.rs
+++ b/crates/entry/src/billing.rs
@@ -30,12 +30,12 @@
 
 /// The records of one entry, and who else holds each.
 #[derive(Debug, Default)]
-pub(crate) struct BillDesk {
+pub(crate) struct PendingBills {
     pub(crate) held: HeldBills,
     holders: HashMap<RequestId, Vec<HostId>>,
 }
 
-impl BillDesk {
+impl PendingBills {
     fn take(&mut self, now: MonoTime, record: BillRecord, held_by: &HostId) {
         self.add_holder(record.request, held_by);
         self.held.hold(now, record);
--- a/crates/entry/src/callers/call.rs
+++ b/crates/entry/src/callers/call.rs
@@ -17,7 +17,7 @@
 
 use super::headers::CallHeaders;
 use super::problem::Problem;
-use crate::claim_desk;
+use crate::claiming;
 use crate::request::Order;
 use crate::session::SessionToken;
 use crate::shared::Shared;
@@ -109,7 +109,7 @@
         key: key.clone(),
         request: order.request,
     };
-    match claim_desk::claim(shared, &claim).await {
+    match claiming::claim(shared, &claim).await {
         Ok(()) => Ok(Some(claim)),
         Err(ClaimError::Taken(holder)) => {
             let mut problem = Problem::not_run(NotRunReason::DuplicateKey, Duration::ZERO);
--- a/crates/entry/src/callers/cascade.rs
+++ b/crates/entry/src/callers/cascade.rs
@@ -17,8 +17,8 @@
 use super::reply::Marks;
 use super::reply::Reply;
 use super::run;
-use crate::cascade_desk;
-use crate::claim_desk;
+use crate::claiming;
+use crate::learners;
 use crate::ratings;
 use crate::request::EndKind;
 use crate::request::Ending;
@@ -73,7 +73,7 @@
     if ending.outcome() == Outcome::NotRun
         && let Some(claim) = claim
     {
-        claim_desk::release(shared, claim).await;
+        claiming::release(shared, claim).await;
     }
     reply(shared, leg, place)
 }
@@ -115,9 +115,9 @@
     let table = shared.table.current();
     let row = table.as_ref().and_then(|table| table.workspace(&leg.order.workspace));
     let target = row.map_or(0.0, |row| f64::from(row.quality_target_percent) / 100.0);
-    let model = cascade_desk::model_of(&leg.order.target);
-    let mut cascades = shared.cascades.lock();
-    model.is_some_and(|model| cascades.learner(&leg.order.kind()).is_trusted(model, target))
+    let model = learners::model_of(&leg.order.target);
+    let mut learners = shared.learners.lock();
+    model.is_some_and(|model| learners.learner(&leg.order.kind()).is_trusted(model, target))
 }
 
 fn reply(shared: &Shared, leg: Leg, place: InFlight) -> Reply {
--- a/crates/entry/src/callers/chat.rs
+++ b/crates/entry/src/callers/chat.rs
@@ -29,9 +29,9 @@
 use super::call;
 use super::headers::CallHeaders;
 use super::problem::Problem;
-use crate::cascade_desk;
-use crate::cascade_desk::WorkKind;
-use crate::guard_desk;
+use crate::holds;
+use crate::learners;
+use crate::learners::WorkKind;
 use crate::request::Order;
 use crate::request::Prior;
 use crate::session::SessionToken;
@@ -135,14 +135,14 @@
     /// Which models answer, by what was learnt of them.
     fn plan(&self) -> Result<Plan, Problem> {
         let workspace = &self.caller.workspace;
-        let models = cascade_desk::models(&self.table, workspace, &self.shared.guard.lock());
+        let models = learners::models(&self.table, workspace, &self.shared.guard.lock());
         let target = self.table.workspace(workspace).map_or(0, |row| row.quality_target_percent);
         let kind = WorkKind { workspace: workspace.clone(), task: self.headers.task.clone() };
         let time_left = self.deadline.since(self.arrived);
-        let mut cascades = self.shared.cascades.lock();
-        let has_rater = cascades.has_rater(self.arrived);
+        let mut learners = self.shared.learners.lock();
+        let has_rater = learners.has_rater(self.arrived);
         let target = f64::from(target) / 100.0;
-        let learner = cascades.learner(&kind);
+        let learner = learners.learner(&kind);
         let plan = learner.choose(&models, target, time_left, has_rater, &mut rand::rng());
         plan.ok_or_else(|| unknown(AUTO))
     }
@@ -210,7 +210,7 @@
         }
         is_known = true;
         if row.allowed && row.state == VersionState::Active {
-            versions.push(guard_desk::facts(shared, table, row, version));
+            versions.push(holds::facts(shared, table, row, version));
         }
     }
     if !is_known {
--- a/crates/entry/src/callers/run.rs
+++ b/crates/entry/src/callers/run.rs
@@ -16,8 +16,8 @@
 use super::problem::Problem;
 use super::reply::Marks;
 use super::reply::Reply;
-use crate::cascade_desk;
-use crate::claim_desk;
+use crate::claiming;
+use crate::learners;
 use crate::metrics::OutcomeLabel;
 use crate::ratings;
 use crate::request::EndKind;
@@ -125,7 +125,7 @@
         if ending.outcome() == Outcome::NotRun
             && let Some(claim) = self.claim.take()
         {
-            claim_desk::release(shared, claim).await;
+            claiming::release(shared, claim).await;
         }
     }
 }
@@ -133,13 +133,12 @@
 /// Takes in what a whole answer cost and how long it took.
 pub(super) fn learn(shared: &Shared, execution: &Execution) {
     let order = &execution.order;
-    let (Some(model), Some(bill)) = (cascade_desk::model_of(&order.target), execution.bill())
-    else {
+    let (Some(model), Some(bill)) = (learners::model_of(&order.target), execution.bill()) else {
         return;
     };
     let cost = CostMicros(bill.cost_micros.0.saturating_sub(order.prior.cost.0));
     let took = shared.now().since(order.arrived);
-    shared.cascades.lock().learner(&order.kind()).answered(model, cost, took);
+    shared.learners.lock().learner(&order.kind()).answered(model, cost, took);
 }
 
 pub(super) fn log_end(shared: &Shared, order: &Order, code: &str, outcome: Outcome, attempts: u32) {
--- a/crates/entry/src/cascade_desk.rs
+++ b/crates/entry/src/learners.rs
@@ -28,12 +28,12 @@
 
 /// What an entry has learnt, by kind of work.
 #[derive(Debug, Default)]
-pub(crate) struct CascadeDesk {
+pub(crate) struct Learners {
     learners: HashMap<WorkKind, CascadeLearner>,
     rater_failed: Option<MonoTime>,
 }
 
-impl CascadeDesk {
+impl Learners {
     pub(crate) fn learner(&mut self, kind: &WorkKind) -> &mut CascadeLearner {
         if self.learners.len() >= MAX_KINDS && !self.learners.contains_key(kind) {
             self.learners.clear();
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,15 +8,15 @@
 //! called "not run" that was not proved so.
 //!
 //! Lock order: `links`, `link state`, `waiters`, `bills`, `holders`, `retries`,
-//! `ejection`, `guard`, `cascades`,
+//! `ejection`, `guard`, `learners`,
 //! `unreleased`. No lock is held across an await point.
 
 mod background;
-mod bill_desk;
+mod billing;
 mod callers;
-mod cascade_desk;
-mod claim_desk;
-mod guard_desk;
+mod claiming;
+mod holds;
+mod learners;
 mod mesh;
 mod metrics;
 mod operators;
@@ -25,7 +25,7 @@
 mod request;
 mod session;
 mod shared;
-mod table_desk;
+mod table_sync;
 
 pub use process::Draining;
 pub use process::Entry;
--- a/crates/entry/src/mesh/link.rs
+++ b/crates/entry/src/mesh/link.rs
@@ -31,10 +31,10 @@
 
 use super::AttemptEvent;
 use super::waiters::Waiters;
-use crate::bill_desk;
-use crate::guard_desk;
+use crate::billing;
+use crate::holds;
 use crate::shared::Shared;
-use crate::table_desk;
+use crate::table_sync;
 
 const FIRST_RECONNECT: Duration = Duration::from_millis(20);
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -219,18 +219,18 @@
             }
             Body::Status(status) => self.take_status(shared, identity, sender, &status)?,
             Body::TableHeld(held) => {
-                table_desk::note_holder(shared, &identity.host, Revision(held.revision));
+                table_sync::note_holder(shared, &identity.host, Revision(held.revision));
             }
-            Body::TableProgress(progress) => table_desk::take_progress(shared, &progress),
-            Body::TableSnapshot(snapshot) => table_desk::take_snapshot(shared, &snapshot)?,
-            Body::TableEdit(edit) => table_desk::take_edit(shared, sender, &edit)?,
-            Body::TablePull(_) => table_desk::send_snapshot(shared, sender),
+            Body::TableProgress(progress) => table_sync::take_progress(shared, &progress),
+            Body::TableSnapshot(snapshot) => table_sync::take_snapshot(shared, &snapshot)?,
+            Body::TableEdit(edit) => table_sync::take_edit(shared, sender, &edit)?,
+            Body::TablePull(_) => table_sync::send_snapshot(shared, sender),
             Body::BillHeld(held) => {
                 let request = request_from_wire(&held.request)?;
                 self.waiters.lock().bill_held(&request);
             }
             Body::BillOrphans(orphans) => {
-                bill_desk::adopt(shared, &identity.host, &orphans.records)?;
+                billing::adopt(shared, &identity.host, &orphans.records)?;
             }
             _ => return Err(WireError::BadField("a message that only entries send")),
         }
@@ -266,9 +266,9 @@
                 held.serves = serves;
             }
         });
-        guard_desk::take_evidence(shared, &identity.host, &status.evidence)?;
-        table_desk::note_holder(shared, &identity.host, revision);
-        table_desk::compare(shared, sender, revision);
+        holds::take_evidence(shared, &identity.host, &status.evidence)?;
+        table_sync::note_holder(shared, &identity.host, revision);
+        table_sync::compare(shared, sender, revision);
         Ok(())
     }
 
--- a/crates/entry/src/operators/table_routes.rs
+++ b/crates/entry/src/operators/table_routes.rs
@@ -21,8 +21,8 @@
 
 use super::routes::OperatorError;
 use crate::shared::Shared;
-use crate::table_desk;
-use crate::table_desk::InForce;
+use crate::table_sync;
+use crate::table_sync::InForce;
 
 type Entry = State<Arc<Shared>>;
 
@@ -73,8 +73,8 @@
         let error = format!("not an edit: {error}");
         (Status::BadRequest, Json(EditRefusal { error, conflicts: Vec::new() }))
     })?;
-    let (committed, is_held) = table_desk::commit(entry, &edit).await.map_err(refusal)?;
-    let progress = table_desk::in_force(entry, committed.revision);
+    let (committed, is_held) = table_sync::commit(entry, &edit).await.map_err(refusal)?;
+    let progress = table_sync::in_force(entry, committed.revision);
     let (http_status, status) = if is_held {
         (Status::Ok, EditStatus::Accepted)
     } else {
@@ -96,7 +96,7 @@
 
 #[get("/v1/table/progress?<revision>")]
 fn progress(_key: OperatorsKey, entry: &Entry, revision: u64) -> Json<InForce> {
-    Json(table_desk::in_force(entry, Revision(revision)))
+    Json(table_sync::in_force(entry, Revision(revision)))
 }
 
 fn refusal(error: CommitError) -> (Status, Json<EditRefusal>) {
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -17,7 +17,7 @@
 use tokio::task::JoinSet;
 
 use crate::background;
-use crate::bill_desk;
+use crate::billing;
 use crate::callers;
 use crate::operators;
 use crate::shared::Shared;
@@ -139,7 +139,7 @@
         }
         let mut unconfirmed = None;
         loop {
-            bill_desk::flush(&self.shared, &mut unconfirmed).await;
+            billing::flush(&self.shared, &mut unconfirmed).await;
             if unconfirmed.is_none() && self.shared.bills.lock().held.is_empty() {
                 return;
             }
--- a/crates/entry/src/ratings.rs
+++ b/crates/entry/src/ratings.rs
@@ -11,7 +11,7 @@
 use stallhoist_wire::messages::Rated;
 use stallhoist_wire::messages::frame::Body;
 
-use crate::cascade_desk;
+use crate::learners;
 use crate::request::Order;
 use crate::shared::Shared;
 
@@ -41,11 +41,11 @@
     }
     let table = shared.table.current();
     let row = table.as_ref().and_then(|table| table.row(&order.workspace, &order.target));
-    let Some(model) = cascade_desk::model_of(&order.target) else {
+    let Some(model) = learners::model_of(&order.target) else {
         return false;
     };
     let may_cascade = row.is_some_and(|row| row.cascade_place > 0);
-    may_cascade && shared.cascades.lock().learner(&order.kind()).is_unknown(model)
+    may_cascade && shared.learners.lock().learner(&order.kind()).is_unknown(model)
 }
 
 /// Has an answer rated and counted; whether it is good, if the rater says so.
@@ -61,11 +61,11 @@
     let request = order.request;
     let rating = RatingRequest { request, version: version.clone(), answer };
     let Ok(rating) = shared.platform.rate(&rating).await else {
-        shared.cascades.lock().rater_failed(shared.now());
+        shared.learners.lock().rater_failed(shared.now());
         return None;
     };
     let is_good = rating.score >= GOOD_SCORE;
-    shared.cascades.lock().learner(&order.kind()).rated(&version.model, is_good);
+    shared.learners.lock().learner(&order.kind()).rated(&version.model, is_good);
     let rated = Rated { target: order.target.to_string(), poor: !is_good };
     if let Some(link) = shared.links.get(host) {
         let _ = link.try_send(Body::Rated(rated));
--- a/crates/entry/src/request/execution.rs
+++ b/crates/entry/src/request/execution.rs
@@ -10,7 +10,6 @@
 use stallhoist_core::AttemptNumber;
 use stallhoist_core::BillRecord;
 use stallhoist_core::HostId;
-use stallhoist_core::IncarnationId;
 use stallhoist_core::NotRunReason;
 use stallhoist_policy::placement::Choice;
 use stallhoist_policy::retry::AttemptFacts;
@@ -19,23 +18,21 @@
 use stallhoist_wire::bill_from_wire;
 use stallhoist_wire::messages::AttemptFate;
 use stallhoist_wire::messages::Attest;
-use stallhoist_wire::messages::Cancel;
 use stallhoist_wire::messages::Chunk;
 use stallhoist_wire::messages::Final;
 use stallhoist_wire::messages::FinalKind;
-use stallhoist_wire::messages::Refusal;
 use stallhoist_wire::messages::ResponseHead;
 use stallhoist_wire::messages::Resume;
 use stallhoist_wire::messages::frame::Body;
-use tokio::sync::mpsc::UnboundedReceiver;
 
 use super::EndKind;
 use super::Ending;
 use super::Order;
+use super::attempt::Attempt;
+use super::attempt_end::AttemptEnd;
 use super::place::place;
-use crate::bill_desk;
+use crate::billing;
 use crate::mesh::AttemptEvent;
-use crate::mesh::Link;
 use crate::shared::Shared;
 
 /// When to come back after there was nobody to ask.
@@ -60,44 +57,6 @@
     pub(crate) parts: Vec<Bytes>,
 }
 
-/// What an attempt has come to, when it goes no further.
-enum AttemptEnd {
-    Refused { reason: NotRunReason, retry_after: Duration },
-    UpstreamError { detail: EndKind },
-    Truncated { detail: String },
-    Unknown,
-}
-
-/// The attempt in progress.
-struct Attempt {
-    id: AttemptId,
-    host: HostId,
-    link: Arc<Link>,
-    /// The life of the sidecar that the attempt was sent to.
-    incarnation: IncarnationId,
-    events: UnboundedReceiver<AttemptEvent>,
-    head: Option<ResponseHead>,
-    next_sequence: u64,
-    digest: AnswerDigest,
-    error_body: Vec<u8>,
-}
-
-impl Attempt {
-    fn is_error(&self) -> bool {
-        self.head.as_ref().is_some_and(|head| !(200..300).contains(&head.http_status))
-    }
-}
-
-impl Drop for Attempt {
-    /// Nobody listens any more: an attempt that runs is cancelled at once, and the kept
-    /// answer of one that is over is freed.
-    fn drop(&mut self) {
-        self.link.drop_attempt(self.id);
-        let cancel = Cancel { attempt: attempt_to_wire(self.id) };
-        let _ = self.link.try_send(Body::Cancel(cancel));
-    }
-}
-
 /// The run of one request. Dropping it cancels what runs.
 pub(crate) struct Execution {
     shared: Arc<Shared>,
@@ -260,7 +219,7 @@
             AttemptEvent::Head(head) => Ok(self.take_head(head)),
             AttemptEvent::Chunk(chunk) => self.take_chunk(chunk),
             AttemptEvent::Final(last) => self.take_final(*last).await.map(Some),
-            AttemptEvent::Refusal(refusal) => Err(refused(&refusal)),
+            AttemptEvent::Refusal(refusal) => Err(AttemptEnd::refused(&refusal)),
             AttemptEvent::LinkLost => self.recover().await.map(|()| None),
             AttemptEvent::Attestation(fate) => self.take_fate(fate).map(|()| None),
         }
@@ -324,7 +283,7 @@
         self.shared.ejection.lock().succeeded(&host);
         if let Some(record) = last.bill.as_ref().and_then(|bill| bill_from_wire(bill).ok()) {
             self.bill = Some(record.clone());
-            bill_desk::take_in(&self.shared, record, &host).await;
+            billing::take_in(&self.shared, record, &host).await;
         }
         self.served_by = Some(host);
         self.attempt = None;
@@ -373,7 +332,7 @@
 
     /// An attempt goes no further: the request is tried elsewhere or ends.
     fn attempt_ended(&mut self, end: AttemptEnd) -> Option<Step> {
-        let is_proved_not_run = matches!(end, AttemptEnd::Refused { .. });
+        let is_proved_not_run = end.is_proved_not_run();
         if let Some(attempt) = self.attempt.take() {
             self.note_health(&attempt.host, &end);
             self.avoid.insert(attempt.host.clone());
@@ -385,11 +344,11 @@
             is_repeatable: self.order.is_repeatable,
             is_proved_not_run,
             is_delivered: self.is_delivered,
-            has_cost: has_cost(&end),
+            has_cost: end.has_cost(),
             attempts: self.attempts,
             max_attempts: self.shared.settings.retries.max_attempts,
         };
-        let is_final = is_final(&end);
+        let is_final = end.is_final();
         if !is_final && may_retry(facts, || self.shared.retries.lock().take()) {
             self.shared.metrics.retries.inc();
             return None;
@@ -413,7 +372,7 @@
 
     fn note_health(&self, host: &HostId, end: &AttemptEnd) {
         let mut ejection = self.shared.ejection.lock();
-        if has_cost(end) {
+        if end.has_cost() {
             ejection.failed(self.shared.now(), host, &mut rand::rng());
         } else {
             ejection.released(host);
@@ -424,40 +383,3 @@
         Step::End(Ending { kind, attempts: self.attempts })
     }
 }
-
-fn refused(refusal: &Refusal) -> AttemptEnd {
-    AttemptEnd::Refused {
-        reason: NotRunReason::from_code(refusal.reason).unwrap_or(NotRunReason::NoUpstream),
-        retry_after: Duration::from_millis(refusal.retry_after_ms),
-    }
-}
-
-/// Whether the end counts against the upstream and a retry against the budget.
-fn has_cost(end: &AttemptEnd) -> bool {
-    match end {
-        AttemptEnd::Refused { reason, .. } => *reason == NotRunReason::UpstreamUnreachable,
-        AttemptEnd::UpstreamError { detail: EndKind::UpstreamError { http_status, .. } } => {
-            *http_status >= 500
-        }
-        AttemptEnd::UpstreamError { .. } | AttemptEnd::Truncated { .. } | AttemptEnd::Unknown => {
-            true
-        }
-    }
-}
-
-/// Whether no other upstream would say otherwise.
-fn is_final(end: &AttemptEnd) -> bool {
-    match end {
-        AttemptEnd::Refused { reason, .. } => matches!(
-            reason,
-            NotRunReason::NotAllowed
-                | NotRunReason::Withdrawn
-                | NotRunReason::Draining
-                | NotRunReason::DeadlinePassed
-        ),
-        AttemptEnd::UpstreamError { detail: EndKind::UpstreamError { http_status, .. } } => {
-            *http_status < 500
-        }
-        _ => false,
-    }
-}
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -1,5 +1,7 @@
 //! A request from its order to its end.
 
+mod attempt;
+mod attempt_end;
 mod ending;
 mod execution;
 mod order;
--- a/crates/entry/src/request/order.rs
+++ b/crates/entry/src/request/order.rs
@@ -17,7 +17,7 @@
 use stallhoist_wire::messages::Prefix;
 use stallhoist_wire::messages::Probe;
 
-use crate::cascade_desk::WorkKind;
+use crate::learners::WorkKind;
 
 /// What earlier models of a cascade used for a request, and the attempts they took.
 #[derive(Debug, Clone, Copy, Default)]
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -29,8 +29,8 @@
 use stallhoist_wire::messages::Status;
 use tokio::sync::watch;
 
-use crate::bill_desk::BillDesk;
-use crate::cascade_desk::CascadeDesk;
+use crate::billing::PendingBills;
+use crate::learners::Learners;
 use crate::mesh::Links;
 use crate::metrics::Metrics;
 use crate::session::SessionKeys;
@@ -49,13 +49,13 @@
     pub(crate) claims: ClaimStore,
     pub(crate) ledger: Ledger,
     pub(crate) links: Links,
-    pub(crate) bills: Mutex<BillDesk>,
+    pub(crate) bills: Mutex<PendingBills>,
     /// The highest revision each host is known to have in force.
     pub(crate) holders: watch::Sender<HashMap<HostId, Revision>>,
     pub(crate) retries: Mutex<RetryBudget>,
     pub(crate) ejection: Mutex<Ejection>,
     pub(crate) guard: Mutex<Guard>,
-    pub(crate) cascades: Mutex<CascadeDesk>,
+    pub(crate) learners: Mutex<Learners>,
     /// Claims that may stand in the store though nothing ran for them.
     pub(crate) unreleased: Mutex<Vec<PendingClaim>>,
     pub(crate) metrics: Metrics,
@@ -97,7 +97,7 @@
             retries: Mutex::new(RetryBudget::new(retries.budget_percent, retries.burst)),
             ejection: Mutex::new(Ejection::new(ejection)),
             guard: Mutex::new(Guard::new(GuardConfig::default())),
-            cascades: Mutex::default(),
+            learners: Mutex::default(),
             unreleased: Mutex::default(),
             metrics: Metrics::default(),
             in_flight: AtomicUsize::new(0),
--- a/crates/entry/src/table_desk.rs
+++ b/crates/entry/src/table_sync.rs
@@ -17,12 +17,16 @@
 use stallhoist_table::Table;
 use stallhoist_wire::FrameSender;
 use stallhoist_wire::WireError;
+use stallhoist_wire::entry_from_wire;
+use stallhoist_wire::entry_to_wire;
 use stallhoist_wire::messages::TableEdit;
 use stallhoist_wire::messages::TableHeld;
 use stallhoist_wire::messages::TableProgress;
-use stallhoist_wire::messages::TablePull;
 use stallhoist_wire::messages::TableSnapshot;
 use stallhoist_wire::messages::frame::Body;
+use stallhoist_wire::table_from_wire;
+use stallhoist_wire::table_pull;
+use stallhoist_wire::table_to_wire;
 
 use crate::shared::Shared;
 
@@ -143,8 +147,7 @@
     shared: &Arc<Shared>,
     message: &TableSnapshot,
 ) -> Result<(), WireError> {
-    let table: Table = serde_json::from_slice(&message.table_json)
-        .map_err(|_| WireError::BadField("table_json"))?;
+    let table = table_from_wire(message)?;
     install(shared, table);
     Ok(())
 }
@@ -155,8 +158,7 @@
     from: &FrameSender,
     message: &TableEdit,
 ) -> Result<(), WireError> {
-    let entry: LogEntry = serde_json::from_slice(&message.entry_json)
-        .map_err(|_| WireError::BadField("entry_json"))?;
+    let entry = entry_from_wire(message)?;
     match shared.table.apply(&entry) {
         Installed::Newer => {
             announce(shared);
@@ -180,7 +182,7 @@
 
 pub(crate) fn send_snapshot(shared: &Shared, to: &FrameSender) {
     if let Some(table) = shared.table.current() {
-        to.send_or_close(snapshot(&table));
+        to.send_or_close(table_to_wire(&table));
     }
 }
 
@@ -192,7 +194,7 @@
     let Some(table) = shared.table.current() else {
         return;
     };
-    let message = snapshot(&table);
+    let message = table_to_wire(&table);
     for (_, link) in shared.links.all() {
         if link.look(|connected| connected.revision < table.revision) == Some(true) {
             let _ = link.try_send(message.clone());
@@ -208,8 +210,7 @@
 }
 
 fn spread_entry(shared: &Shared, entry: &LogEntry) {
-    let entry_json = serde_json::to_vec(entry).expect("a log entry is plain data");
-    let message = Body::TableEdit(TableEdit { revision: entry.revision.0, entry_json });
+    let message = entry_to_wire(entry);
     let holders = shared.holders.borrow().clone();
     for (host, link) in shared.links.all() {
         if holders.get(&host).is_none_or(|held| *held < entry.revision) {
@@ -219,11 +220,5 @@
 }
 
 fn pull(shared: &Shared, from: &FrameSender) {
-    let held_revision = shared.table.revision().0;
-    from.send_or_close(Body::TablePull(TablePull { held_revision }));
-}
-
-fn snapshot(table: &Table) -> Body {
-    let table_json = serde_json::to_vec(table).expect("the table is plain data");
-    Body::TableSnapshot(TableSnapshot { revision: table.revision.0, table_json })
+    from.send_or_close(table_pull(shared.table.revision()));
 }
--- a/crates/policy/src/admission/controller.rs
+++ b/crates/policy/src/admission/controller.rs
@@ -1,7 +1,5 @@
 //! The admission controller.
 
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
 use std::collections::HashMap;
 use std::hash::Hash;
 use std::time::Duration;
@@ -12,12 +10,13 @@
 use super::AdmissionConfig;
 use super::Estimator;
 use super::Work;
-use super::promises::Promises;
 use super::queue::Queue;
 use super::queue::Waiting;
+use super::reservations::Reservations;
+use super::running::Running;
 
 /// The shortest time a refused caller is told to stay away.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(10);
+pub(super) const MIN_RETRY_AFTER: Duration = Duration::from_millis(10);
 
 /// The answer to an offer of work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -58,29 +57,14 @@
     pub refusal: Option<(NotRunReason, Duration)>,
 }
 
-#[derive(Debug)]
-struct Running {
-    started: MonoTime,
-    uncached_tokens: u64,
-    /// Prompt tokens that the engine has to take in up to this one's first token: its
-    /// own and what is left of those started before.
-    prefill_ahead_tokens: f64,
-    /// The time to its first token, as predicted at its start.
-    predicted_first: Duration,
-    expected_tokens: u64,
-    bound_tokens: u64,
-    made_tokens: u64,
-    last_token: Option<MonoTime>,
-}
-
 /// The admission controller of one upstream.
 #[derive(Debug)]
 pub struct Admission<Id> {
     config: AdmissionConfig,
-    estimator: Estimator,
-    running: HashMap<Id, Running>,
-    queue: Queue<Id>,
-    promises: Promises,
+    pub(super) estimator: Estimator,
+    pub(super) running: HashMap<Id, Running>,
+    pub(super) queue: Queue<Id>,
+    reservations: Reservations,
     /// When the engine will have taken in all prompts that were started.
     prefill_until: MonoTime,
     /// When the last step was seen to end: its other tokens tell nothing new.
@@ -96,7 +80,7 @@
             estimator: Estimator::default(),
             running: HashMap::new(),
             queue,
-            promises: Promises::default(),
+            reservations: Reservations::default(),
             prefill_until: MonoTime::default(),
             last_step_seen: MonoTime::default(),
         }
@@ -113,8 +97,8 @@
     }
 
     /// How many refused callers have a place kept.
-    pub fn promised(&self) -> usize {
-        self.promises.len()
+    pub fn reserved(&self) -> usize {
+        self.reservations.len()
     }
 
     /// How much may run at once, as far as the step time is known.
@@ -131,15 +115,15 @@
 
     /// Offers work.
     pub fn offer(&mut self, now: MonoTime, work: Work<Id>) -> Offer {
-        self.promises.forget_missed(now);
+        self.reservations.forget_missed(now);
         let key = work.key;
         let waiting = self.waiting(now, work);
         let prediction = self.predict_waiting(now, &waiting);
         if let Some((reason, earliest)) = prediction.refusal {
-            let retry_after = self.promise(now, key, reason, earliest);
+            let retry_after = self.reserve(now, key, reason, earliest);
             return Offer::Refused { reason, retry_after };
         }
-        self.promises.keep(key);
+        self.reservations.keep(key);
         if self.has_room() {
             self.start(now, &waiting.work);
             return Offer::Start;
@@ -164,7 +148,7 @@
             self.estimator.observe_wait_error(overdue.predicted_wait, waited);
             let earliest = self.drain_time(now);
             let retry_after =
-                self.promise(now, overdue.work.key, NotRunReason::Overloaded, earliest);
+                self.reserve(now, overdue.work.key, NotRunReason::Overloaded, earliest);
             decisions.push(Next::Refused { id: overdue.work.id, retry_after });
         }
         while self.has_free_place()
@@ -287,11 +271,11 @@
         let after_first = service.saturating_sub(own_first);
         let latest = MonoTime(work.deadline.0.saturating_sub(after_first.as_micros() as u64));
         let first_token_due = latest.min(now.after(self.config.first_token_target));
-        let is_promised = self.promises.is_due(now, work.key);
+        let is_reserved = self.reservations.is_due(now, work.key);
         Waiting {
             work,
             first_token_due,
-            is_promised,
+            is_reserved,
             predicted_wait: Duration::ZERO,
             own_first: own_first + margin,
             service,
@@ -301,11 +285,11 @@
     fn predict_waiting(&self, now: MonoTime, waiting: &Waiting<Id>) -> Prediction {
         let position = self.queue.position(now, waiting);
         let mut wait = self.wait_at(now, position, 0);
-        if !waiting.is_promised {
-            // Places promised to others up to then go first.
-            let promised = self.promises.places_until(now.after(wait));
-            if promised > 0 {
-                wait = self.wait_at(now, position, promised);
+        if !waiting.is_reserved {
+            // Places reserved to others up to then go first.
+            let reserved = self.reservations.places_until(now.after(wait));
+            if reserved > 0 {
+                wait = self.wait_at(now, position, reserved);
             }
         }
         let batch = self.concurrency().min(self.running.len() + 1);
@@ -314,8 +298,8 @@
         let first_token = wait + prefill_left + own;
         let budget = waiting.first_token_due.since(now);
         let mut margin = self.estimator.first_token_margin();
-        if waiting.is_promised {
-            // A kept promise goes before the margin, which newcomers pay for.
+        if waiting.is_reserved {
+            // A kept reservation goes before the margin, which newcomers pay for.
             margin = Duration::ZERO;
         } else if !wait.is_zero() {
             margin += self.estimator.wait_margin();
@@ -323,7 +307,7 @@
         let budget = budget.saturating_sub(margin);
         let is_full = self.queue.len() >= self.config.max_queue_len_requests;
         let is_crowded = (!wait.is_zero() && is_full)
-            || (!waiting.is_promised && self.delays_another(now, waiting, position));
+            || (!waiting.is_reserved && self.delays_another(now, waiting, position));
         let refusal = if waiting.work.deadline <= now {
             Some((NotRunReason::DeadlinePassed, MIN_RETRY_AFTER))
         } else if first_token > budget && self.estimator.has_learnt() {
@@ -337,83 +321,8 @@
         Prediction { first_token, refusal }
     }
 
-    /// Whether work that goes before others in the queue would make one of them late.
-    fn delays_another(&self, now: MonoTime, waiting: &Waiting<Id>, position: usize) -> bool {
-        if position >= self.queue.len() {
-            return false;
-        }
-        let mut free_at = self.places(now);
-        let mut take = |waiting: &Waiting<Id>| {
-            let Reverse(free) = free_at.pop().unwrap_or_default();
-            free_at.push(Reverse(free + waiting.service));
-            free
-        };
-        let before = self.queue.iter().take(position);
-        before.for_each(|other| {
-            take(other);
-        });
-        take(waiting);
-        let mut after = self.queue.iter().skip(position);
-        after.any(|other| now.after(take(other)) > other.latest_start())
-    }
-
-    /// How long work at a place in the queue waits for its start: running work frees
-    /// its places as it ends, and what waits before takes them in order, and so do
-    /// `promised` places of mean length.
-    fn wait_at(&self, now: MonoTime, position: usize, promised: usize) -> Duration {
-        let free = self.concurrency().saturating_sub(self.running.len());
-        if position + promised < free {
-            return Duration::ZERO;
-        }
-        let mut free_at = self.places(now);
-        let mean = self.estimator.mean_service(self.concurrency());
-        let promised = std::iter::repeat_n(mean, promised);
-        let ahead = self.queue.iter().take(position).map(|waiting| waiting.service);
-        for service in ahead.chain(promised) {
-            let Reverse(free) = free_at.pop().unwrap_or_default();
-            free_at.push(Reverse(free + service));
-        }
-        let Reverse(free) = free_at.pop().unwrap_or_default();
-        free
-    }
-
-    /// When each place is free.
-    fn places(&self, now: MonoTime) -> BinaryHeap<Reverse<Duration>> {
-        let batch = self.concurrency();
-        let running = self.running.values().map(|r| Reverse(self.time_left(now, r, batch)));
-        let mut free_at: BinaryHeap<_> = running.collect();
-        for _ in self.running.len()..batch {
-            free_at.push(Reverse(Duration::ZERO));
-        }
-        for _ in batch..self.running.len() {
-            free_at.pop();
-        }
-        free_at
-    }
-
-    fn time_left(&self, now: MonoTime, running: &Running, batch: usize) -> Duration {
-        if running.bound_tokens == 0 {
-            let service = self.estimator.service(0, 0, batch);
-            return service.saturating_sub(now.since(running.started));
-        }
-        let step = self.estimator.steps().step(batch);
-        if running.last_token.is_none() {
-            // It may come as one piece: only time tells how far it is.
-            let service =
-                self.estimator.service(running.uncached_tokens, running.expected_tokens, batch);
-            return service.saturating_sub(now.since(running.started)).max(step);
-        }
-        let left = self.estimator.tokens_left(running.bound_tokens, running.made_tokens);
-        step * u32::try_from(left).unwrap_or(u32::MAX)
-    }
-
-    /// How long until all that waits now has started.
-    fn drain_time(&self, now: MonoTime) -> Duration {
-        self.wait_at(now, self.queue.len(), 0).max(MIN_RETRY_AFTER)
-    }
-
     /// Keeps a place for refused work and gives its time.
-    fn promise(
+    fn reserve(
         &mut self,
         now: MonoTime,
         key: u64,
@@ -426,6 +335,6 @@
         let batch = self.concurrency();
         let places = u32::try_from(batch).unwrap_or(u32::MAX).max(1);
         let spacing = self.estimator.mean_service(batch) / places;
-        self.promises.give(now, key, earliest, spacing)
+        self.reservations.give(now, key, earliest, spacing)
     }
 }
--- a/crates/policy/src/admission/mod.rs
+++ b/crates/policy/src/admission/mod.rs
@@ -8,9 +8,11 @@
 mod config;
 mod controller;
 mod estimator;
+mod forecast;
 mod prediction_error;
-mod promises;
 mod queue;
+mod reservations;
+mod running;
 mod step_model;
 mod work;
 
--- a/crates/policy/src/admission/queue.rs
+++ b/crates/policy/src/admission/queue.rs
@@ -13,7 +13,7 @@
     pub(crate) work: Work<Id>,
     pub(crate) first_token_due: MonoTime,
     /// Whether a place was kept for it: then it goes before all that have none.
-    pub(crate) is_promised: bool,
+    pub(crate) is_reserved: bool,
     /// The wait that was predicted when it came.
     pub(crate) predicted_wait: Duration,
     /// Predicted time from its start to its first token.
@@ -93,7 +93,7 @@
     }
 
     fn rank(&self, now: MonoTime, waiting: &Waiting<Id>) -> (bool, u64) {
-        (!waiting.is_promised, self.rank_in_order(now, waiting))
+        (!waiting.is_reserved, self.rank_in_order(now, waiting))
     }
 
     fn rank_in_order(&self, now: MonoTime, waiting: &Waiting<Id>) -> u64 {
--- a/crates/sidecar/src/background.rs
+++ b/crates/sidecar/src/background.rs
@@ -13,7 +13,7 @@
 use crate::answer::Answer;
 use crate::attempts;
 use crate::shared::Shared;
-use crate::table_spread;
+use crate::table_sync;
 
 const SWEEP_EVERY: Duration = Duration::from_millis(250);
 const CACHE_POLL_EVERY: Duration = Duration::from_millis(250);
@@ -56,7 +56,7 @@
         sweep_answers(&shared);
         offer_orphans(&shared);
         if shared.progress_changed.swap(false, Ordering::SeqCst) {
-            table_spread::report_progress(&shared);
+            table_sync::report_progress(&shared);
         }
         show_gauges(&shared);
     }
--- a/crates/sidecar/src/connection.rs
+++ b/crates/sidecar/src/connection.rs
@@ -25,7 +25,7 @@
 use crate::attempts;
 use crate::peers::Peer;
 use crate::shared::Shared;
-use crate::table_spread;
+use crate::table_sync;
 
 /// Takes connections until the process ends.
 pub(crate) async fn accept_all(shared: Arc<Shared>, listener: TcpListener) {
@@ -113,13 +113,13 @@
         }
         Body::TableSnapshot(snapshot) => {
             shared.peers.lock().note_revision(peer, Revision(snapshot.revision));
-            table_spread::take_snapshot(shared, &snapshot)?;
+            table_sync::take_snapshot(shared, &snapshot)?;
         }
         Body::TableEdit(edit) => {
             shared.peers.lock().note_revision(peer, Revision(edit.revision));
-            table_spread::take_edit(shared, sender, &edit)?;
+            table_sync::take_edit(shared, sender, &edit)?;
         }
-        Body::TablePull(_) => table_spread::send_snapshot(shared, sender),
+        Body::TablePull(_) => table_sync::send_snapshot(shared, sender),
         Body::BillHold(hold) => hold_bill(shared, sender, &hold)?,
         Body::Rated(rated) => {
             let target = rated.target.parse().map_err(|_| WireError::BadField("target"))?;
@@ -133,7 +133,7 @@
 
 fn note_revision(shared: &Shared, sender: &FrameSender, peer: IncarnationId, theirs: Revision) {
     shared.peers.lock().note_revision(peer, theirs);
-    table_spread::compare(shared, sender, theirs);
+    table_sync::compare(shared, sender, theirs);
 }
 
 fn hold_bill(shared: &Shared, sender: &FrameSender, hold: &BillHold) -> Result<(), WireError> {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -20,7 +20,7 @@
 mod peers;
 mod process;
 mod shared;
-mod table_spread;
+mod table_sync;
 mod upstream;
 
 pub use evidence::Evidence;
--- a/crates/sidecar/src/table_spread.rs
+++ b/crates/sidecar/src/table_sync.rs
@@ -1,26 +1,25 @@
 //! Spreading the table among the entries that are connected.
 
-use std::sync::Arc;
-
 use stallhoist_coordination::Installed;
 use stallhoist_core::Revision;
 use stallhoist_table::LogEntry;
-use stallhoist_table::Table;
 use stallhoist_wire::FrameSender;
 use stallhoist_wire::WireError;
+use stallhoist_wire::entry_from_wire;
 use stallhoist_wire::messages::TableEdit;
 use stallhoist_wire::messages::TableHeld;
 use stallhoist_wire::messages::TableProgress;
-use stallhoist_wire::messages::TablePull;
 use stallhoist_wire::messages::TableSnapshot;
 use stallhoist_wire::messages::frame::Body;
+use stallhoist_wire::table_from_wire;
+use stallhoist_wire::table_pull;
+use stallhoist_wire::table_to_wire;
 
 use crate::shared::Shared;
 
 /// A whole table came.
 pub(crate) fn take_snapshot(shared: &Shared, message: &TableSnapshot) -> Result<(), WireError> {
-    let table: Table = serde_json::from_slice(&message.table_json)
-        .map_err(|_| WireError::BadField("table_json"))?;
+    let table = table_from_wire(message)?;
     if shared.table.install(table) == Installed::Newer {
         announce(shared);
         send_to_older(shared);
@@ -34,8 +33,7 @@
     from: &FrameSender,
     message: &TableEdit,
 ) -> Result<(), WireError> {
-    let entry: LogEntry = serde_json::from_slice(&message.entry_json)
-        .map_err(|_| WireError::BadField("entry_json"))?;
+    let entry = entry_from_wire(message)?;
     match shared.table.apply(&entry) {
         Installed::Newer => {
             announce(shared);
@@ -59,7 +57,7 @@
 
 pub(crate) fn send_snapshot(shared: &Shared, to: &FrameSender) {
     if let Some(table) = shared.table.current() {
-        to.send_or_close(snapshot(&table));
+        to.send_or_close(table_to_wire(&table));
     }
 }
 
@@ -95,7 +93,7 @@
     let Some(table) = shared.table.current() else {
         return;
     };
-    let message = snapshot(&table);
+    let message = table_to_wire(&table);
     for peer in shared.peers.lock().all() {
         if peer.revision < revision {
             let _ = peer.sender.try_send(message.clone());
@@ -104,11 +102,5 @@
 }
 
 fn pull(shared: &Shared, from: &FrameSender) {
-    let held_revision = shared.table.revision().0;
-    from.send_or_close(Body::TablePull(TablePull { held_revision }));
-}
-
-fn snapshot(table: &Arc<Table>) -> Body {
-    let table_json = serde_json::to_vec(table.as_ref()).expect("the table is plain data");
-    Body::TableSnapshot(TableSnapshot { revision: table.revision.0, table_json })
+    from.send_or_close(table_pull(shared.table.revision()));
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,6 +13,7 @@
 mod fleet_key;
 mod handshake;
 mod identity;
+mod table_messages;
 
 /// The generated messages. Made by `cargo run -p stallhoist-wire-codegen`.
 #[allow(missing_docs, clippy::all, clippy::pedantic)]
@@ -36,3 +37,8 @@
 pub use handshake::Side;
 pub use handshake::handshake;
 pub use identity::Identity;
+pub use table_messages::entry_from_wire;
+pub use table_messages::entry_to_wire;
+pub use table_messages::table_from_wire;
+pub use table_messages::table_pull;
+pub use table_messages::table_to_wire;
--- a/src/local/mod.rs
+++ b/src/local/mod.rs
@@ -8,10 +8,9 @@
 use std::path::PathBuf;
 
 use clap::ArgMatches;
+use stallhoist_daemon::StopSignals;
 use stallhoist_telemetry::LogLevel;
 use stallhoist_telemetry::start_logging;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
 
 use crate::commands::say;
 use crate::error::CliError;
@@ -22,7 +21,7 @@
 pub(crate) async fn run(matches: &ArgMatches) -> Result<(), CliError> {
     let level = matches.get_one::<String>("log-level").and_then(|text| text.parse().ok());
     start_logging(level.unwrap_or(LogLevel::Warn));
-    let mut terminate = signal(SignalKind::terminate()).map_err(CliError::Signal)?;
+    let mut stop = StopSignals::listen().map_err(CliError::Signal)?;
     let port = |name| matches.get_one::<u16>(name).copied().unwrap_or_default();
     let ports = LocalPorts { callers: port("callers-port"), operators: port("operators-port") };
     let engines = matches.get_one::<u16>("engines").copied().unwrap_or(1);
@@ -34,10 +33,7 @@
         fs::write(path, json).map_err(cause)?;
     }
     say(format_args!("{addresses}"));
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = tokio::signal::ctrl_c() => {}
-    }
+    stop.wait().await;
     say(format_args!("stopping\n"));
     fleet.stop().await;
     Ok(())
--- a/tests/all/policy.rs
+++ b/tests/all/policy.rs
@@ -291,7 +291,7 @@
         }
     }
     let (id, retry_after) = refused.expect("the queue has an end");
-    assert_eq!(admission.promised(), 1);
+    assert_eq!(admission.reserved(), 1);
     let back = at_ms(0).after(retry_after);
     // What ran and waited has gone on meanwhile.
     let mut now = at_ms(100);
@@ -307,7 +307,7 @@
     }
     let returned = admission.offer(back, work(id, back, 1_000));
     assert!(matches!(returned, Offer::Start | Offer::Queued), "{returned:?}");
-    assert_eq!(admission.promised(), 0);
+    assert_eq!(admission.reserved(), 0);
 }
 
 #[test]
