--- a/tests/all/operators.rs
+++ b/tests/all/operators.rs
@@ -149,3 +149,29 @@
     let refused = stderr(&run(&fleet, &["table", "set", "w/m@v1/weight=7"]).await);
     assert!(refused.contains("status 503"), "{refused}");
 });
+
+/// Runs a command that needs no fleet.
+fn alone(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_stallhoist")).args(args).output().expect("the command runs")
+}
+
+#[test]
+fn check_settings_says_what_starting_would_say() {
+    let example = |name: &str| format!("{}/examples/{name}", env!("CARGO_MANIFEST_DIR"));
+    let right = stdout(&alone(&["check-settings", "entry", &example("entry.jsonc")]));
+    assert!(right.contains("all settings are right"), "{right}");
+    let wrong = stderr(&alone(&["check-settings", "sidecar", &example("entry.jsonc")]));
+    assert!(wrong.contains("key 'callers_addr'") && wrong.contains("unknown field"), "{wrong}");
+}
+
+#[test]
+fn completions_are_printed_for_a_shell() {
+    let bash = stdout(&alone(&["completions", "bash"]));
+    assert!(bash.contains("check-settings"), "{bash}");
+}
+
+#[test]
+fn an_unreachable_endpoint_is_told() {
+    let refused = stderr(&alone(&["dump", "--addr", "http://127.0.0.1:1", "--key", "k"]));
+    assert!(refused.contains("cannot reach the operators' endpoint"), "{refused}");
+}
