--- a/crates/policy/src/retry/ejection.rs
+++ b/crates/policy/src/retry/ejection.rs
@@ -9,7 +9,7 @@
 use stallhoist_core::MonoTime;
 
 /// The pause is doubled at most so often.
-const MAX_DOUBLINGS: u32 = 6;
+const MAX_DOUBLINGS: u32 = 4;
 
 /// When an upstream is left out, and for how long.
 #[derive(Debug, Clone)]
