--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -7,6 +7,8 @@
 #[allow(dead_code, unused_imports)]
 #[path = "../tests/all/harness/mod.rs"]
 mod harness;
+#[path = "support/messages.rs"]
+mod messages;
 #[path = "support/quiet.rs"]
 mod quiet;
 #[path = "support/slope.rs"]
@@ -20,32 +22,21 @@
 use harness::Fleet;
 use harness::Plan;
 use harness::chat_dispatch;
-use harness::edit_of;
 use harness::new_attempt;
 use harness::send;
+use messages::attest;
+use messages::hold;
+use messages::probe;
+use messages::status;
+use messages::table_edit;
 use quiet::quiet;
 use serde_json::Value;
 use slope::Slope;
 use slope::plot;
-use stallhoist_core::AttemptNumber;
-use stallhoist_core::BillRecord;
-use stallhoist_core::CostMicros;
-use stallhoist_core::RequestId;
-use stallhoist_core::Revision;
-use stallhoist_core::TokenCount;
-use stallhoist_core::Usage;
 use stallhoist_measure::ProcessUsage;
 use stallhoist_measure::Report;
-use stallhoist_table::LogEntry;
-use stallhoist_wire::attempt_to_wire;
-use stallhoist_wire::bill_to_wire;
-use stallhoist_wire::messages::Attest;
-use stallhoist_wire::messages::BillHold;
 use stallhoist_wire::messages::Frame;
-use stallhoist_wire::messages::Prefix;
 use stallhoist_wire::messages::Probe;
-use stallhoist_wire::messages::Status;
-use stallhoist_wire::messages::TableEdit;
 use stallhoist_wire::messages::frame::Body;
 
 use prost::Message;
@@ -97,54 +88,6 @@
     Slope { name, unit: "us of processor", points }
 }
 
-fn probe(number: usize) -> Body {
-    Body::Probe(Probe {
-        probe_id: number as u64,
-        target: "m@v1".to_owned(),
-        prompt_tokens: 500,
-        expected_completion_tokens: 120,
-        deadline_ms: 60_000,
-        prefix: Some(Prefix { blocks: 8, block_tokens: 64, mark_hashes: (0..6).collect() }),
-        work_key: number as u64,
-    })
-}
-
-fn record() -> BillRecord {
-    BillRecord {
-        request: RequestId::generate(),
-        attempt_number: AttemptNumber(1),
-        workspace: "workspace-1".parse().expect("a name"),
-        target: "review@v12".parse().expect("a target"),
-        usage: Usage { prompt_tokens: TokenCount(500), completion_tokens: TokenCount(120) },
-        cost_micros: CostMicros(1_240),
-    }
-}
-
-fn hold(_: usize) -> Body {
-    Body::BillHold(BillHold { record: Some(bill_to_wire(&record())) })
-}
-
-fn attest(_: usize) -> Body {
-    Body::Attest(Attest { attempt: attempt_to_wire(new_attempt()) })
-}
-
-fn status(_: usize) -> Body {
-    Body::Status(Status { revision: 1, ..Status::default() })
-}
-
-/// Edits that follow each other: each flips one weight.
-fn table_edit(number: usize, first_revision: u64) -> Body {
-    let (before, after) = if number.is_multiple_of(2) { ("1", "2") } else { ("2", "1") };
-    let revision = first_revision + number as u64;
-    let entry = LogEntry {
-        revision: Revision(revision),
-        committed_unix_ms: 0,
-        edit: edit_of(&[("w/m@v1/weight", before, after)]),
-    };
-    let entry_json = serde_json::to_vec(&entry).expect("an entry is plain data");
-    Body::TableEdit(TableEdit { revision, entry_json })
-}
-
 async fn sidecar_messages() -> Vec<Slope> {
     let fleet = Fleet::start(quiet()).await;
     let mut peer = FakeEntry::connect(fleet.hosts[0].sidecar.addr("entries_addr")).await;
