A refused second leg of a cascade no longer says that the request did not run

Cause, found by reading: the caller got the second leg's ending whenever the first was not whole. Ruled out: the same in a single execution, which counts attempts of which "not run" is not proved.

The first leg's ending stands now when the second is refused and the first may have run. Before: the new test got (503, "not-run"). After: (502, "failed"); the other six cascade tests pass as they stood.

--- a/crates/entry/src/callers/cascade.rs
+++ b/crates/entry/src/callers/cascade.rs
@@ -51,6 +51,10 @@
         Self { order: execution.order.clone(), answer, served_by, prior }
     }
 
+    fn outcome(&self) -> Outcome {
+        self.answer.ending.outcome()
+    }
+
     fn is_whole(&self) -> bool {
         matches!(self.answer.ending.kind, EndKind::Whole)
     }
@@ -92,7 +96,12 @@
     if let Some(host) = &two.served_by {
         ratings::sample(shared, &two.order, host, &two.answer.parts);
     }
-    if one.is_whole() && !two.is_whole() { one } else { two }
+    // The first leg's word stands where it is worth more: a whole answer, or that the
+    // request may have run, which a refusal of the second cannot undo.
+    let is_refused = two.outcome() == Outcome::NotRun;
+    let first_may_have_run = one.outcome() != Outcome::NotRun;
+    let first_stands = (one.is_whole() && !two.is_whole()) || (is_refused && first_may_have_run);
+    if first_stands { one } else { two }
 }
 
 /// Whether the first answer is given. Without the rater's word, what is known of the
--- a/tests/all/cascade.rs
+++ b/tests/all/cascade.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use stallhoist_standins::engine::EngineSwitches;
 use stallhoist_standins::platform::Faults;
 
 use crate::case::case;
@@ -98,3 +99,14 @@
         assert_eq!(answer.target, first.target);
     }
 });
+
+// The first leg was called and failed, the second was refused: the request as a whole did
+// run, so "not run" would be false.
+case!(a_refused_second_leg_does_not_make_the_first_not_run, async {
+    let mut fleet = Fleet::start(plan()).await;
+    fleet.engines[0]
+        .set_switches(EngineSwitches { fail_percent: 100, ..EngineSwitches::default() });
+    fleet.engines.remove(1).stop().await;
+    let answer = send(fleet.caller(0).chat("auto", "x", 4, false)).await.expect("an answer");
+    assert_eq!((answer.status, answer.outcome.as_str()), (502, "failed"), "{answer:?}");
+});
