One piece of code decides who of two processes gets the table

They stand at the table holder now, which both share. Ruled out: joining the handling of edits too, since the roles pass them on differently. The daemons' two `main` functions stay as they are: what they share is in `stallhoist-daemon`, and the rest is names.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -11,6 +11,7 @@
 mod held_bills;
 mod leases;
 mod ledger;
+mod table_exchange;
 mod table_holder;
 mod table_store;
 
--- a/crates/entry/src/mesh/link.rs
+++ b/crates/entry/src/mesh/link.rs
@@ -224,7 +224,7 @@
             Body::TableProgress(progress) => table_sync::take_progress(shared, &progress),
             Body::TableSnapshot(snapshot) => table_sync::take_snapshot(shared, &snapshot)?,
             Body::TableEdit(edit) => table_sync::take_edit(shared, sender, &edit)?,
-            Body::TablePull(_) => table_sync::send_snapshot(shared, sender),
+            Body::TablePull(_) => shared.table.send_snapshot(sender),
             Body::BillHeld(held) => {
                 let request = request_from_wire(&held.request)?;
                 self.waiters.lock().bill_held(&request);
@@ -268,7 +268,7 @@
         });
         holds::take_evidence(shared, &identity.host, &status.evidence)?;
         table_sync::note_holder(shared, &identity.host, revision);
-        table_sync::compare(shared, sender, revision);
+        shared.table.compare(sender, revision);
         Ok(())
     }
 
--- a/crates/entry/src/table_sync.rs
+++ b/crates/entry/src/table_sync.rs
@@ -25,7 +25,6 @@
 use stallhoist_wire::messages::TableSnapshot;
 use stallhoist_wire::messages::frame::Body;
 use stallhoist_wire::table_from_wire;
-use stallhoist_wire::table_pull;
 use stallhoist_wire::table_to_wire;
 
 use crate::shared::Shared;
@@ -164,28 +163,12 @@
             announce(shared);
             spread_entry(shared, &entry);
         }
-        Installed::Gap => pull(shared, from),
+        Installed::Gap => shared.table.pull(from),
         Installed::NotNewer => {}
     }
     Ok(())
 }
 
-/// A sidecar has said which revision it holds: whoever is behind gets the table.
-pub(crate) fn compare(shared: &Shared, peer: &FrameSender, theirs: Revision) {
-    let ours = shared.table.revision();
-    if theirs > ours {
-        pull(shared, peer);
-    } else if theirs < ours {
-        send_snapshot(shared, peer);
-    }
-}
-
-pub(crate) fn send_snapshot(shared: &Shared, to: &FrameSender) {
-    if let Some(table) = shared.table.current() {
-        to.send_or_close(table_to_wire(&table));
-    }
-}
-
 fn install(shared: &Arc<Shared>, table: Table) {
     if shared.table.install(table) != Installed::Newer {
         return;
@@ -218,7 +201,3 @@
         }
     }
 }
-
-fn pull(shared: &Shared, from: &FrameSender) {
-    from.send_or_close(table_pull(shared.table.revision()));
-}
--- a/crates/sidecar/src/attempts.rs
+++ b/crates/sidecar/src/attempts.rs
@@ -28,7 +28,6 @@
 use crate::gate::GateFacts;
 use crate::gate::check_gate;
 use crate::shared::Shared;
-use crate::table_sync;
 use crate::upstream;
 
 /// When to come back after a refusal that only a change elsewhere can lift.
@@ -96,7 +95,7 @@
         }
     }
     if dispatch.revision > shared.table.revision().0 {
-        table_sync::compare(shared, from, stallhoist_core::Revision(dispatch.revision));
+        shared.table.compare(from, stallhoist_core::Revision(dispatch.revision));
     }
     let deadline = now.after(Duration::from_millis(dispatch.deadline_ms));
     let uncached_tokens = uncached_tokens(shared, dispatch.prompt_tokens, dispatch.prefix.as_ref());
--- a/crates/sidecar/src/connection.rs
+++ b/crates/sidecar/src/connection.rs
@@ -119,7 +119,7 @@
             shared.peers.lock().note_revision(peer, Revision(edit.revision));
             table_sync::take_edit(shared, sender, &edit)?;
         }
-        Body::TablePull(_) => table_sync::send_snapshot(shared, sender),
+        Body::TablePull(_) => shared.table.send_snapshot(sender),
         Body::BillHold(hold) => hold_bill(shared, sender, &hold)?,
         Body::Rated(rated) => {
             let target = rated.target.parse().map_err(|_| WireError::BadField("target"))?;
@@ -133,7 +133,7 @@
 
 fn note_revision(shared: &Shared, sender: &FrameSender, peer: IncarnationId, theirs: Revision) {
     shared.peers.lock().note_revision(peer, theirs);
-    table_sync::compare(shared, sender, theirs);
+    shared.table.compare(sender, theirs);
 }
 
 fn hold_bill(shared: &Shared, sender: &FrameSender, hold: &BillHold) -> Result<(), WireError> {
--- a/crates/sidecar/src/table_sync.rs
+++ b/crates/sidecar/src/table_sync.rs
@@ -1,7 +1,6 @@
 //! Spreading the table among the entries that are connected.
 
 use stallhoist_coordination::Installed;
-use stallhoist_core::Revision;
 use stallhoist_table::LogEntry;
 use stallhoist_wire::FrameSender;
 use stallhoist_wire::WireError;
@@ -12,7 +11,6 @@
 use stallhoist_wire::messages::TableSnapshot;
 use stallhoist_wire::messages::frame::Body;
 use stallhoist_wire::table_from_wire;
-use stallhoist_wire::table_pull;
 use stallhoist_wire::table_to_wire;
 
 use crate::shared::Shared;
@@ -39,28 +37,12 @@
             announce(shared);
             pass_on(shared, &entry, message);
         }
-        Installed::Gap => pull(shared, from),
+        Installed::Gap => shared.table.pull(from),
         Installed::NotNewer => {}
     }
     Ok(())
 }
 
-/// A peer has said which revision it holds: whoever is behind gets the table.
-pub(crate) fn compare(shared: &Shared, peer: &FrameSender, theirs: Revision) {
-    let ours = shared.table.revision();
-    if theirs > ours {
-        pull(shared, peer);
-    } else if theirs < ours {
-        send_snapshot(shared, peer);
-    }
-}
-
-pub(crate) fn send_snapshot(shared: &Shared, to: &FrameSender) {
-    if let Some(table) = shared.table.current() {
-        to.send_or_close(table_to_wire(&table));
-    }
-}
-
 /// Tells each connected entry which of them hold the revision that is in force here.
 pub(crate) fn report_progress(shared: &Shared) {
     let revision = shared.table.revision();
@@ -100,7 +82,3 @@
         }
     }
 }
-
-fn pull(shared: &Shared, from: &FrameSender) {
-    from.send_or_close(table_pull(shared.table.revision()));
-}
