--- a/crates/gateway/src/callers/accept.rs
+++ b/crates/gateway/src/callers/accept.rs
@@ -57,8 +57,9 @@
         self.addr
     }
 
-    /// Closes connections that rest now, and the others when their request has ended.
-    pub(crate) fn close_idle(&self) {
+    /// Takes no more connections; closes those that rest now, and the others when their
+    /// request has ended.
+    pub(crate) fn begin_stop(&self) {
         self.close.send_replace(true);
     }
 
@@ -74,8 +75,13 @@
     closing: watch::Receiver<bool>,
     open: Arc<AtomicUsize>,
 ) {
+    let mut told_to_stop = closing.clone();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = told_to_stop.wait_for(|is_closing| *is_closing) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 let counted = OpenConnection::count(&open);
                 let state = Arc::clone(&state);
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -30,7 +30,7 @@
 #[rocket::async_trait]
 impl Handler for Readiness {
     async fn handle<'r>(&self, _: &'r rocket::Request<'_>, _: rocket::Data<'r>) -> Outcome<'r> {
-        if self.0.is_ready() {
+        if self.0.answer_readiness() {
             Outcome::Success(rocket::Response::new())
         } else {
             Outcome::Error(Status::ServiceUnavailable)
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -30,6 +30,12 @@
 /// How often it is looked whether everything has ended.
 const CHECK_EVERY: Duration = Duration::from_millis(20);
 
+/// The platform sends no more callers here after it was told so often that it should not.
+const ANSWERS_UNTIL_LEARNT: usize = 2;
+
+/// How long a connection that was sent here before that may take to arrive.
+const ON_THE_WAY: Duration = Duration::from_millis(200);
+
 /// How long answers that were handed to the operators' server are given to go out.
 const STOP_LINGER: Duration = Duration::from_millis(100);
 
@@ -116,10 +122,22 @@
 }
 
 impl Gateway<Leaving> {
-    /// Waits until the platform has learnt of it, then closes connections at rest.
+    /// Waits until the platform has learnt of it, then takes no more connections and
+    /// closes those at rest.
     pub async fn wait_for_balancer(self) -> Gateway<Draining> {
-        tokio::time::sleep(Duration::from_millis(self.state.settings.stop.lag_ms)).await;
-        self.callers.close_idle();
+        let lag = Duration::from_millis(self.state.settings.stop.lag_ms);
+        let learnt = async {
+            while self.state.not_ready_answers() < ANSWERS_UNTIL_LEARNT {
+                tokio::time::sleep(CHECK_EVERY).await;
+            }
+            tokio::time::sleep(ON_THE_WAY).await;
+        };
+        if tokio::time::timeout(lag, learnt).await.is_err() {
+            log::info!(
+                "the platform did not ask often enough for readiness, draining all the same"
+            );
+        }
+        self.callers.begin_stop();
         log::info!(connections = self.callers.open(); "draining");
         self.into_phase()
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,6 +4,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -43,6 +44,8 @@
     has_members: AtomicBool,
     has_rollouts: AtomicBool,
     is_leaving: AtomicBool,
+    /// How often the platform was told that callers should not be sent here.
+    not_ready_answers: AtomicUsize,
 }
 
 impl GatewayState {
@@ -64,6 +67,7 @@
             has_members: AtomicBool::new(false),
             has_rollouts: AtomicBool::new(false),
             is_leaving: AtomicBool::new(false),
+            not_ready_answers: AtomicUsize::new(0),
             settings,
             dialect,
         }
@@ -73,8 +77,6 @@
         self.clock.now()
     }
 
-    /// The system's own instant of a point in time, to sleep until.
-
     /// The routing configuration in force; none before the first was read.
     pub(crate) fn config(&self) -> Option<Arc<RoutingConfig>> {
         self.config.read().clone()
@@ -108,6 +110,20 @@
             && self.config.read().is_some()
     }
 
+    /// Answers the platform's question whether callers should be sent here.
+    pub(crate) fn answer_readiness(&self) -> bool {
+        let is_ready = self.is_ready();
+        if self.is_leaving() {
+            self.not_ready_answers.fetch_add(1, Ordering::SeqCst);
+        }
+        is_ready
+    }
+
+    /// How often the platform was told so since this entry began to leave.
+    pub(crate) fn not_ready_answers(&self) -> usize {
+        self.not_ready_answers.load(Ordering::SeqCst)
+    }
+
     /// Whether callers should be sent here.
     pub(crate) fn is_ready(&self) -> bool {
         self.is_informed() && !self.is_leaving()
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -149,7 +149,8 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct StopSettings {
-    /// How long callers may still be sent here after readiness has been taken back.
+    /// The longest that callers may still be sent here after readiness has been taken
+    /// back, when the platform does not ask for it.
     pub lag_ms: u64,
     /// How long requests in progress are given after that.
     pub grace_ms: u64,
@@ -157,7 +158,7 @@
 
 impl Default for StopSettings {
     fn default() -> Self {
-        Self { lag_ms: 2_600, grace_ms: 5_200 }
+        Self { lag_ms: 2_700, grace_ms: 5_000 }
     }
 }
 
