An entry that stops, and one that starts, serve what they can

After the final loss of power, entries refused everything for 1.5 s because the one table with records of roll-outs did not answer. Change: the listener stays open until the end; streams are taken for 2.8 s after the signal, plain calls until 1.5 s before the end, the rest is refused with a time to come back. Readiness needs the configuration and the list only; a request that comes before waits up to 0.8 s.

--- a/crates/gateway/src/callers/accept.rs
+++ b/crates/gateway/src/callers/accept.rs
@@ -17,6 +17,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 
 use super::handler::handle;
 use crate::state::GatewayState;
@@ -36,6 +37,7 @@
     addr: SocketAddr,
     close: watch::Sender<bool>,
     open: Arc<AtomicUsize>,
+    accepting: JoinHandle<()>,
 }
 
 impl CallerServer {
@@ -48,8 +50,8 @@
         let addr = listener.local_addr()?;
         let (close, closing) = watch::channel(false);
         let open = Arc::new(AtomicUsize::new(0));
-        tokio::spawn(accept(listener, state, closing, Arc::clone(&open)));
-        Ok(Self { addr, close, open })
+        let accepting = tokio::spawn(accept(listener, state, closing, Arc::clone(&open)));
+        Ok(Self { addr, close, open, accepting })
     }
 
     /// Where it listens.
@@ -57,12 +59,17 @@
         self.addr
     }
 
-    /// Takes no more connections; closes those that rest now, and the others when their
-    /// request has ended.
-    pub(crate) fn begin_stop(&self) {
+    /// Closes connections that rest now, and the others when their request has ended. New
+    /// ones are taken for one request each.
+    pub(crate) fn close_idle(&self) {
         self.close.send_replace(true);
     }
 
+    /// Takes no more connections.
+    pub(crate) fn stop_accepting(&self) {
+        self.accepting.abort();
+    }
+
     /// Connections that are open.
     pub(crate) fn open(&self) -> usize {
         self.open.load(Ordering::SeqCst)
@@ -75,13 +82,8 @@
     closing: watch::Receiver<bool>,
     open: Arc<AtomicUsize>,
 ) {
-    let mut told_to_stop = closing.clone();
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = told_to_stop.wait_for(|is_closing| *is_closing) => return,
-        };
-        match accepted {
+        match listener.accept().await {
             Ok((stream, _)) => {
                 let counted = OpenConnection::count(&open);
                 let state = Arc::clone(&state);
--- a/crates/gateway/src/callers/handler.rs
+++ b/crates/gateway/src/callers/handler.rs
@@ -1,6 +1,7 @@
 //! One request of a caller: checked, forwarded, answered.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::HeaderMap;
@@ -30,10 +31,15 @@
 use crate::routing::RoutingConfig;
 use crate::routing::Workspace;
 use crate::state::GatewayState;
+use crate::state::InProgress;
 
 /// The bytes that each header takes besides its name and value: `: ` and the line's end.
 const HEADER_OVERHEAD_BYTES: usize = 4;
 
+/// How long a request waits at an entry that has just started until it knows the
+/// configuration. Callers give up a request that is not read within a second.
+const WAIT_UNTIL_INFORMED: Duration = Duration::from_millis(800);
+
 /// The urgency of requests whose route and workspace say nothing.
 const DEFAULT_PRIORITY: u8 = 5;
 
@@ -42,9 +48,9 @@
     state: Arc<GatewayState>,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
-    let _counted = InProgress::count(&state);
+    let counted = InProgress::count(&state);
     let mut response = match accept(&state, request).await {
-        Ok(call) => execute(&state, call).await,
+        Ok(call) => execute(&state, call, counted).await,
         Err(rejection) => {
             state.metrics.request_ended(RequestEnd::Rejected);
             if state.decisions.admits(state.now()) {
@@ -62,7 +68,10 @@
 /// Checks a request and reads its body.
 async fn accept(state: &GatewayState, request: Request<Incoming>) -> Result<Call, Rejection> {
     let arrived = state.now();
-    let config = state.config().filter(|_| state.is_informed()).ok_or(Rejection::NotInformed)?;
+    if !state.wait_until_informed(WAIT_UNTIL_INFORMED).await {
+        return Err(Rejection::NotInformed);
+    }
+    let config = state.config().ok_or(Rejection::NotInformed)?;
     let (parts, body) = request.into_parts();
     if head_bytes(&parts) > config.bounds.max_header_bytes {
         return Err(Rejection::HeadTooLarge);
@@ -74,6 +83,9 @@
     // The body may have taken its time: what is decided now is by the newest configuration.
     let config = state.config().unwrap_or(config);
     let route = Arc::clone(find_route(&config, &parts).ok_or(Rejection::NoRoute)?);
+    if !state.takes(route.is_stream) {
+        return Err(Rejection::Stopping);
+    }
     let service_name = route.destination(Call::unit(&head)).cloned().ok_or(Rejection::NoRoute)?;
     let wait = head.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
     let own_priority = workspace.as_ref().and_then(|workspace| workspace.priority);
@@ -137,7 +149,11 @@
     }
 }
 
-async fn execute(state: &Arc<GatewayState>, call: Call) -> Response<AnswerBody> {
+async fn execute(
+    state: &Arc<GatewayState>,
+    call: Call,
+    counted: InProgress,
+) -> Response<AnswerBody> {
     let execution = Execution::new(Arc::clone(state), call);
     let (outcome, execution) = execution.run().await;
     if let Some(execution) = &execution {
@@ -145,7 +161,7 @@
     }
     match outcome {
         Outcome::Whole(reply) => answer::whole(reply),
-        Outcome::Stream(relay) => answer::stream(*relay),
+        Outcome::Stream(relay) => answer::stream(relay, counted),
         Outcome::GivenUp(give_up) => given_up(give_up),
     }
 }
@@ -181,20 +197,3 @@
         "request ended"
     );
 }
-
-/// Counts a request in progress until it is dropped.
-#[derive(Debug)]
-struct InProgress(Arc<GatewayState>);
-
-impl InProgress {
-    fn count(state: &Arc<GatewayState>) -> Self {
-        state.metrics.in_progress.inc();
-        Self(Arc::clone(state))
-    }
-}
-
-impl Drop for InProgress {
-    fn drop(&mut self) {
-        self.0.metrics.in_progress.dec();
-    }
-}
--- a/crates/gateway/src/callers/rejection.rs
+++ b/crates/gateway/src/callers/rejection.rs
@@ -33,8 +33,13 @@
     NoKey,
     /// this entry does not know the configuration yet
     NotInformed,
+    /// this entry is stopping
+    Stopping,
 }
 
+/// When callers of an entry that is stopping are told to come back: elsewhere, at once.
+const ELSEWHERE_AFTER: Duration = Duration::from_millis(50);
+
 /// When callers of an entry that does not know the configuration are told to come back.
 const INFORMED_AFTER: Duration = Duration::from_millis(300);
 
@@ -46,11 +51,12 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
-            Self::NotInformed => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotInformed | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
         };
         let mut response = text(status, &self.to_string());
         match self {
             Self::NotInformed => set_retry_after(&mut response, INFORMED_AFTER),
+            Self::Stopping => set_retry_after(&mut response, ELSEWHERE_AFTER),
             // What follows on the connection may belong to the request that was not read.
             Self::Unreadable(_) | Self::HeadTooLarge | Self::BodyTooLarge | Self::BodyBroken => {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod members;
 mod metrics;
 mod operators;
+pub mod planned_stop;
 mod process;
 mod request;
 mod retry_budgets;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -27,6 +27,10 @@
 /// How often upstreams that have left are forgotten.
 const EXPIRE_EVERY: Duration = Duration::from_millis(100);
 
+/// When the platform does not ask for readiness, callers are taken to be sent elsewhere
+/// after this time.
+const LONGEST_LAG: Duration = Duration::from_millis(2_700);
+
 /// How often it is looked whether everything has ended.
 const CHECK_EVERY: Duration = Duration::from_millis(20);
 
@@ -115,45 +119,51 @@
 
     /// Says that it is not ready any more; requests are still taken.
     pub fn leave(self) -> Gateway<Leaving> {
-        self.state.set_leaving();
+        self.state.begin_stop();
         log::info!(connections = self.callers.open(); "leaving: not ready, still serving");
         self.into_phase()
     }
 }
 
 impl Gateway<Leaving> {
-    /// Waits until the platform has learnt of it, then takes no more connections and
-    /// closes those at rest.
+    /// Waits until the platform has learnt of it, then closes connections at rest.
     pub async fn wait_for_balancer(self) -> Gateway<Draining> {
-        let lag = Duration::from_millis(self.state.settings.stop.lag_ms);
         let learnt = async {
             while self.state.not_ready_answers() < ANSWERS_UNTIL_LEARNT {
                 tokio::time::sleep(CHECK_EVERY).await;
             }
             tokio::time::sleep(ON_THE_WAY).await;
         };
-        if tokio::time::timeout(lag, learnt).await.is_err() {
+        if tokio::time::timeout(LONGEST_LAG, learnt).await.is_err() {
             log::info!(
                 "the platform did not ask often enough for readiness, draining all the same"
             );
         }
-        self.callers.begin_stop();
+        self.callers.close_idle();
         log::info!(connections = self.callers.open(); "draining");
         self.into_phase()
     }
 }
 
 impl Gateway<Draining> {
-    /// Finishes requests in progress and ends, within the grace of the settings.
+    /// Finishes requests in progress and ends, before the platform would kill it.
     pub async fn finish(mut self) {
-        let grace = Duration::from_millis(self.state.settings.stop.grace_ms);
-        let ended = async {
+        let end = self.state.planned_end();
+        while self.state.in_progress() > 0 && self.state.now() < end {
+            tokio::time::sleep(CHECK_EVERY).await;
+        }
+        self.callers.stop_accepting();
+        let answers_out = async {
             while self.callers.open() > 0 {
                 tokio::time::sleep(CHECK_EVERY).await;
             }
         };
-        if tokio::time::timeout(grace, ended).await.is_err() {
-            log::warn!(connections = self.callers.open(); "stopping with requests in progress");
+        if tokio::time::timeout(STOP_LINGER, answers_out).await.is_err() {
+            log::warn!(
+                requests = self.state.in_progress(),
+                connections = self.callers.open();
+                "stopping with work left"
+            );
         }
         self.tasks.abort_all();
         self.readiness.stop(STOP_LINGER).await;
--- a/crates/gateway/src/request/execution.rs
+++ b/crates/gateway/src/request/execution.rs
@@ -93,18 +93,16 @@
 
     /// Makes attempts until one gives the final answer or no more may be made.
     pub(crate) async fn run(mut self) -> (Outcome, Option<Self>) {
-        loop {
-            match self.next_answer().await {
-                Ok(Answer::Whole(reply)) => return (Outcome::Whole(reply), Some(self)),
-                Ok(Answer::Stream(stream)) => {
-                    self.is_delivered = true;
-                    return (Outcome::Stream(Box::new(Relay::new(self, *stream))), None);
-                }
-                Err(give_up) => match self.failure.take() {
-                    Some(failure) => return (Outcome::Whole(failure), Some(self)),
-                    None => return (Outcome::GivenUp(give_up), Some(self)),
-                },
+        match self.next_answer().await {
+            Ok(Answer::Whole(reply)) => (Outcome::Whole(reply), Some(self)),
+            Ok(Answer::Stream(stream)) => {
+                self.is_delivered = true;
+                (Outcome::Stream(Box::new(Relay::new(self, *stream))), None)
             }
+            Err(give_up) => match self.failure.take() {
+                Some(failure) => (Outcome::Whole(failure), Some(self)),
+                None => (Outcome::GivenUp(give_up), Some(self)),
+            },
         }
     }
 
--- a/crates/gateway/src/rollouts/driver.rs
+++ b/crates/gateway/src/rollouts/driver.rs
@@ -29,6 +29,9 @@
     let mut not_before: HashMap<ServiceName, MonoTime> = HashMap::new();
     loop {
         tokio::time::sleep(CHECK_EVERY).await;
+        if !state.has_rollouts() {
+            continue;
+        }
         let now = state.now();
         let due = state.rollouts.lock().due(now);
         for change in due {
--- a/crates/gateway/src/rollouts/state.rs
+++ b/crates/gateway/src/rollouts/state.rs
@@ -103,9 +103,13 @@
             return VersionRule::any();
         };
         let Some(stored) = rollout.current() else {
-            // An order without a record yet: the new version gets nothing.
+            // An order whose record is not known: the new version gets work only when it is
+            // all there is, as after a roll-out that was completed before this process began.
             return match &rollout.order {
-                Some(order) => except(&order.target),
+                Some(order) => VersionRule {
+                    wanted: VersionFilter::Except(order.target.clone()),
+                    otherwise: Some(VersionFilter::Any),
+                },
                 None => VersionRule::any(),
             };
         };
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -17,10 +17,12 @@
 use stallhoist_policy::retry::RetryBudget;
 use stallhoist_policy::rollout::RolloutConfig;
 use stallhoist_settings::GatewaySettings;
+use tokio::sync::Notify;
 
 use crate::decision_log::DecisionLog;
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
+use crate::planned_stop::PlannedStop;
 use crate::retry_budgets::RetryBudgets;
 use crate::rollouts::Rollouts;
 use crate::routing::RoutingConfig;
@@ -43,7 +45,10 @@
     config: RwLock<Option<Arc<RoutingConfig>>>,
     has_members: AtomicBool,
     has_rollouts: AtomicBool,
-    is_leaving: AtomicBool,
+    /// The planned stop that is under way.
+    stop: Mutex<Option<PlannedStop>>,
+    in_progress: AtomicUsize,
+    informed: Notify,
     /// How often the platform was told that callers should not be sent here.
     not_ready_answers: AtomicUsize,
 }
@@ -66,7 +71,9 @@
             config: RwLock::new(None),
             has_members: AtomicBool::new(false),
             has_rollouts: AtomicBool::new(false),
-            is_leaving: AtomicBool::new(false),
+            stop: Mutex::new(None),
+            in_progress: AtomicUsize::new(0),
+            informed: Notify::new(),
             not_ready_answers: AtomicUsize::new(0),
             settings,
             dialect,
@@ -91,11 +98,14 @@
         self.metrics.config_version.set(i64::try_from(config.version.0).unwrap_or(i64::MAX));
         log::info!(version:% = config.version, routes = config.routes.len(); "configuration in force");
         *current = Some(config);
+        drop(current);
+        self.informed.notify_waiters();
     }
 
     /// The list of upstreams has been read.
     pub(crate) fn set_has_members(&self) {
         self.has_members.store(true, Ordering::SeqCst);
+        self.informed.notify_waiters();
     }
 
     /// The records of roll-outs have been read.
@@ -103,11 +113,28 @@
         self.has_rollouts.store(true, Ordering::SeqCst);
     }
 
+    /// Whether the records of roll-outs have been read.
+    pub(crate) fn has_rollouts(&self) -> bool {
+        self.has_rollouts.load(Ordering::SeqCst)
+    }
+
     /// Whether enough is known to decide about requests.
     pub(crate) fn is_informed(&self) -> bool {
-        self.has_members.load(Ordering::SeqCst)
-            && self.has_rollouts.load(Ordering::SeqCst)
-            && self.config.read().is_some()
+        self.has_members.load(Ordering::SeqCst) && self.config.read().is_some()
+    }
+
+    /// Waits until enough is known, for `longest` at most. Says whether it is.
+    pub(crate) async fn wait_until_informed(&self, longest: Duration) -> bool {
+        let informed = async {
+            loop {
+                let notified = self.informed.notified();
+                if self.is_informed() {
+                    return;
+                }
+                notified.await;
+            }
+        };
+        tokio::time::timeout(longest, informed).await.is_ok()
     }
 
     /// Answers the platform's question whether callers should be sent here.
@@ -129,11 +156,50 @@
         self.is_informed() && !self.is_leaving()
     }
 
+    /// Whether a stop has been asked for.
     pub(crate) fn is_leaving(&self) -> bool {
-        self.is_leaving.load(Ordering::SeqCst)
+        self.stop.lock().is_some()
+    }
+
+    /// A stop is asked for now.
+    pub(crate) fn begin_stop(&self) {
+        let grace = Duration::from_millis(self.settings.stop.grace_ms);
+        *self.stop.lock() = Some(PlannedStop::new(self.now(), grace));
+    }
+
+    /// When a process that was told to stop ends; now if it was not told.
+    pub(crate) fn planned_end(&self) -> MonoTime {
+        let now = self.now();
+        self.stop.lock().map_or(now, |stop| stop.end())
+    }
+
+    /// Whether a new request is still taken.
+    pub(crate) fn takes(&self, is_stream: bool) -> bool {
+        let now = self.now();
+        self.stop.lock().is_none_or(|stop| stop.takes(now, is_stream))
+    }
+
+    /// Requests in progress.
+    pub(crate) fn in_progress(&self) -> usize {
+        self.in_progress.load(Ordering::SeqCst)
     }
+}
+
+/// Counts a request in progress until it is dropped.
+#[derive(Debug)]
+pub(crate) struct InProgress(Arc<GatewayState>);
+
+impl InProgress {
+    pub(crate) fn count(state: &Arc<GatewayState>) -> Self {
+        state.in_progress.fetch_add(1, Ordering::SeqCst);
+        state.metrics.in_progress.inc();
+        Self(Arc::clone(state))
+    }
+}
 
-    pub(crate) fn set_leaving(&self) {
-        self.is_leaving.store(true, Ordering::SeqCst);
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.0.in_progress.fetch_sub(1, Ordering::SeqCst);
+        self.0.metrics.in_progress.dec();
     }
 }
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -149,23 +149,19 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct StopSettings {
-    /// The longest that callers may still be sent here after readiness has been taken
-    /// back, when the platform does not ask for it.
-    pub lag_ms: u64,
-    /// How long requests in progress are given after that.
+    /// The time from the signal to stop until the platform kills the process.
     pub grace_ms: u64,
 }
 
 impl Default for StopSettings {
     fn default() -> Self {
-        Self { lag_ms: 2_700, grace_ms: 5_000 }
+        Self { grace_ms: 8_000 }
     }
 }
 
 impl Checked for StopSettings {
     fn check(&self, problems: &mut Problems) {
-        problems.range("lag_ms", self.lag_ms, 0..=60_000);
-        problems.range("grace_ms", self.grace_ms, 0..=600_000);
+        problems.range("grace_ms", self.grace_ms, 500..=600_000);
     }
 }
 
--- a/crates/telemetry/src/logging.rs
+++ b/crates/telemetry/src/logging.rs
@@ -49,7 +49,8 @@
 /// Starts logging for the whole process. A second call changes nothing.
 pub fn start_logging(level: LogLevel) {
     // Our crates all begin with the project's name; everything else is a library.
-    let spec = format!("warn,stallhoist={level}");
+    // Rocket says at WARN what it does at each start, and at each answer that is no success.
+    let spec = format!("warn,rocket=error,stallhoist={level}");
     let filter = RustLogFilterBuilder::from_spec(spec).build();
     let _ = starter_log::builder()
         .dispatch(|dispatch| {
