A better model is asked only while the engines have time for it

Change: a moving average of the time to the first part against the target lowers the confidence below which a better model is asked, for less urgent requests first; an attempt that timed out is followed by the smallest model. Calls to the store gather changes of 300 ms and are short after a failure, so that a call which a silent store never got is soon given up. Ruled out: too few upstreams known after the restart (14 listed, all used).

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -20,6 +20,13 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 const MAX_PAUSE: Duration = Duration::from_millis(800);
 
+/// After changes came, those of this time are gathered for one call, as each call has a
+/// price. It is a small part of the two seconds in which changes must be in force.
+const GATHER: Duration = Duration::from_millis(300);
+
+/// How long the first call after a failed one waits for news.
+const WAIT_AFTER_FAILURE: Duration = Duration::from_millis(50);
+
 /// How often it is checked whether a roll-out has begun, whose records must be followed.
 const ROLLOUT_CHECK: Duration = Duration::from_millis(50);
 
@@ -60,16 +67,19 @@
 
     /// Follows changes until the store no longer has those that would come next.
     async fn follow_until_gone(&mut self, mut after: StoreVersion) {
-        let wait = Duration::from_millis(self.state.settings.store.follow_wait_ms);
         let mut failures = pauses();
         loop {
             self.wait_until_needed().await;
-            match self.store.follow(self.feed, after, wait).await {
+            match self.store.follow(self.feed, after, self.wait()).await {
                 Ok(page) => {
                     self.reached();
                     failures = pauses();
                     after = page.version;
+                    let has_changes = !page.changes.is_empty();
                     self.take_changes(page);
+                    if has_changes {
+                        tokio::time::sleep(GATHER).await;
+                    }
                 }
                 Err(ControlStoreError::HistoryGone) => {
                     log::warn!(feed:? = self.feed, after:% = after; "the store's history is gone, reading anew");
@@ -83,6 +93,15 @@
         }
     }
 
+    /// How long a call waits for news: not long after a failure, as a call that the store
+    /// never got is only known by its silence.
+    fn wait(&self) -> Duration {
+        if self.is_reached == Some(false) {
+            return WAIT_AFTER_FAILURE;
+        }
+        Duration::from_millis(self.state.settings.store.follow_wait_ms)
+    }
+
     /// Records of roll-outs are followed only while there is one: each call has a price.
     async fn wait_until_needed(&self) {
         while self.feed == Feed::Rollouts && !self.state.rollouts.lock().is_active() {
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -208,6 +208,10 @@
             AttemptEnd::TimedOut => (AttemptResult::TimedOut, Some(Observation::Failed)),
         };
         self.state.metrics.attempt_ended(result);
+        if matches!(end, AttemptEnd::Stream(_) | AttemptEnd::TimedOut) {
+            let (service, target) = (&self.call.service_name, self.call.route.target_latency);
+            self.state.observe_time(service, now.since(started), target);
+        }
         match observation {
             Some(Observation::Answered(_)) => upstreams.succeeded(now, instance),
             Some(Observation::Failed) => upstreams.failed(now, instance),
--- a/crates/gateway/src/request/execution.rs
+++ b/crates/gateway/src/request/execution.rs
@@ -163,11 +163,14 @@
                     self.remember_session(&stream);
                     return Ok(Answer::Stream(stream));
                 }
-                AttemptEnd::Broken(_) | AttemptEnd::TimedOut => {
+                end @ (AttemptEnd::Broken(_) | AttemptEnd::TimedOut) => {
                     self.attempts += 1;
                     self.may_have_run = true;
                     self.tried.push(chosen.instance);
                     self.require_another(false)?;
+                    if matches!(end, AttemptEnd::TimedOut) && !self.is_delivered {
+                        self.models.choose_smallest();
+                    }
                 }
             }
         }
@@ -204,8 +207,9 @@
             && self.models.has_better()
             && self.attempts < self.call.route.max_attempts;
         let priority = self.call.route.priority;
+        let pressure = self.state.pressure(&self.call.service_name);
         is_possible
-            && self.state.step_up.is_step_up(priority, stream.reply_head.confidence)
+            && self.state.step_up.is_step_up(priority, stream.reply_head.confidence, pressure)
             && self.state.retries.lock().take(&self.call.service_name)
     }
 
--- a/crates/gateway/src/request/model_choice.rs
+++ b/crates/gateway/src/request/model_choice.rs
@@ -33,6 +33,11 @@
         self.at + 1 < self.models.len()
     }
 
+    /// Chooses the smallest model: it takes the least time.
+    pub(crate) fn choose_smallest(&mut self) {
+        self.at = 0;
+    }
+
     /// Chooses the best model: the answer of a middle one costs more than it gains.
     pub(crate) fn choose_best(&mut self) {
         self.at = self.models.len().saturating_sub(1);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -2,6 +2,7 @@
 //!
 //! Lock order: no task holds two of these locks at once.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
@@ -12,7 +13,9 @@
 use parking_lot::RwLock;
 use stallhoist_coordination::ProcessClock;
 use stallhoist_core::MonoTime;
+use stallhoist_core::ServiceName;
 use stallhoist_policy::balance::BalanceConfig;
+use stallhoist_policy::cascade::Pressure;
 use stallhoist_policy::cascade::StepUpConfig;
 use stallhoist_policy::retry::RetryBudget;
 use stallhoist_policy::rollout::RolloutConfig;
@@ -39,6 +42,8 @@
     pub(crate) sessions: Mutex<Sessions>,
     pub(crate) retries: Mutex<RetryBudgets>,
     pub(crate) step_up: StepUpConfig,
+    /// How hard pressed the engines of each service are.
+    pub(crate) pressures: Mutex<HashMap<ServiceName, Pressure>>,
     pub(crate) metrics: Metrics,
     pub(crate) decisions: DecisionLog,
     clock: ProcessClock,
@@ -65,6 +70,7 @@
             sessions: Mutex::new(Sessions::new(session_lifetime)),
             retries: Mutex::new(RetryBudgets::new(budget)),
             step_up: StepUpConfig { below_confidence },
+            pressures: Mutex::default(),
             metrics: Metrics::default(),
             decisions: DecisionLog::default(),
             clock: ProcessClock::start(),
@@ -179,6 +185,19 @@
         self.stop.lock().is_none_or(|stop| stop.takes(now, is_stream))
     }
 
+    /// How hard pressed the engines of a service are.
+    pub(crate) fn pressure(&self, service: &ServiceName) -> f64 {
+        let now = self.now();
+        self.pressures.lock().get(service).map_or(0.0, |pressure| pressure.at(now))
+    }
+
+    /// The first part of an answer of a service came, or was given up, after `time`.
+    pub(crate) fn observe_time(&self, service: &ServiceName, time: Duration, target: Duration) {
+        let now = self.now();
+        let mut pressures = self.pressures.lock();
+        pressures.entry(service.clone()).or_default().observe(now, time, target);
+    }
+
     /// Requests in progress.
     pub(crate) fn in_progress(&self) -> usize {
         self.in_progress.load(Ordering::SeqCst)
--- a/crates/policy/src/cascade/mod.rs
+++ b/crates/policy/src/cascade/mod.rs
@@ -8,6 +8,7 @@
 mod learner;
 mod model_stats;
 mod plan;
+mod pressure;
 mod step_up;
 
 pub use learner::CascadeConfig;
@@ -15,4 +16,5 @@
 pub use learner::ModelFacts;
 pub use model_stats::ModelStats;
 pub use plan::Plan;
+pub use pressure::Pressure;
 pub use step_up::StepUpConfig;
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -43,7 +43,7 @@
 
 impl Default for StoreSettings {
     fn default() -> Self {
-        Self { addr: "127.0.0.1:1".to_owned(), follow_wait_ms: 4_000, call_timeout_ms: 1_500 }
+        Self { addr: "127.0.0.1:1".to_owned(), follow_wait_ms: 3_000, call_timeout_ms: 1_200 }
     }
 }
 
