The log goes to standard output, through a bounded queue

Cause: the users collect standard output, and a reader that does not keep up must not hold up a process that serves.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,6 +16,8 @@
 use stallhoist_settings::Checked;
 use stallhoist_settings::SettingsError;
 use stallhoist_telemetry::LogLevel;
+use stallhoist_telemetry::LogOutput;
+use stallhoist_telemetry::flush_logging;
 use stallhoist_telemetry::start_logging;
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
@@ -52,7 +54,7 @@
 /// Fails with all that is wrong with the settings.
 pub fn begin<T: DeserializeOwned + Checked>(matches: &ArgMatches) -> Result<T, SettingsError> {
     let level = matches.get_one::<LogLevel>("log-level").copied().unwrap_or(LogLevel::Info);
-    start_logging(level);
+    start_logging(level, LogOutput::Stdout);
     stallhoist_settings::load(&settings_path(matches))
 }
 
@@ -112,8 +114,15 @@
     }
 }
 
-/// Says why a daemon could not start.
-pub fn fail(name: &str, error: &dyn Error) -> ExitCode {
-    eprintln!("{name}: {error}");
-    ExitCode::FAILURE
+/// Ends a daemon: writes what is left of the log, and says why it could not start or go
+/// on, if so.
+pub fn end(name: &str, result: Result<(), Box<dyn Error>>) -> ExitCode {
+    flush_logging();
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{name}: {error}");
+            ExitCode::FAILURE
+        }
+    }
 }
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -8,5 +8,7 @@
 mod metrics;
 
 pub use logging::LogLevel;
+pub use logging::LogOutput;
+pub use logging::flush_logging;
 pub use logging::start_logging;
 pub use metrics::MetricsPage;
--- a/src/bin/stallhoist-entry.rs
+++ b/src/bin/stallhoist-entry.rs
@@ -6,7 +6,7 @@
 use stallhoist_daemon::StopSignals;
 use stallhoist_daemon::begin;
 use stallhoist_daemon::command;
-use stallhoist_daemon::fail;
+use stallhoist_daemon::end;
 use stallhoist_entry::Entry;
 
 const NAME: &str = "stallhoist-entry";
@@ -14,10 +14,7 @@
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    match run().await {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => fail(NAME, error.as_ref()),
-    }
+    end(NAME, run().await)
 }
 
 async fn run() -> Result<(), Box<dyn Error>> {
--- a/src/bin/stallhoist-gateway.rs
+++ b/src/bin/stallhoist-gateway.rs
@@ -8,7 +8,7 @@
 use stallhoist_daemon::StopSignals;
 use stallhoist_daemon::begin;
 use stallhoist_daemon::command;
-use stallhoist_daemon::fail;
+use stallhoist_daemon::end;
 use stallhoist_gateway::Gateway;
 use stallhoist_settings::GatewaySettings;
 use stallhoist_users_platform::PlatformDialect;
@@ -20,10 +20,7 @@
 /// One thread is enough for an entry's share of a core, and takes less memory.
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> ExitCode {
-    match run().await {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => fail(NAME, error.as_ref()),
-    }
+    end(NAME, run().await)
 }
 
 async fn run() -> Result<(), Box<dyn Error>> {
--- a/src/bin/stallhoist-sidecar.rs
+++ b/src/bin/stallhoist-sidecar.rs
@@ -6,7 +6,7 @@
 use stallhoist_daemon::StopSignals;
 use stallhoist_daemon::begin;
 use stallhoist_daemon::command;
-use stallhoist_daemon::fail;
+use stallhoist_daemon::end;
 use stallhoist_sidecar::Sidecar;
 
 const NAME: &str = "stallhoist-sidecar";
@@ -14,10 +14,7 @@
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    match run().await {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => fail(NAME, error.as_ref()),
-    }
+    end(NAME, run().await)
 }
 
 async fn run() -> Result<(), Box<dyn Error>> {
--- a/src/local/mod.rs
+++ b/src/local/mod.rs
@@ -10,6 +10,7 @@
 use clap::ArgMatches;
 use stallhoist_daemon::StopSignals;
 use stallhoist_telemetry::LogLevel;
+use stallhoist_telemetry::LogOutput;
 use stallhoist_telemetry::start_logging;
 
 use crate::commands::say;
@@ -20,7 +21,7 @@
 /// Starts everything, says where it is, and serves until it is told to stop.
 pub(crate) async fn run(matches: &ArgMatches) -> Result<(), CliError> {
     let level = matches.get_one::<String>("log-level").and_then(|text| text.parse().ok());
-    start_logging(level.unwrap_or(LogLevel::Warn));
+    start_logging(level.unwrap_or(LogLevel::Warn), LogOutput::Stderr);
     let mut stop = StopSignals::listen().map_err(CliError::Signal)?;
     let port = |name| matches.get_one::<u16>(name).copied().unwrap_or_default();
     let ports = LocalPorts { callers: port("callers-port"), operators: port("operators-port") };
--- a/tests/all/harness/process.rs
+++ b/tests/all/harness/process.rs
@@ -38,11 +38,11 @@
             .arg("--settings")
             .arg(&settings_file)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(Stdio::piped())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
             .spawn()
             .expect("the daemon starts");
-        let lines = BufReader::new(child.stderr.take().expect("stderr is piped")).lines();
+        let lines = BufReader::new(child.stdout.take().expect("stdout is piped")).lines();
         let log = Arc::new(Mutex::new(Vec::new()));
         let kept = Arc::clone(&log);
         let (tell, told) = mpsc::channel();
