--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -111,8 +111,9 @@
         log::info!(
             host:% = state.settings.host.id,
             callers_addr:% = callers.addr(),
+            readiness_addr:% = readiness.addr(),
             operators_addr:% = operators.addr();
-            "gateway started"
+            "gateway serves"
         );
         Ok(Self { state, callers, readiness, operators, tasks, phase: PhantomData })
     }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod platform;
 mod proxy;
 mod service;
+pub mod users_platform;
 
 /// How long a stopping stand-in lets what it still writes go out.
 const STOP_LINGER: std::time::Duration = std::time::Duration::from_millis(50);
--- /dev/null
+++ b/crates/standins/src/users_platform/mod.rs
@@ -0,0 +1,13 @@
+//! The users' platform: its store and its upstreams, as their published pages tell.
+
+mod server;
+mod store;
+mod store_state;
+mod upstream;
+mod upstream_behaviour;
+
+pub use store::StoreStandin;
+pub use store_state::StoreFault;
+pub use upstream::Arrival;
+pub use upstream::UpstreamStandin;
+pub use upstream_behaviour::Behaviour;
--- /dev/null
+++ b/crates/standins/src/users_platform/store.rs
@@ -0,0 +1,197 @@
+//! The platform's store.
+
+use std::collections::HashMap;
+use std::future::pending;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::Uri;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
+
+use super::server::Body;
+use super::server::serve;
+use super::store_state::StoreFault;
+use super::store_state::StoreState;
+
+#[derive(Debug)]
+struct Shared {
+    state: Mutex<StoreState>,
+    changed: Notify,
+    started: Instant,
+}
+
+/// The platform's store, on loopback. It ends when dropped.
+#[derive(Debug)]
+pub struct StoreStandin {
+    addr: SocketAddr,
+    shared: Arc<Shared>,
+    _server: JoinSet<()>,
+}
+
+impl StoreStandin {
+    /// Starts an empty store.
+    ///
+    /// # Errors
+    /// Fails when no port can be listened on.
+    pub async fn start() -> io::Result<Self> {
+        let shared = Arc::new(Shared {
+            state: Mutex::default(),
+            changed: Notify::new(),
+            started: Instant::now(),
+        });
+        let of_handler = Arc::clone(&shared);
+        let (addr, server) = serve(move |request| handle(Arc::clone(&of_handler), request)).await?;
+        Ok(Self { addr, shared, _server: server })
+    }
+
+    /// Where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Writes a row, as an operator or an upstream would.
+    pub fn put(&self, table: &str, key: &str, value: Value) {
+        self.shared.state.lock().put(table, key, value);
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Removes a row.
+    pub fn remove(&self, table: &str, key: &str) {
+        self.shared.state.lock().remove(table, key);
+        self.shared.changed.notify_waiters();
+    }
+
+    /// The value of a row.
+    pub fn get(&self, table: &str, key: &str) -> Option<Value> {
+        self.shared.state.lock().get(table, key)
+    }
+
+    /// Brings about a fault, or ends it.
+    pub fn set_fault(&self, fault: Option<StoreFault>) {
+        self.shared.state.lock().fault = fault;
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Drops the history of changes.
+    pub fn forget_history(&self) {
+        self.shared.state.lock().forget_history();
+        self.shared.changed.notify_waiters();
+    }
+
+    /// The paths and queries of all calls so far.
+    pub fn calls(&self) -> Vec<String> {
+        self.shared.state.lock().calls.clone()
+    }
+}
+
+async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> io::Result<Response<Body>> {
+    let (head, body) = request.into_parts();
+    let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+    let query = query_of(&head.uri);
+    let called = head.uri.path_and_query().map(ToString::to_string).unwrap_or_default();
+    shared.state.lock().calls.push(called);
+    let table = query.get("table").cloned().unwrap_or_default();
+    if let Some(answer) = fault(&shared, &table, &body).await {
+        return answer;
+    }
+    match (head.method, head.uri.path()) {
+        (Method::GET, "/api/rows-get") => {
+            let from = query.get("from").cloned().unwrap_or_default();
+            let state = shared.state.lock();
+            Ok(answer(StatusCode::OK, page(&shared, &state, state.read(&table, &from))))
+        }
+        (Method::GET, "/api/rows-feed") => feed(&shared, &table, &query).await,
+        (Method::POST, "/api/rows-tx") => transact(&shared, &body),
+        _ => Ok(answer(StatusCode::NOT_FOUND, Value::Null)),
+    }
+}
+
+/// What a fault makes of a call; none when there is no fault.
+async fn fault(shared: &Shared, table: &str, body: &Bytes) -> Option<io::Result<Response<Body>>> {
+    let fault = shared.state.lock().fault.clone()?;
+    match fault {
+        StoreFault::Status(status) => {
+            let status = StatusCode::from_u16(status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+            Some(Ok(answer(status, Value::Null)))
+        }
+        StoreFault::Silent => pending().await,
+        StoreFault::SilentTable(silent) if silent == table => pending().await,
+        StoreFault::LoseWriteAnswers if !body.is_empty() => {
+            let transaction = serde_json::from_slice(body).unwrap_or_default();
+            shared.state.lock().transact(&transaction);
+            shared.changed.notify_waiters();
+            Some(Err(io::Error::other("the answer is lost")))
+        }
+        StoreFault::SilentTable(_) | StoreFault::LoseWriteAnswers => None,
+    }
+}
+
+async fn feed(
+    shared: &Shared,
+    table: &str,
+    query: &HashMap<String, String>,
+) -> io::Result<Response<Body>> {
+    let number = |name: &str| query.get(name).and_then(|v| v.parse::<u64>().ok()).unwrap_or(0);
+    let after = number("after");
+    let until = tokio::time::Instant::now() + Duration::from_millis(number("wait_ms"));
+    loop {
+        let changed = shared.changed.notified();
+        {
+            let state = shared.state.lock();
+            let Some(rows) = state.changes(table, after) else {
+                return Ok(answer(StatusCode::GONE, Value::Null));
+            };
+            if !rows.is_empty() || tokio::time::Instant::now() >= until {
+                return Ok(answer(StatusCode::OK, page(shared, &state, rows)));
+            }
+        }
+        let _ = tokio::time::timeout_at(until, changed).await;
+        if shared.state.lock().fault.is_some() {
+            return Err(io::Error::other("the store went away"));
+        }
+    }
+}
+
+fn transact(shared: &Shared, body: &Bytes) -> io::Result<Response<Body>> {
+    let transaction: Value = serde_json::from_slice(body)?;
+    let mut state = shared.state.lock();
+    let holds = state.transact(&transaction);
+    let reply = page(shared, &state, Vec::new());
+    drop(state);
+    shared.changed.notify_waiters();
+    let status = if holds { StatusCode::OK } else { StatusCode::PRECONDITION_FAILED };
+    Ok(answer(status, reply))
+}
+
+fn page(shared: &Shared, state: &StoreState, rows: Vec<Value>) -> Value {
+    let now_ms = shared.started.elapsed().as_millis() as u64;
+    json!({ "rows": rows, "more": false, "ver": state.version(), "now_ms": now_ms })
+}
+
+fn answer(status: StatusCode, value: Value) -> Response<Body> {
+    let body = Full::new(Bytes::from(value.to_string()));
+    let mut response = Response::new(body.map_err(|never| match never {}).boxed_unsync());
+    *response.status_mut() = status;
+    response
+}
+
+fn query_of(uri: &Uri) -> HashMap<String, String> {
+    let pairs = uri.query().unwrap_or_default().split('&');
+    let pairs = pairs.filter_map(|pair| pair.split_once('='));
+    pairs.map(|(name, value)| (name.to_owned(), value.to_owned())).collect()
+}
--- /dev/null
+++ b/crates/standins/src/users_platform/store_state.rs
@@ -0,0 +1,124 @@
+//! The rows of the store, their history and its faults.
+
+use std::collections::BTreeMap;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::Value;
+use serde_json::json;
+
+/// What goes wrong with calls to the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreFault {
+    /// Every call is answered with this status; nothing is done.
+    Status(u16),
+    /// No call is answered.
+    Silent,
+    /// Writes are done; their answers are lost.
+    LoseWriteAnswers,
+    /// Calls that concern this table are not answered.
+    SilentTable(String),
+}
+
+#[derive(Debug, Clone)]
+struct Stored {
+    value: Option<Value>,
+    version: u64,
+}
+
+/// The rows of the store: of those that were removed the last version is kept.
+#[derive(Debug, Default)]
+pub(super) struct StoreState {
+    rows: BTreeMap<(String, String), Stored>,
+    version: u64,
+    history_from: u64,
+    pub(super) fault: Option<StoreFault>,
+    pub(super) calls: Vec<String>,
+}
+
+impl StoreState {
+    pub(super) fn version(&self) -> u64 {
+        self.version
+    }
+
+    pub(super) fn put(&mut self, table: &str, key: &str, value: Value) {
+        self.version += 1;
+        self.set(table, key, Some(value));
+    }
+
+    pub(super) fn remove(&mut self, table: &str, key: &str) {
+        self.version += 1;
+        self.set(table, key, None);
+    }
+
+    pub(super) fn get(&self, table: &str, key: &str) -> Option<Value> {
+        self.rows.get(&(table.to_owned(), key.to_owned()))?.value.clone()
+    }
+
+    /// Drops the history: whoever follows must read anew.
+    pub(super) fn forget_history(&mut self) {
+        self.history_from = self.version + 1;
+        self.rows.retain(|_, row| row.value.is_some());
+    }
+
+    /// The rows of a table, as a read answers them.
+    pub(super) fn read(&self, table: &str, from: &str) -> Vec<Value> {
+        let of_table = self.rows.iter().filter(|((t, key), _)| t == table && key.as_str() >= from);
+        of_table.filter(|(_, row)| row.value.is_some()).map(|(key, row)| wire(key, row)).collect()
+    }
+
+    /// The changes of a table after a version; none when the history is gone.
+    pub(super) fn changes(&self, table: &str, after: u64) -> Option<Vec<Value>> {
+        if after + 1 < self.history_from {
+            return None;
+        }
+        let mut changed: Vec<_> =
+            self.rows.iter().filter(|((t, _), row)| t == table && row.version > after).collect();
+        changed.sort_by_key(|(_, row)| row.version);
+        Some(changed.into_iter().map(|(key, row)| wire(key, row)).collect())
+    }
+
+    /// Carries out a transaction; says whether its conditions held.
+    pub(super) fn transact(&mut self, transaction: &Value) -> bool {
+        let list = |name: &str| transaction[name].as_array().cloned().unwrap_or_default();
+        let key_of = |entry: &Value| {
+            let text = |name: &str| entry[name].as_str().unwrap_or_default().to_owned();
+            (text("table"), text("private_key"))
+        };
+        let holds = |entry: &Value| {
+            let row = self.rows.get(&key_of(entry)).filter(|row| row.value.is_some());
+            row.map_or(0, |row| row.version) == entry["ver"].as_u64().unwrap_or(u64::MAX)
+        };
+        if !list("expected_rev").iter().all(holds) {
+            return false;
+        }
+        self.version += 1;
+        for entry in list("put") {
+            let (table, key) = key_of(&entry);
+            let bytes = STANDARD.decode(entry["value"].as_str().unwrap_or_default());
+            let value = bytes.ok().and_then(|bytes| serde_json::from_slice(&bytes).ok());
+            self.set(&table, &key, value);
+        }
+        true
+    }
+
+    fn set(&mut self, table: &str, key: &str, value: Option<Value>) {
+        let row = Stored { value, version: self.version };
+        self.rows.insert((table.to_owned(), key.to_owned()), row);
+    }
+}
+
+fn wire((table, key): &(String, String), row: &Stored) -> Value {
+    match &row.value {
+        Some(value) => json!({
+            "table": table,
+            "part": "",
+            "private_key": key,
+            "value": STANDARD.encode(value.to_string()),
+            "ver": row.version,
+        }),
+        None => json!({
+            "table": table, "part": "", "private_key": key, "ver": row.version, "gone": true,
+        }),
+    }
+}
--- /dev/null
+++ b/crates/standins/src/users_platform/upstream.rs
@@ -0,0 +1,273 @@
+//! An upstream of the platform.
+
+use std::collections::VecDeque;
+use std::future::pending;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body::Frame;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::StreamBody;
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+use serde_json::Value;
+use serde_json::json;
+use tokio::task::JoinSet;
+
+use super::Behaviour;
+use super::server::Body;
+use super::server::serve;
+
+/// A request that reached an upstream.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// Its method, path and query.
+    pub line: String,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+impl Arrival {
+    /// A header's value, empty when it is not there.
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
+    }
+}
+
+#[derive(Debug)]
+struct State {
+    usual: Behaviour,
+    next: VecDeque<Behaviour>,
+    arrivals: Vec<Arrival>,
+    runs: usize,
+    abandoned: usize,
+}
+
+/// An upstream of the platform, on loopback. It ends when dropped.
+#[derive(Debug)]
+pub struct UpstreamStandin {
+    instance: String,
+    addr: SocketAddr,
+    state: Arc<Mutex<State>>,
+    _server: JoinSet<()>,
+}
+
+impl UpstreamStandin {
+    /// Starts an upstream that does the same with each request.
+    ///
+    /// # Errors
+    /// Fails when no port can be listened on.
+    pub async fn start(instance: &str, usual: Behaviour) -> io::Result<Self> {
+        let state =
+            State { usual, next: VecDeque::new(), arrivals: Vec::new(), runs: 0, abandoned: 0 };
+        let state = Arc::new(Mutex::new(state));
+        let of_handler = Arc::clone(&state);
+        let name = instance.to_owned();
+        let (addr, server) =
+            serve(move |request| handle(Arc::clone(&of_handler), name.clone(), request)).await?;
+        Ok(Self { instance: instance.to_owned(), addr, state, _server: server })
+    }
+
+    /// The id of this start of it.
+    pub fn instance(&self) -> &str {
+        &self.instance
+    }
+
+    /// Where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// The entry that it would write into the list.
+    pub fn entry(&self, service: &str, zone: &str, version: &str, state: &str) -> Value {
+        json!({
+            "service": service, "address": self.addr.to_string(), "zone": zone,
+            "version": version, "slots": 8, "state": state, "cold_remaining_ms": 0, "seq": 1,
+        })
+    }
+
+    /// Does these with the next requests, one each; then as usual.
+    pub fn then(&self, behaviours: impl IntoIterator<Item = Behaviour>) {
+        self.state.lock().next.extend(behaviours);
+    }
+
+    /// The requests that reached it.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.state.lock().arrivals.clone()
+    }
+
+    /// How many requests it ran.
+    pub fn runs(&self) -> usize {
+        self.state.lock().runs
+    }
+
+    /// How many requests were abandoned before their answer had ended.
+    pub fn abandoned(&self) -> usize {
+        self.state.lock().abandoned
+    }
+}
+
+/// Counts a request as abandoned unless it is finished.
+struct Running {
+    state: Arc<Mutex<State>>,
+    is_finished: bool,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        if !self.is_finished {
+            self.state.lock().abandoned += 1;
+        }
+    }
+}
+
+async fn handle(
+    state: Arc<Mutex<State>>,
+    instance: String,
+    request: Request<Incoming>,
+) -> io::Result<Response<Body>> {
+    let (head, body) = request.into_parts();
+    let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+    let path = head.uri.path_and_query().map(ToString::to_string).unwrap_or_default();
+    let arrival = Arrival { line: format!("{} {path}", head.method), headers: head.headers, body };
+    let behaviour = take_next(&state, &arrival, &instance);
+    let mut running = Running { state, is_finished: false };
+    let id = arrival.header("request-id").to_owned();
+    match behaviour {
+        Behaviour::Answer { body, after } => {
+            tokio::time::sleep(after).await;
+            running.is_finished = true;
+            Ok(sealed(StatusCode::OK, &id, &body))
+        }
+        Behaviour::Stream { events, pause, confidence, torn_after } => {
+            let from = arrival.header("last-event-id").parse().unwrap_or(0) + 1;
+            let events = Events { next: from, last: events, pause, torn_after, running };
+            Ok(streamed(&id, confidence, events).await)
+        }
+        Behaviour::Hang => pending().await,
+        Behaviour::CutBeforeReply => Err(io::Error::other("cut")),
+        Behaviour::CutBody => Ok(cut_body(&id)),
+        Behaviour::Fail => {
+            Ok(finished(running, sealed(StatusCode::INTERNAL_SERVER_ERROR, &id, "failed")))
+        }
+        Behaviour::NotExecuted => {
+            let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "full");
+            response.headers_mut().insert("not-executed", HeaderValue::from_static("1"));
+            Ok(finished(running, response))
+        }
+        Behaviour::Misdirected => {
+            Ok(finished(running, plain(StatusCode::MISDIRECTED_REQUEST, "another")))
+        }
+        Behaviour::WrongId => Ok(finished(running, sealed(StatusCode::OK, "another-id", "stale"))),
+        Behaviour::NoSeal => {
+            let mut response = sealed(StatusCode::OK, &id, "unsealed");
+            response.headers_mut().remove("response-seal");
+            Ok(finished(running, response))
+        }
+    }
+}
+
+/// Notes a request and says what is done with it. One that is meant for another upstream
+/// is not run.
+fn take_next(state: &Mutex<State>, arrival: &Arrival, instance: &str) -> Behaviour {
+    let mut state = state.lock();
+    state.arrivals.push(arrival.clone());
+    let expected = arrival.header("expect-instance");
+    if !expected.is_empty() && expected != instance {
+        return Behaviour::Misdirected;
+    }
+    let behaviour = state.next.pop_front().unwrap_or_else(|| state.usual.clone());
+    if !matches!(behaviour, Behaviour::NotExecuted | Behaviour::Misdirected) {
+        state.runs += 1;
+    }
+    behaviour
+}
+
+fn finished(mut running: Running, response: Response<Body>) -> Response<Body> {
+    running.is_finished = true;
+    response
+}
+
+fn plain(status: StatusCode, body: &str) -> Response<Body> {
+    let body = Full::new(Bytes::from(body.to_owned()));
+    let mut response = Response::new(body.map_err(|never| match never {}).boxed_unsync());
+    *response.status_mut() = status;
+    response
+}
+
+fn sealed(status: StatusCode, id: &str, body: &str) -> Response<Body> {
+    let mut response = plain(status, body);
+    let headers = response.headers_mut();
+    headers.insert("response-seal", HeaderValue::from_static("seal.1"));
+    if let Ok(id) = HeaderValue::from_str(id) {
+        headers.insert("request-id", id);
+    }
+    response
+}
+
+fn cut_body(id: &str) -> Response<Body> {
+    let pieces = [
+        Ok(Frame::data(Bytes::from_static(b"half of an ans"))),
+        Err(io::Error::other("cut in the middle")),
+    ];
+    let mut response = sealed(StatusCode::OK, id, "");
+    *response.body_mut() = StreamBody::new(stream::iter(pieces)).boxed_unsync();
+    response
+}
+
+struct Events {
+    next: u64,
+    last: u64,
+    pause: Duration,
+    torn_after: Option<u64>,
+    running: Running,
+}
+
+impl Events {
+    async fn next(mut self) -> io::Result<Option<(Frame<Bytes>, Self)>> {
+        if self.next > self.last {
+            self.running.is_finished = true;
+            return Ok(None);
+        }
+        tokio::time::sleep(self.pause).await;
+        let number = self.next;
+        match self.torn_after {
+            Some(last) if number == last + 1 => {
+                self.next += 1;
+                Ok(Some((Frame::data(Bytes::from(format!("id: {number}\nda"))), self)))
+            }
+            Some(last) if number > last + 1 => Err(io::Error::other("torn")),
+            _ => {
+                self.next += 1;
+                let event = format!("id: {number}\ndata: event {number}\n\n");
+                Ok(Some((Frame::data(Bytes::from(event)), self)))
+            }
+        }
+    }
+}
+
+/// As engines do, sends the head together with the first event.
+async fn streamed(id: &str, confidence: Option<u8>, events: Events) -> Response<Body> {
+    tokio::time::sleep(events.pause).await;
+    let mut response = sealed(StatusCode::OK, id, "");
+    let headers = response.headers_mut();
+    headers.insert("content-type", HeaderValue::from_static("text/event-stream"));
+    if let Some(confidence) = confidence {
+        headers.insert("confidence", HeaderValue::from(u16::from(confidence)));
+    }
+    let frames = stream::try_unfold(events, Events::next);
+    *response.body_mut() = StreamBody::new(frames).boxed_unsync();
+    response
+}
--- /dev/null
+++ b/tests/all/gateway/configuration.rs
@@ -0,0 +1,97 @@
+//! The routing configuration: in force soon, never back, and in spite of the store.
+
+use reqwest::Method;
+use serde_json::json;
+use stallhoist_standins::users_platform::Behaviour;
+use stallhoist_standins::users_platform::StoreFault;
+
+use super::world::PLAIN;
+use super::world::World;
+use super::world::config;
+use super::world::send;
+use crate::case::case;
+use crate::harness::wait_until;
+
+async fn world() -> World {
+    World::start(PLAIN, &[Behaviour::answer("done")]).await
+}
+
+async fn wait_for_version(world: &World, version: u64) {
+    wait_until("the configuration is in force", async || {
+        world.dump().await["config_version"] == version
+    })
+    .await;
+}
+
+case!(a_revoked_key_is_refused, async {
+    let world = world().await;
+    let mut next = config(5);
+    next["tenants"][0]["api_keys"] = json!(["another-key"]);
+    world.store.put("op", "config", next);
+    wait_for_version(&world, 5).await;
+    let answer = send(world.request(Method::GET, "/safe/x", "id-1")).await.expect("an answer");
+    assert_eq!(answer.status, 401);
+});
+
+case!(an_older_configuration_is_not_taken, async {
+    let world = world().await;
+    world.store.put("op", "config", config(5));
+    wait_for_version(&world, 5).await;
+    world.store.put("op", "config", config(4));
+    world.store.put("op", "config", config(6));
+    wait_for_version(&world, 6).await;
+    let log = world.metrics().await;
+    assert!(log.contains("stallhoist_config_version 6"), "{log}");
+});
+
+case!(an_unreadable_configuration_leaves_the_last_one_in_force, async {
+    let world = world().await;
+    world.store.put("op", "config", json!({ "version": 9, "routes": [{ "name": 1 }] }));
+    world.store.put("op", "config", config(3));
+    wait_for_version(&world, 3).await;
+    let answer = send(world.request(Method::GET, "/safe/x", "id-1")).await.expect("an answer");
+    assert_eq!(answer.status, 200);
+});
+
+/// While the store is away the last configuration stays in force, and the next one comes
+/// soon after the store is back.
+macro_rules! outage {
+    ($name:ident, $fault:expr) => {
+        case!($name, async {
+            let world = world().await;
+            world.store.set_fault(Some($fault));
+            let answer = send(world.request(Method::GET, "/safe/x", "id-1")).await;
+            assert_eq!(answer.expect("an answer").status, 200);
+            world.store.put("op", "config", config(8));
+            world.store.set_fault(None);
+            wait_for_version(&world, 8).await;
+        });
+    };
+}
+
+outage!(busy_store, StoreFault::Status(503));
+outage!(store_with_too_many_calls, StoreFault::Status(429));
+outage!(silent_store, StoreFault::Silent);
+
+case!(changes_in_a_lost_history_are_read_anew, async {
+    let world = world().await;
+    world.store.set_fault(Some(StoreFault::Status(503)));
+    world.store.put("op", "config", config(8));
+    world.store.forget_history();
+    world.store.set_fault(None);
+    wait_for_version(&world, 8).await;
+    assert!(world.store.calls().iter().filter(|call| call.contains("table=op&part=")).count() >= 2);
+});
+
+// One table that does not answer must not keep an entry from serving.
+case!(an_entry_starts_without_the_records_of_roll_outs, async {
+    let world = world().await;
+    world.store.set_fault(Some(StoreFault::SilentTable("stallhoist-rollouts".to_owned())));
+    let second = super::world::start_gateway(&world.store).await;
+    let http = reqwest::Client::builder().no_proxy().build().expect("a client");
+    wait_until("the second entry is ready", async || {
+        let ready = super::world::readiness(&http, &second.readiness_addr().to_string()).await;
+        ready == 200
+    })
+    .await;
+});
--- /dev/null
+++ b/tests/all/gateway/daemon.rs
@@ -0,0 +1,92 @@
+//! The gateway's daemon as a real process.
+
+use reqwest::Method;
+use serde_json::json;
+use stallhoist_standins::users_platform::Behaviour;
+use stallhoist_standins::users_platform::StoreStandin;
+use stallhoist_standins::users_platform::UpstreamStandin;
+
+use super::world::KEY;
+use super::world::PLAIN;
+use super::world::config;
+use super::world::readiness;
+use super::world::send;
+use crate::case::case;
+use crate::harness::Process;
+use crate::harness::wait_until;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_stallhoist-gateway");
+
+struct Running {
+    process: Process,
+    http: reqwest::Client,
+    _store: StoreStandin,
+    _upstream: UpstreamStandin,
+}
+
+impl Running {
+    async fn start() -> Self {
+        let store = StoreStandin::start().await.expect("the store starts");
+        store.put("op", "config", config(1));
+        let upstream = UpstreamStandin::start("i-0", Behaviour::answer("done")).await;
+        let upstream = upstream.expect("the upstream starts");
+        store.put("servers", "i-0", upstream.entry(PLAIN, "zone-1", "v1", "ready"));
+        let settings = json!({
+            "host": { "id": "entry-1", "zone": "zone-1" },
+            "callers_addr": "127.0.0.1:0",
+            "readiness_addr": "127.0.0.1:0",
+            "readiness_path": "/ready",
+            "operators_addr": "127.0.0.1:0",
+            "store": { "addr": store.addr().to_string() },
+        });
+        let process = Process::start(PROGRAM, &settings.to_string());
+        let http = reqwest::Client::builder().no_proxy().build().expect("a client");
+        let running = Self { process, http, _store: store, _upstream: upstream };
+        let ready_addr = running.process.addr("readiness_addr").to_string();
+        wait_until("the daemon is ready", async || {
+            readiness(&running.http, &ready_addr).await == 200
+        })
+        .await;
+        running
+    }
+
+    async fn ask(&self) -> Option<u16> {
+        let url = format!("http://{}/safe/x", self.process.addr("callers_addr"));
+        let request = self.http.request(Method::GET, url).header("Host", "test.example");
+        let answer = send(request.header("Request-Id", "id-7").bearer_auth(KEY)).await?;
+        Some(answer.status)
+    }
+}
+
+case!(it_serves_and_stops_when_asked, async {
+    let mut running = Running::start().await;
+    assert_eq!(running.ask().await, Some(200));
+    running.process.terminate();
+    let mut ended = || running.process.has_ended_well();
+    wait_until("it has ended well", || std::future::ready(ended() == Some(true))).await;
+});
+
+case!(a_hang_up_ends_nothing, async {
+    let running = Running::start().await;
+    running.process.hang_up();
+    wait_until("it has read its settings", async || {
+        let log = running.process.log();
+        log.iter().any(|line| line.contains("settings read anew"))
+    })
+    .await;
+    assert_eq!(running.ask().await, Some(200));
+});
+
+// An engineer on call has only the log: the end of each request stands there by its id,
+// and no key does.
+case!(the_log_tells_how_a_request_ended_and_no_key, async {
+    let running = Running::start().await;
+    assert_eq!(running.ask().await, Some(200));
+    wait_until("the log tells it", async || {
+        let log = running.process.log();
+        let is_end = |line: &String| line.contains("id-7") && line.contains("request ended");
+        log.iter().any(is_end)
+    })
+    .await;
+    assert!(!running.process.log().iter().any(|line| line.contains(KEY)));
+});
--- /dev/null
+++ b/tests/all/gateway/members.rs
@@ -0,0 +1,106 @@
+//! Upstreams that come, leave, and seem to be gone.
+
+use reqwest::Method;
+use stallhoist_standins::users_platform::Behaviour;
+
+use super::world::PLAIN;
+use super::world::World;
+use super::world::send;
+use crate::case::case;
+use crate::harness::wait_until;
+
+async fn two() -> World {
+    World::start(PLAIN, &[Behaviour::answer("done"), Behaviour::answer("done")]).await
+}
+
+async fn ask(world: &World, count: usize) {
+    for n in 0..count {
+        let request = world.request(Method::GET, "/safe/x", &format!("id-{n}"));
+        assert_eq!(send(request).await.expect("an answer").status, 200);
+    }
+}
+
+async fn wait_for_upstream(world: &World, text: &str) {
+    wait_until("the list says so", async || {
+        let dump = world.dump().await["upstreams"].to_string();
+        dump.contains(text)
+    })
+    .await;
+}
+
+case!(a_draining_upstream_gets_no_new_work, async {
+    let world = two().await;
+    let entry = world.upstreams[0].entry(PLAIN, "zone-1", "v1", "draining");
+    world.store.put("servers", "i-0", entry);
+    wait_for_upstream(&world, "Leaving").await;
+    let before = world.upstreams[0].arrivals().len();
+    ask(&world, 10).await;
+    assert_eq!(world.upstreams[0].arrivals().len(), before);
+});
+
+case!(an_upstream_whose_entry_has_gone_is_used_only_without_another, async {
+    let world = two().await;
+    world.store.remove("servers", "i-0");
+    wait_for_upstream(&world, "Leaving").await;
+    ask(&world, 10).await;
+    assert_eq!(world.upstreams[0].arrivals().len(), 0);
+    world.store.remove("servers", "i-1");
+    wait_until("both are leaving", async || {
+        let dump = world.dump().await["upstreams"].to_string();
+        !dump.contains("Listed")
+    })
+    .await;
+    ask(&world, 1).await;
+});
+
+case!(a_lapsed_upstream_is_used_again_when_it_is_back, async {
+    let world = two().await;
+    world.store.remove("servers", "i-1");
+    world.store.remove("servers", "i-0");
+    let upstream = &world.upstreams[0];
+    world.store.put("servers", "i-0", upstream.entry(PLAIN, "zone-1", "v1", "ready"));
+    wait_for_upstream(&world, "i-0 plain v1").await;
+    ask(&world, 3).await;
+    assert_eq!(world.upstreams[0].runs(), 3);
+});
+
+// Another service has the address now: whoever answers there refuses what is not meant
+// for it, and the request goes elsewhere.
+case!(an_address_that_was_given_away_runs_nothing, async {
+    let world = two().await;
+    let mut entry = world.upstreams[1].entry(PLAIN, "zone-1", "v1", "ready");
+    entry["address"] = world.upstreams[0].addr().to_string().into();
+    world.store.put("servers", "i-1", entry);
+    wait_until("the list says so", async || {
+        let dump = world.dump().await["upstreams"].to_string();
+        let shared = dump.matches(&world.upstreams[0].addr().to_string()).count();
+        shared == 2
+    })
+    .await;
+    ask(&world, 6).await;
+    assert_eq!((world.upstreams[0].runs(), world.upstreams[1].runs()), (6, 0));
+});
+
+case!(a_request_waits_a_moment_for_an_upstream, async {
+    let world = World::start(PLAIN, &[Behaviour::answer("done")]).await;
+    let entry = world.upstreams[0].entry(PLAIN, "zone-1", "v1", "ready");
+    world.store.remove("servers", "i-0");
+    wait_until("nobody is known", async || {
+        world.dump().await["upstreams"].as_array().is_some_and(Vec::is_empty)
+    })
+    .await;
+    let asked = send(world.request(Method::POST, "/once/x", "id-1").body("a body"));
+    let listed = async {
+        tokio::task::yield_now().await;
+        world.store.put("servers", "i-0", entry);
+    };
+    let (answer, ()) = tokio::join!(asked, listed);
+    assert_eq!(answer.expect("an answer").status, 200);
+});
+
+case!(without_upstreams_a_request_is_refused_truly, async {
+    let world = World::start(PLAIN, &[]).await;
+    let request = world.request(Method::POST, "/once/x", "id-1").body("a body");
+    let answer = send(request).await.expect("an answer");
+    assert_eq!((answer.status, answer.header("retry-after")), (503, "0.30"));
+});
--- /dev/null
+++ b/tests/all/gateway/mod.rs
@@ -0,0 +1,13 @@
+//! The gateway on the users' platform: its contracts with callers, upstreams and the
+//! store, each against stand-ins that speak the platform's protocol.
+
+mod attempts;
+mod callers;
+mod configuration;
+mod daemon;
+mod headers;
+mod members;
+mod rollouts;
+mod stops;
+mod streams;
+mod world;
--- /dev/null
+++ b/tests/all/gateway/rollouts.rs
@@ -0,0 +1,129 @@
+//! Roll-outs through the store: one record, whoever acts and whatever is lost.
+
+use serde_json::Value;
+use serde_json::json;
+use stallhoist_standins::users_platform::Behaviour;
+use stallhoist_standins::users_platform::StoreFault;
+
+use super::world::ENGINE;
+use super::world::World;
+use super::world::send;
+use super::world::start_gateway;
+use crate::case::case;
+use crate::harness::wait_until;
+
+const RECORDS: &str = "stallhoist-rollouts";
+
+/// Two upstreams of the old version and one of the new.
+async fn world(new: Behaviour) -> World {
+    let old = Behaviour::stream(2);
+    let world = World::start(ENGINE, &[old.clone(), old, new]).await;
+    let entry = world.upstreams[2].entry(ENGINE, "zone-1", "v2", "ready");
+    world.store.put("servers", "i-2", entry);
+    world
+}
+
+fn order(world: &World, duration_s: f64) {
+    let order = json!({ "service": ENGINE, "target_version": "v2", "duration_s": duration_s });
+    world.store.put("op", &format!("rollout/{ENGINE}"), order);
+}
+
+fn status(world: &World) -> Option<String> {
+    let status = world.store.get("status", &format!("rollout/{ENGINE}"))?;
+    Some(status["state"].as_str()?.to_owned())
+}
+
+async fn wait_for_status(world: &World, state: &str) {
+    wait_until("operators are told", async || status(world).as_deref() == Some(state)).await;
+}
+
+/// Asks until operators are told this state. Gives how many requests there were.
+async fn ask_until(world: &World, state: &str) -> usize {
+    for n in 0..20_000 {
+        if status(world).as_deref() == Some(state) {
+            return n;
+        }
+        let request = world.stream(&format!("id-{n}")).header("Session", format!("session-{n}"));
+        assert_eq!(send(request).await.expect("an answer").status, 200);
+    }
+    panic!("the state is {:?}", status(world));
+}
+
+case!(a_good_version_is_completed, async {
+    let world = world(Behaviour::stream(2)).await;
+    order(&world, 3.0);
+    wait_for_status(&world, "running").await;
+    ask_until(&world, "completed").await;
+    let before = world.upstreams[0].runs() + world.upstreams[1].runs();
+    for n in 0..10 {
+        send(world.stream(&format!("after-{n}"))).await.expect("an answer");
+    }
+    assert_eq!(world.upstreams[0].runs() + world.upstreams[1].runs(), before);
+});
+
+// The bad version's failures are made up for by the old one, and it is given up long
+// before it was to be completed.
+case!(a_bad_version_is_rolled_back, async {
+    let world = world(Behaviour::Fail).await;
+    order(&world, 600.0);
+    wait_for_status(&world, "running").await;
+    let requests = ask_until(&world, "rolled_back").await;
+    let seen = world.upstreams[2].runs();
+    assert!(seen < 25, "{seen} of {requests} requests reached it");
+    for n in 0..50 {
+        send(world.stream(&format!("after-{n}"))).await.expect("an answer");
+    }
+    assert_eq!(world.upstreams[2].runs(), seen);
+});
+
+case!(an_order_is_taken_up_although_the_answers_of_writes_are_lost, async {
+    let world = world(Behaviour::stream(2)).await;
+    world.store.set_fault(Some(StoreFault::LoseWriteAnswers));
+    order(&world, 600.0);
+    wait_for_status(&world, "running").await;
+    let first = world.store.get(RECORDS, ENGINE);
+    world.store.set_fault(None);
+    wait_until("the record is known", async || {
+        let rollouts = world.dump().await["rollouts"].clone();
+        rollouts.as_array().is_some_and(|list| list.len() == 1)
+    })
+    .await;
+    assert_eq!(world.store.get(RECORDS, ENGINE), first, "it was not begun anew");
+});
+
+case!(two_entries_make_one_record, async {
+    let world = world(Behaviour::stream(2)).await;
+    let second = start_gateway(&world.store).await;
+    order(&world, 600.0);
+    wait_for_status(&world, "running").await;
+    let first = world.store.get(RECORDS, ENGINE);
+    let http = reqwest::Client::builder().no_proxy().build().expect("a client");
+    wait_until("the second entry knows the record", async || {
+        let url = format!("http://{}/state", second.operators_addr());
+        let response = http.get(url).send().await.expect("the dump is served");
+        let dump: Value = response.json().await.expect("the dump is JSON");
+        dump["rollouts"].as_array().is_some_and(|list| list.len() == 1)
+    })
+    .await;
+    assert_eq!(world.store.get(RECORDS, ENGINE), first);
+});
+
+// After a restart the record alone says that the bad version gets nothing.
+case!(a_rolled_back_version_stays_out_after_a_restart, async {
+    let mut world = world(Behaviour::Fail).await;
+    order(&world, 600.0);
+    wait_for_status(&world, "running").await;
+    ask_until(&world, "rolled_back").await;
+    world.gateway = start_gateway(&world.store).await;
+    world.wait_until_ready().await;
+    wait_until("the record is known", async || {
+        let rollouts = world.dump().await["rollouts"].clone();
+        rollouts.as_array().is_some_and(|list| list.len() == 1)
+    })
+    .await;
+    let seen = world.upstreams[2].runs();
+    for n in 0..50 {
+        send(world.stream(&format!("after-{n}"))).await.expect("an answer");
+    }
+    assert_eq!(world.upstreams[2].runs(), seen);
+});
--- /dev/null
+++ b/tests/all/gateway/stops.rs
@@ -0,0 +1,64 @@
+//! Planned stops.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use reqwest::Method;
+use stallhoist_standins::users_platform::Behaviour;
+
+use super::world::ENGINE;
+use super::world::PLAIN;
+use super::world::World;
+use super::world::events;
+use super::world::readiness;
+use super::world::send;
+use crate::case::case;
+use crate::harness::wait_until;
+
+fn slow_stream(events: u64) -> Behaviour {
+    Behaviour::Stream {
+        events,
+        pause: Duration::from_millis(100),
+        confidence: None,
+        torn_after: None,
+    }
+}
+
+case!(what_is_in_progress_is_finished, async {
+    let world = World::start(ENGINE, &[slow_stream(20)]).await;
+    let request = world.stream("id-1");
+    let asked = tokio::spawn(send(request));
+    wait_until("the stream runs", async || world.runs() == 1).await;
+    let World { gateway, store, upstreams, .. } = world;
+    gateway.leave().wait_for_balancer().await.finish().await;
+    let answer = asked.await.expect("no panic").expect("an answer");
+    assert_eq!((answer.body, answer.is_whole), (events(1, 20), true));
+    drop((store, upstreams));
+});
+
+case!(a_leaving_entry_serves_but_says_that_it_is_not_ready, async {
+    let world = World::start(PLAIN, &[Behaviour::answer("done")]).await;
+    let request = world.request(Method::GET, "/safe/x", "id-1");
+    let World { gateway, store, upstreams, .. } = world;
+    let http = reqwest::Client::builder().no_proxy().build().expect("a client");
+    let ready_addr = gateway.readiness_addr().to_string();
+    let leaving = gateway.leave();
+    assert_eq!(readiness(&http, &ready_addr).await, 503);
+    let answer = send(request).await.expect("an answer");
+    assert_eq!((answer.status, answer.header("connection")), (200, "close"));
+    drop((leaving, store, upstreams));
+});
+
+// Told twice, the platform sends nobody any more: the rest of the lag is not waited for.
+case!(an_idle_entry_ends_as_soon_as_the_platform_has_learnt, async {
+    let world = World::start(PLAIN, &[Behaviour::answer("done")]).await;
+    let http = reqwest::Client::builder().no_proxy().build().expect("a client");
+    let ready_addr = world.gateway.readiness_addr().to_string();
+    let leaving = world.gateway.leave();
+    let started = Instant::now();
+    for _ in 0..2 {
+        assert_eq!(readiness(&http, &ready_addr).await, 503);
+    }
+    leaving.wait_for_balancer().await.finish().await;
+    assert!(started.elapsed() < Duration::from_millis(2_000), "{:?}", started.elapsed());
+});
--- /dev/null
+++ b/tests/all/gateway/streams.rs
@@ -0,0 +1,138 @@
+//! Event streams: whole, resumed, broken, and by which model.
+
+use std::time::Duration;
+
+use reqwest::Method;
+use stallhoist_standins::users_platform::Behaviour;
+
+use super::world::ENGINE;
+use super::world::World;
+use super::world::events;
+use super::world::send;
+use crate::case::case;
+
+const EVENTS: u64 = 6;
+
+fn torn_after(last: u64) -> Behaviour {
+    Behaviour::Stream {
+        events: EVENTS,
+        pause: Duration::ZERO,
+        confidence: None,
+        torn_after: Some(last),
+    }
+}
+
+fn with_confidence(confidence: u8) -> Behaviour {
+    Behaviour::Stream {
+        events: EVENTS,
+        pause: Duration::ZERO,
+        confidence: Some(confidence),
+        torn_after: None,
+    }
+}
+
+/// A stream whose first attempt meets a fault comes whole all the same.
+macro_rules! whole_stream {
+    ($name:ident, $fault:expr) => {
+        case!($name, async {
+            let world = World::start(ENGINE, &[Behaviour::stream(EVENTS)]).await;
+            world.upstreams[0].then([$fault]);
+            let answer = send(world.stream("id-1")).await.expect("an answer");
+            assert_eq!((answer.status, answer.is_whole), (200, true));
+            assert_eq!(answer.body, events(1, EVENTS));
+        });
+    };
+}
+
+whole_stream!(without_a_fault, Behaviour::stream(EVENTS));
+whole_stream!(torn_inside_the_first_event, torn_after(0));
+whole_stream!(torn_inside_the_third_event, torn_after(2));
+whole_stream!(torn_inside_the_last_event, torn_after(EVENTS - 1));
+whole_stream!(failed_before_the_first_event, Behaviour::Fail);
+whole_stream!(refused_before_the_first_event, Behaviour::NotExecuted);
+whole_stream!(cut_before_the_reply, Behaviour::CutBeforeReply);
+whole_stream!(reply_to_another_request, Behaviour::WrongId);
+whole_stream!(silent_before_the_first_event, Behaviour::Hang);
+
+case!(a_stream_is_continued_after_the_last_whole_event, async {
+    let world = World::start(ENGINE, &[Behaviour::stream(EVENTS)]).await;
+    world.upstreams[0].then([torn_after(4)]);
+    send(world.stream("id-1")).await.expect("an answer");
+    let arrivals = world.upstreams[0].arrivals();
+    assert_eq!(arrivals.len(), 2);
+    assert_eq!(arrivals[1].header("last-event-id"), "4");
+    assert_eq!(arrivals[0].header("model"), arrivals[1].header("model"));
+});
+
+case!(a_callers_own_resume_is_passed_on, async {
+    let world = World::start(ENGINE, &[Behaviour::stream(EVENTS)]).await;
+    let answer = send(world.stream("id-1").header("Last-Event-Id", "3")).await;
+    assert_eq!(answer.expect("an answer").body, events(4, EVENTS));
+});
+
+// It would have to begin anew, and the caller has a part of it already.
+case!(a_stream_that_may_not_be_resumed_breaks_visibly, async {
+    let world = World::start(ENGINE, &[Behaviour::stream(EVENTS)]).await;
+    world.upstreams[0].then([torn_after(2)]);
+    let request = world.request(Method::POST, "/once-stream/x", "id-1").body("a prompt");
+    let answer = send(request).await.expect("an answer");
+    assert_eq!((answer.status, answer.is_whole), (200, false));
+    assert_eq!(answer.body, events(1, 2));
+    assert_eq!(world.runs(), 1);
+});
+
+case!(a_stream_that_breaks_everywhere_breaks_visibly, async {
+    let world = World::start(ENGINE, &[torn_after(1)]).await;
+    let answer = send(world.stream("id-1")).await.expect("an answer");
+    assert!(!answer.is_whole);
+    assert_eq!(world.runs(), 3, "as many attempts as the route allows");
+});
+
+case!(a_silent_stream_is_continued_elsewhere, async {
+    let world = World::start(ENGINE, &[Behaviour::stream(EVENTS)]).await;
+    let stalls = Behaviour::Stream {
+        events: EVENTS,
+        pause: Duration::from_millis(2_700),
+        confidence: None,
+        torn_after: None,
+    };
+    let mut config = super::world::config(2);
+    config["routes"][2]["target_latency_ms"] = serde_json::json!(3_000);
+    config["routes"][2]["timeout_ms"] = serde_json::json!(15_000);
+    world.store.put("op", "config", config);
+    crate::harness::wait_until("the configuration is in force", async || {
+        world.dump().await["config_version"] == 2
+    })
+    .await;
+    world.upstreams[0].then([stalls]);
+    let request = world.stream_within("id-1", 15_000);
+    let answer = send(request).await.expect("an answer");
+    assert_eq!((answer.body, answer.is_whole), (events(1, EVENTS), true));
+    assert_eq!(world.upstreams[0].abandoned(), 1);
+});
+
+case!(a_poor_answer_is_dropped_for_the_best_model, async {
+    let world = World::start(ENGINE, &[with_confidence(90)]).await;
+    world.upstreams[0].then([with_confidence(10)]);
+    let answer = send(world.stream("id-1")).await.expect("an answer");
+    assert_eq!(answer.body, events(1, EVENTS));
+    let arrivals = world.upstreams[0].arrivals();
+    let models: Vec<_> = arrivals.iter().map(|arrival| arrival.header("model")).collect();
+    assert_eq!(models, ["small", "large"]);
+    assert_eq!(world.upstreams[0].abandoned(), 1, "the poor answer is not read to its end");
+});
+
+case!(a_good_answer_of_the_smallest_model_is_kept, async {
+    let world = World::start(ENGINE, &[with_confidence(90)]).await;
+    send(world.stream("id-1")).await.expect("an answer");
+    assert_eq!(world.runs(), 1);
+});
+
+// With one attempt left, an answer of the smallest model could not be bettered.
+case!(the_last_attempt_asks_the_best_model, async {
+    let world = World::start(ENGINE, &[with_confidence(10)]).await;
+    world.upstreams[0].then([Behaviour::Fail, Behaviour::Fail]);
+    send(world.stream("id-1")).await.expect("an answer");
+    let arrivals = world.upstreams[0].arrivals();
+    assert_eq!(arrivals.last().map(|arrival| arrival.header("model")), Some("large"));
+});
--- /dev/null
+++ b/tests/all/gateway/world.rs
@@ -0,0 +1,224 @@
+//! A store, some upstreams and a gateway, in the test's own process.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use reqwest::Method;
+use reqwest::RequestBuilder;
+use reqwest::header::HeaderMap;
+use serde_json::Value;
+use serde_json::json;
+use stallhoist_gateway::Gateway;
+use stallhoist_settings::GatewaySettings;
+use stallhoist_settings::StoreSettings;
+use stallhoist_standins::users_platform::Behaviour;
+use stallhoist_standins::users_platform::StoreStandin;
+use stallhoist_standins::users_platform::UpstreamStandin;
+use stallhoist_users_platform::PlatformDialect;
+use stallhoist_users_platform::PlatformStore;
+
+use crate::harness::wait_until;
+
+pub(super) const ENGINE: &str = "engine";
+pub(super) const PLAIN: &str = "plain";
+pub(super) const KEY: &str = "key-of-workspace-1";
+pub(super) const PATIENCE: Duration = Duration::from_secs(20);
+
+/// The routing configuration of most tests.
+pub(super) fn config(version: u64) -> Value {
+    let route = |name: &str, kind: &str, service: &str, attempts: u32| {
+        json!({
+            "name": name, "host": "test.example", "path_prefix": format!("/{name}/"),
+            "kind": kind, "timeout_ms": 4_000, "target_latency_ms": 300, "priority": 1,
+            "service": service, "max_attempts": attempts, "auth_exempt": false,
+        })
+    };
+    let mut stream = route("stream", "streaming", ENGINE, 3);
+    stream["resumable"] = json!(true);
+    stream["gap_aim_ms"] = json!(1_000);
+    stream["sizes"] = json!(["small", "middle", "large"]);
+    let mut once_stream = route("once-stream", "streaming", ENGINE, 3);
+    once_stream["resumable"] = json!(false);
+    json!({
+        "version": version,
+        "routes": [
+            route("safe", "safe", PLAIN, 3),
+            route("once", "unsafe", PLAIN, 3),
+            stream,
+            once_stream,
+        ],
+        "services": [
+            { "name": PLAIN, "health_path": "/health", "max_conns": 100 },
+            { "name": ENGINE, "health_path": "/health", "max_conns": 100, "engine": {
+                "models": [
+                    { "name": "small", "cost": 0.01 },
+                    { "name": "middle", "cost": 0.1 },
+                    { "name": "large", "cost": 0.2 },
+                ],
+            } },
+        ],
+        "limits": {
+            "max_header_bytes": 4_096, "max_body_bytes": 10_000,
+            "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
+        },
+        "tenants": [{ "name": "workspace-1", "api_keys": [KEY], "priority": 1 }],
+    })
+}
+
+/// What a caller got.
+#[derive(Debug)]
+pub(super) struct Answer {
+    pub(super) status: u16,
+    pub(super) headers: HeaderMap,
+    pub(super) body: String,
+    /// Whether the body came to its end.
+    pub(super) is_whole: bool,
+}
+
+impl Answer {
+    pub(super) fn header(&self, name: &str) -> &str {
+        self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
+    }
+}
+
+/// A store, some upstreams and a gateway.
+#[derive(Debug)]
+pub(super) struct World {
+    pub(super) store: StoreStandin,
+    pub(super) upstreams: Vec<UpstreamStandin>,
+    pub(super) gateway: Gateway,
+    http: reqwest::Client,
+}
+
+impl World {
+    /// One upstream for each behaviour, all of one service, and a gateway that knows them.
+    pub(super) async fn start(service: &str, behaviours: &[Behaviour]) -> Self {
+        let store = StoreStandin::start().await.expect("the store starts");
+        store.put("op", "config", config(1));
+        let mut upstreams = Vec::new();
+        for (n, behaviour) in behaviours.iter().enumerate() {
+            let instance = format!("i-{n}");
+            let upstream = UpstreamStandin::start(&instance, behaviour.clone()).await;
+            let upstream = upstream.expect("the upstream starts");
+            store.put("servers", &instance, upstream.entry(service, "zone-1", "v1", "ready"));
+            upstreams.push(upstream);
+        }
+        let gateway = start_gateway(&store).await;
+        let http = reqwest::Client::builder().no_proxy().timeout(PATIENCE).build();
+        let world = Self { store, upstreams, gateway, http: http.expect("a client can be made") };
+        world.wait_until_ready().await;
+        world
+    }
+
+    pub(super) async fn wait_until_ready(&self) {
+        wait_until("the gateway is ready", async || self.readiness().await == 200).await;
+    }
+
+    /// The status that the platform gets when it asks for readiness.
+    pub(super) async fn readiness(&self) -> u16 {
+        readiness(&self.http, &self.gateway.readiness_addr().to_string()).await
+    }
+
+    /// A request that can still be given headers, of a caller that waits 4 s.
+    pub(super) fn request(&self, method: Method, path: &str, id: &str) -> RequestBuilder {
+        self.request_within(method, path, id, 4_000)
+    }
+
+    fn request_within(
+        &self,
+        method: Method,
+        path: &str,
+        id: &str,
+        deadline_ms: u64,
+    ) -> RequestBuilder {
+        let url = format!("http://{}{path}", self.gateway.callers_addr());
+        let request = self.http.request(method, url);
+        request
+            .header("Host", "test.example")
+            .header("Request-Id", id)
+            .header("Deadline-Ms", deadline_ms)
+            .bearer_auth(KEY)
+    }
+
+    /// A request for a model of the system's choice.
+    pub(super) fn stream(&self, id: &str) -> RequestBuilder {
+        self.stream_within(id, 4_000)
+    }
+
+    /// The same, of a caller that waits so long.
+    pub(super) fn stream_within(&self, id: &str, deadline_ms: u64) -> RequestBuilder {
+        self.request_within(Method::POST, "/stream/x", id, deadline_ms)
+            .header("Model", "*")
+            .header("Token-Usage", "100,20")
+            .header("Prompt-Prefix", "a1:60,b2:40")
+            .body("a prompt")
+    }
+
+    /// How many requests the upstreams ran.
+    pub(super) fn runs(&self) -> usize {
+        self.upstreams.iter().map(UpstreamStandin::runs).sum()
+    }
+
+    /// The state dump.
+    pub(super) async fn dump(&self) -> Value {
+        let url = format!("http://{}/state", self.gateway.operators_addr());
+        let response = self.http.get(url).send().await.expect("the dump is served");
+        response.json().await.expect("the dump is JSON")
+    }
+
+    /// The metrics page.
+    pub(super) async fn metrics(&self) -> String {
+        let url = format!("http://{}/metrics", self.gateway.operators_addr());
+        let response = self.http.get(url).send().await.expect("metrics are served");
+        response.text().await.expect("metrics are text")
+    }
+}
+
+/// The settings of a gateway on loopback that follows `store`.
+pub(super) fn settings(store: &StoreStandin) -> GatewaySettings {
+    GatewaySettings {
+        store: StoreSettings {
+            addr: store.addr().to_string(),
+            follow_wait_ms: 500,
+            call_timeout_ms: 500,
+        },
+        ..GatewaySettings::default()
+    }
+}
+
+pub(super) async fn start_gateway(store: &StoreStandin) -> Gateway {
+    let settings = settings(store);
+    let client = PlatformStore::new(&settings.store).expect("the client starts");
+    Gateway::start(settings, Arc::new(PlatformDialect), Arc::new(client))
+        .await
+        .expect("the gateway starts")
+}
+
+pub(super) async fn readiness(http: &reqwest::Client, addr: &str) -> u16 {
+    let asked = http.get(format!("http://{addr}/ready")).send().await;
+    asked.map_or(0, |response| response.status().as_u16())
+}
+
+/// Sends a request and reads what comes, also when it breaks off. None when there is no
+/// answer at all.
+pub(super) async fn send(request: RequestBuilder) -> Option<Answer> {
+    let response = request.send().await.ok()?;
+    let status = response.status().as_u16();
+    let headers = response.headers().clone();
+    let mut body = String::new();
+    let mut is_whole = true;
+    let mut parts = response.bytes_stream();
+    while let Some(part) = parts.next().await {
+        match part {
+            Ok(part) => body.push_str(&String::from_utf8_lossy(&part)),
+            Err(_) => is_whole = false,
+        }
+    }
+    Some(Answer { status, headers, body, is_whole })
+}
+
+/// The events of a stream, as the stand-ins number them.
+pub(super) fn events(from: u64, to: u64) -> String {
+    (from..=to).map(|n| format!("id: {n}\ndata: event {n}\n\n")).collect()
+}
--- a/tests/all/harness/process.rs
+++ b/tests/all/harness/process.rs
@@ -97,6 +97,11 @@
         self.signal(Signal::SIGTERM);
     }
 
+    /// Tells it that its settings file has changed.
+    pub(crate) fn hang_up(&self) {
+        self.signal(Signal::SIGHUP);
+    }
+
     /// Whether it has ended, and well.
     pub(crate) fn has_ended_well(&mut self) -> Option<bool> {
         let status = self.child.try_wait().expect("the daemon can be waited for");
