--- /dev/null
+++ b/tests/all/decisions/balance.rs
@@ -0,0 +1,155 @@
+//! What an upstream costs: load, health, prompts that it has read.
+
+use stallhoist_core::InstanceId;
+use stallhoist_core::ModelName;
+use stallhoist_core::PromptPart;
+use stallhoist_policy::balance::BalanceConfig;
+use stallhoist_policy::balance::CandidateFacts;
+use stallhoist_policy::balance::HealthConfig;
+use stallhoist_policy::balance::PrefixPlaces;
+use stallhoist_policy::balance::ReportedLoad;
+use stallhoist_policy::balance::RequestFacts;
+use stallhoist_policy::balance::UpstreamHealth;
+use stallhoist_policy::balance::UpstreamLoad;
+use stallhoist_policy::balance::WorkItem;
+use stallhoist_policy::balance::expected_cost_ms;
+
+use super::at_ms;
+
+fn instance(name: &str) -> InstanceId {
+    name.parse().expect("a name")
+}
+
+fn part(id: u64, tokens: u64) -> PromptPart {
+    PromptPart { id, tokens }
+}
+
+#[test]
+fn an_unreachable_upstream_is_left_alone_for_longer_each_time() {
+    let mut health = UpstreamHealth::new(HealthConfig::default());
+    let a = instance("a");
+    health.unreachable(at_ms(0), &a);
+    assert!(health.is_paused(at_ms(499), &a) && !health.is_paused(at_ms(500), &a));
+    health.unreachable(at_ms(500), &a);
+    assert!(health.is_paused(at_ms(1_499), &a) && !health.is_paused(at_ms(1_500), &a));
+    for n in 0..10 {
+        health.unreachable(at_ms(2_000 + n), &a);
+    }
+    assert!(!health.is_paused(at_ms(6_100), &a), "never longer than four seconds");
+}
+
+#[test]
+fn an_answer_ends_the_pause() {
+    let mut health = UpstreamHealth::new(HealthConfig::default());
+    let a = instance("a");
+    health.unreachable(at_ms(0), &a);
+    health.succeeded(at_ms(10), &a);
+    assert!(!health.is_paused(at_ms(11), &a));
+    health.unreachable(at_ms(20), &a);
+    assert!(!health.is_paused(at_ms(520), &a), "the next pause is the first one again");
+}
+
+#[test]
+fn failures_are_forgotten_with_time() {
+    let mut health = UpstreamHealth::new(HealthConfig::default());
+    let a = instance("a");
+    for n in 0..30 {
+        health.failed(at_ms(n), &a);
+    }
+    let fresh = health.failure_rate(at_ms(30), &a);
+    assert!(fresh > 0.95, "{fresh}");
+    let later = health.failure_rate(at_ms(3_030), &a);
+    assert!((later / fresh - 0.5).abs() < 0.01, "{later}");
+}
+
+#[test]
+fn work_counts_from_its_start_to_its_end() {
+    let mut load = UpstreamLoad::default();
+    let a = instance("a");
+    let work = WorkItem { unread_tokens: 100.0 };
+    load.started(&a, work);
+    load.started(&a, work);
+    assert_eq!((load.in_progress(at_ms(0), &a), load.unread_tokens(&a)), (2, 200.0));
+    load.prompt_read(&a, work);
+    load.ended(&a, WorkItem::default());
+    assert_eq!((load.in_progress(at_ms(0), &a), load.unread_tokens(&a)), (1, 100.0));
+    load.ended(&a, work);
+    assert_eq!((load.in_progress(at_ms(0), &a), load.unread_tokens(&a)), (0, 0.0));
+}
+
+#[test]
+fn a_reported_load_counts_while_it_is_fresh() {
+    let mut load = UpstreamLoad::default();
+    let a = instance("a");
+    load.reported(at_ms(0), &a, ReportedLoad { running: 5, waiting: 2 });
+    assert_eq!(load.in_progress(at_ms(100), &a), 7);
+    assert_eq!(load.in_progress(at_ms(600), &a), 0);
+}
+
+#[test]
+fn only_leading_parts_are_shared() {
+    let mut places = PrefixPlaces::default();
+    let (a, model): (_, ModelName) = (instance("a"), "m".parse().expect("a name"));
+    places.read(at_ms(0), &a, &model, &[part(1, 10), part(3, 30)]);
+    let known = |parts: &[PromptPart]| places.read_tokens(at_ms(1), &a, &model, parts);
+    assert_eq!(known(&[part(1, 10), part(2, 20), part(3, 30)]), 10);
+    assert_eq!(known(&[part(1, 10), part(3, 30)]), 40);
+    assert_eq!(known(&[part(2, 20), part(1, 10)]), 0);
+}
+
+#[test]
+fn what_was_read_is_kept_for_one_model_and_a_while() {
+    let mut places = PrefixPlaces::default();
+    let a = instance("a");
+    let model = |name: &str| -> ModelName { name.parse().expect("a name") };
+    places.read(at_ms(0), &a, &model("m"), &[part(1, 10)]);
+    assert_eq!(places.read_tokens(at_ms(1), &a, &model("other"), &[part(1, 10)]), 0);
+    assert_eq!(places.read_tokens(at_ms(29_999), &a, &model("m"), &[part(1, 10)]), 10);
+    assert_eq!(places.read_tokens(at_ms(30_000), &a, &model("m"), &[part(1, 10)]), 0);
+}
+
+#[test]
+fn the_memory_of_places_is_bounded() {
+    let mut places = PrefixPlaces::default();
+    let (a, model): (_, ModelName) = (instance("a"), "m".parse().expect("a name"));
+    for id in 0..40_000 {
+        places.read(at_ms(id / 10), &a, &model, &[part(id, 10)]);
+    }
+    let kept = (0..40_000)
+        .filter(|id| places.read_tokens(at_ms(4_000), &a, &model, &[part(*id, 10)]) > 0)
+        .count();
+    assert!((1..=8_192).contains(&kept), "{kept}");
+    assert_eq!(places.read_tokens(at_ms(4_000), &a, &model, &[part(39_999, 10)]), 10);
+}
+
+/// The first candidate costs less than the second.
+macro_rules! cheaper {
+    ($name:ident, $first:expr, $second:expr) => {
+        #[test]
+        fn $name() {
+            let config = BalanceConfig::default();
+            let request = RequestFacts { prompt_tokens: 4_000, model_pace: 1.0, body_bytes: 4_000 };
+            let usual = CandidateFacts { slots: 8, is_same_zone: true, ..Default::default() };
+            let first: fn(CandidateFacts) -> CandidateFacts = $first;
+            let second: fn(CandidateFacts) -> CandidateFacts = $second;
+            let cost = |facts| expected_cost_ms(&config, &request, &facts);
+            assert!(cost(first(usual)) < cost(second(usual)));
+        }
+    };
+}
+
+cheaper!(the_own_zone, |c| c, |c| CandidateFacts { is_same_zone: false, ..c });
+cheaper!(the_one_with_less_to_do, |c| c, |c| CandidateFacts { in_progress: 3, ..c });
+cheaper!(the_one_with_less_to_read, |c| c, |c| CandidateFacts { unread_tokens: 500.0, ..c });
+cheaper!(the_one_that_has_read_it, |c| CandidateFacts { read_tokens: 3_000, ..c }, |c| c);
+cheaper!(the_one_that_does_not_fail, |c| c, |c| CandidateFacts { failure_rate: 0.3, ..c });
+cheaper!(
+    another_zone_rather_than_a_failing_upstream,
+    |c| CandidateFacts { is_same_zone: false, ..c },
+    |c| CandidateFacts { failure_rate: 0.5, ..c }
+);
+cheaper!(
+    another_zone_rather_than_a_long_queue,
+    |c| CandidateFacts { is_same_zone: false, ..c },
+    |c| CandidateFacts { in_progress: 20, ..c }
+);
--- /dev/null
+++ b/tests/all/decisions/mod.rs
@@ -0,0 +1,20 @@
+//! The gateway's decisions, with the time and the random numbers given.
+
+mod balance;
+mod directory;
+mod event_frames;
+mod planned_stop;
+mod rollout_evidence;
+mod rollout_plan;
+mod rollout_rules;
+mod routing;
+mod step_up;
+
+use std::time::Duration;
+
+use stallhoist_core::MonoTime;
+
+/// A point in time, in milliseconds since the start.
+fn at_ms(ms: u64) -> MonoTime {
+    MonoTime::default().after(Duration::from_millis(ms))
+}
--- /dev/null
+++ b/tests/all/decisions/rollout_plan.rs
@@ -0,0 +1,70 @@
+//! The steps of a roll-out, and the share of the new version.
+
+use stallhoist_policy::rollout::RolloutConfig;
+use stallhoist_policy::rollout::RolloutPhase;
+use stallhoist_policy::rollout::RolloutRecord;
+use stallhoist_policy::rollout::RolloutStep;
+use stallhoist_policy::rollout::new_version_share;
+use stallhoist_policy::rollout::next_step;
+
+const STARTED_MS: u64 = 5_000;
+
+fn record(phase: RolloutPhase) -> RolloutRecord {
+    let target = "v2".parse().expect("a name");
+    RolloutRecord { target, started_ms: STARTED_MS, duration_ms: 20_000, phase }
+}
+
+const SHIFTING: RolloutPhase = RolloutPhase::Shifting { since_ms: STARTED_MS + 10_500 };
+
+/// So long after its start, in this phase, this is the next step.
+macro_rules! step {
+    ($name:ident, $phase:expr, $elapsed_ms:expr, $is_bad:expr, $expected:expr) => {
+        #[test]
+        fn $name() {
+            let now_ms = STARTED_MS + $elapsed_ms;
+            let step = next_step(&RolloutConfig::default(), &record($phase), now_ms, $is_bad);
+            assert_eq!(step, $expected);
+        }
+    };
+}
+
+step!(observed_first, RolloutPhase::Canary, 10_399, false, RolloutStep::Wait);
+step!(
+    moved_after_half,
+    RolloutPhase::Canary,
+    10_400,
+    false,
+    RolloutStep::Enter(RolloutPhase::Shifting { since_ms: STARTED_MS + 10_400 })
+);
+step!(
+    bad_while_observed,
+    RolloutPhase::Canary,
+    1,
+    true,
+    RolloutStep::Enter(RolloutPhase::RolledBack)
+);
+step!(bad_while_moved, SHIFTING, 12_000, true, RolloutStep::Enter(RolloutPhase::RolledBack));
+step!(not_completed_early, SHIFTING, 16_399, false, RolloutStep::Wait);
+step!(completed, SHIFTING, 16_400, false, RolloutStep::Enter(RolloutPhase::Completed));
+step!(
+    a_late_move_is_given_its_time,
+    RolloutPhase::Shifting { since_ms: STARTED_MS + 16_000 },
+    18_000,
+    false,
+    RolloutStep::Wait
+);
+step!(completed_stays, RolloutPhase::Completed, 50_000, true, RolloutStep::Wait);
+step!(rolled_back_stays, RolloutPhase::RolledBack, 50_000, false, RolloutStep::Wait);
+step!(a_clock_that_jumped_back_waits, RolloutPhase::Canary, 0, false, RolloutStep::Wait);
+
+#[test]
+fn the_share_grows_from_the_canarys_to_all() {
+    let config = RolloutConfig::default();
+    let share = |phase, ms| new_version_share(&config, &record(phase), STARTED_MS + ms);
+    assert_eq!(share(RolloutPhase::Canary, 10_000), config.canary_share);
+    let half = share(SHIFTING, 10_500 + 1_200);
+    assert!((0.5..0.56).contains(&half), "{half}");
+    assert_eq!(share(SHIFTING, 10_500 + 2_400), 1.0);
+    assert_eq!(share(RolloutPhase::Completed, 0), 1.0);
+    assert_eq!(share(RolloutPhase::RolledBack, 19_000), 0.0);
+}
--- /dev/null
+++ b/tests/all/decisions/rollout_rules.rs
@@ -0,0 +1,143 @@
+//! Which version a request goes to.
+
+use std::time::Duration;
+
+use stallhoist_core::ServiceName;
+use stallhoist_core::StoreVersion;
+use stallhoist_core::VersionName;
+use stallhoist_gateway::control_store::RolloutOrder;
+use stallhoist_gateway::control_store::StoredRollout;
+use stallhoist_gateway::rollouts::Rollouts;
+use stallhoist_gateway::rollouts::VersionFilter;
+use stallhoist_gateway::rollouts::VersionRule;
+use stallhoist_policy::rollout::Observation;
+use stallhoist_policy::rollout::RolloutConfig;
+use stallhoist_policy::rollout::RolloutPhase;
+use stallhoist_policy::rollout::RolloutRecord;
+
+use super::at_ms;
+
+const SHIFTING: RolloutPhase = RolloutPhase::Shifting { since_ms: 12_000 };
+
+fn version(name: &str) -> VersionName {
+    name.parse().expect("a name")
+}
+
+fn service() -> ServiceName {
+    "s".parse().expect("a name")
+}
+
+fn order(row_version: u64) -> RolloutOrder {
+    RolloutOrder {
+        service: service(),
+        target: version("v2"),
+        duration: Duration::from_secs(20),
+        row_version: StoreVersion(row_version),
+    }
+}
+
+fn stored(phase: RolloutPhase, row_version: u64) -> StoredRollout {
+    let record =
+        RolloutRecord { target: version("v2"), started_ms: 1_000, duration_ms: 20_000, phase };
+    StoredRollout { service: service(), record, row_version: StoreVersion(row_version) }
+}
+
+/// An order at row version 10 and its record at 11, at 13 s of the store's clock.
+fn rollouts(phase: RolloutPhase) -> Rollouts {
+    let mut rollouts = Rollouts::new(RolloutConfig::default());
+    rollouts.store_clock(at_ms(0), 0);
+    rollouts.ordered(order(10));
+    rollouts.stored(stored(phase, 11));
+    rollouts
+}
+
+fn rule(rollouts: &Rollouts, unit: f64, session: Option<&str>) -> VersionRule {
+    let session = session.map(version);
+    rollouts.rule(at_ms(13_000), &service(), unit, session.as_ref())
+}
+
+fn new() -> VersionFilter {
+    VersionFilter::Only(version("v2"))
+}
+
+fn old() -> VersionFilter {
+    VersionFilter::Except(version("v2"))
+}
+
+/// In this phase, a request with this unit and session goes to this version.
+macro_rules! goes_to {
+    ($name:ident, $phase:expr, $unit:expr, $session:expr, $wanted:expr) => {
+        #[test]
+        fn $name() {
+            assert_eq!(rule(&rollouts($phase), $unit, $session).wanted, $wanted);
+        }
+    };
+}
+
+goes_to!(a_few_are_tried, RolloutPhase::Canary, 0.01, None, new());
+goes_to!(most_are_not, RolloutPhase::Canary, 0.5, None, old());
+goes_to!(a_session_stays_on_the_old, RolloutPhase::Canary, 0.01, Some("v1"), old());
+goes_to!(a_session_stays_on_the_new, RolloutPhase::Canary, 0.5, Some("v2"), new());
+goes_to!(a_session_moves_on_when_all_do, SHIFTING, 0.3, Some("v1"), new());
+goes_to!(a_session_never_moves_back, SHIFTING, 0.99, Some("v2"), new());
+goes_to!(all_at_the_end, RolloutPhase::Completed, 0.99, Some("v1"), new());
+goes_to!(nobody_after_a_roll_back, RolloutPhase::RolledBack, 0.01, Some("v2"), old());
+
+#[test]
+fn a_rolled_back_version_is_not_used_even_without_another() {
+    assert_eq!(rule(&rollouts(RolloutPhase::RolledBack), 0.5, None).otherwise, None);
+}
+
+#[test]
+fn without_an_order_any_version_is_used() {
+    let rollouts = Rollouts::new(RolloutConfig::default());
+    assert_eq!(rule(&rollouts, 0.5, None), VersionRule::any());
+}
+
+#[test]
+fn before_the_record_is_known_the_old_version_goes_first() {
+    let mut rollouts = Rollouts::new(RolloutConfig::default());
+    rollouts.ordered(order(10));
+    let rule = rule(&rollouts, 0.01, None);
+    assert_eq!((rule.wanted, rule.otherwise), (old(), Some(VersionFilter::Any)));
+}
+
+// The same version is ordered again after it was rolled back.
+#[test]
+fn a_record_that_is_older_than_the_order_does_not_answer_it() {
+    let mut rollouts = rollouts(RolloutPhase::RolledBack);
+    rollouts.ordered(order(20));
+    let due = rollouts.due(at_ms(13_000));
+    assert_eq!(due.len(), 1);
+    assert_eq!(due[0].expected, Some(StoreVersion(11)));
+    assert_eq!((due[0].record.phase, due[0].record.started_ms), (RolloutPhase::Canary, 13_000));
+}
+
+#[test]
+fn an_older_record_changes_nothing() {
+    let mut rollouts = rollouts(RolloutPhase::RolledBack);
+    rollouts.stored(stored(RolloutPhase::Canary, 10));
+    assert_eq!(rule(&rollouts, 0.01, None).wanted, old());
+}
+
+// What an entry has found out itself counts at once, whether or not it can be stored.
+#[test]
+fn a_version_found_bad_gets_nothing_more() {
+    let mut rollouts = rollouts(RolloutPhase::Canary);
+    let route = "r".parse().expect("a name");
+    for _ in 0..30 {
+        rollouts.observe(&service(), &version("v2"), &route, Observation::Failed);
+    }
+    assert_eq!(rule(&rollouts, 0.01, Some("v2")).wanted, old());
+    let due = rollouts.due(at_ms(2_000));
+    assert_eq!(due.first().map(|change| change.record.phase), Some(RolloutPhase::RolledBack));
+}
+
+#[test]
+fn nothing_is_stored_before_the_stores_clock_is_known() {
+    let mut rollouts = Rollouts::new(RolloutConfig::default());
+    rollouts.ordered(order(10));
+    assert!(rollouts.due(at_ms(1)).is_empty());
+    rollouts.store_clock(at_ms(1), 700);
+    assert_eq!(rollouts.due(at_ms(1))[0].record.started_ms, 700);
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod cascade;
 mod case;
+mod decisions;
 mod gateway;
 mod guard;
 mod harness;
