An entry that stops takes short streams as long as they can end

Change: a stream is taken if its most tokens fit into what is left, at 20 ms a token; those refused are told to come back in 1 s, when an entry has restarted, instead of 0.05 s.

--- a/crates/gateway/src/callers/handler.rs
+++ b/crates/gateway/src/callers/handler.rs
@@ -23,6 +23,7 @@
 use super::rejection::given_up;
 use crate::dialect::CallHead;
 use crate::metrics::RequestEnd;
+use crate::planned_stop::Work;
 use crate::request::Call;
 use crate::request::Execution;
 use crate::request::GiveUp;
@@ -83,7 +84,7 @@
     // The body may have taken its time: what is decided now is by the newest configuration.
     let config = state.config().unwrap_or(config);
     let route = Arc::clone(find_route(&config, &parts).ok_or(Rejection::NoRoute)?);
-    if !state.takes(route.is_stream) {
+    if !state.takes(work_of(&route, &head)) {
         return Err(Rejection::Stopping);
     }
     let service_name = route.destination(Call::unit(&head)).cloned().ok_or(Rejection::NoRoute)?;
@@ -138,6 +139,14 @@
     Ok(found)
 }
 
+/// What is known of how long a request takes.
+fn work_of(route: &Route, head: &CallHead) -> Work {
+    if !route.is_stream {
+        return Work::Call;
+    }
+    Work::Stream { max_tokens: head.prompt.as_ref().map(|prompt| prompt.max_output_tokens) }
+}
+
 async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, Rejection> {
     if body.size_hint().lower() > max_bytes as u64 {
         return Err(Rejection::BodyTooLarge);
--- a/crates/gateway/src/callers/rejection.rs
+++ b/crates/gateway/src/callers/rejection.rs
@@ -37,8 +37,9 @@
     Stopping,
 }
 
-/// When callers of an entry that is stopping are told to come back: elsewhere, at once.
-const ELSEWHERE_AFTER: Duration = Duration::from_millis(50);
+/// When callers of an entry that is stopping are told to come back. That they are still
+/// sent here means that no other entry is ready; one that restarts takes about so long.
+const ELSEWHERE_AFTER: Duration = Duration::from_millis(1_000);
 
 /// When callers of an entry that does not know the configuration are told to come back.
 const INFORMED_AFTER: Duration = Duration::from_millis(300);
--- a/crates/gateway/src/planned_stop.rs
+++ b/crates/gateway/src/planned_stop.rs
@@ -4,15 +4,44 @@
 
 use stallhoist_core::MonoTime;
 
-/// How long new streams are taken after the stop was asked for: by then the platform has
+/// How long every request is taken after the stop was asked for: by then the platform has
 /// stopped sending callers here, unless it has nowhere else to send them.
-const TAKES_STREAMS_FOR: Duration = Duration::from_millis(2_800);
+const TAKES_ALL_FOR: Duration = Duration::from_millis(2_800);
 
 /// The process ends so long before it would be killed.
 const END_RESERVE: Duration = Duration::from_millis(200);
 
-/// A plain call is taken only if so much time is left for it.
-const CALL_TIME: Duration = Duration::from_millis(1_500);
+/// The most time that a plain call, or the first part of a stream, is reckoned to take.
+const FIRST_PART_TIME: Duration = Duration::from_millis(1_500);
+
+/// The most time that each generated token is reckoned to take: an engine at its limit
+/// took 15 ms on the users' bench.
+const TOKEN_TIME: Duration = Duration::from_millis(20);
+
+/// What is known of how long a request takes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Work {
+    /// It is answered whole.
+    Call,
+    /// It is answered with a stream; the most tokens, if the caller says.
+    Stream {
+        /// The most tokens that may be generated.
+        max_tokens: Option<u64>,
+    },
+}
+
+impl Work {
+    /// The most time that it is reckoned to take; none when that is not known.
+    fn longest(self) -> Option<Duration> {
+        match self {
+            Self::Call => Some(FIRST_PART_TIME),
+            Self::Stream { max_tokens } => {
+                let tokens = u32::try_from(max_tokens?).unwrap_or(u32::MAX);
+                Some(FIRST_PART_TIME + TOKEN_TIME.saturating_mul(tokens))
+            }
+        }
+    }
+}
 
 /// When a process that was told to stop does what.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -28,13 +57,11 @@
     }
 
     /// Whether a new request is still taken.
-    pub fn takes(&self, now: MonoTime, is_stream: bool) -> bool {
-        let last = if is_stream {
-            self.asked.after(TAKES_STREAMS_FOR)
-        } else {
-            self.asked.after(self.grace.saturating_sub(END_RESERVE + CALL_TIME))
-        };
-        now < last.min(self.end())
+    pub fn takes(&self, now: MonoTime, work: Work) -> bool {
+        if now < self.asked.after(TAKES_ALL_FOR).min(self.end()) {
+            return true;
+        }
+        work.longest().is_some_and(|longest| now.after(longest) < self.end())
     }
 
     /// When the process ends, even with requests in progress.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -26,6 +26,7 @@
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
 use crate::planned_stop::PlannedStop;
+use crate::planned_stop::Work;
 use crate::retry_budgets::RetryBudgets;
 use crate::rollouts::Rollouts;
 use crate::routing::RoutingConfig;
@@ -184,9 +185,9 @@
     }
 
     /// Whether a new request is still taken.
-    pub(crate) fn takes(&self, is_stream: bool) -> bool {
+    pub(crate) fn takes(&self, work: Work) -> bool {
         let now = self.now();
-        self.stop.lock().is_none_or(|stop| stop.takes(now, is_stream))
+        self.stop.lock().is_none_or(|stop| stop.takes(now, work))
     }
 
     /// How hard pressed the engines of a service are.
