Entries of a large fleet ask each other for news of the store

Change: entries list themselves in a table; the first three by a hash follow the store, the others ask them as they would ask the store, and ask it directly when no answer is fresh. Questions during a roll-out carry what the asker has counted, and those who are asked judge by all of it. Ruled out: polling less often (the bounds on configurations leave 2 s).

--- a/crates/gateway/src/control_store.rs
+++ b/crates/gateway/src/control_store.rs
@@ -1,10 +1,13 @@
 //! What the gateway needs from the platform's store.
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use displaydoc::Display;
+use stallhoist_core::HostId;
 use stallhoist_core::InstanceId;
 use stallhoist_core::ServiceName;
 use stallhoist_core::StoreVersion;
@@ -23,6 +26,8 @@
     Members,
     /// The system's own records of roll-outs.
     Rollouts,
+    /// The system's own list of entries.
+    Entries,
 }
 
 /// An operator's order to move a service to a version.
@@ -62,20 +67,44 @@
     MemberGone(InstanceId),
     /// A record of a roll-out.
     Rollout(StoredRollout),
-    /// A row that cannot be understood; what was known before stays in force.
-    Unreadable {
-        /// Where it stands.
-        row: String,
-        /// What is wrong with it.
-        problem: String,
-    },
+    /// An entry of the system that others may ask for news.
+    EntryListed(ListedEntry),
+}
+
+/// An entry of the system, as it listed itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListedEntry {
+    /// Its host.
+    pub host: HostId,
+    /// Where other entries ask it for news.
+    pub peers_addr: SocketAddr,
+}
+
+/// the row '{key}' cannot be read: {problem}
+#[derive(Debug, Clone, PartialEq, Eq, Display, thiserror::Error)]
+pub struct UnreadableRow {
+    /// The row's key.
+    pub key: String,
+    /// What is wrong with it.
+    pub problem: String,
+}
+
+/// A row of a feed, as it lies in the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FeedRow {
+    /// Its key.
+    pub key: String,
+    /// Its value; none when it was removed.
+    pub value: Option<Bytes>,
+    /// The store's version at its last change.
+    pub version: StoreVersion,
 }
 
 /// What a read or a wait for changes gave.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FeedPage {
     /// What is, or has changed, in order.
-    pub changes: Vec<Change>,
+    pub rows: Vec<FeedRow>,
     /// The version to continue from.
     pub version: StoreVersion,
     /// The store's steady clock, in milliseconds.
@@ -121,6 +150,18 @@
         wait: Duration,
     ) -> impl Future<Output = Result<FeedPage, ControlStoreError>> + Send;
 
+    /// What a row says; none when it does not concern the gateway.
+    ///
+    /// # Errors
+    /// Fails when the row cannot be understood.
+    fn decode(&self, feed: Feed, row: &FeedRow) -> Result<Option<Change>, UnreadableRow>;
+
+    /// Lists an entry, in place of what the same host listed before.
+    fn list_entry(
+        &self,
+        entry: &ListedEntry,
+    ) -> impl Future<Output = Result<(), ControlStoreError>> + Send;
+
     /// Changes the record of a roll-out, and what operators see of it, in one step.
     fn commit_rollout(
         &self,
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -24,6 +24,10 @@
 /// price. It is a small part of the two seconds in which changes must be in force.
 const GATHER: Duration = Duration::from_millis(300);
 
+/// The same for the list of entries, to which no bound applies: at a start of the whole
+/// system all entries list themselves within a few seconds.
+const GATHER_ENTRIES: Duration = Duration::from_millis(1_500);
+
 /// How long the first call after a failed one waits for news.
 const WAIT_AFTER_FAILURE: Duration = Duration::from_millis(50);
 
@@ -75,10 +79,10 @@
                     self.reached();
                     failures = pauses();
                     after = page.version;
-                    let has_changes = !page.changes.is_empty();
+                    let has_changes = !page.rows.is_empty();
                     self.take_changes(page);
                     if has_changes {
-                        tokio::time::sleep(GATHER).await;
+                        tokio::time::sleep(self.gather()).await;
                     }
                 }
                 Err(ControlStoreError::HistoryGone) => {
@@ -102,6 +106,11 @@
         Duration::from_millis(self.state.settings.store.follow_wait_ms)
     }
 
+    /// How long changes are gathered for one call.
+    fn gather(&self) -> Duration {
+        if self.feed == Feed::Entries { GATHER_ENTRIES } else { GATHER }
+    }
+
     /// Records of roll-outs are followed only while there is one: each call has a price.
     async fn wait_until_needed(&self) {
         while self.feed == Feed::Rollouts && !self.state.rollouts.lock().is_active() {
@@ -112,7 +121,7 @@
     fn take_whole(&self, page: FeedPage) {
         match self.feed {
             Feed::Members => self.take_members(page),
-            Feed::Operators => self.take_changes(page),
+            Feed::Operators | Feed::Entries => self.take_changes(page),
             Feed::Rollouts => {
                 self.take_changes(page);
                 self.state.set_has_rollouts();
@@ -122,7 +131,7 @@
 
     fn take_members(&self, page: FeedPage) {
         let mut members: Vec<Member> = Vec::new();
-        for change in page.changes {
+        for change in self.decode(&page) {
             match change {
                 Change::MemberListed(member) => members.push(member),
                 other => self.take(other),
@@ -136,11 +145,24 @@
     fn take_changes(&self, page: FeedPage) {
         let now = self.state.now();
         self.state.rollouts.lock().store_clock(now, page.store_now_ms);
-        for change in page.changes {
+        for change in self.decode(&page) {
             self.take(change);
         }
     }
 
+    /// What the rows of a page say. For one that cannot be read, what was known stays in
+    /// force.
+    fn decode(&self, page: &FeedPage) -> Vec<Change> {
+        let decode = |row| match self.store.decode(self.feed, row) {
+            Ok(change) => change,
+            Err(error) => {
+                log::error!(feed:? = self.feed, error:% = error; "row ignored, what was known stays in force");
+                None
+            }
+        };
+        page.rows.iter().filter_map(decode).collect()
+    }
+
     fn take(&self, change: Change) {
         let state = &self.state;
         match change {
@@ -161,8 +183,9 @@
                 log::info!(instance:% = instance; "upstream's entry has gone");
                 state.upstreams.apply(state.now(), Change::MemberGone(instance));
             }
-            Change::Unreadable { row, problem } => {
-                log::error!(row, problem; "row cannot be read, what was known stays in force");
+            Change::EntryListed(entry) => {
+                log::info!(host:% = entry.host, peers_addr:% = entry.peers_addr; "entry listed");
+                state.peers.lock().listed(entry);
             }
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,11 +3,12 @@
 //! This crate exists for platforms that give each upstream its own address and no room
 //! for a sidecar in the path: a gateway takes a request, chooses the version, the model
 //! and the upstream, makes the attempts, and passes the answer on. What it decides with is
-//! in [`stallhoist_policy`]; what it knows comes from a [`ControlStore`]; the headers on
-//! the wire are a [`Dialect`]'s business. Gateways share nothing but the store.
+//! in [`stallhoist_policy`]; what it knows comes from a [`ControlStore`](control_store::ControlStore); the headers on
+//! the wire are a [`Dialect`](dialect::Dialect)'s business. Gateways share the store, and in large fleets the news from it.
 //!
 //! - [`routing`]: the routing configuration
 //! - [`members`]: the upstreams that are known
+//! - `peers`: news between entries
 //! - [`rollouts`]: moving a service to a new version
 //! - `request`: one request, from its head to its final answer
 //! - `upstream`: connections to upstreams
@@ -22,6 +23,7 @@
 pub mod members;
 mod metrics;
 mod operators;
+mod peers;
 pub mod planned_stop;
 mod process;
 mod request;
--- /dev/null
+++ b/crates/gateway/src/peers/feed_copies.rs
@@ -0,0 +1,124 @@
+//! What this entry has read of the store, for others that ask.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use stallhoist_core::MonoTime;
+use stallhoist_core::StoreVersion;
+use tokio::sync::Notify;
+
+use crate::control_store::ControlStoreError;
+use crate::control_store::Feed;
+use crate::control_store::FeedPage;
+use crate::control_store::FeedRow;
+
+/// A copy is good for others while the store has answered within this time. It follows from
+/// the bound on a configuration, 2 s: an entry whose relay is cut off from the store must
+/// learn so and ask the store in less.
+const FRESH_FOR: Duration = Duration::from_millis(1_500);
+
+/// How long an entry counts as asked by others after a question.
+const ASKED_FOR: Duration = Duration::from_secs(5);
+
+#[derive(Debug, Default)]
+struct FeedCopy {
+    rows: BTreeMap<String, FeedRow>,
+    /// Changes up to this version may be missing.
+    complete_since: StoreVersion,
+    version: StoreVersion,
+    store_now_ms: u64,
+    read_at: MonoTime,
+}
+
+#[derive(Debug, Default)]
+struct Copies {
+    by_feed: HashMap<Feed, FeedCopy>,
+    asked_at: Option<MonoTime>,
+}
+
+/// Copies of the feeds that this entry follows at the store.
+#[derive(Debug, Default)]
+pub(crate) struct FeedCopies {
+    copies: Mutex<Copies>,
+    changed: Notify,
+}
+
+impl FeedCopies {
+    /// The whole feed was read at the store.
+    pub(crate) fn replace(&self, now: MonoTime, feed: Feed, page: &FeedPage) {
+        let copy = FeedCopy { complete_since: page.version, ..FeedCopy::default() };
+        self.copies.lock().by_feed.insert(feed, copy);
+        self.extend(now, feed, page);
+    }
+
+    /// Changes came from the store. Without the rows before them they are of no use.
+    pub(crate) fn extend(&self, now: MonoTime, feed: Feed, page: &FeedPage) {
+        let mut copies = self.copies.lock();
+        let Some(copy) = copies.by_feed.get_mut(&feed) else {
+            return;
+        };
+        for row in &page.rows {
+            copy.rows.insert(row.key.clone(), row.clone());
+        }
+        copy.version = page.version;
+        copy.store_now_ms = page.store_now_ms;
+        copy.read_at = now;
+        drop(copies);
+        self.changed.notify_waiters();
+    }
+
+    /// Whether there is a copy of a feed, fresh or not.
+    pub(crate) fn has(&self, feed: Feed) -> bool {
+        self.copies.lock().by_feed.contains_key(&feed)
+    }
+
+    /// The feed comes from elsewhere now: there is no copy for others.
+    pub(crate) fn forget(&self, feed: Feed) {
+        self.copies.lock().by_feed.remove(&feed);
+    }
+
+    /// Another entry asks.
+    pub(crate) fn asked(&self, now: MonoTime) {
+        self.copies.lock().asked_at = Some(now);
+    }
+
+    /// Whether others have asked lately: then the copies must be kept fresh.
+    pub(crate) fn is_asked(&self, now: MonoTime) -> bool {
+        self.copies.lock().asked_at.is_some_and(|at| now.since(at) < ASKED_FOR)
+    }
+
+    /// All rows of a feed, or the changes after a version; none when there is no fresh copy.
+    pub(crate) fn page(
+        &self,
+        now: MonoTime,
+        feed: Feed,
+        after: Option<StoreVersion>,
+    ) -> Option<Result<FeedPage, ControlStoreError>> {
+        let copies = self.copies.lock();
+        let copy = copies.by_feed.get(&feed)?;
+        let age = now.since(copy.read_at);
+        // The list of entries changes rarely, and nothing is bound to it.
+        if age > FRESH_FOR && feed != Feed::Entries {
+            return None;
+        }
+        if after.is_some_and(|after| after < copy.complete_since) {
+            return Some(Err(ControlStoreError::HistoryGone));
+        }
+        let is_new = |row: &&FeedRow| match after {
+            Some(after) => row.version > after,
+            None => row.value.is_some(),
+        };
+        let mut rows: Vec<_> = copy.rows.values().filter(is_new).cloned().collect();
+        rows.sort_by_key(|row| row.version);
+        let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        let version = after.map_or(copy.version, |after| after.max(copy.version));
+        Some(Ok(FeedPage { rows, version, store_now_ms: copy.store_now_ms + age_ms }))
+    }
+
+    /// Waits until a copy changes, or is read again.
+    pub(crate) async fn changed(&self) {
+        self.changed.notified().await;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers/messages.rs
@@ -0,0 +1,142 @@
+//! What entries say to each other, as protocol buffers.
+
+use bytes::Bytes;
+use stallhoist_core::StoreVersion;
+
+use crate::control_store::Feed;
+use crate::control_store::FeedPage;
+use crate::control_store::FeedRow;
+
+/// The largest message: a whole configuration of many routes fits in.
+pub(super) const MAX_MESSAGE_BYTES: usize = 8 << 20;
+
+/// Asks for a feed.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Ask {
+    /// The number of the feed, see [`feed_number`].
+    #[prost(uint32, tag = "1")]
+    pub(super) feed: u32,
+    /// The version after which changes are wanted; absent for the whole feed.
+    #[prost(uint64, optional, tag = "2")]
+    pub(super) after: Option<u64>,
+    /// How long to wait for changes.
+    #[prost(uint64, tag = "3")]
+    pub(super) wait_ms: u64,
+    /// The host that asks.
+    #[prost(string, tag = "4")]
+    pub(super) host: String,
+    /// What it has seen of versions that are rolled out, in all so far.
+    #[prost(message, repeated, tag = "5")]
+    pub(super) evidence: Vec<Evidence>,
+}
+
+/// What an entry has seen of a roll-out, in all so far.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Evidence {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub(super) service: String,
+    /// The version of the order's row: counts of another order are of no use.
+    #[prost(uint64, tag = "2")]
+    pub(super) order_version: u64,
+    /// Answers of the old version.
+    #[prost(uint64, tag = "3")]
+    pub(super) old_answers: u64,
+    /// Those that failed.
+    #[prost(uint64, tag = "4")]
+    pub(super) old_failures: u64,
+    /// Answers of the old version whose time was compared.
+    #[prost(uint64, tag = "5")]
+    pub(super) old_timed: u64,
+    /// Those that were slow.
+    #[prost(uint64, tag = "6")]
+    pub(super) old_slow: u64,
+    /// Answers of the new version.
+    #[prost(uint64, tag = "7")]
+    pub(super) new_answers: u64,
+    /// Those that failed.
+    #[prost(uint64, tag = "8")]
+    pub(super) new_failures: u64,
+    /// Answers of the new version whose time was compared.
+    #[prost(uint64, tag = "9")]
+    pub(super) new_timed: u64,
+    /// Those that were slow.
+    #[prost(uint64, tag = "10")]
+    pub(super) new_slow: u64,
+}
+
+/// The answer.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Answer {
+    /// Whether there is a fresh copy of the feed here.
+    #[prost(bool, tag = "1")]
+    pub(super) has_copy: bool,
+    /// Whether changes after the version are no longer known.
+    #[prost(bool, tag = "2")]
+    pub(super) is_history_gone: bool,
+    /// The rows.
+    #[prost(message, repeated, tag = "3")]
+    pub(super) rows: Vec<Row>,
+    /// The version to continue from.
+    #[prost(uint64, tag = "4")]
+    pub(super) version: u64,
+    /// The store's clock, in milliseconds.
+    #[prost(uint64, tag = "5")]
+    pub(super) store_now_ms: u64,
+}
+
+/// A row of a feed.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Row {
+    /// Its key.
+    #[prost(string, tag = "1")]
+    pub(super) key: String,
+    /// Its value; absent when it was removed.
+    #[prost(bytes = "bytes", optional, tag = "2")]
+    pub(super) value: Option<Bytes>,
+    /// The store's version at its last change.
+    #[prost(uint64, tag = "3")]
+    pub(super) version: u64,
+}
+
+impl Answer {
+    pub(super) fn of(page: FeedPage) -> Self {
+        let row = |row: FeedRow| Row { key: row.key, value: row.value, version: row.version.0 };
+        Self {
+            has_copy: true,
+            is_history_gone: false,
+            rows: page.rows.into_iter().map(row).collect(),
+            version: page.version.0,
+            store_now_ms: page.store_now_ms,
+        }
+    }
+
+    pub(super) fn into_page(self) -> FeedPage {
+        let row = |row: Row| FeedRow {
+            key: row.key,
+            value: row.value,
+            version: StoreVersion(row.version),
+        };
+        FeedPage {
+            rows: self.rows.into_iter().map(row).collect(),
+            version: StoreVersion(self.version),
+            store_now_ms: self.store_now_ms,
+        }
+    }
+}
+
+/// The number of a feed in messages.
+pub(super) fn feed_number(feed: Feed) -> u32 {
+    match feed {
+        Feed::Operators => 1,
+        Feed::Members => 2,
+        Feed::Rollouts => 3,
+        Feed::Entries => 4,
+    }
+}
+
+/// The feed of a number.
+pub(super) fn feed_of(number: u32) -> Option<Feed> {
+    let feeds = [Feed::Operators, Feed::Members, Feed::Rollouts, Feed::Entries];
+    feeds.into_iter().find(|feed| feed_number(*feed) == number)
+}
--- /dev/null
+++ b/crates/gateway/src/peers/mod.rs
@@ -0,0 +1,20 @@
+//! News between entries.
+//!
+//! Each call to the platform's store has a price, and all entries need the same news. So in
+//! a large fleet a few entries follow the store and answer the others, which ask them as
+//! they would ask the store. An entry that gets no fresh answer asks the store itself.
+//!
+//! Which entries follow the store comes from the system's own list of entries, ordered by
+//! a hash that all compute alike: no election, and two that disagree only ask the store
+//! more often than they need.
+
+mod feed_copies;
+mod list;
+mod messages;
+mod relayed_store;
+mod server;
+
+pub(crate) use feed_copies::FeedCopies;
+pub(crate) use list::PeerList;
+pub(crate) use relayed_store::RelayedStore;
+pub(crate) use server::PeerServer;
--- /dev/null
+++ b/crates/gateway/src/peers/relayed_store.rs
@@ -0,0 +1,222 @@
+//! The store as an entry of a large fleet sees it: through another entry where that
+//! answers, else directly.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use prost::Message;
+use stallhoist_core::MonoTime;
+use stallhoist_core::StoreVersion;
+use tokio::net::TcpStream;
+use tokio::sync::Mutex;
+use tokio_util::codec::Framed;
+use tokio_util::codec::LengthDelimitedCodec;
+
+use super::messages::Answer;
+use super::messages::Ask;
+use super::messages::Evidence;
+use super::messages::feed_number;
+use super::server::PeerError;
+use super::server::framed;
+use crate::control_store::Change;
+use crate::control_store::ControlStore;
+use crate::control_store::ControlStoreError;
+use crate::control_store::Feed;
+use crate::control_store::FeedPage;
+use crate::control_store::FeedRow;
+use crate::control_store::ListedEntry;
+use crate::control_store::RolloutChange;
+use crate::control_store::UnreadableRow;
+use crate::state::GatewayState;
+
+/// How long a connection to another entry may take to come up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// How long another entry may take beyond the wait it was asked for.
+const ANSWER_SLACK: Duration = Duration::from_millis(400);
+
+/// How long a question waits for news: soon enough to notice an entry that is gone.
+const PEER_WAIT: Duration = Duration::from_millis(1_000);
+
+/// The same while a version is rolled out: each question carries what was seen of it.
+const ROLLOUT_WAIT: Duration = Duration::from_millis(500);
+
+/// How long the store is asked directly after no other entry could answer.
+const DIRECT_FOR: Duration = Duration::from_secs(8);
+
+/// How long an entry that did not answer is not asked again.
+const SKIP_FOR: Duration = Duration::from_secs(8);
+
+/// While others ask this entry, it asks the store at least so often, as its copies are of
+/// no use to them when they are older.
+const FRESH_WAIT: Duration = Duration::from_millis(900);
+
+type Connection = Framed<TcpStream, LengthDelimitedCodec>;
+
+/// What one feed's follower knows of the others.
+#[derive(Debug, Default)]
+struct Route {
+    connection: Option<(SocketAddr, Connection)>,
+    direct_until: MonoTime,
+    skipped_until: HashMap<SocketAddr, MonoTime>,
+}
+
+/// The store, through another entry where that answers.
+#[derive(Debug)]
+pub(crate) struct RelayedStore<S> {
+    state: Arc<GatewayState>,
+    store: Arc<S>,
+    routes: HashMap<Feed, Mutex<Route>>,
+}
+
+impl<S: ControlStore> RelayedStore<S> {
+    pub(crate) fn new(state: Arc<GatewayState>, store: Arc<S>) -> Self {
+        let feeds = [Feed::Operators, Feed::Members, Feed::Rollouts, Feed::Entries];
+        let routes = feeds.into_iter().map(|feed| (feed, Mutex::default())).collect();
+        Self { state, store, routes }
+    }
+
+    /// Asks other entries in turn; none when the store is to be asked.
+    async fn ask_peers(
+        &self,
+        feed: Feed,
+        after: Option<StoreVersion>,
+    ) -> Option<Result<FeedPage, ControlStoreError>> {
+        let mut route = self.routes.get(&feed)?.lock().await;
+        if self.state.now() < route.direct_until {
+            return None;
+        }
+        let asked = self.state.peers.lock().asked();
+        if asked.is_empty() {
+            return None;
+        }
+        for addr in asked {
+            if route.skipped_until.get(&addr).is_some_and(|until| self.state.now() < *until) {
+                continue;
+            }
+            match self.ask_peer(&mut route, addr, feed, after).await {
+                Ok(answer) if answer.has_copy => {
+                    self.state.copies.forget(feed);
+                    if answer.is_history_gone {
+                        return Some(Err(ControlStoreError::HistoryGone));
+                    }
+                    return Some(Ok(answer.into_page()));
+                }
+                Ok(_) => {}
+                Err(error) => {
+                    log::debug!(feed:? = feed, addr:% = addr, error:% = error; "an entry did not answer");
+                }
+            }
+            route.connection = None;
+            let until = self.state.now().after(SKIP_FOR);
+            route.skipped_until.insert(addr, until);
+        }
+        log::info!(feed:? = feed; "no other entry has fresh news, asking the store");
+        route.direct_until = self.state.now().after(DIRECT_FOR);
+        route.skipped_until.clear();
+        None
+    }
+
+    async fn ask_peer(
+        &self,
+        route: &mut Route,
+        addr: SocketAddr,
+        feed: Feed,
+        after: Option<StoreVersion>,
+    ) -> Result<Answer, PeerError> {
+        if route.connection.as_ref().is_none_or(|(connected, _)| *connected != addr) {
+            let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr));
+            let stream = connecting.await.map_err(|_| PeerError::TimedOut)??;
+            stream.set_nodelay(true)?;
+            route.connection = Some((addr, framed(stream)));
+        }
+        let Some((_, connection)) = &mut route.connection else {
+            return Err(PeerError::Closed);
+        };
+        let wait = if feed == Feed::Rollouts { ROLLOUT_WAIT } else { PEER_WAIT };
+        let ask = Ask {
+            feed: feed_number(feed),
+            after: after.map(|after| after.0),
+            wait_ms: wait.as_millis() as u64,
+            host: self.state.settings.host.id.to_string(),
+            evidence: if feed == Feed::Rollouts { self.evidence() } else { Vec::new() },
+        };
+        let answered = exchange(connection, &ask);
+        let answer = tokio::time::timeout(wait + ANSWER_SLACK, answered).await;
+        answer.map_err(|_| PeerError::TimedOut)?
+    }
+
+    fn evidence(&self) -> Vec<Evidence> {
+        let rollouts = self.state.rollouts.lock();
+        let totals = rollouts.own_evidence().into_iter();
+        totals
+            .map(|(service, order, totals)| Evidence {
+                service: service.to_string(),
+                order_version: order.0,
+                old_answers: totals.old_answers,
+                old_failures: totals.old_failures,
+                old_timed: totals.old_timed,
+                old_slow: totals.old_slow,
+                new_answers: totals.new_answers,
+                new_failures: totals.new_failures,
+                new_timed: totals.new_timed,
+                new_slow: totals.new_slow,
+            })
+            .collect()
+    }
+}
+
+async fn exchange(connection: &mut Connection, ask: &Ask) -> Result<Answer, PeerError> {
+    connection.send(Bytes::from(ask.encode_to_vec())).await?;
+    let frame = connection.next().await.ok_or(PeerError::Closed)??;
+    Ok(Answer::decode(frame)?)
+}
+
+impl<S: ControlStore> ControlStore for RelayedStore<S> {
+    async fn read(&self, feed: Feed) -> Result<FeedPage, ControlStoreError> {
+        if let Some(answer) = self.ask_peers(feed, None).await {
+            return answer;
+        }
+        let page = self.store.read(feed).await?;
+        self.state.copies.replace(self.state.now(), feed, &page);
+        Ok(page)
+    }
+
+    async fn follow(
+        &self,
+        feed: Feed,
+        after: StoreVersion,
+        wait: Duration,
+    ) -> Result<FeedPage, ControlStoreError> {
+        if let Some(answer) = self.ask_peers(feed, Some(after)).await {
+            return answer;
+        }
+        let is_asked = self.state.copies.is_asked(self.state.now());
+        if is_asked && !self.state.copies.has(feed) {
+            // Others need this entry's news, and it has only followed changes so far.
+            return Err(ControlStoreError::HistoryGone);
+        }
+        let is_asked = is_asked && feed != Feed::Entries;
+        let wait = if is_asked { wait.min(FRESH_WAIT) } else { wait };
+        let page = self.store.follow(feed, after, wait).await?;
+        self.state.copies.extend(self.state.now(), feed, &page);
+        Ok(page)
+    }
+
+    fn decode(&self, feed: Feed, row: &FeedRow) -> Result<Option<Change>, UnreadableRow> {
+        self.store.decode(feed, row)
+    }
+
+    async fn list_entry(&self, entry: &ListedEntry) -> Result<(), ControlStoreError> {
+        self.store.list_entry(entry).await
+    }
+
+    async fn commit_rollout(&self, change: &RolloutChange) -> Result<(), ControlStoreError> {
+        self.store.commit_rollout(change).await
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers/server.rs
@@ -0,0 +1,173 @@
+//! Answering other entries.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use displaydoc::Display;
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use prost::Message;
+use stallhoist_core::MonoTime;
+use stallhoist_core::StoreVersion;
+use stallhoist_policy::rollout::EvidenceTotals;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio_util::codec::Framed;
+use tokio_util::codec::LengthDelimitedCodec;
+
+use super::messages::Answer;
+use super::messages::Ask;
+use super::messages::Evidence;
+use super::messages::MAX_MESSAGE_BYTES;
+use super::messages::feed_of;
+use crate::control_store::ControlStoreError;
+use crate::control_store::Feed;
+use crate::state::GatewayState;
+
+/// The longest that a question may wait for changes.
+const MAX_WAIT: Duration = Duration::from_secs(10);
+
+/// A connection on which nothing is asked for so long is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Why a connection to another entry ended.
+#[derive(Debug, Display, thiserror::Error)]
+pub(super) enum PeerError {
+    /// the connection broke: {0}
+    Broken(#[from] io::Error),
+    /// a message cannot be read: {0}
+    Unreadable(#[from] prost::DecodeError),
+    /// the other end closed the connection
+    Closed,
+    /// nothing came in time
+    TimedOut,
+}
+
+/// Answers other entries.
+#[derive(Debug)]
+pub(crate) struct PeerServer {
+    addr: SocketAddr,
+    _accepting: JoinSet<()>,
+}
+
+impl PeerServer {
+    /// Starts listening.
+    ///
+    /// # Errors
+    /// Fails when the address cannot be listened on.
+    pub(crate) async fn start(addr: SocketAddr, state: Arc<GatewayState>) -> io::Result<Self> {
+        let listener = TcpListener::bind(addr).await?;
+        let addr = listener.local_addr()?;
+        let mut accepting = JoinSet::new();
+        accepting.spawn(async move {
+            let mut connections = JoinSet::new();
+            loop {
+                match listener.accept().await {
+                    Ok((stream, peer)) => {
+                        let state = Arc::clone(&state);
+                        connections.spawn(async move {
+                            if let Err(error) = serve(state, stream).await {
+                                log::debug!(peer:% = peer, error:% = error; "an entry's connection ended");
+                            }
+                        });
+                    }
+                    Err(error) => {
+                        log::warn!(error:% = error; "an entry's connection was not accepted");
+                        tokio::time::sleep(Duration::from_millis(50)).await;
+                    }
+                }
+                while connections.try_join_next().is_some() {}
+            }
+        });
+        Ok(Self { addr, _accepting: accepting })
+    }
+
+    /// Where it listens.
+    pub(crate) fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+}
+
+/// A connection whose messages carry their length.
+pub(super) fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
+    let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_MESSAGE_BYTES).new_codec();
+    Framed::new(stream, codec)
+}
+
+async fn serve(state: Arc<GatewayState>, stream: TcpStream) -> Result<(), PeerError> {
+    stream.set_nodelay(true)?;
+    let mut messages = framed(stream);
+    loop {
+        let next = tokio::time::timeout(IDLE_TIMEOUT, messages.next()).await;
+        let Some(frame) = next.map_err(|_| PeerError::TimedOut)? else {
+            return Ok(());
+        };
+        let ask = Ask::decode(frame?)?;
+        let answer = answer(&state, ask).await;
+        messages.send(Bytes::from(answer.encode_to_vec())).await?;
+    }
+}
+
+async fn answer(state: &GatewayState, ask: Ask) -> Answer {
+    let now = state.now();
+    state.copies.asked(now);
+    for evidence in &ask.evidence {
+        take_evidence(state, &ask.host, evidence);
+    }
+    let Some(feed) = feed_of(ask.feed) else {
+        return Answer::default();
+    };
+    let until = now.after(Duration::from_millis(ask.wait_ms).min(MAX_WAIT));
+    page(state, feed, ask.after.map(StoreVersion), until).await
+}
+
+/// Waits until there is something to say.
+async fn page(
+    state: &GatewayState,
+    feed: Feed,
+    after: Option<StoreVersion>,
+    until: MonoTime,
+) -> Answer {
+    loop {
+        let changed = state.copies.changed();
+        let now = state.now();
+        match state.copies.page(now, feed, after) {
+            None => return Answer::default(),
+            Some(Err(ControlStoreError::HistoryGone)) => {
+                return Answer { has_copy: true, is_history_gone: true, ..Answer::default() };
+            }
+            Some(Err(error)) => {
+                log::error!(feed:? = feed, error:% = error; "a copy cannot be read");
+                return Answer::default();
+            }
+            Some(Ok(page)) if !page.rows.is_empty() || after.is_none() || now >= until => {
+                return Answer::of(page);
+            }
+            Some(Ok(_)) => {}
+        }
+        let _ = tokio::time::timeout(until.since(now), changed).await;
+    }
+}
+
+fn take_evidence(state: &GatewayState, host: &str, evidence: &Evidence) {
+    let (Ok(host), Ok(service)) = (host.parse(), evidence.service.parse()) else {
+        log::warn!(host, service = evidence.service; "evidence of no host or service ignored");
+        return;
+    };
+    let totals = EvidenceTotals {
+        old_answers: evidence.old_answers,
+        old_failures: evidence.old_failures,
+        old_timed: evidence.old_timed,
+        old_slow: evidence.old_slow,
+        new_answers: evidence.new_answers,
+        new_failures: evidence.new_failures,
+        new_timed: evidence.new_timed,
+        new_slow: evidence.new_slow,
+    };
+    let order = StoreVersion(evidence.order_version);
+    state.rollouts.lock().peer_evidence(host, &service, order, totals);
+}
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -18,9 +18,12 @@
 use crate::callers::CallerServer;
 use crate::control_store::ControlStore;
 use crate::control_store::Feed;
+use crate::control_store::ListedEntry;
 use crate::dialect::Dialect;
 use crate::follow::follow;
 use crate::operators;
+use crate::peers::PeerServer;
+use crate::peers::RelayedStore;
 use crate::rollouts;
 use crate::state::GatewayState;
 
@@ -31,6 +34,10 @@
 /// after this time.
 const LONGEST_LAG: Duration = Duration::from_millis(2_700);
 
+/// How often it is checked whether this entry is listed; after a write this is the time
+/// for the list to say so.
+const ANNOUNCE_EVERY: Duration = Duration::from_secs(2);
+
 /// How often it is looked whether everything has ended.
 const CHECK_EVERY: Duration = Duration::from_millis(20);
 
@@ -55,6 +62,13 @@
         /// Why.
         cause: io::Error,
     },
+    /// other entries cannot be served on {addr}: {cause}
+    Peers {
+        /// The address that was asked for.
+        addr: SocketAddr,
+        /// Why.
+        cause: io::Error,
+    },
     /// an endpoint did not start
     Server(#[from] ServerError),
 }
@@ -79,6 +93,7 @@
     callers: CallerServer,
     readiness: HttpServer,
     operators: HttpServer,
+    peers: PeerServer,
     tasks: JoinSet<()>,
     phase: PhantomData<Phase>,
 }
@@ -97,7 +112,12 @@
         let readiness = server_settings(&settings.readiness_addr)?;
         let operators = server_settings(&settings.operators_addr)?;
         let state = Arc::new(GatewayState::new(settings, dialect));
-        let tasks = start_tasks(&state, &store);
+        let peers_addr = parse_addr(&state.settings.peers_addr)?;
+        let peers = PeerServer::start(peers_addr, Arc::clone(&state))
+            .await
+            .map_err(|cause| GatewayError::Peers { addr: peers_addr, cause })?;
+        let store = Arc::new(RelayedStore::new(Arc::clone(&state), store));
+        let tasks = start_tasks(&state, &store, peers.addr());
         let callers = CallerServer::start(callers_addr, Arc::clone(&state))
             .await
             .map_err(|cause| GatewayError::Callers { addr: callers_addr, cause })?;
@@ -115,7 +135,7 @@
             operators_addr:% = operators.addr();
             "gateway serves"
         );
-        Ok(Self { state, callers, readiness, operators, tasks, phase: PhantomData })
+        Ok(Self { state, callers, readiness, operators, peers, tasks, phase: PhantomData })
     }
 
     /// Says that it is not ready any more; requests are still taken.
@@ -195,15 +215,21 @@
             callers: self.callers,
             readiness: self.readiness,
             operators: self.operators,
+            peers: self.peers,
             tasks: self.tasks,
             phase: PhantomData,
         }
     }
 }
 
-fn start_tasks<S: ControlStore>(state: &Arc<GatewayState>, store: &Arc<S>) -> JoinSet<()> {
+fn start_tasks<S: ControlStore>(
+    state: &Arc<GatewayState>,
+    store: &Arc<S>,
+    peers_addr: SocketAddr,
+) -> JoinSet<()> {
     let mut tasks = JoinSet::new();
-    for feed in [Feed::Operators, Feed::Members, Feed::Rollouts] {
+    tasks.spawn(announce(Arc::clone(state), Arc::clone(store), peers_addr));
+    for feed in [Feed::Operators, Feed::Members, Feed::Rollouts, Feed::Entries] {
         tasks.spawn(follow(Arc::clone(state), Arc::clone(store), feed));
     }
     tasks.spawn(rollouts::drive(Arc::clone(state), Arc::clone(store)));
@@ -211,6 +237,25 @@
     tasks
 }
 
+/// Lists this entry, so that others can ask it.
+async fn announce<S: ControlStore>(
+    state: Arc<GatewayState>,
+    store: Arc<S>,
+    peers_addr: SocketAddr,
+) {
+    let entry = ListedEntry { host: state.settings.host.id.clone(), peers_addr };
+    loop {
+        tokio::time::sleep(ANNOUNCE_EVERY).await;
+        if !state.is_informed() || state.peers.lock().is_listed_at(peers_addr) {
+            continue;
+        }
+        match store.list_entry(&entry).await {
+            Ok(()) => log::info!(peers_addr:% = peers_addr; "listed for other entries"),
+            Err(error) => log::warn!(error:% = error; "not listed for other entries"),
+        }
+    }
+}
+
 async fn expire(state: Arc<GatewayState>) {
     loop {
         tokio::time::sleep(EXPIRE_EVERY).await;
--- a/crates/gateway/src/rollouts/state.rs
+++ b/crates/gateway/src/rollouts/state.rs
@@ -1,12 +1,15 @@
 //! What an entry knows of roll-outs, without input or output.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::time::Duration;
 
+use stallhoist_core::HostId;
 use stallhoist_core::MonoTime;
 use stallhoist_core::ServiceName;
 use stallhoist_core::StoreVersion;
 use stallhoist_core::VersionName;
+use stallhoist_policy::rollout::EvidenceTotals;
 use stallhoist_policy::rollout::Observation;
 use stallhoist_policy::rollout::RequestKind;
 use stallhoist_policy::rollout::RolloutConfig;
@@ -28,6 +31,8 @@
     order: Option<RolloutOrder>,
     stored: Option<StoredRollout>,
     evidence: RolloutEvidence,
+    /// What other entries had counted when they last told.
+    peers: HashMap<HostId, EvidenceTotals>,
     /// This entry has seen enough of the target of the record to call it bad.
     is_found_bad: bool,
 }
@@ -44,6 +49,29 @@
     }
 }
 
+impl ServiceRollout {
+    fn is_running(&self) -> bool {
+        self.current().is_some_and(|stored| !stored.record.is_settled())
+    }
+
+    /// Calls the new version bad if the evidence says so.
+    fn judge(&mut self, service: &ServiceName) {
+        if self.is_found_bad || !self.is_running() || !self.evidence.is_bad() {
+            return;
+        }
+        self.is_found_bad = true;
+        let own = self.evidence.own();
+        log::warn!(
+            service:% = service,
+            answers = own.new_answers,
+            failures = own.new_failures,
+            slow = own.new_slow,
+            entries_told = self.peers.len();
+            "the new version is worse than the old one"
+        );
+    }
+}
+
 /// What an entry knows of roll-outs.
 #[derive(Debug, Default)]
 pub struct Rollouts {
@@ -70,6 +98,7 @@
         let is_same = rollout.order.as_ref().is_some_and(|o| o.row_version == order.row_version);
         if !is_same {
             rollout.evidence = RolloutEvidence::default();
+            rollout.peers.clear();
             rollout.is_found_bad = false;
         }
         rollout.order = Some(order);
@@ -148,12 +177,38 @@
         } else {
             rollout.evidence.old_version(kind, observation);
         }
-        let is_running = rollout.current().is_some_and(|stored| !stored.record.is_settled());
-        if is_running && !rollout.is_found_bad && rollout.evidence.is_bad() {
-            rollout.is_found_bad = true;
-            let answers = rollout.evidence.new_answers();
-            log::warn!(service:% = service, version:% = version, answers; "the new version is worse than the old one");
+        rollout.judge(service);
+    }
+
+    /// What this entry has counted of the roll-outs that are under way: the service, the
+    /// version of the order's row and the counts.
+    pub fn own_evidence(&self) -> Vec<(ServiceName, StoreVersion, EvidenceTotals)> {
+        let running = self.services.values().filter(|rollout| rollout.is_running());
+        running
+            .filter_map(|rollout| {
+                let order = rollout.order.as_ref()?;
+                Some((order.service.clone(), order.row_version, rollout.evidence.own()))
+            })
+            .collect()
+    }
+
+    /// Another entry tells what it has counted in all so far, since an order.
+    pub fn peer_evidence(
+        &mut self,
+        host: HostId,
+        service: &ServiceName,
+        order_version: StoreVersion,
+        totals: EvidenceTotals,
+    ) {
+        let Some(rollout) = self.services.get_mut(service) else {
+            return;
+        };
+        if rollout.order.as_ref().is_none_or(|order| order.row_version != order_version) {
+            return;
         }
+        let earlier = rollout.peers.insert(host, totals).unwrap_or_default();
+        rollout.evidence.counted_elsewhere(totals.since(earlier));
+        rollout.judge(service);
     }
 
     /// The changes to be stored now.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -25,6 +25,8 @@
 use crate::decision_log::DecisionLog;
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
+use crate::peers::FeedCopies;
+use crate::peers::PeerList;
 use crate::planned_stop::PlannedStop;
 use crate::planned_stop::Work;
 use crate::retry_budgets::RetryBudgets;
@@ -49,6 +51,10 @@
     pub(crate) step_up: StepUpConfig,
     /// How hard pressed the engines of each service are.
     pub(crate) pressures: Mutex<HashMap<ServiceName, Pressure>>,
+    /// Other entries of the system.
+    pub(crate) peers: Mutex<PeerList>,
+    /// What this entry has read of the store, for others that ask.
+    pub(crate) copies: FeedCopies,
     pub(crate) metrics: Metrics,
     pub(crate) decisions: DecisionLog,
     clock: ProcessClock,
@@ -76,6 +82,8 @@
             retries: Mutex::new(RetryBudgets::new(budget)),
             step_up: StepUpConfig { below_confidence },
             pressures: Mutex::default(),
+            peers: Mutex::new(PeerList::new(settings.host.id.clone())),
+            copies: FeedCopies::default(),
             metrics: Metrics::default(),
             decisions: DecisionLog::default(),
             clock: ProcessClock::start(),
--- a/crates/policy/src/rollout/evidence.rs
+++ b/crates/policy/src/rollout/evidence.rs
@@ -75,49 +75,104 @@
 }
 
 impl Comparison {
-    fn old_version(&mut self, is_bad: bool) {
-        self.old_answers += 1.0;
-        self.old_bad += f64::from(u8::from(is_bad));
+    fn old_version(&mut self, answers: u64, bad: u64) {
+        self.old_answers += answers as f64;
+        self.old_bad += bad as f64;
     }
 
-    fn new_version(&mut self, is_bad: bool) {
-        let bad = self.old_bad + PRIOR_RATE * PRIOR_ANSWERS;
-        let base_rate = (bad / (self.old_answers + PRIOR_ANSWERS) + MARGIN).min(0.5);
-        self.test.observe(1, u64::from(is_bad), base_rate);
+    fn new_version(&mut self, answers: u64, bad: u64) {
+        let old_bad = self.old_bad + PRIOR_RATE * PRIOR_ANSWERS;
+        let base_rate = (old_bad / (self.old_answers + PRIOR_ANSWERS) + MARGIN).min(0.5);
+        self.test.observe(answers, bad, base_rate);
     }
 }
 
-/// What one entry has seen of the old and the new version of a service.
+/// What was counted of the old and the new version of a service.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct EvidenceTotals {
+    /// Answers of the old version.
+    pub old_answers: u64,
+    /// Those that failed.
+    pub old_failures: u64,
+    /// Answers of the old version whose time was compared.
+    pub old_timed: u64,
+    /// Those that were slow.
+    pub old_slow: u64,
+    /// Answers of the new version.
+    pub new_answers: u64,
+    /// Those that failed.
+    pub new_failures: u64,
+    /// Answers of the new version whose time was compared.
+    pub new_timed: u64,
+    /// Those that were slow.
+    pub new_slow: u64,
+}
+
+impl EvidenceTotals {
+    /// What came since `earlier`; everything, when the counts have started anew.
+    pub fn since(self, earlier: Self) -> Self {
+        if self.old_answers < earlier.old_answers || self.new_answers < earlier.new_answers {
+            return self;
+        }
+        Self {
+            old_answers: self.old_answers - earlier.old_answers,
+            old_failures: self.old_failures.saturating_sub(earlier.old_failures),
+            old_timed: self.old_timed.saturating_sub(earlier.old_timed),
+            old_slow: self.old_slow.saturating_sub(earlier.old_slow),
+            new_answers: self.new_answers - earlier.new_answers,
+            new_failures: self.new_failures.saturating_sub(earlier.new_failures),
+            new_timed: self.new_timed.saturating_sub(earlier.new_timed),
+            new_slow: self.new_slow.saturating_sub(earlier.new_slow),
+        }
+    }
+}
+
+/// What is known of the old and the new version of a service: what this entry has seen, and
+/// what others have counted.
 #[derive(Debug, Default)]
 pub struct RolloutEvidence {
     usual: HashMap<RequestKind, UsualTime>,
     failures: Comparison,
     slow_answers: Comparison,
-    new_answers: u64,
+    own: EvidenceTotals,
 }
 
 impl RolloutEvidence {
     /// An attempt on the old version ended.
     pub fn old_version(&mut self, kind: &RequestKind, observation: Observation) {
-        self.failures.old_version(observation == Observation::Failed);
-        if let Observation::Answered(time) = observation {
-            let log_ms = log_ms(time);
-            let usual = self.usual.entry(kind.clone()).or_default();
-            let is_slow = usual.is_slow(log_ms);
-            usual.observe(log_ms);
-            self.slow_answers.old_version(is_slow);
+        let mut seen = EvidenceTotals { old_answers: 1, ..EvidenceTotals::default() };
+        match observation {
+            Observation::Failed => seen.old_failures = 1,
+            Observation::Answered(time) => {
+                let usual = self.usual.entry(kind.clone()).or_default();
+                seen.old_timed = 1;
+                seen.old_slow = u64::from(usual.is_slow(log_ms(time)));
+                usual.observe(log_ms(time));
+            }
         }
+        self.seen(seen);
     }
 
     /// An attempt on the new version ended.
     pub fn new_version(&mut self, kind: &RequestKind, observation: Observation) {
-        self.new_answers += 1;
-        self.failures.new_version(observation == Observation::Failed);
-        if let Observation::Answered(time) = observation {
-            let usual = self.usual.get(kind);
-            let is_slow = usual.is_some_and(|usual| usual.is_slow(log_ms(time)));
-            self.slow_answers.new_version(is_slow);
+        let mut seen = EvidenceTotals { new_answers: 1, ..EvidenceTotals::default() };
+        match observation {
+            Observation::Failed => seen.new_failures = 1,
+            Observation::Answered(time) => {
+                let usual = self.usual.get(kind);
+                seen.new_timed = 1;
+                seen.new_slow = u64::from(usual.is_some_and(|u| u.is_slow(log_ms(time))));
+            }
         }
+        self.seen(seen);
+    }
+
+    /// Another entry has counted these, which were not counted here before.
+    pub fn counted_elsewhere(&mut self, counts: EvidenceTotals) {
+        self.failures.old_version(counts.old_answers, counts.old_failures);
+        self.slow_answers.old_version(counts.old_timed, counts.old_slow);
+        self.failures.new_version(counts.new_answers, counts.new_failures);
+        self.slow_answers.new_version(counts.new_timed, counts.new_slow);
     }
 
     /// Whether the new version is worse than the old one.
@@ -125,9 +180,22 @@
         self.failures.test.rejects(ALPHA) || self.slow_answers.test.rejects(ALPHA)
     }
 
-    /// Answers of the new version so far.
-    pub fn new_answers(&self) -> u64 {
-        self.new_answers
+    /// What this entry has counted itself.
+    pub fn own(&self) -> EvidenceTotals {
+        self.own
+    }
+
+    fn seen(&mut self, seen: EvidenceTotals) {
+        let own = &mut self.own;
+        own.old_answers += seen.old_answers;
+        own.old_failures += seen.old_failures;
+        own.old_timed += seen.old_timed;
+        own.old_slow += seen.old_slow;
+        own.new_answers += seen.new_answers;
+        own.new_failures += seen.new_failures;
+        own.new_timed += seen.new_timed;
+        own.new_slow += seen.new_slow;
+        self.counted_elsewhere(seen);
     }
 }
 
--- a/crates/policy/src/rollout/mod.rs
+++ b/crates/policy/src/rollout/mod.rs
@@ -9,6 +9,7 @@
 mod plan;
 mod record;
 
+pub use evidence::EvidenceTotals;
 pub use evidence::Observation;
 pub use evidence::RequestKind;
 pub use evidence::RolloutEvidence;
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -179,6 +179,8 @@
     pub readiness_path: String,
     /// Where metrics and the state dump are served.
     pub operators_addr: String,
+    /// Where other entries ask this one for news.
+    pub peers_addr: String,
     /// Where the platform's store is.
     pub store: StoreSettings,
     /// How upstreams are called.
@@ -210,6 +212,7 @@
             readiness_addr: "127.0.0.1:0".to_owned(),
             readiness_path: "/ready".to_owned(),
             operators_addr: "127.0.0.1:0".to_owned(),
+            peers_addr: "127.0.0.1:0".to_owned(),
             store: StoreSettings::default(),
             upstream: UpstreamCallSettings::default(),
             step_up: StepUpSettings::default(),
@@ -225,6 +228,7 @@
         problems.address("callers_addr", &self.callers_addr);
         problems.address("readiness_addr", &self.readiness_addr);
         problems.address("operators_addr", &self.operators_addr);
+        problems.address("peers_addr", &self.peers_addr);
         if !self.readiness_path.starts_with('/') {
             problems.add("readiness_path", "must begin with a slash");
         }
--- a/tests/all/gateway/daemon.rs
+++ b/tests/all/gateway/daemon.rs
@@ -37,6 +37,7 @@
             "readiness_addr": "127.0.0.1:0",
             "readiness_path": "/ready",
             "operators_addr": "127.0.0.1:0",
+            "peers_addr": "127.0.0.1:0",
             "store": { "addr": store.addr().to_string() },
         });
         let process = Process::start(PROGRAM, &settings.to_string());
