--- a/crates/gateway/src/control_store.rs
+++ b/crates/gateway/src/control_store.rs
@@ -18,7 +18,7 @@
 use crate::routing::RoutingConfig;
 
 /// What can be followed in the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Feed {
     /// What operators write: the routing configuration and orders for roll-outs.
     Operators,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,7 +8,7 @@
 //!
 //! - [`routing`]: the routing configuration
 //! - [`members`]: the upstreams that are known
-//! - `peers`: news between entries
+//! - [`peers`]: news between entries
 //! - [`rollouts`]: moving a service to a new version
 //! - `request`: one request, from its head to its final answer
 //! - `upstream`: connections to upstreams
@@ -23,7 +23,7 @@
 pub mod members;
 mod metrics;
 mod operators;
-mod peers;
+pub mod peers;
 pub mod planned_stop;
 mod process;
 mod request;
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -1,5 +1,7 @@
 //! Readiness, metrics and the state dump, served by Rocket.
 
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use rocket::Build;
@@ -58,6 +60,8 @@
     is_ready: bool,
     is_leaving: bool,
     config_version: Option<u64>,
+    /// Where the news of each feed came from last: the store or another entry.
+    news_from: BTreeMap<String, String>,
     upstreams: Vec<String>,
     rollouts: Vec<RolloutDump>,
 }
@@ -69,6 +73,15 @@
     row_version: u64,
 }
 
+fn news_from(state: &GatewayState) -> BTreeMap<String, String> {
+    let sources = state.news_from.lock();
+    let name = |source: &Option<SocketAddr>| match source {
+        Some(entry) => entry.to_string(),
+        None => "store".to_owned(),
+    };
+    sources.iter().map(|(feed, source)| (format!("{feed:?}"), name(source))).collect()
+}
+
 #[get("/state")]
 fn dump(state: &State<Arc<GatewayState>>) -> Json<Dump> {
     let rollouts = state.rollouts.lock().summary().into_iter();
@@ -77,6 +90,7 @@
         is_ready: state.is_ready(),
         is_leaving: state.is_leaving(),
         config_version: state.config().map(|config| config.version.0),
+        news_from: news_from(state),
         upstreams: state.upstreams.summary(state.now()),
         rollouts: rollouts
             .map(|(service, record, row_version)| RolloutDump {
--- a/crates/gateway/src/peers/feed_copies.rs
+++ b/crates/gateway/src/peers/feed_copies.rs
@@ -40,21 +40,21 @@
 
 /// Copies of the feeds that this entry follows at the store.
 #[derive(Debug, Default)]
-pub(crate) struct FeedCopies {
+pub struct FeedCopies {
     copies: Mutex<Copies>,
     changed: Notify,
 }
 
 impl FeedCopies {
     /// The whole feed was read at the store.
-    pub(crate) fn replace(&self, now: MonoTime, feed: Feed, page: &FeedPage) {
+    pub fn replace(&self, now: MonoTime, feed: Feed, page: &FeedPage) {
         let copy = FeedCopy { complete_since: page.version, ..FeedCopy::default() };
         self.copies.lock().by_feed.insert(feed, copy);
         self.extend(now, feed, page);
     }
 
     /// Changes came from the store. Without the rows before them they are of no use.
-    pub(crate) fn extend(&self, now: MonoTime, feed: Feed, page: &FeedPage) {
+    pub fn extend(&self, now: MonoTime, feed: Feed, page: &FeedPage) {
         let mut copies = self.copies.lock();
         let Some(copy) = copies.by_feed.get_mut(&feed) else {
             return;
@@ -70,27 +70,30 @@
     }
 
     /// Whether there is a copy of a feed, fresh or not.
-    pub(crate) fn has(&self, feed: Feed) -> bool {
+    pub fn has(&self, feed: Feed) -> bool {
         self.copies.lock().by_feed.contains_key(&feed)
     }
 
     /// The feed comes from elsewhere now: there is no copy for others.
-    pub(crate) fn forget(&self, feed: Feed) {
+    pub fn forget(&self, feed: Feed) {
         self.copies.lock().by_feed.remove(&feed);
     }
 
     /// Another entry asks.
-    pub(crate) fn asked(&self, now: MonoTime) {
+    pub fn asked(&self, now: MonoTime) {
         self.copies.lock().asked_at = Some(now);
     }
 
     /// Whether others have asked lately: then the copies must be kept fresh.
-    pub(crate) fn is_asked(&self, now: MonoTime) -> bool {
+    pub fn is_asked(&self, now: MonoTime) -> bool {
         self.copies.lock().asked_at.is_some_and(|at| now.since(at) < ASKED_FOR)
     }
 
     /// All rows of a feed, or the changes after a version; none when there is no fresh copy.
-    pub(crate) fn page(
+    ///
+    /// # Errors
+    /// [`ControlStoreError::HistoryGone`] when changes after that version may be missing.
+    pub fn page(
         &self,
         now: MonoTime,
         feed: Feed,
@@ -118,7 +121,7 @@
     }
 
     /// Waits until a copy changes, or is read again.
-    pub(crate) async fn changed(&self) {
+    pub async fn changed(&self) {
         self.changed.notified().await;
     }
 }
--- a/crates/gateway/src/peers/list.rs
+++ b/crates/gateway/src/peers/list.rs
@@ -18,30 +18,31 @@
 
 /// The entries of the system.
 #[derive(Debug)]
-pub(crate) struct PeerList {
+pub struct PeerList {
     own: HostId,
     /// By a hash of the host, which is the order in which they are relays.
     entries: BTreeMap<(u64, HostId), SocketAddr>,
 }
 
 impl PeerList {
-    pub(crate) fn new(own: HostId) -> Self {
+    /// Nobody but the entry itself is known yet.
+    pub fn new(own: HostId) -> Self {
         Self { own, entries: BTreeMap::new() }
     }
 
     /// An entry listed itself.
-    pub(crate) fn listed(&mut self, entry: ListedEntry) {
+    pub fn listed(&mut self, entry: ListedEntry) {
         self.entries.insert(order_of(&entry.host), entry.peers_addr);
     }
 
     /// Whether this entry is listed at an address.
-    pub(crate) fn is_listed_at(&self, addr: SocketAddr) -> bool {
+    pub fn is_listed_at(&self, addr: SocketAddr) -> bool {
         self.entries.get(&order_of(&self.own)) == Some(&addr)
     }
 
     /// Whom this entry asks, in order; nobody if it follows the store itself. Each begins
     /// with another one of the relays, so that they share the work.
-    pub(crate) fn asked(&self) -> Vec<SocketAddr> {
+    pub fn asked(&self) -> Vec<SocketAddr> {
         let own = order_of(&self.own);
         let ahead = self.entries.keys().take(RELAYS);
         if self.entries.len() <= RELAYS || ahead.into_iter().any(|key| *key == own) {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -14,7 +14,7 @@
 mod relayed_store;
 mod server;
 
-pub(crate) use feed_copies::FeedCopies;
-pub(crate) use list::PeerList;
+pub use feed_copies::FeedCopies;
+pub use list::PeerList;
 pub(crate) use relayed_store::RelayedStore;
 pub(crate) use server::PeerServer;
--- a/crates/gateway/src/peers/relayed_store.rs
+++ b/crates/gateway/src/peers/relayed_store.rs
@@ -102,6 +102,7 @@
             match self.ask_peer(&mut route, addr, feed, after).await {
                 Ok(answer) if answer.has_copy => {
                     self.state.copies.forget(feed);
+                    self.state.news_from.lock().insert(feed, Some(addr));
                     if answer.is_history_gone {
                         return Some(Err(ControlStoreError::HistoryGone));
                     }
@@ -183,6 +184,7 @@
             return answer;
         }
         let page = self.store.read(feed).await?;
+        self.state.news_from.lock().insert(feed, None);
         self.state.copies.replace(self.state.now(), feed, &page);
         Ok(page)
     }
@@ -204,6 +206,7 @@
         let is_asked = is_asked && feed != Feed::Entries;
         let wait = if is_asked { wait.min(FRESH_WAIT) } else { wait };
         let page = self.store.follow(feed, after, wait).await?;
+        self.state.news_from.lock().insert(feed, None);
         self.state.copies.extend(self.state.now(), feed, &page);
         Ok(page)
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -2,7 +2,9 @@
 //!
 //! Lock order: no task holds two of these locks at once.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
@@ -22,6 +24,7 @@
 use stallhoist_settings::GatewaySettings;
 use tokio::sync::Notify;
 
+use crate::control_store::Feed;
 use crate::decision_log::DecisionLog;
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
@@ -53,6 +56,8 @@
     pub(crate) pressures: Mutex<HashMap<ServiceName, Pressure>>,
     /// Other entries of the system.
     pub(crate) peers: Mutex<PeerList>,
+    /// Where the news of each feed came from last; none means the store.
+    pub(crate) news_from: Mutex<BTreeMap<Feed, Option<SocketAddr>>>,
     /// What this entry has read of the store, for others that ask.
     pub(crate) copies: FeedCopies,
     pub(crate) metrics: Metrics,
@@ -83,6 +88,7 @@
             step_up: StepUpConfig { below_confidence },
             pressures: Mutex::default(),
             peers: Mutex::new(PeerList::new(settings.host.id.clone())),
+            news_from: Mutex::default(),
             copies: FeedCopies::default(),
             metrics: Metrics::default(),
             decisions: DecisionLog::default(),
--- a/tests/all/decisions/mod.rs
+++ b/tests/all/decisions/mod.rs
@@ -3,6 +3,7 @@
 mod balance;
 mod directory;
 mod event_frames;
+mod peers;
 mod planned_stop;
 mod rollout_evidence;
 mod rollout_plan;
--- /dev/null
+++ b/tests/all/decisions/peers.rs
@@ -0,0 +1,155 @@
+//! Whom an entry asks for news, and what it can answer.
+
+use std::net::SocketAddr;
+
+use stallhoist_core::HostId;
+use stallhoist_core::StoreVersion;
+use stallhoist_gateway::control_store::ControlStoreError;
+use stallhoist_gateway::control_store::Feed;
+use stallhoist_gateway::control_store::FeedPage;
+use stallhoist_gateway::control_store::FeedRow;
+use stallhoist_gateway::control_store::ListedEntry;
+use stallhoist_gateway::peers::FeedCopies;
+use stallhoist_gateway::peers::PeerList;
+
+use super::at_ms;
+
+fn host(n: u16) -> HostId {
+    format!("entry-{n}").parse().expect("a name")
+}
+
+fn addr(n: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1_000 + n))
+}
+
+/// The list of each of so many entries.
+fn lists(count: u16) -> Vec<PeerList> {
+    let list = |own| {
+        let mut list = PeerList::new(host(own));
+        for n in 0..count {
+            list.listed(ListedEntry { host: host(n), peers_addr: addr(n) });
+        }
+        list
+    };
+    (0..count).map(list).collect()
+}
+
+/// In a fleet of this size, so many follow the store themselves.
+macro_rules! follow_the_store {
+    ($name:ident, $entries:expr, $expected:expr) => {
+        #[test]
+        fn $name() {
+            let lists = lists($entries);
+            let direct = lists.iter().filter(|list| list.asked().is_empty()).count();
+            assert_eq!(direct, $expected);
+        }
+    };
+}
+
+follow_the_store!(one_alone, 1, 1);
+follow_the_store!(all_of_three, 3, 3);
+follow_the_store!(three_of_four, 4, 3);
+follow_the_store!(three_of_thirty_two, 32, 3);
+follow_the_store!(three_of_four_hundred, 400, 3);
+
+#[test]
+fn the_relays_share_the_work() {
+    let lists = lists(100);
+    let relays: Vec<_> =
+        (0..100u16).filter(|n| lists[usize::from(*n)].asked().is_empty()).collect();
+    for relay in relays {
+        let first = |list: &&PeerList| list.asked().first() == Some(&addr(relay));
+        let share = lists.iter().filter(first).count();
+        assert!((20..=45).contains(&share), "{share}");
+    }
+}
+
+#[test]
+fn nobody_asks_itself_and_the_number_asked_is_bounded() {
+    for (n, list) in (0..).zip(lists(50)) {
+        let asked = list.asked();
+        assert!(asked.len() <= 5 && !asked.contains(&addr(n)));
+    }
+}
+
+#[test]
+fn an_entry_that_moved_is_listed_anew() {
+    let mut list = PeerList::new(host(1));
+    assert!(!list.is_listed_at(addr(1)));
+    list.listed(ListedEntry { host: host(1), peers_addr: addr(1) });
+    assert!(list.is_listed_at(addr(1)));
+    list.listed(ListedEntry { host: host(1), peers_addr: addr(9) });
+    assert!(!list.is_listed_at(addr(1)) && list.is_listed_at(addr(9)));
+}
+
+fn row(key: &str, version: u64, is_there: bool) -> FeedRow {
+    let value = is_there.then(|| key.to_owned().into());
+    FeedRow { key: key.to_owned(), value, version: StoreVersion(version) }
+}
+
+fn page(rows: Vec<FeedRow>, version: u64) -> FeedPage {
+    FeedPage { rows, version: StoreVersion(version), store_now_ms: 5_000 }
+}
+
+/// A copy read at version 10 with rows a and b; at 12 a was removed.
+fn copies() -> FeedCopies {
+    let copies = FeedCopies::default();
+    let whole = page(vec![row("a", 4, true), row("b", 9, true)], 10);
+    copies.replace(at_ms(0), Feed::Members, &whole);
+    copies.extend(at_ms(100), Feed::Members, &page(vec![row("a", 12, false)], 12));
+    copies
+}
+
+fn keys(page: &FeedPage) -> Vec<&str> {
+    page.rows.iter().map(|row| row.key.as_str()).collect()
+}
+
+#[test]
+fn a_whole_feed_has_only_what_is_there() {
+    let page = copies().page(at_ms(200), Feed::Members, None).expect("it is fresh").expect("rows");
+    assert_eq!(
+        (keys(&page), page.version, page.store_now_ms),
+        (vec!["b"], StoreVersion(12), 5_100)
+    );
+}
+
+#[test]
+fn changes_tell_what_was_removed() {
+    let copies = copies();
+    let after = |version| copies.page(at_ms(200), Feed::Members, Some(StoreVersion(version)));
+    assert_eq!(keys(&after(10).expect("fresh").expect("rows")), ["a"]);
+    assert!(after(12).expect("fresh").expect("rows").rows.is_empty());
+    let ahead = after(15).expect("fresh").expect("rows");
+    assert_eq!((ahead.rows.len(), ahead.version), (0, StoreVersion(15)), "never back");
+}
+
+#[test]
+fn changes_from_before_the_copy_are_gone() {
+    let answer = copies().page(at_ms(200), Feed::Members, Some(StoreVersion(9)));
+    assert!(matches!(answer, Some(Err(ControlStoreError::HistoryGone))));
+}
+
+// An entry that is cut off from the store must not keep others from it.
+#[test]
+fn a_copy_that_is_not_fresh_is_none() {
+    let copies = copies();
+    assert!(copies.page(at_ms(1_600), Feed::Members, None).is_some());
+    assert!(copies.page(at_ms(1_601), Feed::Members, None).is_none());
+    copies.extend(at_ms(1_700), Feed::Members, &page(Vec::new(), 12));
+    assert!(copies.page(at_ms(1_701), Feed::Members, None).is_some());
+}
+
+#[test]
+fn changes_without_the_rows_before_them_make_no_copy() {
+    let copies = FeedCopies::default();
+    copies.extend(at_ms(0), Feed::Members, &page(vec![row("a", 4, true)], 4));
+    assert!(!copies.has(Feed::Members));
+}
+
+#[test]
+fn others_count_for_a_while_after_their_question() {
+    let copies = FeedCopies::default();
+    assert!(!copies.is_asked(at_ms(0)));
+    copies.asked(at_ms(0));
+    assert!(copies.is_asked(at_ms(4_999)) && !copies.is_asked(at_ms(5_000)));
+}
--- a/tests/all/decisions/rollout_rules.rs
+++ b/tests/all/decisions/rollout_rules.rs
@@ -10,6 +10,7 @@
 use stallhoist_gateway::rollouts::Rollouts;
 use stallhoist_gateway::rollouts::VersionFilter;
 use stallhoist_gateway::rollouts::VersionRule;
+use stallhoist_policy::rollout::EvidenceTotals;
 use stallhoist_policy::rollout::Observation;
 use stallhoist_policy::rollout::RequestKind;
 use stallhoist_policy::rollout::RolloutConfig;
@@ -142,3 +143,60 @@
     rollouts.store_clock(at_ms(1), 700);
     assert_eq!(rollouts.due(at_ms(1))[0].record.started_ms, 700);
 }
+
+fn told(new_answers: u64, new_failures: u64) -> EvidenceTotals {
+    EvidenceTotals { old_answers: 100, new_answers, new_failures, ..EvidenceTotals::default() }
+}
+
+fn tell(rollouts: &mut Rollouts, entry: &str, order_version: u64, totals: EvidenceTotals) {
+    let host = entry.parse().expect("a name");
+    rollouts.peer_evidence(host, &service(), StoreVersion(order_version), totals);
+}
+
+// In a large fleet no entry alone sees enough of the new version.
+#[test]
+fn what_others_counted_decides_too() {
+    let mut rollouts = rollouts(RolloutPhase::Canary);
+    for n in 0..6 {
+        tell(&mut rollouts, &format!("entry-{n}"), 10, told(2, 1));
+    }
+    assert_eq!(rule(&rollouts, 0.01, None).wanted, old());
+}
+
+// Totals are told again and again: what was counted before does not count twice.
+#[test]
+fn totals_that_are_told_again_count_once() {
+    let mut rollouts = rollouts(RolloutPhase::Canary);
+    for _ in 0..50 {
+        tell(&mut rollouts, "entry-1", 10, told(3, 1));
+    }
+    assert_eq!(rule(&rollouts, 0.01, None).wanted, new());
+}
+
+#[test]
+fn an_entry_that_restarted_counts_anew() {
+    let mut rollouts = rollouts(RolloutPhase::Canary);
+    for _ in 0..6 {
+        tell(&mut rollouts, "entry-1", 10, told(4, 2));
+        tell(&mut rollouts, "entry-1", 10, EvidenceTotals::default());
+    }
+    assert_eq!(rule(&rollouts, 0.01, None).wanted, old());
+}
+
+#[test]
+fn counts_of_another_order_are_of_no_use() {
+    let mut rollouts = rollouts(RolloutPhase::Canary);
+    tell(&mut rollouts, "entry-1", 9, told(100, 100));
+    assert_eq!(rule(&rollouts, 0.01, None).wanted, new());
+}
+
+#[test]
+fn an_entry_tells_only_what_it_counted_itself() {
+    let mut rollouts = rollouts(RolloutPhase::Canary);
+    tell(&mut rollouts, "entry-1", 10, told(3, 1));
+    let kind = RequestKind { route: "r".parse().expect("a name"), model: None };
+    rollouts.observe(&service(), &version("v2"), &kind, Observation::Failed);
+    let own = rollouts.own_evidence();
+    assert_eq!(own.len(), 1);
+    assert_eq!((own[0].2.new_answers, own[0].2.new_failures, own[0].2.old_answers), (1, 1, 0));
+}
--- a/tests/all/gateway/mod.rs
+++ b/tests/all/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod daemon;
 mod headers;
 mod members;
+mod peers;
 mod rollouts;
 mod stops;
 mod streams;
