stallhoist explain ID; settings of the gateway are checked by command and by test

Change: what a log says of one request, with what the process believed before and meanwhile; check-settings gateway; the example, the platform's template and three wrong values are tested.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -21,6 +21,7 @@
         .subcommand(dump())
         .subcommand(bill())
         .subcommand(check_settings())
+        .subcommand(explain())
         .subcommand(completions())
 }
 
@@ -173,10 +174,22 @@
 fn check_settings() -> Command {
     Command::new("check-settings")
         .about("Checks a settings file without starting anything")
-        .arg(Arg::new("role").required(true).value_parser(["entry", "sidecar"]))
+        .arg(Arg::new("role").required(true).value_parser(["entry", "gateway", "sidecar"]))
         .arg(Arg::new("file").required(true).value_parser(value_parser!(PathBuf)))
 }
 
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Shows what a process's log says of one request")
+        .arg(Arg::new("id").required(true).value_name("ID").help("The request's id"))
+        .arg(
+            Arg::new("file")
+                .value_name("LOG")
+                .value_parser(value_parser!(PathBuf))
+                .help("The log, in JSON lines; standard input if absent"),
+        )
+}
+
 fn completions() -> Command {
     Command::new("completions")
         .about("Prints completions for a shell")
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! What the commands do.
 
 mod bill;
+mod explain;
 mod hold;
 mod table;
 
@@ -11,6 +12,7 @@
 use clap::ArgMatches;
 use clap_complete::Shell;
 use stallhoist_settings::EntrySettings;
+use stallhoist_settings::GatewaySettings;
 use stallhoist_settings::SidecarSettings;
 
 use crate::cli;
@@ -32,6 +34,7 @@
         Some(("dump", matches)) => dump(matches).await?,
         Some(("bill", matches)) => bill::run(matches).await?,
         Some(("check-settings", matches)) => check_settings(matches)?,
+        Some(("explain", matches)) => explain::run(matches)?,
         Some(("completions", matches)) => completions(matches),
         _ => return Ok(ExitCode::FAILURE),
     }
@@ -48,6 +51,7 @@
     let path = matches.get_one::<PathBuf>("file").cloned().unwrap_or_default();
     match matches.get_one::<String>("role").map(String::as_str) {
         Some("entry") => stallhoist_settings::load::<EntrySettings>(&path).map(|_| ())?,
+        Some("gateway") => stallhoist_settings::load::<GatewaySettings>(&path).map(|_| ())?,
         _ => stallhoist_settings::load::<SidecarSettings>(&path).map(|_| ())?,
     }
     say(format_args!("{}: all settings are right\n", path.display()));
--- a/src/error.rs
+++ b/src/error.rs
@@ -11,6 +11,8 @@
 /// What can go wrong on the command line.
 #[derive(Debug, Display, thiserror::Error)]
 pub(crate) enum CliError {
+    /// the log says nothing of a request '{0}'
+    NotInLog(String),
     /// {0}
     Settings(#[from] SettingsError),
     /// cannot reach the operators' endpoint: {0}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod cascade;
 mod case;
 mod decisions;
+mod explain;
 mod gateway;
 mod guard;
 mod harness;
--- a/tests/all/settings.rs
+++ b/tests/all/settings.rs
@@ -6,6 +6,7 @@
 use expect_test::expect;
 use stallhoist_settings::Checked;
 use stallhoist_settings::EntrySettings;
+use stallhoist_settings::GatewaySettings;
 use stallhoist_settings::SidecarSettings;
 use stallhoist_settings::load;
 use stallhoist_settings::parse;
@@ -137,3 +138,73 @@
     let error = load::<EntrySettings>(Path::new("no/such/file.jsonc")).expect_err("not there");
     assert!(error.to_string().contains("no/such/file.jsonc"), "{error}");
 }
+
+const GATEWAY: &str = include_str!("../../examples/gateway.jsonc");
+
+/// A gateway's settings with one text in place of another.
+macro_rules! gateway_refuses {
+    ($name:ident, $from:expr, $to:expr, $expected:expr) => {
+        #[test]
+        fn $name() {
+            assert!(GATEWAY.contains($from), "the text to replace is there");
+            let error = parse::<GatewaySettings>("gateway.jsonc", &GATEWAY.replace($from, $to));
+            $expected.assert_eq(&error.expect_err("it is refused").to_string());
+        }
+    };
+}
+
+#[test]
+fn the_gateways_example_is_right() {
+    parse::<GatewaySettings>("gateway.jsonc", GATEWAY).expect("it is taken");
+}
+
+// The template names every gap that the platform fills; filled with an example's values it
+// is taken.
+#[test]
+fn the_platforms_template_gives_right_settings() {
+    let gaps = [
+        ("{{node|json}}", "\"front-glk-a-1\""),
+        ("{{zone|json}}", "\"glk-a\""),
+        ("{{listen.front|json}}", "\"10.1.0.40:8227\""),
+        ("{{listen.ready|json}}", "\"10.1.0.40:8220\""),
+        ("{{ip}}", "10.1.0.40"),
+        ("{{internal_ports.0}}", "7340"),
+        ("{{internal_ports.1}}", "7355"),
+        ("{{platform.address|json}}", "\"10.200.1.7:8223\""),
+        ("{{bounds.retry_budget_ratio|json}}", "0.9"),
+        ("{{bounds.budget_slack|json}}", "52"),
+        ("{{bounds.grace_s}}", "8"),
+        ("{{bounds.session_s}}", "5"),
+    ];
+    let mut filled = include_str!("../../deploy/gateway.jsonc").to_owned();
+    for (gap, value) in gaps {
+        assert!(filled.contains(gap), "{gap} is not in the template");
+        filled = filled.replace(gap, value);
+    }
+    assert!(!filled.contains("{{"), "a gap is left: {filled}");
+    let settings = parse::<GatewaySettings>("deploy/gateway.jsonc", &filled).expect("taken");
+    assert_eq!((settings.stop.grace_ms, settings.session_ms), (8_000, 5_000));
+}
+
+gateway_refuses!(
+    a_gateways_wrong_percent,
+    "[50]",
+    "[50, 101]",
+    expect![
+        "gateway.jsonc: line 14: key 'step_up.below_confidence_percent': each must be from 0 to 100"
+    ]
+);
+gateway_refuses!(
+    a_gateways_grace_in_the_wrong_unit,
+    "\"grace_ms\": 8000",
+    "\"grace_ms\": 8",
+    expect!["gateway.jsonc: line 16: key 'stop.grace_ms', value 8: must be from 500 to 600000"]
+);
+gateway_refuses!(
+    a_gateways_path_without_a_slash,
+    "\"/ready\"",
+    "\"ready\"",
+    expect![[
+        r#"gateway.jsonc: line 7: key 'readiness_path', value "ready": must begin with a slash"#
+    ]]
+);
