A version that generates slowly is found by the pace of its streams

Change: an attempt that is overdue by the usual time counts at once, and the time from the first to the second part of a stream is compared like that to the first. Tests: overdue counts before the answer and once; a slow pace alone is found.

--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -10,6 +10,7 @@
 use stallhoist_core::VersionName;
 use stallhoist_policy::rollout::Observation;
 use stallhoist_policy::rollout::RequestKind;
+use stallhoist_policy::rollout::TimedPart;
 
 use super::Call;
 use super::WholeReply;
@@ -96,12 +97,48 @@
         };
         let outgoing = self.outgoing();
         let answered = self.answer(connection, outgoing, work);
-        let end = tokio::time::timeout(self.patience, answered).await;
-        let end = end.unwrap_or(AttemptEnd::TimedOut);
-        self.take_down(started, &end);
+        let answered = tokio::time::timeout(self.patience, answered);
+        let mut answered = std::pin::pin!(answered);
+        let mut is_overdue = false;
+        let end = loop {
+            tokio::select! {
+                end = answered.as_mut() => break end.unwrap_or(AttemptEnd::TimedOut),
+                () = self.overdue(), if !is_overdue => {
+                    is_overdue = true;
+                    self.observe(Observation::Overdue);
+                }
+            }
+        };
+        self.take_down(started, &end, is_overdue);
         end
     }
 
+    /// Waits until an answer would be slow, if a roll-out wants to know.
+    async fn overdue(&self) {
+        let kind = self.kind();
+        let slow_after = self.state.rollouts.lock().slow_after(&self.call.service_name, &kind);
+        match slow_after {
+            Some(time) => tokio::time::sleep(time).await,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// The requests that its time is compared with.
+    fn kind(&self) -> RequestKind {
+        RequestKind {
+            route: self.call.route.name.clone(),
+            model: self.model.cloned(),
+            part: TimedPart::First,
+        }
+    }
+
+    fn observe(&self, observation: Observation) {
+        let version = &self.chosen.version;
+        let kind = self.kind();
+        let mut rollouts = self.state.rollouts.lock();
+        rollouts.observe(&self.call.service_name, version, &kind, observation);
+    }
+
     fn outgoing(&self) -> Outgoing {
         let head = AttemptHead {
             instance: &self.chosen.instance,
@@ -191,11 +228,15 @@
     }
 
     /// Takes down what an attempt shows of the upstream and of its version.
-    fn take_down(&self, started: MonoTime, end: &AttemptEnd) {
+    fn take_down(&self, started: MonoTime, end: &AttemptEnd, is_overdue: bool) {
         let now = self.state.now();
         let upstreams = &self.state.upstreams;
         let instance = &self.chosen.instance;
-        let answered = Observation::Answered(now.since(started));
+        let answered = if is_overdue {
+            Observation::AnsweredOverdue
+        } else {
+            Observation::Answered(now.since(started))
+        };
         let (result, observation) = match end {
             AttemptEnd::NotSent(_) => (AttemptResult::NotSent, None),
             AttemptEnd::NotRun(_) => (AttemptResult::NotRun, None),
@@ -214,16 +255,12 @@
             self.state.observe_time(service, now.since(started), target);
         }
         match observation {
-            Some(Observation::Answered(_)) => upstreams.succeeded(now, instance),
             Some(Observation::Failed) => upstreams.failed(now, instance),
+            Some(_) => upstreams.succeeded(now, instance),
             None => {}
         }
         if let Some(observation) = observation {
-            let service = &self.call.service_name;
-            let version = &self.chosen.version;
-            let kind =
-                RequestKind { route: self.call.route.name.clone(), model: self.model.cloned() };
-            self.state.rollouts.lock().observe(service, version, &kind, observation);
+            self.observe(observation);
         }
     }
 }
--- a/crates/gateway/src/request/execution.rs
+++ b/crates/gateway/src/request/execution.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use stallhoist_core::InstanceId;
+use stallhoist_core::ModelName;
 use stallhoist_core::VersionName;
 use stallhoist_policy::retry::AttemptFacts;
 use stallhoist_policy::retry::may_retry;
@@ -84,6 +85,11 @@
         &self.call
     }
 
+    /// The model that the system chose; none when the caller did.
+    pub(crate) fn model(&self) -> Option<&ModelName> {
+        self.models.chosen()
+    }
+
     pub(crate) fn attempts(&self) -> u32 {
         self.attempts
     }
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -1,11 +1,15 @@
 //! Passing an event stream on, event by event.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use displaydoc::Display;
 use http::HeaderMap;
 use http::StatusCode;
+use stallhoist_policy::rollout::Observation;
+use stallhoist_policy::rollout::RequestKind;
+use stallhoist_policy::rollout::TimedPart;
 
 use super::Execution;
 use super::attempt::OpenStream;
@@ -30,6 +34,8 @@
     headers: HeaderMap,
     last_event: Option<u64>,
     is_ended: bool,
+    /// The first part has come, the second has not.
+    is_second_due: bool,
 }
 
 impl Relay {
@@ -37,7 +43,15 @@
         let head = &stream.reply.head;
         let headers = execution.state().dialect.caller_headers(&head.headers);
         let status = head.status;
-        Self { execution, stream, status, headers, last_event: None, is_ended: false }
+        Self {
+            execution,
+            stream,
+            status,
+            headers,
+            last_event: None,
+            is_ended: false,
+            is_second_due: true,
+        }
     }
 
     /// The head of the answer: that of the first upstream, whichever continues it.
@@ -54,7 +68,9 @@
             if let Some(first) = self.stream.first.take() {
                 return Ok(Some(self.passed_on(first)));
             }
-            match self.read().await {
+            let next =
+                if self.is_second_due { self.read_second().await } else { self.read().await };
+            match next {
                 Ok(Some(events)) => return Ok(Some(self.passed_on(events))),
                 Ok(None) => {
                     self.ended("complete");
@@ -70,6 +86,44 @@
         events.bytes
     }
 
+    /// Reads the second part of the stream. The time it takes shows how fast the upstream
+    /// generates, which a roll-out may want to know before the stream has ended.
+    async fn read_second(&mut self) -> Result<Option<EventFrames>, String> {
+        self.is_second_due = false;
+        let kind = RequestKind {
+            route: self.execution.call().route.name.clone(),
+            model: self.execution.model().cloned(),
+            part: TimedPart::Second,
+        };
+        let state = Arc::clone(self.execution.state());
+        let service = self.execution.call().service_name.clone();
+        let version = self.stream.version.clone();
+        let observe = |observation| {
+            state.rollouts.lock().observe(&service, &version, &kind, observation);
+        };
+        let slow_after = state.rollouts.lock().slow_after(&service, &kind);
+        let began = state.now();
+        let mut is_overdue = false;
+        let next = {
+            let mut read = std::pin::pin!(self.read());
+            match slow_after {
+                Some(time) => match tokio::time::timeout(time, read.as_mut()).await {
+                    Ok(next) => next,
+                    Err(_) => {
+                        is_overdue = true;
+                        observe(Observation::Overdue);
+                        read.await
+                    }
+                },
+                None => read.await,
+            }
+        };
+        if matches!(next, Ok(Some(_))) && !is_overdue {
+            observe(Observation::Paced(state.now().since(began)));
+        }
+        next
+    }
+
     /// Reads from the upstream until an event is whole.
     async fn read(&mut self) -> Result<Option<EventFrames>, String> {
         let silence = self.allowed_silence();
--- a/crates/gateway/src/rollouts/state.rs
+++ b/crates/gateway/src/rollouts/state.rs
@@ -180,6 +180,12 @@
         rollout.judge(service);
     }
 
+    /// The time from which on an answer is slow, while a roll-out runs.
+    pub fn slow_after(&self, service: &ServiceName, kind: &RequestKind) -> Option<Duration> {
+        let rollout = self.services.get(service).filter(|rollout| rollout.is_running())?;
+        rollout.evidence.slow_after(kind)
+    }
+
     /// What this entry has counted of the roll-outs that are under way: the service, the
     /// version of the order's row and the counts.
     pub fn own_evidence(&self) -> Vec<(ServiceName, StoreVersion, EvidenceTotals)> {
--- a/crates/policy/src/rollout/evidence.rs
+++ b/crates/policy/src/rollout/evidence.rs
@@ -29,15 +29,31 @@
 /// The weight of the newest time in the usual time.
 const NEWEST_TIME_WEIGHT: f64 = 0.05;
 
-/// How one attempt ended.
+/// What an attempt has shown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Observation {
     /// It was answered; the first part of the answer came after this time.
     Answered(Duration),
+    /// It is not answered yet, after the time from which on an answer is slow. Told at
+    /// once: slow answers come late, and a verdict cannot wait for them.
+    Overdue,
+    /// It was answered after it had been overdue.
+    AnsweredOverdue,
+    /// So much time passed between the first two parts of a stream.
+    Paced(Duration),
     /// It failed, or its answer broke off.
     Failed,
 }
 
+/// Which time is compared.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum TimedPart {
+    /// From sending the request to the first part of its answer.
+    First,
+    /// From the first to the second part of a stream: how fast an engine generates.
+    Second,
+}
+
 /// The requests whose times are compared: those of one route, to one model.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct RequestKind {
@@ -45,6 +61,8 @@
     pub route: RouteName,
     /// The model that was asked, if any.
     pub model: Option<ModelName>,
+    /// Which time it is.
+    pub part: TimedPart,
 }
 
 /// The geometric mean of times: a few very long ones hardly change it.
@@ -138,13 +156,16 @@
 }
 
 impl RolloutEvidence {
-    /// An attempt on the old version ended.
+    /// What an attempt on the old version has shown.
     pub fn old_version(&mut self, kind: &RequestKind, observation: Observation) {
-        let mut seen = EvidenceTotals { old_answers: 1, ..EvidenceTotals::default() };
+        let mut seen = EvidenceTotals::default();
         match observation {
-            Observation::Failed => seen.old_failures = 1,
-            Observation::Answered(time) => {
+            Observation::Failed => (seen.old_answers, seen.old_failures) = (1, 1),
+            Observation::Overdue => (seen.old_timed, seen.old_slow) = (1, 1),
+            Observation::AnsweredOverdue => seen.old_answers = 1,
+            Observation::Answered(time) | Observation::Paced(time) => {
                 let usual = self.usual.entry(kind.clone()).or_default();
+                seen.old_answers = u64::from(observation == Observation::Answered(time));
                 seen.old_timed = 1;
                 seen.old_slow = u64::from(usual.is_slow(log_ms(time)));
                 usual.observe(log_ms(time));
@@ -153,13 +174,16 @@
         self.seen(seen);
     }
 
-    /// An attempt on the new version ended.
+    /// What an attempt on the new version has shown.
     pub fn new_version(&mut self, kind: &RequestKind, observation: Observation) {
-        let mut seen = EvidenceTotals { new_answers: 1, ..EvidenceTotals::default() };
+        let mut seen = EvidenceTotals::default();
         match observation {
-            Observation::Failed => seen.new_failures = 1,
-            Observation::Answered(time) => {
+            Observation::Failed => (seen.new_answers, seen.new_failures) = (1, 1),
+            Observation::Overdue => (seen.new_timed, seen.new_slow) = (1, 1),
+            Observation::AnsweredOverdue => seen.new_answers = 1,
+            Observation::Answered(time) | Observation::Paced(time) => {
                 let usual = self.usual.get(kind);
+                seen.new_answers = u64::from(observation == Observation::Answered(time));
                 seen.new_timed = 1;
                 seen.new_slow = u64::from(usual.is_some_and(|u| u.is_slow(log_ms(time))));
             }
@@ -167,6 +191,12 @@
         self.seen(seen);
     }
 
+    /// The time from which on an answer is slow; none while that is not known.
+    pub fn slow_after(&self, kind: &RequestKind) -> Option<Duration> {
+        let usual = self.usual.get(kind).filter(|usual| usual.answers >= MIN_TIMED)?;
+        Some(Duration::from_secs_f64(usual.mean_log_ms.exp() * SLOW_FACTOR / 1_000.0))
+    }
+
     /// Another entry has counted these, which were not counted here before.
     pub fn counted_elsewhere(&mut self, counts: EvidenceTotals) {
         self.failures.old_version(counts.old_answers, counts.old_failures);
--- a/crates/policy/src/rollout/mod.rs
+++ b/crates/policy/src/rollout/mod.rs
@@ -13,6 +13,7 @@
 pub use evidence::Observation;
 pub use evidence::RequestKind;
 pub use evidence::RolloutEvidence;
+pub use evidence::TimedPart;
 pub use plan::RolloutConfig;
 pub use plan::RolloutStep;
 pub use plan::new_version_share;
--- a/tests/all/decisions/rollout_evidence.rs
+++ b/tests/all/decisions/rollout_evidence.rs
@@ -8,9 +8,10 @@
 use stallhoist_policy::rollout::Observation;
 use stallhoist_policy::rollout::RequestKind;
 use stallhoist_policy::rollout::RolloutEvidence;
+use stallhoist_policy::rollout::TimedPart;
 
 fn kind(route: &str) -> RequestKind {
-    RequestKind { route: route.parse().expect("a name"), model: None }
+    RequestKind { route: route.parse().expect("a name"), model: None, part: TimedPart::First }
 }
 
 fn kind_of_model(model: &str) -> RequestKind {
@@ -130,3 +131,52 @@
     }
     assert!(called <= 2, "{called} of 200");
 }
+
+// Seen on the bench: everything had moved over and was completed before the first slow
+// answer came (own day rollout-slow on Fjordsegl, EXPOSURE).
+#[test]
+fn answers_that_are_overdue_count_before_they_come() {
+    let mut evidence = RolloutEvidence::default();
+    for _ in 0..100 {
+        evidence.old_version(&kind("r"), answered_ms(100));
+    }
+    assert_eq!(evidence.slow_after(&kind("r")), Some(Duration::from_millis(250)));
+    for _ in 0..15 {
+        evidence.new_version(&kind("r"), Observation::Overdue);
+    }
+    assert!(evidence.is_bad());
+}
+
+#[test]
+fn an_overdue_answer_counts_once() {
+    let mut evidence = RolloutEvidence::default();
+    evidence.new_version(&kind("r"), Observation::Overdue);
+    evidence.new_version(&kind("r"), Observation::AnsweredOverdue);
+    let own = evidence.own();
+    assert_eq!((own.new_answers, own.new_failures, own.new_timed, own.new_slow), (1, 0, 1, 1));
+}
+
+#[test]
+fn before_a_usual_time_is_known_nothing_is_overdue() {
+    let mut evidence = RolloutEvidence::default();
+    evidence.old_version(&kind("r"), answered_ms(100));
+    assert_eq!(evidence.slow_after(&kind("r")), None);
+}
+
+// Seen on the bench: a version whose engines generate slowly answers its first part in time.
+#[test]
+fn a_version_that_generates_slowly_is_found() {
+    let pace = RequestKind { part: TimedPart::Second, ..kind("r") };
+    let paced_ms = |ms| Observation::Paced(Duration::from_millis(ms));
+    let mut evidence = RolloutEvidence::default();
+    for _ in 0..100 {
+        evidence.old_version(&kind("r"), answered_ms(100));
+        evidence.old_version(&pace, paced_ms(70));
+    }
+    for _ in 0..15 {
+        evidence.new_version(&kind("r"), answered_ms(110));
+        evidence.new_version(&pace, paced_ms(400));
+    }
+    assert!(evidence.is_bad());
+    assert_eq!(evidence.own().new_answers, 15, "a pace is no answer of its own");
+}
--- a/tests/all/decisions/rollout_rules.rs
+++ b/tests/all/decisions/rollout_rules.rs
@@ -16,6 +16,7 @@
 use stallhoist_policy::rollout::RolloutConfig;
 use stallhoist_policy::rollout::RolloutPhase;
 use stallhoist_policy::rollout::RolloutRecord;
+use stallhoist_policy::rollout::TimedPart;
 
 use super::at_ms;
 
@@ -126,7 +127,8 @@
 #[test]
 fn a_version_found_bad_gets_nothing_more() {
     let mut rollouts = rollouts(RolloutPhase::Canary);
-    let kind = RequestKind { route: "r".parse().expect("a name"), model: None };
+    let kind =
+        RequestKind { route: "r".parse().expect("a name"), model: None, part: TimedPart::First };
     for _ in 0..30 {
         rollouts.observe(&service(), &version("v2"), &kind, Observation::Failed);
     }
@@ -194,7 +196,8 @@
 fn an_entry_tells_only_what_it_counted_itself() {
     let mut rollouts = rollouts(RolloutPhase::Canary);
     tell(&mut rollouts, "entry-1", 10, told(3, 1));
-    let kind = RequestKind { route: "r".parse().expect("a name"), model: None };
+    let kind =
+        RequestKind { route: "r".parse().expect("a name"), model: None, part: TimedPart::First };
     rollouts.observe(&service(), &version("v2"), &kind, Observation::Failed);
     let own = rollouts.own_evidence();
     assert_eq!(own.len(), 1);
