--- a/crates/gateway/src/callers/handler.rs
+++ b/crates/gateway/src/callers/handler.rs
@@ -50,12 +50,13 @@
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     let counted = InProgress::count(&state);
+    let id = state.dialect.call_id(request.headers()).unwrap_or_default().to_owned();
     let mut response = match accept(&state, request).await {
         Ok(call) => execute(&state, call, counted).await,
         Err(rejection) => {
             state.metrics.request_ended(RequestEnd::Rejected);
             if state.decisions.admits(state.now()) {
-                log::info!(reason:% = rejection; "request rejected");
+                log::info!(request = id, reason:% = rejection; "request rejected");
             }
             rejection.response()
         }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -87,6 +87,9 @@
 
 /// Translates between heads on the wire and the gateway's types.
 pub trait Dialect: fmt::Debug + Send + Sync + 'static {
+    /// The caller's id of a request, for the log of those that cannot be read.
+    fn call_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str>;
+
     /// Reads the head of a caller's request.
     ///
     /// # Errors
--- a/tests/all/gateway/daemon.rs
+++ b/tests/all/gateway/daemon.rs
@@ -78,6 +78,19 @@
     assert_eq!(running.ask().await, Some(200));
 });
 
+case!(the_log_tells_why_a_request_was_rejected, async {
+    let running = Running::start().await;
+    let url = format!("http://{}/nowhere/x", running.process.addr("callers_addr"));
+    let request = running.http.get(url).header("Request-Id", "id-8");
+    assert_eq!(send(request).await.expect("an answer").status, 404);
+    wait_until("the log tells it", async || {
+        let log = running.process.log();
+        let is_rejection = |line: &String| line.contains("id-8") && line.contains("no route fits");
+        log.iter().any(is_rejection)
+    })
+    .await;
+});
+
 // An engineer on call has only the log: the end of each request stands there by its id,
 // and no key does.
 case!(the_log_tells_how_a_request_ended_and_no_key, async {
