--- /dev/null
+++ b/crates/settings/src/gateway/mod.rs
@@ -0,0 +1,17 @@
+//! A gateway's settings: the file as a whole, and a module for each of its sections.
+
+mod host;
+mod retries;
+mod step_up;
+mod stop;
+mod store;
+mod upstream_calls;
+mod whole;
+
+pub use host::GatewayHost;
+pub use retries::GatewayRetrySettings;
+pub use step_up::StepUpSettings;
+pub use stop::StopSettings;
+pub use store::StoreSettings;
+pub use upstream_calls::UpstreamCallSettings;
+pub use whole::GatewaySettings;
--- /dev/null
+++ b/crates/settings/src/gateway/whole.rs
@@ -0,0 +1,89 @@
+//! All settings of a gateway.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::GatewayHost;
+use super::GatewayRetrySettings;
+use super::StepUpSettings;
+use super::StopSettings;
+use super::StoreSettings;
+use super::UpstreamCallSettings;
+use crate::Checked;
+use crate::Problems;
+
+/// All settings of a gateway.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewaySettings {
+    /// Who the process is.
+    pub host: GatewayHost,
+    /// Where callers connect to.
+    pub callers_addr: String,
+    /// Where the platform asks whether callers should be sent here.
+    pub readiness_addr: String,
+    /// The path that it asks.
+    pub readiness_path: String,
+    /// Where metrics and the state dump are served.
+    pub operators_addr: String,
+    /// Where other entries ask this one for news.
+    pub peers_addr: String,
+    /// Where the platform's store is.
+    pub store: StoreSettings,
+    /// How upstreams are called.
+    #[serde(default)]
+    pub upstream: UpstreamCallSettings,
+    /// When a better model is asked.
+    #[serde(default)]
+    pub step_up: StepUpSettings,
+    /// How many further attempts are made.
+    #[serde(default)]
+    pub retries: GatewayRetrySettings,
+    /// How a planned stop goes.
+    #[serde(default)]
+    pub stop: StopSettings,
+    /// How long a session lasts after its last request.
+    #[serde(default = "default_session_ms")]
+    pub session_ms: u64,
+}
+
+fn default_session_ms() -> u64 {
+    GatewaySettings::default().session_ms
+}
+
+impl Default for GatewaySettings {
+    fn default() -> Self {
+        Self {
+            host: GatewayHost::default(),
+            callers_addr: "127.0.0.1:0".to_owned(),
+            readiness_addr: "127.0.0.1:0".to_owned(),
+            readiness_path: "/ready".to_owned(),
+            operators_addr: "127.0.0.1:0".to_owned(),
+            peers_addr: "127.0.0.1:0".to_owned(),
+            store: StoreSettings::default(),
+            upstream: UpstreamCallSettings::default(),
+            step_up: StepUpSettings::default(),
+            retries: GatewayRetrySettings::default(),
+            stop: StopSettings::default(),
+            session_ms: 5_000,
+        }
+    }
+}
+
+impl Checked for GatewaySettings {
+    fn check(&self, problems: &mut Problems) {
+        problems.address("callers_addr", &self.callers_addr);
+        problems.address("readiness_addr", &self.readiness_addr);
+        problems.address("operators_addr", &self.operators_addr);
+        problems.address("peers_addr", &self.peers_addr);
+        if !self.readiness_path.starts_with('/') {
+            problems.add("readiness_path", "must begin with a slash");
+        }
+        problems.section("store", &self.store);
+        problems.section("upstream", &self.upstream);
+        problems.section("step_up", &self.step_up);
+        problems.section("retries", &self.retries);
+        problems.section("stop", &self.stop);
+        problems.range("session_ms", self.session_ms, 0..=86_400_000);
+    }
+}
