Gateway: socket options for callers and upstreams set in one place

Cause: accept.rs and upstream/connection.rs set the same options by two copies of a function. Change: tcp.rs sets them from named limits, with the values of before.

--- a/crates/gateway/src/callers/accept.rs
+++ b/crates/gateway/src/callers/accept.rs
@@ -12,15 +12,16 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
-use socket2::SockRef;
-use socket2::TcpKeepalive;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use super::handler::handle;
+use crate::routing::CallerBounds;
 use crate::state::GatewayState;
+use crate::tcp::SilenceLimits;
+use crate::tcp::tune;
 
 /// A connection's buffer holds the largest head that a configuration may allow.
 const MAX_BUFFER_BYTES: usize = 64 << 10;
@@ -28,8 +29,12 @@
 /// After a failed accept, for want of descriptors mostly, the next waits this long.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// A caller that is silent for so long is taken for gone.
-const CALLER_SILENCE: Duration = Duration::from_secs(5);
+/// When a caller is taken for gone.
+const CALLER_SILENCE: SilenceLimits = SilenceLimits {
+    probe_after: Duration::from_secs(2),
+    probes: 3,
+    acknowledged_within: Duration::from_secs(5),
+};
 
 /// The server that callers connect to.
 #[derive(Debug)]
@@ -102,17 +107,17 @@
 }
 
 async fn serve(stream: TcpStream, state: Arc<GatewayState>, mut closing: watch::Receiver<bool>) {
-    if let Err(error) = tune(&stream) {
+    if let Err(error) = tune(&stream, CALLER_SILENCE) {
         log::debug!(error:% = error; "socket options of a caller's connection were not set");
     }
-    let idle_timeout = state.config().map_or(Duration::from_secs(15), |c| c.bounds.idle_timeout);
+    let bounds = state.config().map_or_else(CallerBounds::default, |c| c.bounds.clone());
     let service = service_fn(|request| {
         let state = Arc::clone(&state);
         async move { Ok::<_, Infallible>(handle(state, request).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(idle_timeout)
+        .header_read_timeout(bounds.idle_timeout)
         .max_buf_size(MAX_BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
@@ -130,15 +135,6 @@
     }
 }
 
-fn tune(stream: &TcpStream) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    let second = Duration::from_secs(1);
-    let keepalive = TcpKeepalive::new().with_time(second * 2).with_interval(second).with_retries(3);
-    socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(CALLER_SILENCE))
-}
-
 /// Counts an open connection until it is dropped.
 #[derive(Debug)]
 struct OpenConnection(Arc<AtomicUsize>);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,13 +3,18 @@
 //! This crate exists for platforms that give each upstream its own address and no room
 //! for a sidecar in the path: a gateway takes a request, chooses the version, the model
 //! and the upstream, makes the attempts, and passes the answer on. What it decides with is
-//! in [`stallhoist_policy`]; what it knows comes from a [`ControlStore`](control_store::ControlStore); the headers on
-//! the wire are a [`Dialect`](dialect::Dialect)'s business. Gateways share the store, and in large fleets the news from it.
+//! in [`stallhoist_policy`]; what it knows comes from a [`control_store::ControlStore`]; the
+//! headers on the wire are the business of a [`dialect::Dialect`]. Gateways share the store,
+//! and in large fleets the news from it.
 //!
 //! - [`routing`]: the routing configuration
 //! - [`members`]: the upstreams that are known
 //! - [`peers`]: news between entries
 //! - [`rollouts`]: moving a service to a new version
+//! - [`planned_stop`]: what is still taken after a stop was asked for
+//! - `follow`: the tasks that follow the store
+//! - `state`: what all tasks share
+//! - `upstreams`: the choice of an upstream
 //! - `request`: one request, from its head to its final answer
 //! - `upstream`: connections to upstreams
 //! - `callers`: the interface to callers
@@ -32,6 +37,7 @@
 pub mod routing;
 mod sessions;
 mod state;
+mod tcp;
 mod upstream;
 mod upstreams;
 
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -1,6 +1,5 @@
 //! Connections to upstreams that find out soon when the other end has gone silent.
 
-use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -9,12 +8,18 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
-use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
 use super::ConnectError;
+use crate::tcp::SilenceLimits;
+use crate::tcp::tune;
+
+/// An upstream whose connection is at rest for so long is probed.
+const PROBE_AFTER: Duration = Duration::from_secs(1);
+
+/// So many probes in a row may go unanswered.
+const PROBES: u32 = 2;
 
 /// How connections to upstreams are made.
 #[derive(Debug, Clone)]
@@ -55,7 +60,12 @@
         .await
         .map_err(|_| ConnectError::TimedOut)?
         .map_err(ConnectError::Refused)?;
-    tune(&stream, settings.silence_timeout).map_err(ConnectError::Refused)?;
+    let limits = SilenceLimits {
+        probe_after: PROBE_AFTER,
+        probes: PROBES,
+        acknowledged_within: settings.silence_timeout,
+    };
+    tune(&stream, limits).map_err(ConnectError::Refused)?;
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(ConnectError::Handshake)?;
     let driver = tokio::spawn(async move {
@@ -66,13 +76,3 @@
     });
     Ok(Connection { sender, driver: Driver(driver) })
 }
-
-/// Sets the options by which the system's TCP finds out that the other end has gone.
-fn tune(stream: &TcpStream, silence_timeout: Duration) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    let second = Duration::from_secs(1);
-    let keepalive = TcpKeepalive::new().with_time(second).with_interval(second).with_retries(2);
-    socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(silence_timeout))
-}
