Prompts that begin alike are steered to one upstream of the zone

Cause: entries of a large fleet place prompts without knowing what the others sent where; ties alone went by the hash of the last shared part. Change: the upstream that the hash names is taken to have read 70 in 100 of the shared tokens.

--- a/crates/gateway/src/upstreams/choice.rs
+++ b/crates/gateway/src/upstreams/choice.rs
@@ -2,7 +2,7 @@
 
 use stallhoist_core::InstanceId;
 use stallhoist_core::MonoTime;
-use stallhoist_core::Prompt;
+use stallhoist_core::PromptPart;
 use stallhoist_core::ZoneName;
 use stallhoist_policy::balance::BalanceConfig;
 use stallhoist_policy::balance::CandidateFacts;
@@ -18,9 +18,9 @@
 use crate::members::Member;
 use crate::rollouts::VersionFilter;
 
-/// The most that the place a prompt is steered to by its id alone can weigh, in
-/// milliseconds: it only breaks ties between places that have not read it.
-const STEERING_MS: f64 = 6.0;
+/// The part of a shared prompt that the upstream it is steered to is taken to have read. Not
+/// all, so that one which has surely read it goes first. Set on the users' bench.
+const LIKELY_READ_PERCENT: u64 = 70;
 
 /// What one choice rests on.
 #[derive(Debug)]
@@ -71,10 +71,12 @@
             model_pace: self.placement.model_pace,
             body_bytes: self.placement.body_bytes,
         };
-        let costs = members.map(|member| {
-            let facts = self.facts(member);
-            let steering = steering_ms(prompt, &member.instance);
-            (expected_cost_ms(self.config, &request, &facts) + steering, facts, member)
+        let members: Vec<_> = members.collect();
+        let home = self.home(&members);
+        let costs = members.into_iter().map(|member| {
+            let is_home = home == Some(&member.instance);
+            let facts = self.facts(member, is_home);
+            (expected_cost_ms(self.config, &request, &facts), facts, member)
         });
         let (_, facts, member) = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
         let unread = request.prompt_tokens.saturating_sub(facts.read_tokens) as f64;
@@ -87,12 +89,24 @@
         })
     }
 
-    fn facts(&self, member: &Member) -> CandidateFacts {
+    /// The upstream of the own zone that all entries steer prompts with this beginning to,
+    /// by a hash, without talking to each other.
+    fn home<'m>(&self, members: &[&'m Member]) -> Option<&'m InstanceId> {
+        let part = self.placement.prompt?.shared_parts().last()?;
+        let hash =
+            |member: &&&Member| xxh3_64_with_seed(member.instance.as_str().as_bytes(), part.id);
+        let in_zone = members.iter().filter(|member| member.zone == *self.own_zone);
+        in_zone.min_by_key(hash).map(|member| &member.instance)
+    }
+
+    fn facts(&self, member: &Member, is_home: bool) -> CandidateFacts {
         let Self { known, now, placement, .. } = *self;
         let instance = &member.instance;
         let read_tokens = match (placement.model, placement.prompt) {
             (Some(model), Some(prompt)) => {
-                known.places.read_tokens(now, instance, model, prompt.shared_parts())
+                let shared = prompt.shared_parts();
+                let known = known.places.read_tokens(now, instance, model, shared);
+                if is_home { known.max(likely_read_tokens(shared)) } else { known }
             }
             _ => 0,
         };
@@ -107,12 +121,9 @@
     }
 }
 
-/// Entries steer prompts that begin alike to the same upstreams without talking to each
-/// other, by a hash of the last shared part and the upstream.
-fn steering_ms(prompt: Option<&Prompt>, instance: &InstanceId) -> f64 {
-    let Some(part) = prompt.and_then(|prompt| prompt.shared_parts().last()) else {
-        return 0.0;
-    };
-    let hash = xxh3_64_with_seed(instance.as_str().as_bytes(), part.id);
-    STEERING_MS * (hash as f64 / u64::MAX as f64)
+/// What the upstream that all entries steer a prompt to has probably read of it, sent there
+/// by another entry.
+fn likely_read_tokens(shared: &[PromptPart]) -> u64 {
+    let tokens: u64 = shared.iter().map(|part| part.tokens).sum();
+    tokens * LIKELY_READ_PERCENT / 100
 }
