Gateway: the attempts of a request in shorter parts

Where a stream ends, its count is an argument rather than taken from the log's text. The limit on priorities is called what it is, LEAST_URGENT: it never was a default. CONNECTION_SHARE is a divisor.

--- a/crates/gateway/src/callers/handler.rs
+++ b/crates/gateway/src/callers/handler.rs
@@ -41,8 +41,8 @@
 /// configuration. Callers give up a request that is not read within a second.
 const WAIT_UNTIL_INFORMED: Duration = Duration::from_millis(800);
 
-/// The urgency of requests whose route and workspace say nothing.
-const DEFAULT_PRIORITY: u8 = 5;
+/// The least urgent priority: a larger number in the configuration counts as this one.
+const LEAST_URGENT: u8 = 5;
 
 /// Answers one request.
 pub(crate) async fn handle(
@@ -94,7 +94,7 @@
         service: config.services.get(&service_name).cloned(),
         service_name,
         workspace: workspace.map(|workspace| workspace.name.clone()),
-        priority: own_priority.unwrap_or(route.priority).min(DEFAULT_PRIORITY),
+        priority: own_priority.unwrap_or(route.priority).min(LEAST_URGENT),
         deadline: arrived.after(wait),
         arrived,
         head,
--- /dev/null
+++ b/crates/gateway/src/request/execution/choice.rs
@@ -0,0 +1,77 @@
+//! Choosing the upstream of a request's next attempt.
+
+use std::time::Duration;
+
+use super::Execution;
+use crate::request::Call;
+use crate::request::GiveUp;
+use crate::rollouts::VersionRule;
+use crate::upstreams::Chosen;
+use crate::upstreams::Placement;
+
+/// How long a request waits for an upstream to be listed when there is none: entries
+/// that lapsed while the store was away come back in about two seconds.
+const WAIT_FOR_UPSTREAM: Duration = Duration::from_millis(900);
+
+/// While it waits, the list is looked at again so often, whether or not it has changed.
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
+
+/// Of the connections that an upstream accepts from all, this entry uses one in so many.
+const CONNECTION_DIVISOR: u32 = 2;
+
+impl Execution {
+    /// The upstream for the next attempt; waits for one if there is none.
+    pub(super) async fn choose(&mut self) -> Result<Chosen, GiveUp> {
+        let until = self.state.now().after(WAIT_FOR_UPSTREAM);
+        loop {
+            let now = self.state.now();
+            if now >= self.call.deadline {
+                return Err(self.give_up());
+            }
+            if let Some(chosen) = self.choose_now() {
+                return Ok(chosen);
+            }
+            if !self.tried.is_empty() {
+                // Better one that has failed before than none.
+                self.tried.clear();
+                continue;
+            }
+            if now >= until {
+                return Err(self.give_up());
+            }
+            let changed = self.state.upstreams.changed();
+            let pause = until.since(now).min(LOOK_AGAIN);
+            let _ = tokio::time::timeout(pause, changed).await;
+        }
+    }
+
+    fn choose_now(&self) -> Option<Chosen> {
+        let now = self.state.now();
+        let rule = self.version_rule();
+        let model = self.models.chosen();
+        let service = self.call.service.as_ref();
+        let placement = Placement {
+            service: &self.call.service_name,
+            rule: &rule,
+            model,
+            model_pace: service
+                .zip(model)
+                .map_or(1.0, |(service, model)| service.model_pace(model)),
+            prompt: self.call.head.prompt.as_ref(),
+            body_bytes: self.call.body.len(),
+            tried: &self.tried,
+            max_connections: service.map_or(u32::MAX, |s| s.max_connections / CONNECTION_DIVISOR),
+        };
+        self.state.upstreams.choose(now, &placement)
+    }
+
+    fn version_rule(&self) -> VersionRule {
+        let now = self.state.now();
+        let service = &self.call.service_name;
+        let session = self.call.head.session.as_deref();
+        let session_version =
+            session.and_then(|session| self.state.sessions.lock().version(now, service, session));
+        let unit = Call::unit(&self.call.head);
+        self.state.rollouts.lock().rule(now, service, unit, session_version.as_ref())
+    }
+}
--- a/crates/gateway/src/request/execution.rs
+++ b/crates/gateway/src/request/execution/mod.rs
@@ -1,5 +1,8 @@
 //! The attempts of one request, until it has its final answer.
 
+mod attempt_log;
+mod choice;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,29 +11,23 @@
 use stallhoist_policy::retry::AttemptFacts;
 use stallhoist_policy::retry::may_retry;
 
-use super::Call;
-use super::GiveUp;
-use super::Outcome;
-use super::Relay;
-use super::WholeReply;
-use super::attempt::Attempt;
-use super::attempt::AttemptEnd;
-use super::attempt::OpenStream;
-use super::model_choice::ModelChoice;
 use crate::metrics::AttemptResult;
-use crate::rollouts::VersionRule;
+use crate::request::Call;
+use crate::request::GiveUp;
+use crate::request::Outcome;
+use crate::request::Relay;
+use crate::request::WholeReply;
+use crate::request::attempt::Attempt;
+use crate::request::attempt::AttemptEnd;
+use crate::request::attempt::OpenStream;
+use crate::request::model_choice::ModelChoice;
 use crate::state::GatewayState;
 use crate::upstreams::Chosen;
-use crate::upstreams::Placement;
 
 /// The most connections that may fail to come up for one request before it is given up;
 /// none of them counts as an attempt, as nothing is sent.
 const MAX_UNSENT: u32 = 8;
 
-/// How long a request waits for an upstream to be listed when there is none: entries
-/// that lapsed while the store was away come back in about two seconds.
-const WAIT_FOR_UPSTREAM: Duration = Duration::from_millis(900);
-
 /// When a caller that was refused is told to come back.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -39,9 +36,6 @@
 const PATIENCE_TARGETS: u32 = 2;
 const MIN_PATIENCE: Duration = Duration::from_millis(1_000);
 
-/// The part of the connections an upstream accepts from all that this entry may use.
-const CONNECTION_SHARE: u32 = 2;
-
 /// What a request has come to so far.
 #[derive(Debug)]
 pub(crate) struct Execution {
@@ -130,53 +124,83 @@
             let chosen = self.choose().await?;
             let end = self.attempt(&chosen).await;
             self.log_attempt(&chosen, &end);
-            match end {
-                AttemptEnd::NotSent(_) => {
-                    self.unsent += 1;
-                    if self.unsent >= MAX_UNSENT {
-                        return Err(self.give_up());
-                    }
-                    self.tried.push(chosen.instance);
-                }
-                AttemptEnd::NotRun(_) => {
-                    self.attempts += 1;
-                    self.tried.push(chosen.instance);
-                    self.require_another(true)?;
-                }
-                AttemptEnd::Whole(reply) if reply.status.is_server_error() => {
-                    self.attempts += 1;
-                    self.may_have_run = true;
-                    self.tried.push(chosen.instance);
-                    self.failure = Some(reply);
-                    self.require_another(false)?;
-                }
-                AttemptEnd::Whole(reply) => {
-                    self.attempts += 1;
-                    return Ok(Answer::Whole(reply));
-                }
-                AttemptEnd::Stream(stream) => {
-                    self.attempts += 1;
-                    if self.steps_up(&stream) {
-                        self.state.metrics.attempt_ended(AttemptResult::SteppedUp);
-                        self.models.choose_best();
-                        continue;
-                    }
-                    self.remember_session(&stream.version);
-                    return Ok(Answer::Stream(stream));
-                }
-                end @ (AttemptEnd::Broken(_) | AttemptEnd::TimedOut) => {
-                    self.attempts += 1;
-                    self.may_have_run = true;
-                    self.tried.push(chosen.instance);
-                    self.require_another(false)?;
-                    if matches!(end, AttemptEnd::TimedOut) && !self.is_delivered {
-                        self.models.choose_smallest();
-                    }
+            if let Some(answer) = self.after_attempt(chosen.instance, end)? {
+                return Ok(answer);
+            }
+        }
+    }
+
+    /// The answer that an attempt gave; none when another one is to be made.
+    fn after_attempt(
+        &mut self,
+        instance: InstanceId,
+        end: AttemptEnd,
+    ) -> Result<Option<Answer>, GiveUp> {
+        match end {
+            AttemptEnd::NotSent(_) => {
+                self.after_unsent(instance)?;
+                Ok(None)
+            }
+            AttemptEnd::NotRun(_) => {
+                self.attempts += 1;
+                self.tried.push(instance);
+                self.require_another(true)?;
+                Ok(None)
+            }
+            AttemptEnd::Whole(reply) if reply.status.is_server_error() => {
+                self.failure = Some(reply);
+                self.after_failure(instance)?;
+                Ok(None)
+            }
+            AttemptEnd::Whole(reply) => {
+                self.attempts += 1;
+                Ok(Some(Answer::Whole(reply)))
+            }
+            AttemptEnd::Stream(stream) => Ok(self.after_stream_begin(stream)),
+            AttemptEnd::Broken(_) => {
+                self.after_failure(instance)?;
+                Ok(None)
+            }
+            AttemptEnd::TimedOut => {
+                self.after_failure(instance)?;
+                if !self.is_delivered {
+                    self.models.choose_smallest();
                 }
+                Ok(None)
             }
         }
     }
 
+    /// No connection came up. This does not count as an attempt.
+    fn after_unsent(&mut self, instance: InstanceId) -> Result<(), GiveUp> {
+        self.unsent += 1;
+        if self.unsent >= MAX_UNSENT {
+            return Err(self.give_up());
+        }
+        self.tried.push(instance);
+        Ok(())
+    }
+
+    /// An attempt failed that may have run.
+    fn after_failure(&mut self, instance: InstanceId) -> Result<(), GiveUp> {
+        self.attempts += 1;
+        self.may_have_run = true;
+        self.tried.push(instance);
+        self.require_another(false)
+    }
+
+    /// A stream has begun: it is the answer unless a better model is to be asked.
+    fn after_stream_begin(&mut self, stream: Box<OpenStream>) -> Option<Answer> {
+        self.attempts += 1;
+        if self.steps_up(&stream) {
+            self.state.metrics.attempt_ended(AttemptResult::SteppedUp);
+            self.models.choose_best();
+            return None;
+        }
+        self.remember_session(&stream.version);
+        Some(Answer::Stream(stream))
+    }
+
     /// Goes on only if another attempt may be made.
     fn require_another(&mut self, is_proved_not_run: bool) -> Result<(), GiveUp> {
         if self.may_try_again(is_proved_not_run, self.is_delivered) {
@@ -244,61 +268,6 @@
         remaining.min((route.target_latency * PATIENCE_TARGETS).max(MIN_PATIENCE))
     }
 
-    /// The upstream for the next attempt; waits for one if there is none.
-    async fn choose(&mut self) -> Result<Chosen, GiveUp> {
-        let until = self.state.now().after(WAIT_FOR_UPSTREAM);
-        loop {
-            let now = self.state.now();
-            if now >= self.call.deadline {
-                return Err(self.give_up());
-            }
-            if let Some(chosen) = self.choose_now() {
-                return Ok(chosen);
-            }
-            if !self.tried.is_empty() {
-                // Better one that has failed before than none.
-                self.tried.clear();
-                continue;
-            }
-            if now >= until {
-                return Err(self.give_up());
-            }
-            let changed = self.state.upstreams.changed();
-            let pause = until.since(now).min(Duration::from_millis(50));
-            let _ = tokio::time::timeout(pause, changed).await;
-        }
-    }
-
-    fn choose_now(&self) -> Option<Chosen> {
-        let now = self.state.now();
-        let rule = self.version_rule();
-        let model = self.models.chosen();
-        let service = self.call.service.as_ref();
-        let placement = Placement {
-            service: &self.call.service_name,
-            rule: &rule,
-            model,
-            model_pace: service
-                .zip(model)
-                .map_or(1.0, |(service, model)| service.model_pace(model)),
-            prompt: self.call.head.prompt.as_ref(),
-            body_bytes: self.call.body.len(),
-            tried: &self.tried,
-            max_connections: service.map_or(u32::MAX, |s| s.max_connections / CONNECTION_SHARE),
-        };
-        self.state.upstreams.choose(now, &placement)
-    }
-
-    fn version_rule(&self) -> VersionRule {
-        let now = self.state.now();
-        let service = &self.call.service_name;
-        let session = self.call.head.session.as_deref();
-        let session_version =
-            session.and_then(|session| self.state.sessions.lock().version(now, service, session));
-        let unit = Call::unit(&self.call.head);
-        self.state.rollouts.lock().rule(now, service, unit, session_version.as_ref())
-    }
-
     /// A version answers, or has answered, a request of the session.
     pub(crate) fn remember_session(&self, version: &VersionName) {
         if let Some(session) = &self.call.head.session {
@@ -307,36 +276,6 @@
             self.state.sessions.lock().used(now, service, session, version);
         }
     }
-
-    /// One line for each attempt that did not give the answer.
-    fn log_attempt(&self, chosen: &Chosen, end: &AttemptEnd) {
-        let reason = match end {
-            AttemptEnd::Whole(reply) if !reply.status.is_server_error() => return,
-            AttemptEnd::Stream(_) => return,
-            AttemptEnd::Whole(reply) => format!("the upstream failed with {}", reply.status),
-            AttemptEnd::NotSent(reason) => format!("not sent: {reason}"),
-            AttemptEnd::NotRun(status) => format!("the upstream did not run it: {status}"),
-            AttemptEnd::Broken(reason) => format!("may have run: {reason}"),
-            AttemptEnd::TimedOut => "may have run: nothing came in time".to_owned(),
-        };
-        let now = self.state.now();
-        if !self.state.decisions.admits(now) {
-            return;
-        }
-        log::info!(
-            request = self.call.head.id,
-            route:% = self.call.route.name,
-            attempt = self.attempts + 1,
-            instance:% = chosen.instance,
-            addr:% = chosen.addr,
-            version:% = chosen.version,
-            model = self.models.chosen().map_or("", |model| model.as_str()),
-            expected_wait_ms = chosen.expected_wait_ms.round(),
-            left_ms = self.call.deadline.since(now).as_millis() as u64,
-            reason;
-            "attempt without an answer"
-        );
-    }
 }
 
 /// What an attempt was answered with.
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -57,7 +57,7 @@
             match self.read().await {
                 Ok(Some(events)) => return Ok(Some(self.passed_on(events))),
                 Ok(None) => {
-                    self.ended("complete");
+                    self.ended(RequestEnd::Answered, "complete");
                     return Ok(None);
                 }
                 Err(reason) => self.resume(reason).await?,
@@ -109,17 +109,15 @@
             }
             Err(give_up) => {
                 state.metrics.streams_broken.inc();
-                self.ended(&give_up.to_string());
+                self.ended(RequestEnd::Failed, &give_up.to_string());
                 Err(RelayError)
             }
         }
     }
 
-    fn ended(&mut self, result: &str) {
+    fn ended(&mut self, end: RequestEnd, result: &str) {
         self.is_ended = true;
-        let state = self.execution.state();
-        let end = if result == "complete" { RequestEnd::Answered } else { RequestEnd::Failed };
-        state.metrics.request_ended(end);
+        self.execution.state().metrics.request_ended(end);
         self.log(result);
     }
 
