--- a/crates/standins/src/users_platform/mod.rs
+++ b/crates/standins/src/users_platform/mod.rs
@@ -5,6 +5,7 @@
 mod store_state;
 mod upstream;
 mod upstream_behaviour;
+mod upstream_reply;
 
 pub use store::StoreStandin;
 pub use store_state::StoreFault;
--- a/crates/standins/src/users_platform/upstream.rs
+++ b/crates/standins/src/users_platform/upstream.rs
@@ -5,19 +5,13 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
-use futures_util::stream;
 use http::HeaderMap;
-use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http_body::Frame;
 use http_body_util::BodyExt;
-use http_body_util::Full;
-use http_body_util::StreamBody;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 use serde_json::Value;
@@ -27,6 +21,13 @@
 use super::Behaviour;
 use super::server::Body;
 use super::server::serve;
+use super::upstream_reply::Events;
+use super::upstream_reply::cut_body;
+use super::upstream_reply::not_executed;
+use super::upstream_reply::plain;
+use super::upstream_reply::sealed;
+use super::upstream_reply::streamed;
+use super::upstream_reply::unsealed;
 
 /// A request that reached an upstream.
 #[derive(Debug, Clone)]
@@ -120,9 +121,9 @@
 }
 
 /// Counts a request as abandoned unless it is finished.
-struct Running {
+pub(super) struct Running {
     state: Arc<Mutex<State>>,
-    is_finished: bool,
+    pub(super) is_finished: bool,
 }
 
 impl Drop for Running {
@@ -144,39 +145,28 @@
     let arrival = Arrival { line: format!("{} {path}", head.method), headers: head.headers, body };
     let behaviour = take_next(&state, &arrival, &instance);
     let mut running = Running { state, is_finished: false };
-    let id = arrival.header("request-id").to_owned();
-    match behaviour {
-        Behaviour::Answer { body, after } => {
-            tokio::time::sleep(after).await;
-            running.is_finished = true;
-            Ok(sealed(StatusCode::OK, &id, &body))
-        }
+    let id = arrival.header("request-id");
+    let response = match behaviour {
         Behaviour::Stream { events, pause, confidence, torn_after } => {
             let from = arrival.header("last-event-id").parse().unwrap_or(0) + 1;
             let events = Events { next: from, last: events, pause, torn_after, running };
-            Ok(streamed(&id, confidence, events).await)
+            return Ok(streamed(id, confidence, events).await);
         }
         Behaviour::Hang => pending().await,
-        Behaviour::CutBeforeReply => Err(io::Error::other("cut")),
-        Behaviour::CutBody => Ok(cut_body(&id)),
-        Behaviour::Fail => {
-            Ok(finished(running, sealed(StatusCode::INTERNAL_SERVER_ERROR, &id, "failed")))
-        }
-        Behaviour::NotExecuted => {
-            let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "full");
-            response.headers_mut().insert("not-executed", HeaderValue::from_static("1"));
-            Ok(finished(running, response))
-        }
-        Behaviour::Misdirected => {
-            Ok(finished(running, plain(StatusCode::MISDIRECTED_REQUEST, "another")))
-        }
-        Behaviour::WrongId => Ok(finished(running, sealed(StatusCode::OK, "another-id", "stale"))),
-        Behaviour::NoSeal => {
-            let mut response = sealed(StatusCode::OK, &id, "unsealed");
-            response.headers_mut().remove("response-seal");
-            Ok(finished(running, response))
+        Behaviour::CutBeforeReply => return Err(io::Error::other("cut")),
+        Behaviour::CutBody => return Ok(cut_body(id)),
+        Behaviour::Answer { body, after } => {
+            tokio::time::sleep(after).await;
+            sealed(StatusCode::OK, id, &body)
         }
-    }
+        Behaviour::Fail => sealed(StatusCode::INTERNAL_SERVER_ERROR, id, "failed"),
+        Behaviour::NotExecuted => not_executed(),
+        Behaviour::Misdirected => plain(StatusCode::MISDIRECTED_REQUEST, "another"),
+        Behaviour::WrongId => sealed(StatusCode::OK, "another-id", "stale"),
+        Behaviour::NoSeal => unsealed(id),
+    };
+    running.is_finished = true;
+    Ok(response)
 }
 
 /// Notes a request and says what is done with it. One that is meant for another upstream
@@ -194,80 +184,3 @@
     }
     behaviour
 }
-
-fn finished(mut running: Running, response: Response<Body>) -> Response<Body> {
-    running.is_finished = true;
-    response
-}
-
-fn plain(status: StatusCode, body: &str) -> Response<Body> {
-    let body = Full::new(Bytes::from(body.to_owned()));
-    let mut response = Response::new(body.map_err(|never| match never {}).boxed_unsync());
-    *response.status_mut() = status;
-    response
-}
-
-fn sealed(status: StatusCode, id: &str, body: &str) -> Response<Body> {
-    let mut response = plain(status, body);
-    let headers = response.headers_mut();
-    headers.insert("response-seal", HeaderValue::from_static("seal.1"));
-    if let Ok(id) = HeaderValue::from_str(id) {
-        headers.insert("request-id", id);
-    }
-    response
-}
-
-fn cut_body(id: &str) -> Response<Body> {
-    let pieces = [
-        Ok(Frame::data(Bytes::from_static(b"half of an ans"))),
-        Err(io::Error::other("cut in the middle")),
-    ];
-    let mut response = sealed(StatusCode::OK, id, "");
-    *response.body_mut() = StreamBody::new(stream::iter(pieces)).boxed_unsync();
-    response
-}
-
-struct Events {
-    next: u64,
-    last: u64,
-    pause: Duration,
-    torn_after: Option<u64>,
-    running: Running,
-}
-
-impl Events {
-    async fn next(mut self) -> io::Result<Option<(Frame<Bytes>, Self)>> {
-        if self.next > self.last {
-            self.running.is_finished = true;
-            return Ok(None);
-        }
-        tokio::time::sleep(self.pause).await;
-        let number = self.next;
-        match self.torn_after {
-            Some(last) if number == last + 1 => {
-                self.next += 1;
-                Ok(Some((Frame::data(Bytes::from(format!("id: {number}\nda"))), self)))
-            }
-            Some(last) if number > last + 1 => Err(io::Error::other("torn")),
-            _ => {
-                self.next += 1;
-                let event = format!("id: {number}\ndata: event {number}\n\n");
-                Ok(Some((Frame::data(Bytes::from(event)), self)))
-            }
-        }
-    }
-}
-
-/// As engines do, sends the head together with the first event.
-async fn streamed(id: &str, confidence: Option<u8>, events: Events) -> Response<Body> {
-    tokio::time::sleep(events.pause).await;
-    let mut response = sealed(StatusCode::OK, id, "");
-    let headers = response.headers_mut();
-    headers.insert("content-type", HeaderValue::from_static("text/event-stream"));
-    if let Some(confidence) = confidence {
-        headers.insert("confidence", HeaderValue::from(u16::from(confidence)));
-    }
-    let frames = stream::try_unfold(events, Events::next);
-    *response.body_mut() = StreamBody::new(frames).boxed_unsync();
-    response
-}
