--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod control_store;
 mod decision_log;
 pub mod dialect;
+mod error;
 pub mod event_frames;
 mod follow;
 pub mod members;
@@ -41,8 +42,8 @@
 mod upstream;
 mod upstreams;
 
+pub use error::GatewayError;
 pub use process::Draining;
 pub use process::Gateway;
-pub use process::GatewayError;
 pub use process::Leaving;
 pub use process::Serving;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -1,15 +1,12 @@
 //! The life of a gateway: it serves, it leaves while callers are still sent to it, it
 //! drains, it is gone.
 
-use std::io;
 use std::marker::PhantomData;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use displaydoc::Display;
 use stallhoist_http::HttpServer;
-use stallhoist_http::ServerError;
 use stallhoist_http::ServerSettings;
 use stallhoist_settings::GatewaySettings;
 use stallhoist_telemetry::MetricsPage;
@@ -20,6 +17,7 @@
 use crate::control_store::Feed;
 use crate::control_store::ListedEntry;
 use crate::dialect::Dialect;
+use crate::error::GatewayError;
 use crate::follow::follow;
 use crate::operators;
 use crate::peers::PeerServer;
@@ -51,29 +49,6 @@
 /// How long answers that were handed to the operators' server are given to go out.
 const STOP_LINGER: Duration = Duration::from_millis(100);
 
-/// Why a gateway did not start.
-#[derive(Debug, Display, thiserror::Error)]
-pub enum GatewayError {
-    /// '{0}' is not an IP address with a port
-    Address(String),
-    /// callers cannot be served on {addr}: {cause}
-    Callers {
-        /// The address that was asked for.
-        addr: SocketAddr,
-        /// Why.
-        cause: io::Error,
-    },
-    /// other entries cannot be served on {addr}: {cause}
-    Peers {
-        /// The address that was asked for.
-        addr: SocketAddr,
-        /// Why.
-        cause: io::Error,
-    },
-    /// an endpoint did not start
-    Server(#[from] ServerError),
-}
-
 /// The state of a gateway that takes requests.
 #[derive(Debug)]
 pub struct Serving;
