Policy: PrefixPlaces is called PrefixCaches

Cause: what it keeps is which upstreams hold which parts of prompts in their prefix caches, the usual word for it. Change: the type, its file and its holders are renamed; no logic and no constant changes.

--- a/crates/gateway/src/upstreams/choice.rs
+++ b/crates/gateway/src/upstreams/choice.rs
@@ -92,7 +92,7 @@
         let instance = &member.instance;
         let read_tokens = match (placement.model, placement.prompt) {
             (Some(model), Some(prompt)) => {
-                known.places.read_tokens(now, instance, model, prompt.shared_parts())
+                known.prefix_caches.read_tokens(now, instance, model, prompt.shared_parts())
             }
             _ => 0,
         };
--- a/crates/gateway/src/upstreams/mod.rs
+++ b/crates/gateway/src/upstreams/mod.rs
@@ -14,7 +14,7 @@
 use stallhoist_core::ZoneName;
 use stallhoist_policy::balance::BalanceConfig;
 use stallhoist_policy::balance::HealthConfig;
-use stallhoist_policy::balance::PrefixPlaces;
+use stallhoist_policy::balance::PrefixCaches;
 use stallhoist_policy::balance::ReportedLoad;
 use stallhoist_policy::balance::UpstreamHealth;
 use stallhoist_policy::balance::UpstreamLoad;
@@ -34,7 +34,7 @@
     directory: Directory,
     load: UpstreamLoad,
     health: UpstreamHealth,
-    places: PrefixPlaces,
+    prefix_caches: PrefixCaches,
 }
 
 /// The upstreams: who they are, what they have to do, and which one takes a request.
@@ -72,11 +72,11 @@
     /// Forgets upstreams that have left. Gives how many are known.
     pub(crate) fn expire(&self, now: MonoTime) -> usize {
         let mut known = self.known.lock();
-        let Known { directory, load, health, places } = &mut *known;
+        let Known { directory, load, health, prefix_caches } = &mut *known;
         if directory.expire(now) {
             load.retain(|instance| directory.is_known(instance));
             health.retain(|instance| directory.is_known(instance));
-            places.retain(|instance| directory.is_known(instance));
+            prefix_caches.retain(|instance| directory.is_known(instance));
         }
         directory.iter().count()
     }
@@ -123,7 +123,7 @@
         model: &ModelName,
         prompt: &Prompt,
     ) {
-        self.known.lock().places.read(now, instance, model, prompt.shared_parts());
+        self.known.lock().prefix_caches.read(now, instance, model, prompt.shared_parts());
     }
 
     /// One line for each upstream, for the state dump.
--- a/crates/policy/src/balance/mod.rs
+++ b/crates/policy/src/balance/mod.rs
@@ -8,7 +8,7 @@
 mod cost;
 mod health;
 mod load;
-mod prefix_places;
+mod prefix_caches;
 
 pub use config::BalanceConfig;
 pub use cost::CandidateFacts;
@@ -20,4 +20,4 @@
 pub use load::ReportedLoad;
 pub use load::UpstreamLoad;
 pub use load::WorkItem;
-pub use prefix_places::PrefixPlaces;
+pub use prefix_caches::PrefixCaches;
--- a/crates/policy/src/balance/prefix_places.rs
+++ b/crates/policy/src/balance/prefix_caches.rs
@@ -1,4 +1,4 @@
-//! Which upstreams have read which shared parts of prompts.
+//! Which upstreams hold which shared parts of prompts in their prefix caches.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -8,7 +8,7 @@
 use stallhoist_core::MonoTime;
 use stallhoist_core::PromptPart;
 
-/// How long a part is believed to stay in an engine's memory after its last use.
+/// How long a part is believed to stay in an engine's prefix cache after its last use.
 const KEPT_FOR: Duration = Duration::from_secs(30);
 
 /// The most parts that are remembered; those used longest ago are forgotten first.
@@ -21,18 +21,19 @@
 }
 
 #[derive(Debug)]
-struct Place {
+struct Holder {
     instance: InstanceId,
     last_used: MonoTime,
 }
 
-/// Which upstreams have read which shared parts, as far as this entry sent them there.
+/// Which upstreams hold which shared parts in their prefix caches, as far as this entry sent
+/// them there.
 #[derive(Debug, Default)]
-pub struct PrefixPlaces {
-    places: HashMap<PartKey, Vec<Place>>,
+pub struct PrefixCaches {
+    holders: HashMap<PartKey, Vec<Holder>>,
 }
 
-impl PrefixPlaces {
+impl PrefixCaches {
     /// An upstream has read these parts with a model.
     pub fn read(
         &mut self,
@@ -43,13 +44,13 @@
     ) {
         for part in parts {
             let key = PartKey { part_id: part.id, model: model.clone() };
-            let places = self.places.entry(key).or_default();
-            match places.iter_mut().find(|place| place.instance == *instance) {
-                Some(place) => place.last_used = now,
-                None => places.push(Place { instance: instance.clone(), last_used: now }),
+            let holders = self.holders.entry(key).or_default();
+            match holders.iter_mut().find(|holder| holder.instance == *instance) {
+                Some(holder) => holder.last_used = now,
+                None => holders.push(Holder { instance: instance.clone(), last_used: now }),
             }
         }
-        if self.places.len() > MAX_PARTS {
+        if self.holders.len() > MAX_PARTS {
             self.forget_oldest(now);
         }
     }
@@ -64,31 +65,31 @@
     ) -> u64 {
         let is_read = |part: &&PromptPart| {
             let key = PartKey { part_id: part.id, model: model.clone() };
-            let places = self.places.get(&key).map_or(&[][..], Vec::as_slice);
-            let is_kept = |p: &Place| now.since(p.last_used) < KEPT_FOR;
-            places.iter().any(|place| place.instance == *instance && is_kept(place))
+            let holders = self.holders.get(&key).map_or(&[][..], Vec::as_slice);
+            let is_kept = |p: &Holder| now.since(p.last_used) < KEPT_FOR;
+            holders.iter().any(|holder| holder.instance == *instance && is_kept(holder))
         };
         parts.iter().take_while(is_read).map(|part| part.tokens).sum()
     }
 
     /// Forgets upstreams that are gone.
     pub fn retain(&mut self, mut is_known: impl FnMut(&InstanceId) -> bool) {
-        self.places.retain(|_, places| {
-            places.retain(|place| is_known(&place.instance));
-            !places.is_empty()
+        self.holders.retain(|_, holders| {
+            holders.retain(|holder| is_known(&holder.instance));
+            !holders.is_empty()
         });
     }
 
     /// Drops what has not been used lately; if that is not enough, the older half.
     fn forget_oldest(&mut self, now: MonoTime) {
-        let newest = |places: &[Place]| places.iter().map(|place| place.last_used).max();
-        self.places.retain(|_, p| newest(p).is_some_and(|at| now.since(at) < KEPT_FOR));
-        if self.places.len() <= MAX_PARTS {
+        let newest = |holders: &[Holder]| holders.iter().map(|holder| holder.last_used).max();
+        self.holders.retain(|_, p| newest(p).is_some_and(|at| now.since(at) < KEPT_FOR));
+        if self.holders.len() <= MAX_PARTS {
             return;
         }
-        let mut times: Vec<_> = self.places.values().filter_map(|p| newest(p)).collect();
+        let mut times: Vec<_> = self.holders.values().filter_map(|p| newest(p)).collect();
         times.sort_unstable();
         let median = times[times.len() / 2];
-        self.places.retain(|_, places| newest(places).is_some_and(|at| at > median));
+        self.holders.retain(|_, holders| newest(holders).is_some_and(|at| at > median));
     }
 }
--- a/tests/all/decisions/balance.rs
+++ b/tests/all/decisions/balance.rs
@@ -6,7 +6,7 @@
 use stallhoist_policy::balance::BalanceConfig;
 use stallhoist_policy::balance::CandidateFacts;
 use stallhoist_policy::balance::HealthConfig;
-use stallhoist_policy::balance::PrefixPlaces;
+use stallhoist_policy::balance::PrefixCaches;
 use stallhoist_policy::balance::ReportedLoad;
 use stallhoist_policy::balance::RequestFacts;
 use stallhoist_policy::balance::UpstreamHealth;
@@ -88,10 +88,10 @@
 
 #[test]
 fn only_leading_parts_are_shared() {
-    let mut places = PrefixPlaces::default();
+    let mut caches = PrefixCaches::default();
     let (a, model): (_, ModelName) = (instance("a"), "m".parse().expect("a name"));
-    places.read(at_ms(0), &a, &model, &[part(1, 10), part(3, 30)]);
-    let known = |parts: &[PromptPart]| places.read_tokens(at_ms(1), &a, &model, parts);
+    caches.read(at_ms(0), &a, &model, &[part(1, 10), part(3, 30)]);
+    let known = |parts: &[PromptPart]| caches.read_tokens(at_ms(1), &a, &model, parts);
     assert_eq!(known(&[part(1, 10), part(2, 20), part(3, 30)]), 10);
     assert_eq!(known(&[part(1, 10), part(3, 30)]), 40);
     assert_eq!(known(&[part(2, 20), part(1, 10)]), 0);
@@ -99,27 +99,27 @@
 
 #[test]
 fn what_was_read_is_kept_for_one_model_and_a_while() {
-    let mut places = PrefixPlaces::default();
+    let mut caches = PrefixCaches::default();
     let a = instance("a");
     let model = |name: &str| -> ModelName { name.parse().expect("a name") };
-    places.read(at_ms(0), &a, &model("m"), &[part(1, 10)]);
-    assert_eq!(places.read_tokens(at_ms(1), &a, &model("other"), &[part(1, 10)]), 0);
-    assert_eq!(places.read_tokens(at_ms(29_999), &a, &model("m"), &[part(1, 10)]), 10);
-    assert_eq!(places.read_tokens(at_ms(30_000), &a, &model("m"), &[part(1, 10)]), 0);
+    caches.read(at_ms(0), &a, &model("m"), &[part(1, 10)]);
+    assert_eq!(caches.read_tokens(at_ms(1), &a, &model("other"), &[part(1, 10)]), 0);
+    assert_eq!(caches.read_tokens(at_ms(29_999), &a, &model("m"), &[part(1, 10)]), 10);
+    assert_eq!(caches.read_tokens(at_ms(30_000), &a, &model("m"), &[part(1, 10)]), 0);
 }
 
 #[test]
 fn the_memory_of_places_is_bounded() {
-    let mut places = PrefixPlaces::default();
+    let mut caches = PrefixCaches::default();
     let (a, model): (_, ModelName) = (instance("a"), "m".parse().expect("a name"));
     for id in 0..40_000 {
-        places.read(at_ms(id / 10), &a, &model, &[part(id, 10)]);
+        caches.read(at_ms(id / 10), &a, &model, &[part(id, 10)]);
     }
     let kept = (0..40_000)
-        .filter(|id| places.read_tokens(at_ms(4_000), &a, &model, &[part(*id, 10)]) > 0)
+        .filter(|id| caches.read_tokens(at_ms(4_000), &a, &model, &[part(*id, 10)]) > 0)
         .count();
     assert!((1..=8_192).contains(&kept), "{kept}");
-    assert_eq!(places.read_tokens(at_ms(4_000), &a, &model, &[part(39_999, 10)]), 10);
+    assert_eq!(caches.read_tokens(at_ms(4_000), &a, &model, &[part(39_999, 10)]), 10);
 }
 
 /// The first candidate costs less than the second.
