Gateway: the number of sessions at which ended ones are dropped is called so

Cause: MAX_SESSIONS was said to be the most that are remembered; sessions that have not ended are kept beyond it. Change: the constant is CLEAN_UP_FROM and its text says what is done. The number is the same.

--- a/crates/gateway/src/sessions.rs
+++ b/crates/gateway/src/sessions.rs
@@ -7,9 +7,9 @@
 use stallhoist_core::ServiceName;
 use stallhoist_core::VersionName;
 
-/// The most sessions that are remembered; when there are more, those that ended are
-/// dropped first.
-const MAX_SESSIONS: usize = 20_000;
+/// When so many sessions are remembered, those that have ended are dropped. Those that have
+/// not are kept, however many they are.
+const CLEAN_UP_FROM: usize = 20_000;
 
 #[derive(Debug)]
 struct Kept {
@@ -49,7 +49,7 @@
         session: &str,
         version: &VersionName,
     ) {
-        if self.by_session.len() >= MAX_SESSIONS {
+        if self.by_session.len() >= CLEAN_UP_FROM {
             let lifetime = self.lifetime;
             self.by_session.retain(|_, kept| now.since(kept.last_used) < lifetime);
         }
