--- a/crates/gateway/src/peers/relayed_store.rs
+++ b/crates/gateway/src/peers/relayed_store.rs
@@ -38,6 +38,9 @@
 /// The same while a version is rolled out: each question carries what was seen of it.
 const ROLLOUT_WAIT: Duration = Duration::from_millis(500);
 
+/// The same for the list of entries, to which no bound applies.
+const ENTRIES_WAIT: Duration = Duration::from_secs(8);
+
 /// How long the store is asked directly after no other entry could answer.
 const DIRECT_FOR: Duration = Duration::from_secs(8);
 
@@ -56,6 +59,19 @@
     skipped_until: HashMap<SocketAddr, MonoTime>,
 }
 
+impl Route {
+    /// Whether an entry is not asked at present.
+    fn is_skipped(&self, now: MonoTime, addr: SocketAddr) -> bool {
+        self.skipped_until.get(&addr).is_some_and(|until| now < *until)
+    }
+
+    /// An entry gave no fresh answer: it is not asked again for a while.
+    fn skip(&mut self, now: MonoTime, addr: SocketAddr) {
+        self.connection = None;
+        self.skipped_until.insert(addr, now.after(SKIP_FOR));
+    }
+}
+
 /// The store, through another entry where that answers.
 #[derive(Debug)]
 pub(crate) struct RelayedStore<S> {
@@ -66,8 +82,7 @@
 
 impl<S: ControlStore> RelayedStore<S> {
     pub(crate) fn new(state: Arc<GatewayState>, store: Arc<S>) -> Self {
-        let feeds = [Feed::Operators, Feed::Members, Feed::Rollouts, Feed::Entries];
-        let routes = feeds.into_iter().map(|feed| (feed, Mutex::default())).collect();
+        let routes = Feed::ALL.into_iter().map(|feed| (feed, Mutex::default())).collect();
         Self { state, store, routes }
     }
 
@@ -86,26 +101,26 @@
             return None;
         }
         for addr in asked {
-            if route.skipped_until.get(&addr).is_some_and(|until| self.state.now() < *until) {
+            if route.is_skipped(self.state.now(), addr) {
                 continue;
             }
             match self.ask_peer(&mut route, addr, feed, after).await {
                 Ok(answer) if answer.has_copy => {
                     self.state.copies.forget(feed);
                     self.state.news_from.lock().insert(feed, Some(addr));
-                    if answer.is_history_gone {
-                        return Some(Err(ControlStoreError::HistoryGone));
-                    }
-                    return Some(Ok(answer.into_page()));
+                    return Some(answer.into_page());
                 }
                 Ok(_) => {}
                 Err(error) => {
-                    log::debug!(feed:? = feed, addr:% = addr, error:% = error; "an entry did not answer");
+                    log::debug!(
+                        feed:? = feed,
+                        addr:% = addr,
+                        error:% = error;
+                        "an entry did not answer"
+                    );
                 }
             }
-            route.connection = None;
-            let until = self.state.now().after(SKIP_FOR);
-            route.skipped_until.insert(addr, until);
+            route.skip(self.state.now(), addr);
         }
         log::info!(feed:? = feed; "no other entry has fresh news, asking the store");
         route.direct_until = self.state.now().after(DIRECT_FOR);
@@ -126,7 +141,7 @@
         let Some((_, connection)) = &mut route.connection else {
             return Err(PeerError::Closed);
         };
-        let wait = if feed == Feed::Rollouts { ROLLOUT_WAIT } else { PEER_WAIT };
+        let wait = wait_for(feed);
         let ask = Ask {
             feed: feed_number(feed),
             after: after.map(|after| after.0),
@@ -140,6 +155,15 @@
     }
 }
 
+/// How long a question about a feed waits for news.
+fn wait_for(feed: Feed) -> Duration {
+    match feed {
+        Feed::Operators | Feed::Members => PEER_WAIT,
+        Feed::Rollouts => ROLLOUT_WAIT,
+        Feed::Entries => ENTRIES_WAIT,
+    }
+}
+
 impl<S: ControlStore> ControlStore for RelayedStore<S> {
     async fn read(&self, feed: Feed) -> Result<FeedPage, ControlStoreError> {
         if let Some(answer) = self.ask_peers(feed, None).await {
--- a/crates/gateway/src/upstreams/choice.rs
+++ b/crates/gateway/src/upstreams/choice.rs
@@ -105,7 +105,7 @@
         let read_tokens = match (placement.model, placement.prompt) {
             (Some(model), Some(prompt)) => {
                 let shared = prompt.shared_parts();
-                let known = known.places.read_tokens(now, instance, model, shared);
+                let known = known.prefix_caches.read_tokens(now, instance, model, shared);
                 if is_home { known.max(likely_read_tokens(shared)) } else { known }
             }
             _ => 0,
