Test: a list of upstreams longer than one page is read whole

Cause: the loop that gathers pages was rewritten, and no test reached it: the stand-in store answered every read with all rows. Change: the stand-in keeps to the limit of a read and says whether more follow; 1,200 rows are read in three calls, each once and in order.

--- a/crates/standins/src/users_platform/store.rs
+++ b/crates/standins/src/users_platform/store.rs
@@ -112,8 +112,14 @@
     match (head.method, head.uri.path()) {
         (Method::GET, "/api/rows-get") => {
             let from = query.get("from").cloned().unwrap_or_default();
+            let limit = query.get("limit").and_then(|v| v.parse().ok()).unwrap_or(usize::MAX);
             let state = shared.state.lock();
-            Ok(answer(StatusCode::OK, page(&shared, &state, state.read(&table, &from))))
+            let mut rows = state.read(&table, &from);
+            let has_more = rows.len() > limit;
+            rows.truncate(limit);
+            let mut reply = page(&shared, &state, rows);
+            reply["more"] = json!(has_more);
+            Ok(answer(StatusCode::OK, reply))
         }
         (Method::GET, "/api/rows-feed") => feed(&shared, &table, &query).await,
         (Method::POST, "/api/rows-tx") => transact(&shared, &body),
--- a/tests/all/gateway/members.rs
+++ b/tests/all/gateway/members.rs
@@ -1,7 +1,14 @@
 //! Upstreams that come, leave, and seem to be gone.
 
 use reqwest::Method;
+use serde_json::json;
+use stallhoist_core::StoreVersion;
+use stallhoist_gateway::control_store::ControlStore;
+use stallhoist_gateway::control_store::Feed;
+use stallhoist_settings::StoreSettings;
 use stallhoist_standins::users_platform::Behaviour;
+use stallhoist_standins::users_platform::StoreStandin;
+use stallhoist_users_platform::PlatformStore;
 
 use super::world::PLAIN;
 use super::world::World;
@@ -104,3 +111,18 @@
     let answer = send(request).await.expect("an answer");
     assert_eq!((answer.status, answer.header("retry-after")), (503, "0.30"));
 });
+
+case!(a_list_longer_than_a_page_is_read_whole, async {
+    const ROWS: u64 = 1_200;
+    let store = StoreStandin::start().await.expect("the store starts");
+    let keys: Vec<_> = (0..ROWS).map(|n| format!("i-{n:04}")).collect();
+    for key in &keys {
+        store.put("servers", key, json!({}));
+    }
+    let settings = StoreSettings { addr: store.addr().to_string(), ..StoreSettings::default() };
+    let client = PlatformStore::new(&settings).expect("a client can be made");
+    let page = client.read(Feed::Members).await.expect("the list is read");
+    let read: Vec<_> = page.rows.into_iter().map(|row| row.key).collect();
+    assert_eq!((read, page.version), (keys, StoreVersion(ROWS)));
+    assert_eq!(store.calls().len(), 3, "500 rows, 500 and the rest");
+});
