--- a/crates/gateway/src/callers/handler.rs
+++ b/crates/gateway/src/callers/handler.rs
@@ -80,11 +80,12 @@
     }
     let route = Arc::clone(find_route(&config, &parts).ok_or(Rejection::NoRoute)?);
     let head = state.dialect.read_call(&parts).map_err(Rejection::Unreadable)?;
-    let workspace = find_workspace(&config, &route, &head)?;
+    find_workspace(&config, &route, &head)?;
     let body = read_body(body, config.bounds.max_body_bytes).await?;
     // The body may have taken its time: what is decided now is by the newest configuration.
     let config = state.config().unwrap_or(config);
     let route = Arc::clone(find_route(&config, &parts).ok_or(Rejection::NoRoute)?);
+    let workspace = find_workspace(&config, &route, &head)?;
     if !state.takes(work_of(&route, &head)) {
         return Err(Rejection::Stopping);
     }
@@ -192,7 +193,6 @@
     let call = execution.call();
     let now = state.now();
     let elapsed = now.since(call.arrived);
-    state.metrics.first_part_s.observe(elapsed.as_secs_f64());
     if !state.decisions.admits(now) {
         return;
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -22,6 +22,8 @@
     Failed,
     /// It was not acceptable.
     Rejected,
+    /// The caller left before the end of the stream.
+    Abandoned,
 }
 
 /// How an attempt ended.
--- a/crates/gateway/src/peers/feed_copies.rs
+++ b/crates/gateway/src/peers/feed_copies.rs
@@ -8,6 +8,7 @@
 use stallhoist_core::MonoTime;
 use stallhoist_core::StoreVersion;
 use tokio::sync::Notify;
+use tokio::sync::futures::Notified;
 
 use crate::control_store::ControlStoreError;
 use crate::control_store::Feed;
@@ -120,8 +121,9 @@
         Some(Ok(FeedPage { rows, version, store_now_ms: copy.store_now_ms + age_ms }))
     }
 
-    /// Waits until a copy changes, or is read again.
-    pub async fn changed(&self) {
-        self.changed.notified().await;
+    /// Waits until a copy changes, or is read again, after this call: to be called before
+    /// the copy is looked at.
+    pub fn changed(&self) -> Notified<'_> {
+        self.changed.notified()
     }
 }
--- a/crates/gateway/src/request/execution/choice.rs
+++ b/crates/gateway/src/request/execution/choice.rs
@@ -60,7 +60,8 @@
             prompt: self.call.head.prompt.as_ref(),
             body_bytes: self.call.body.len(),
             tried: &self.tried,
-            max_connections: service.map_or(u32::MAX, |s| s.max_connections / CONNECTION_DIVISOR),
+            max_connections: service
+                .map_or(u32::MAX, |s| (s.max_connections / CONNECTION_DIVISOR).max(1)),
         };
         self.state.upstreams.choose(now, &placement)
     }
--- a/crates/gateway/src/request/execution/mod.rs
+++ b/crates/gateway/src/request/execution/mod.rs
@@ -94,7 +94,12 @@
 
     /// Makes attempts until one gives the final answer or no more may be made.
     pub(crate) async fn run(mut self) -> (Outcome, Option<Self>) {
-        match self.next_answer().await {
+        let answer = self.next_answer().await;
+        if answer.is_ok() {
+            let time = self.state.now().since(self.call.arrived);
+            self.state.metrics.first_part_s.observe(time.as_secs_f64());
+        }
+        match answer {
             Ok(Answer::Whole(reply)) => (Outcome::Whole(reply), Some(self)),
             Ok(Answer::Stream(stream)) => {
                 self.is_delivered = true;
@@ -237,6 +242,8 @@
         let is_possible = !self.is_delivered
             && self.models.has_better()
             && self.attempts < self.call.route.max_attempts;
+        // By the route, not the workspace: what a better answer is worth depends on the kind
+        // of request.
         let priority = self.call.route.priority;
         let pressure = self.state.pressure(&self.call.service_name);
         is_possible
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -202,6 +202,7 @@
         // A session lasts from the end of its last answer.
         self.execution.remember_session(&self.stream.version);
         if !self.is_ended {
+            self.execution.state().metrics.request_ended(RequestEnd::Abandoned);
             self.log("the caller left");
         }
     }
--- a/crates/gateway/src/upstreams/mod.rs
+++ b/crates/gateway/src/upstreams/mod.rs
@@ -19,6 +19,7 @@
 use stallhoist_policy::balance::UpstreamHealth;
 use stallhoist_policy::balance::UpstreamLoad;
 use tokio::sync::Notify;
+use tokio::sync::futures::Notified;
 
 pub(crate) use placement::Chosen;
 pub(crate) use placement::Placement;
@@ -81,9 +82,9 @@
         directory.iter().count()
     }
 
-    /// Waits until the list changes.
-    pub(crate) async fn changed(&self) {
-        self.changed.notified().await;
+    /// Waits until the list changes after this call: to be called before the list is read.
+    pub(crate) fn changed(&self) -> Notified<'_> {
+        self.changed.notified()
     }
 
     /// The upstream that a request is best sent to; none when there is none to use.
--- a/tests/all/gateway/callers.rs
+++ b/tests/all/gateway/callers.rs
@@ -161,6 +161,10 @@
     let request = world.stream("id-1").timeout(Duration::from_millis(300));
     let answer = send(request).await.expect("the head came");
     assert!(!answer.is_whole);
+    wait_until("it is counted", async || {
+        world.metrics().await.contains("stallhoist_requests_total{end=\"Abandoned\"} 1")
+    })
+    .await;
     wait_until("the upstream sees it", async || world.upstreams[0].abandoned() == 1).await;
 });
 
--- a/tests/all/gateway/configuration.rs
+++ b/tests/all/gateway/configuration.rs
@@ -4,7 +4,11 @@
 use serde_json::json;
 use stallhoist_standins::users_platform::Behaviour;
 use stallhoist_standins::users_platform::StoreFault;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
+use super::world::KEY;
 use super::world::PLAIN;
 use super::world::World;
 use super::world::config;
@@ -33,6 +37,40 @@
     assert_eq!(answer.status, 401);
 });
 
+case!(a_service_of_one_connection_is_used, async {
+    let world = world().await;
+    let mut next = config(5);
+    next["services"][0]["max_conns"] = json!(1);
+    world.store.put("op", "config", next);
+    wait_for_version(&world, 5).await;
+    let answer = send(world.request(Method::GET, "/safe/x", "id-1")).await.expect("an answer");
+    assert_eq!(answer.status, 200);
+});
+
+// The key is taken away after the head was read and before the body is.
+case!(a_key_revoked_while_the_body_comes_is_refused, async {
+    let world = world().await;
+    let mut stream = TcpStream::connect(world.gateway.callers_addr()).await.expect("it listens");
+    let head = format!(
+        "POST /once/x HTTP/1.1\r\nHost: test.example\r\nRequest-Id: id-1\r\n\
+         Authorization: Bearer {KEY}\r\nConnection: close\r\nContent-Length: 4\r\n\r\nab"
+    );
+    stream.write_all(head.as_bytes()).await.expect("the head is sent");
+    wait_until("the request is in progress", async || {
+        world.metrics().await.contains("stallhoist_in_progress 1")
+    })
+    .await;
+    let mut next = config(5);
+    next["tenants"][0]["api_keys"] = json!(["another-key"]);
+    world.store.put("op", "config", next);
+    wait_for_version(&world, 5).await;
+    stream.write_all(b"cd").await.expect("the body is sent");
+    let mut reply = String::new();
+    stream.read_to_string(&mut reply).await.expect("an answer");
+    assert!(reply.starts_with("HTTP/1.1 401"), "{reply}");
+    assert_eq!(world.runs(), 0);
+});
+
 case!(an_older_configuration_is_not_taken, async {
     let world = world().await;
     world.store.put("op", "config", config(5));
--- a/tests/all/gateway/streams.rs
+++ b/tests/all/gateway/streams.rs
@@ -122,6 +122,17 @@
     assert_eq!(world.upstreams[0].abandoned(), 1, "the poor answer is not read to its end");
 });
 
+case!(streams_are_counted_and_timed, async {
+    let world = World::start(ENGINE, &[Behaviour::stream(EVENTS)]).await;
+    send(world.stream("id-1")).await.expect("an answer");
+    let metrics = world.metrics().await;
+    for line in
+        ["stallhoist_requests_total{end=\"Answered\"} 1", "stallhoist_first_part_seconds_count 1"]
+    {
+        assert!(metrics.contains(line), "{line} is not in\n{metrics}");
+    }
+});
+
 case!(a_good_answer_of_the_smallest_model_is_kept, async {
     let world = World::start(ENGINE, &[with_confidence(90)]).await;
     send(world.stream("id-1")).await.expect("an answer");
--- a/tests/all/gateway/world.rs
+++ b/tests/all/gateway/world.rs
@@ -215,7 +215,11 @@
     while let Some(part) = parts.next().await {
         match part {
             Ok(part) => body.push_str(&String::from_utf8_lossy(&part)),
-            Err(_) => is_whole = false,
+            Err(_) => {
+                // Dropping the rest closes the connection, as a caller that leaves does.
+                is_whole = false;
+                break;
+            }
         }
     }
     Some(Answer { status, headers, body, is_whole })
