--- a/crates/gateway/src/upstreams/choice.rs
+++ b/crates/gateway/src/upstreams/choice.rs
@@ -19,7 +19,7 @@
 use crate::rollouts::VersionFilter;
 
 /// The part of a shared prompt that the upstream it is steered to is taken to have read. Not
-/// all, so that one which has surely read it goes first. Set on the users' bench.
+/// all, so that one which has surely read it goes first. The first value tried.
 const LIKELY_READ_PERCENT: u64 = 70;
 
 /// What one choice rests on.
--- a/crates/policy/src/balance/config.rs
+++ b/crates/policy/src/balance/config.rs
@@ -1,7 +1,8 @@
 //! What choosing an upstream reckons with.
 
-/// What choosing an upstream reckons with. The defaults were set by measured rounds on
-/// the bench of the users' platform; `docs/MEASUREMENTS.md` has them.
+/// What choosing an upstream reckons with. The defaults are reckoned from the users' site
+/// files (112 prompt tokens a millisecond at the middle of three paces; 17 kB to another
+/// zone cost 0.037 of a review) and have not been varied in runs.
 #[derive(Debug, Clone)]
 pub struct BalanceConfig {
     /// Prompt tokens that an engine reads in a millisecond with its largest model.
