--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -9,6 +9,7 @@
 use stallhoist_core::MonoTime;
 use stallhoist_core::VersionName;
 use stallhoist_policy::rollout::Observation;
+use stallhoist_policy::rollout::RequestKind;
 
 use super::Call;
 use super::WholeReply;
@@ -220,8 +221,9 @@
         if let Some(observation) = observation {
             let service = &self.call.service_name;
             let version = &self.chosen.version;
-            let route = &self.call.route.name;
-            self.state.rollouts.lock().observe(service, version, route, observation);
+            let kind =
+                RequestKind { route: self.call.route.name.clone(), model: self.model.cloned() };
+            self.state.rollouts.lock().observe(service, version, &kind, observation);
         }
     }
 }
--- a/crates/gateway/src/request/execution.rs
+++ b/crates/gateway/src/request/execution.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use stallhoist_core::InstanceId;
+use stallhoist_core::VersionName;
 use stallhoist_policy::retry::AttemptFacts;
 use stallhoist_policy::retry::may_retry;
 
@@ -160,7 +161,7 @@
                         self.models.choose_best();
                         continue;
                     }
-                    self.remember_session(&stream);
+                    self.remember_session(&stream.version);
                     return Ok(Answer::Stream(stream));
                 }
                 end @ (AttemptEnd::Broken(_) | AttemptEnd::TimedOut) => {
@@ -298,11 +299,12 @@
         self.state.rollouts.lock().rule(now, service, unit, session_version.as_ref())
     }
 
-    fn remember_session(&self, stream: &OpenStream) {
+    /// A version answers, or has answered, a request of the session.
+    pub(crate) fn remember_session(&self, version: &VersionName) {
         if let Some(session) = &self.call.head.session {
             let now = self.state.now();
             let service = &self.call.service_name;
-            self.state.sessions.lock().used(now, service, session, &stream.version);
+            self.state.sessions.lock().used(now, service, session, version);
         }
     }
 
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -147,6 +147,8 @@
 
 impl Drop for Relay {
     fn drop(&mut self) {
+        // A session lasts from the end of its last answer.
+        self.execution.remember_session(&self.stream.version);
         if !self.is_ended {
             self.log("the caller left");
         }
--- a/crates/gateway/src/rollouts/state.rs
+++ b/crates/gateway/src/rollouts/state.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use stallhoist_core::MonoTime;
-use stallhoist_core::RouteName;
 use stallhoist_core::ServiceName;
 use stallhoist_core::StoreVersion;
 use stallhoist_core::VersionName;
 use stallhoist_policy::rollout::Observation;
+use stallhoist_policy::rollout::RequestKind;
 use stallhoist_policy::rollout::RolloutConfig;
 use stallhoist_policy::rollout::RolloutEvidence;
 use stallhoist_policy::rollout::RolloutPhase;
@@ -138,15 +138,15 @@
         &mut self,
         service: &ServiceName,
         version: &VersionName,
-        route: &RouteName,
+        kind: &RequestKind,
         observation: Observation,
     ) {
         let rollout = self.services.entry(service.clone()).or_default();
         let target = rollout.order.as_ref().map(|order| &order.target);
         if target == Some(version) {
-            rollout.evidence.new_version(route, observation);
+            rollout.evidence.new_version(kind, observation);
         } else {
-            rollout.evidence.old_version(route, observation);
+            rollout.evidence.old_version(kind, observation);
         }
         let is_running = rollout.current().is_some_and(|stored| !stored.record.is_settled());
         if is_running && !rollout.is_found_bad && rollout.evidence.is_bad() {
@@ -205,15 +205,15 @@
 }
 
 fn except(target: &VersionName) -> VersionRule {
-    VersionRule { wanted: VersionFilter::Except(target.clone()), otherwise: None }
+    let wanted = VersionFilter::Except(target.clone());
+    VersionRule { wanted, otherwise: None }
 }
 
 fn in_progress(target: &VersionName, is_new: bool) -> VersionRule {
-    let only = VersionFilter::Only(target.clone());
     let others = VersionFilter::Except(target.clone());
-    if is_new {
-        VersionRule { wanted: only, otherwise: Some(others) }
-    } else {
-        VersionRule { wanted: others, otherwise: None }
+    if !is_new {
+        return except(target);
     }
+    let wanted = VersionFilter::Only(target.clone());
+    VersionRule { wanted, otherwise: Some(others) }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -32,6 +32,10 @@
 use crate::sessions::Sessions;
 use crate::upstreams::Upstreams;
 
+/// A session is remembered for a little longer than it lasts: the caller counts from when
+/// it has the answer.
+const SESSION_MARGIN: Duration = Duration::from_millis(500);
+
 /// What the tasks of a gateway share.
 #[derive(Debug)]
 pub(crate) struct GatewayState {
@@ -60,7 +64,7 @@
 
 impl GatewayState {
     pub(crate) fn new(settings: GatewaySettings, dialect: Arc<dyn Dialect>) -> Self {
-        let session_lifetime = Duration::from_millis(settings.session_ms);
+        let session_lifetime = Duration::from_millis(settings.session_ms) + SESSION_MARGIN;
         let zone = settings.host.zone.clone();
         let budget = RetryBudget::new(settings.retries.budget_percent(), settings.retries.burst());
         let below_confidence = settings.step_up.below_confidence_percent.clone();
--- a/crates/policy/src/rollout/mod.rs
+++ b/crates/policy/src/rollout/mod.rs
@@ -3,13 +3,14 @@
 //! A roll-out's state is a record in the platform's store, changed only under the
 //! condition that it is still what was read. Any entry may take the next step. First a
 //! small, fixed share of requests goes to the new version; if it proves bad, everything
-//! goes back; if not, from half of the time on everything moves over.
+//! goes back; if not, everything moves over near the end of the ordered time.
 
 mod evidence;
 mod plan;
 mod record;
 
 pub use evidence::Observation;
+pub use evidence::RequestKind;
 pub use evidence::RolloutEvidence;
 pub use plan::RolloutConfig;
 pub use plan::RolloutStep;
--- a/crates/policy/src/rollout/plan.rs
+++ b/crates/policy/src/rollout/plan.rs
@@ -5,10 +5,14 @@
 
 /// How a roll-out proceeds. Times are parts of the ordered duration, so that a long
 /// roll-out observes the new version for longer.
+///
+/// A version may be bad only under a load that it does not meet while it is observed, or
+/// turn bad late. Nobody can tell it from a good one then. So the times are set such that,
+/// whatever the version is, it gets no more than 0.15 of the requests by the end of the
+/// ordered duration: `canary_share` x `shift_after` + half of `shift_time` + the rest.
 #[derive(Debug, Clone)]
 pub struct RolloutConfig {
-    /// The new version's share of requests while it is observed. Together with the time
-    /// until a verdict it bounds how many requests a bad version sees.
+    /// The new version's share of requests while it is observed.
     pub canary_share: f64,
     /// When everything begins to move over. Sessions stay on their version before half of
     /// the duration has passed, so it must not be earlier than that.
@@ -22,7 +26,7 @@
 
 impl Default for RolloutConfig {
     fn default() -> Self {
-        Self { canary_share: 0.06, shift_after: 0.52, shift_time: 0.12, complete_after: 0.82 }
+        Self { canary_share: 0.04, shift_after: 0.88, shift_time: 0.03, complete_after: 0.975 }
     }
 }
 
--- a/tests/all/gateway/rollouts.rs
+++ b/tests/all/gateway/rollouts.rs
@@ -1,5 +1,8 @@
 //! Roll-outs through the store: one record, whoever acts and whatever is lost.
 
+use std::time::Duration;
+
+use futures_util::future::join_all;
 use serde_json::Value;
 use serde_json::json;
 use stallhoist_standins::users_platform::Behaviour;
@@ -9,6 +12,7 @@
 use super::world::World;
 use super::world::send;
 use super::world::start_gateway;
+use super::world::start_gateway_with;
 use crate::case::case;
 use crate::harness::wait_until;
 
@@ -127,3 +131,46 @@
     }
     assert_eq!(world.upstreams[2].runs(), seen);
 });
+
+// Seen on the bench: a session was forgotten while its answer was still being streamed, and
+// its next request went to the version on trial (own day rollout-class, PINNED).
+case!(a_session_whose_answer_takes_long_keeps_its_version, async {
+    const SESSIONS: usize = 60;
+    let mut world = world(Behaviour::stream(2)).await;
+    let mut settings = super::world::settings(&world.store);
+    settings.session_ms = 200;
+    let new_entry = world.store.get("servers", "i-2").expect("it is listed");
+    world.store.remove("servers", "i-2");
+    world.gateway = start_gateway_with(settings).await;
+    world.wait_until_ready().await;
+    let long = Behaviour::Stream {
+        events: 10,
+        pause: Duration::from_millis(100),
+        confidence: None,
+        torn_after: None,
+    };
+    for upstream in &world.upstreams[..2] {
+        upstream.then(std::iter::repeat_n(long.clone(), SESSIONS));
+    }
+    let ask = |n: usize, round: &str| {
+        let request = world.stream(&format!("{round}-{n}"));
+        send(request.header("Session", format!("session-{n}")))
+    };
+    let first = join_all((0..SESSIONS).map(|n| ask(n, "first")));
+    let ordered = async {
+        wait_until("all streams run", async || world.runs() >= SESSIONS).await;
+        world.store.put("servers", "i-2", new_entry);
+        order(&world, 600.0);
+    };
+    let (answers, ()) = tokio::join!(first, ordered);
+    assert!(answers.iter().flatten().all(|answer| answer.is_whole));
+    wait_until("the record is known", async || {
+        let rollouts = world.dump().await["rollouts"].clone();
+        rollouts.as_array().is_some_and(|list| list.len() == 1)
+    })
+    .await;
+    join_all((0..SESSIONS).map(|n| ask(n, "second"))).await;
+    let moved = world.upstreams[2].arrivals();
+    let moved: Vec<_> = moved.iter().filter(|a| !a.header("session").is_empty()).collect();
+    assert!(moved.is_empty(), "{} of {SESSIONS} sessions changed their version", moved.len());
+});
--- /dev/null
+++ b/tests/days/make_days.py
@@ -0,0 +1,144 @@
+#!/usr/bin/env python3
+"""Writes days for the users' bench: each kind of trouble alone, twice, and in pairs.
+
+Usage: make_days.py DIR ENGINE_SERVICE
+Each day is a TOML file that `fleetbench run SITE FILE` plays. The table below is the only
+thing to edit.
+"""
+
+import itertools
+import pathlib
+import sys
+
+# Name: (section, fields). {engine} stands for the engines' service of a site.
+TROUBLES = {
+    "burst": ("faults", "x = 2.0, for_s = 5.0"),
+    "hot-key": ("faults", "kind = 'hot_key', share = 0.3, for_s = 6.0"),
+    "hot-tenant": ("faults", "kind = 'hot_tenant', x = 8.0, for_s = 6.0"),
+    "retry-abuse": ("faults", "kind = 'retry_abuse', x = 3.0, share = 0.4, for_s = 6.0"),
+    "give-up": ("faults", "kind = 'give_up', share = 0.3, x = 500.0, for_s = 6.0"),
+    "crash-dark": ("faults", "kind = 'srv_crash', how = 'dark', share = 0.2, for_s = 5.0"),
+    "crash-gone": ("faults", "kind = 'srv_crash', how = 'gone', share = 0.2, for_s = 5.0"),
+    "slow-upstreams": ("faults", "kind = 'srv_slow', share = 0.3, x = 4.0, for_s = 6.0"),
+    "grey-errors": ("faults", "kind = 'srv_grey', how = 'errors', share = 0.2, x = 0.5, for_s = 6.0"),
+    "grey-hang": ("faults", "kind = 'srv_grey', how = 'hang', share = 0.2, x = 0.5, for_s = 6.0"),
+    "grey-mute": ("faults", "kind = 'srv_grey', how = 'mute', share = 0.2, x = 0.5, for_s = 6.0"),
+    "grey-busy": ("faults", "kind = 'srv_grey', how = 'busy', share = 0.2, x = 0.5, for_s = 6.0"),
+    "grey-slow": ("faults", "kind = 'srv_grey', how = 'slow', share = 0.2, x = 8.0, for_s = 6.0"),
+    "cut-upstreams": ("faults", "kind = 'srv_cut', share = 0.3, for_s = 6.0"),
+    "reuse": ("faults", "kind = 'replace_with_reuse', share = 0.2"),
+    "reuse-dark": ("faults", "kind = 'replace_with_reuse', how = 'dark', share = 0.2"),
+    "release": ("plan", "kind = 'release', share = 0.5, gap_s = 1.0"),
+    "scale-in": ("plan", "kind = 'scale_in', share = 0.2"),
+    "scale-out": ("plan", "kind = 'scale_out', share = 0.3, gap_s = 3.0"),
+    "answer-lost": ("faults", "kind = 'answer_lost', share = 0.5, x = 0.1, for_s = 6.0"),
+    "garble": ("faults", "kind = 'garble', how = 'extra', share = 0.5, x = 0.05, for_s = 6.0"),
+    "garble-unframed": ("faults", "kind = 'garble', how = 'unframed', share = 0.5, x = 0.05, for_s = 6.0"),
+    "garble-early": ("faults", "kind = 'garble', how = 'early', share = 0.5, x = 0.05, for_s = 6.0"),
+    "kill": ("faults", "kind = 'node_kill', share = 0.3, for_s = 3.0"),
+    "kill-leader": ("faults", "kind = 'node_kill', on = 'core', count = 1, for_s = 3.0, how = 'leader'"),
+    "power": ("faults", "kind = 'node_kill', share = 0.3, for_s = 3.0, how = 'power'"),
+    "freeze": ("faults", "kind = 'node_freeze', share = 0.3, for_s = 4.0"),
+    "freeze-leader": ("faults", "kind = 'node_freeze', on = 'core', count = 1, for_s = 4.0, how = 'leader'"),
+    "slow-entries": ("faults", "kind = 'node_slow', share = 0.3, x = 5.0, for_s = 6.0"),
+    "stop-in-turn": ("plan", "kind = 'roll_term', share = 1.0, gap_s = 1.0"),
+    "stop-busy": ("plan", "kind = 'roll_term', share = 1.0, gap_s = 1.0, how = 'busy'"),
+    "kill-all": ("faults", "kind = 'herd_kill', on = 'core', for_s = 1.0"),
+    "power-all": ("faults", "kind = 'herd_kill', on = 'core', for_s = 1.5, how = 'off'"),
+    "add": ("plan", "kind = 'add_nodes', share = 0.75"),
+    "ack-kill": ("faults", "kind = 'after_ack_kill', for_s = 2.0"),
+    "clock-back": ("faults", "kind = 'clock_step', share = 1.0, x = 5000.0, for_s = 6.0, how = 'back'"),
+    "clock-ahead": ("faults", "kind = 'clock_step', share = 1.0, x = 5000.0, for_s = 6.0, how = 'ahead'"),
+    "resets": ("faults", "kind = 'reset_conns', share = 0.5, x = 0.5"),
+    "store-cut": ("faults", "kind = 'core_cut', count = 2, for_s = 5.0"),
+    "entry-cut": ("faults", "kind = 'node_cut', share = 0.3, for_s = 5.0"),
+    "entry-cut-upstreams": ("faults", "kind = 'node_cut', share = 0.3, for_s = 5.0, how = 'servers'"),
+    "lossy": ("faults", "kind = 'lossy', x = 0.05, for_s = 6.0"),
+    "store-silent": ("faults", "kind = 'platform_down', how = 'silent', for_s = 5.0"),
+    "store-busy-lapse": ("faults", "kind = 'platform_down', how = 'busy lapse', for_s = 5.0"),
+    "store-reset": ("faults", "kind = 'platform_down', how = 'reset', for_s = 5.0"),
+    "store-for-some": ("faults", "kind = 'platform_down', how = 'nodes busy revoke meet drain', share = 0.4, for_s = 8.0"),
+    "store-slow": ("faults", "kind = 'platform_slow', x = 60.0, for_s = 6.0"),
+    "store-lost": ("faults", "kind = 'platform_lost', x = 0.4, for_s = 6.0, how = 'late'"),
+    "store-compact": ("faults", "kind = 'platform_compact', x = 3.0, for_s = 6.0, how = 'drain'"),
+    "config-storm": ("plan", "kind = 'config_storm', for_s = 4.0, gap_s = 0.1"),
+    "config-route": ("plan", "kind = 'config_change', how = 'route'"),
+    "config-tenant": ("plan", "kind = 'config_change', how = 'tenant'"),
+    "revoke": ("plan", "kind = 'revoke', count = 2, gap_s = 0.5"),
+    "settings-signal": ("plan", "kind = 'hup', share = 1.0, gap_s = 1.0"),
+    "rollout-good": ("plan", "kind = 'rollout_good', for_s = 16.0, service = '{engine}'"),
+    "rollout-errors": ("plan", "kind = 'rollout_bad', for_s = 16.0, share = 0.5, how = 'errors', service = '{engine}'"),
+    "rollout-slow": ("plan", "kind = 'rollout_bad', for_s = 16.0, share = 0.5, how = 'slow', service = '{engine}'"),
+    "rollout-late": ("plan", "kind = 'rollout_bad', for_s = 16.0, share = 0.5, how = 'late', gap_s = 5.0, service = '{engine}'"),
+    "rollout-load": ("plan", "kind = 'rollout_bad', for_s = 16.0, share = 0.5, how = 'under_load', service = '{engine}'"),
+    "rollout-class": ("plan", "kind = 'rollout_bad', for_s = 16.0, share = 0.5, how = 'one_class', service = '{engine}'"),
+}
+
+# Pairs that hurt each other: (first, second, seconds between them).
+PAIRS = [
+    ("store-silent", "scale-in", 1.0),
+    ("store-busy-lapse", "crash-gone", 1.0),
+    ("rollout-errors", "freeze-leader", 2.0),
+    ("rollout-good", "kill-leader", 9.0),
+    ("rollout-good", "store-silent", 10.0),
+    ("rollout-errors", "store-busy-lapse", 1.0),
+    ("rollout-errors", "store-for-some", 0.5),
+    ("config-storm", "kill-all", 1.0),
+    ("config-storm", "power-all", 1.0),
+    ("reuse", "answer-lost", 0.0),
+    ("reuse-dark", "store-compact", 0.0),
+    ("clock-back", "rollout-good", 0.0),
+    ("clock-ahead", "stop-in-turn", 1.0),
+    ("stop-in-turn", "store-for-some", 0.0),
+    ("stop-busy", "crash-dark", 1.0),
+    ("stop-in-turn", "power-all", 2.0),
+    ("add", "store-silent", 1.0),
+    ("burst", "scale-in", 0.5),
+    ("burst", "grey-hang", 0.5),
+    ("revoke", "store-cut", 0.2),
+    ("release", "entry-cut", 1.0),
+    ("store-lost", "rollout-good", 0.0),
+    ("store-lost", "rollout-errors", 0.0),
+    ("lossy", "store-slow", 0.0),
+    ("freeze", "config-tenant", 1.0),
+    ("freeze", "revoke", 1.0),
+]
+
+
+def entry(name, at, engine):
+    section, fields = TROUBLES[name]
+    if "kind =" not in fields:
+        fields = f"kind = '{name}', {fields}"
+    return section, f"  {{ at = {at}, {fields.format(engine=engine)} }},".replace("'", '"')
+
+
+def day(name, parts, engine, seed):
+    lines = {"plan": [], "faults": []}
+    for trouble, at in parts:
+        section, line = entry(trouble, at, engine)
+        lines[section].append(line)
+    text = f'name = "{name}"\nslot = "trouble"\nseed = {seed}\n'
+    for section, entries in lines.items():
+        text += f"{section} = [\n" + "\n".join(entries) + "\n]\n"
+    return text
+
+
+def days():
+    for name in TROUBLES:
+        yield name, [(name, 5.0)]
+    for name in TROUBLES:
+        if not name.startswith("rollout"):
+            yield f"twice-{name}", [(name, 4.0), (name, 14.0)]
+    for first, second, gap in PAIRS:
+        yield f"{first}+{second}", [(first, 4.0), (second, 4.0 + gap)]
+
+
+def main():
+    target, engine = pathlib.Path(sys.argv[1]), sys.argv[2]
+    target.mkdir(parents=True, exist_ok=True)
+    for seed, (name, parts) in zip(itertools.count(1), days()):
+        (target / f"{name}.toml").write_text(day(name, parts, engine, seed))
+
+
+if __name__ == "__main__":
+    main()
