A randomized soak of the gateways as real processes

Change: tests/all/soak: four gateways as processes, kept running as the platform does (readiness asked each second, SIGTERM, SIGKILL, SIGSTOP and SIGCONT, SIGHUP, restarts), the store and eight upstreams behind proxies that reset, refuse, silence one way and delay; the store's troubles, lapsing entries, upstreams that misbehave in nine ways or leave, configurations and keys that change. A seed gives the faults and their times. Checked from what callers and upstreams see: at most once, true refusals, whole answers of one's own, calls not cut, answers in time, nothing unasked, nothing to an upstream that has left, recovery, keys taken away. The stand-ins' arrivals tell when they came and whether they ran; the proxy can delay. Not covered: the time of day (the gateway reads only the steady clock) and the ways between gateways.

--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -1,4 +1,4 @@
-//! A TCP proxy that cuts, stops and refuses connections when told.
+//! A TCP proxy that cuts, delays, stops and refuses connections when told.
 //!
 //! Home-made, because the one ready library for this in Rust has not been
 //! maintained for years and cannot stop one direction of a live connection.
@@ -6,6 +6,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -38,6 +39,8 @@
     holds_to_listener: bool,
     /// Bytes towards the opener wait.
     holds_to_opener: bool,
+    /// Bytes both ways are passed on so much later.
+    delay: Duration,
 }
 
 impl Mode {
@@ -104,9 +107,15 @@
         });
     }
 
-    /// Lets everything pass again, also what was held back.
+    /// Passes bytes on later, both ways.
+    pub fn delay(&self, delay: Duration) {
+        self.mode.send_modify(|mode| mode.delay = delay);
+    }
+
+    /// Lets everything pass again at once, also what was held back.
     pub fn heal(&self) {
         self.mode.send_modify(|mode| {
+            mode.delay = Duration::ZERO;
             mode.refuses = false;
             mode.holds_to_listener = false;
             mode.holds_to_opener = false;
@@ -157,6 +166,10 @@
         if mode.wait_for(|mode| !mode.holds(direction)).await.is_err() {
             return;
         }
+        let delay = mode.borrow().delay;
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
+        }
         if to.write_all(&buffer[..read]).await.is_err() {
             return;
         }
--- a/crates/standins/src/users_platform/upstream.rs
+++ b/crates/standins/src/users_platform/upstream.rs
@@ -5,6 +5,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::HeaderMap;
@@ -38,6 +39,10 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
+    /// When it came.
+    pub at: Instant,
+    /// Whether the upstream ran it.
+    pub is_run: bool,
 }
 
 impl Arrival {
@@ -142,8 +147,10 @@
     let (head, body) = request.into_parts();
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
     let path = head.uri.path_and_query().map(ToString::to_string).unwrap_or_default();
-    let arrival = Arrival { line: format!("{} {path}", head.method), headers: head.headers, body };
-    let behaviour = take_next(&state, &arrival, &instance);
+    let line = format!("{} {path}", head.method);
+    let at = Instant::now();
+    let mut arrival = Arrival { line, headers: head.headers, body, at, is_run: false };
+    let behaviour = take_next(&state, &mut arrival, &instance);
     let mut running = Running { state, is_finished: false };
     let id = arrival.header("request-id");
     let response = match behaviour {
@@ -159,6 +166,10 @@
             tokio::time::sleep(after).await;
             sealed(StatusCode::OK, id, &body)
         }
+        Behaviour::Echo { after } => {
+            tokio::time::sleep(after).await;
+            sealed(StatusCode::OK, id, &format!("answer to {id}"))
+        }
         Behaviour::Fail => sealed(StatusCode::INTERNAL_SERVER_ERROR, id, "failed"),
         Behaviour::NotExecuted => not_executed(),
         Behaviour::Misdirected => plain(StatusCode::MISDIRECTED_REQUEST, "another"),
@@ -171,16 +182,16 @@
 
 /// Notes a request and says what is done with it. One that is meant for another upstream
 /// is not run.
-fn take_next(state: &Mutex<State>, arrival: &Arrival, instance: &str) -> Behaviour {
+fn take_next(state: &Mutex<State>, arrival: &mut Arrival, instance: &str) -> Behaviour {
     let mut state = state.lock();
-    state.arrivals.push(arrival.clone());
     let expected = arrival.header("expect-instance");
-    if !expected.is_empty() && expected != instance {
-        return Behaviour::Misdirected;
-    }
-    let behaviour = state.next.pop_front().unwrap_or_else(|| state.usual.clone());
-    if !matches!(behaviour, Behaviour::NotExecuted | Behaviour::Misdirected) {
-        state.runs += 1;
-    }
+    let behaviour = if !expected.is_empty() && expected != instance {
+        Behaviour::Misdirected
+    } else {
+        state.next.pop_front().unwrap_or_else(|| state.usual.clone())
+    };
+    arrival.is_run = !matches!(behaviour, Behaviour::NotExecuted | Behaviour::Misdirected);
+    state.runs += usize::from(arrival.is_run);
+    state.arrivals.push(arrival.clone());
     behaviour
 }
--- a/crates/standins/src/users_platform/upstream_behaviour.rs
+++ b/crates/standins/src/users_platform/upstream_behaviour.rs
@@ -12,6 +12,11 @@
         /// The time it works.
         after: Duration,
     },
+    /// Answers whole with the id of the request, after a while.
+    Echo {
+        /// The time it works.
+        after: Duration,
+    },
     /// Answers with an event stream.
     Stream {
         /// The number of the last event; they are numbered from 1.
--- a/tests/all/gateway/mod.rs
+++ b/tests/all/gateway/mod.rs
@@ -11,4 +11,4 @@
 mod rollouts;
 mod stops;
 mod streams;
-mod world;
+pub(crate) mod world;
--- a/tests/all/gateway/world.rs
+++ b/tests/all/gateway/world.rs
@@ -20,13 +20,13 @@
 
 use crate::harness::wait_until;
 
-pub(super) const ENGINE: &str = "engine";
-pub(super) const PLAIN: &str = "plain";
-pub(super) const KEY: &str = "key-of-workspace-1";
+pub(crate) const ENGINE: &str = "engine";
+pub(crate) const PLAIN: &str = "plain";
+pub(crate) const KEY: &str = "key-of-workspace-1";
 pub(super) const PATIENCE: Duration = Duration::from_secs(20);
 
 /// The routing configuration of most tests.
-pub(super) fn config(version: u64) -> Value {
+pub(crate) fn config(version: u64) -> Value {
     let route = |name: &str, kind: &str, service: &str, attempts: u32| {
         json!({
             "name": name, "host": "test.example", "path_prefix": format!("/{name}/"),
@@ -67,17 +67,17 @@
 }
 
 /// What a caller got.
-#[derive(Debug)]
-pub(super) struct Answer {
-    pub(super) status: u16,
-    pub(super) headers: HeaderMap,
-    pub(super) body: String,
+#[derive(Debug, Clone)]
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: String,
     /// Whether the body came to its end.
-    pub(super) is_whole: bool,
+    pub(crate) is_whole: bool,
 }
 
 impl Answer {
-    pub(super) fn header(&self, name: &str) -> &str {
+    pub(crate) fn header(&self, name: &str) -> &str {
         self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
     }
 }
@@ -198,14 +198,14 @@
         .expect("the gateway starts")
 }
 
-pub(super) async fn readiness(http: &reqwest::Client, addr: &str) -> u16 {
+pub(crate) async fn readiness(http: &reqwest::Client, addr: &str) -> u16 {
     let asked = http.get(format!("http://{addr}/ready")).send().await;
     asked.map_or(0, |response| response.status().as_u16())
 }
 
 /// Sends a request and reads what comes, also when it breaks off. None when there is no
 /// answer at all.
-pub(super) async fn send(request: RequestBuilder) -> Option<Answer> {
+pub(crate) async fn send(request: RequestBuilder) -> Option<Answer> {
     let response = request.send().await.ok()?;
     let status = response.status().as_u16();
     let headers = response.headers().clone();
@@ -226,6 +226,6 @@
 }
 
 /// The events of a stream, as the stand-ins number them.
-pub(super) fn events(from: u64, to: u64) -> String {
+pub(crate) fn events(from: u64, to: u64) -> String {
     (from..=to).map(|n| format!("id: {n}\ndata: event {n}\n\n")).collect()
 }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -18,4 +18,5 @@
 mod promises;
 mod settings;
 mod sidecar_contract;
+mod soak;
 mod table;
--- /dev/null
+++ b/tests/all/soak/violations.rs
@@ -0,0 +1,19 @@
+//! The broken promises of a run.
+
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+
+/// The broken promises of a run.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Violations(Arc<Mutex<Vec<String>>>);
+
+impl Violations {
+    pub(super) fn add(&self, what: String) {
+        self.0.lock().push(what);
+    }
+
+    pub(super) fn all(&self) -> Vec<String> {
+        self.0.lock().clone()
+    }
+}
