A session that goes on at another entry keeps its version during a roll-out

Cause: an entry remembered only the sessions it had served. Sessions are kept by a hash of their name. Ruled out: no canary for sessions at all (a roll-out of a service whose requests all belong to sessions would see nothing); deciding by the store (a write a session).

--- a/crates/core/src/instant.rs
+++ b/crates/core/src/instant.rs
@@ -24,6 +24,13 @@
         Self(self.0.saturating_add(micros))
     }
 
+    /// The point `earlier` before this one; the start of the clock if that lies further back.
+    #[must_use]
+    pub fn before(self, earlier: Duration) -> Self {
+        let micros = u64::try_from(earlier.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+
     /// How much time has passed since `earlier`; zero when it lies ahead.
     #[must_use]
     pub fn since(self, earlier: Self) -> Duration {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`members`]: the upstreams that are known
 //! - [`peers`]: news between entries
 //! - [`rollouts`]: moving a service to a new version
+//! - [`sessions`]: which version each session was answered by
 //! - [`planned_stop`]: what is still taken after a stop was asked for
 //! - `follow`: the tasks that follow the store
 //! - `state`: what all tasks share
@@ -36,7 +37,7 @@
 mod retry_budgets;
 pub mod rollouts;
 pub mod routing;
-mod sessions;
+pub mod sessions;
 mod state;
 mod tcp;
 mod upstream;
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -63,6 +63,8 @@
     /// Where the news of each feed came from last: the store or another entry.
     news_from: BTreeMap<String, String>,
     upstreams: Vec<String>,
+    /// Sessions that stay on a version because another entry said so.
+    sessions_told: usize,
     rollouts: Vec<RolloutDump>,
 }
 
@@ -92,6 +94,7 @@
         config_version: state.config().map(|config| config.version.0),
         news_from: news_from(state),
         upstreams: state.upstreams.summary(state.now()),
+        sessions_told: state.sessions.lock().count_told(),
         rollouts: rollouts
             .map(|(service, record, row_version)| RolloutDump {
                 service: service.to_string(),
--- a/crates/gateway/src/peers/evidence.rs
+++ b/crates/gateway/src/peers/evidence.rs
@@ -1,4 +1,5 @@
-//! Telling other entries what was seen of a version that is rolled out.
+//! Telling other entries what was seen of a version that is rolled out, and which sessions
+//! stay on the old one.
 //!
 //! An entry that asks another for news tells it with the question. Those that follow the
 //! store tell each other here, so that in a small fleet too one verdict rests on what all
@@ -16,6 +17,8 @@
 use super::connection::exchange;
 use super::messages::Ask;
 use super::messages::Evidence;
+use super::messages::Session;
+use crate::sessions::Told;
 use crate::state::GatewayState;
 
 /// How often it is told.
@@ -30,6 +33,31 @@
     own.iter().map(|(service, order, totals)| Evidence::of(service, *order, *totals)).collect()
 }
 
+/// The sessions that stay on the old version of a service, though their hash is in the new
+/// one's share. Another entry, at which a session goes on, cannot know it otherwise.
+pub(super) fn kept_sessions(state: &GatewayState, whose: Told) -> Vec<Session> {
+    let now = state.now();
+    let canaries = state.rollouts.lock().canaries();
+    let sessions = state.sessions.lock();
+    let kept = canaries.iter().flat_map(|(service, target, share)| {
+        sessions.kept_from(now, service, target, *share, whose)
+    });
+    kept.map(|kept| Session::of(&kept)).collect()
+}
+
+/// Takes in the sessions that another entry tells of.
+pub(super) fn take_sessions(state: &GatewayState, sessions: &[Session]) {
+    let now = state.now();
+    for session in sessions {
+        match session.kept() {
+            Ok(kept) => state.sessions.lock().told(now, kept),
+            Err(error) => {
+                log::warn!(error:% = error; "a session of no service or version ignored");
+            }
+        }
+    }
+}
+
 /// Tells the other entries that follow the store, for ever.
 pub(crate) async fn tell_relays(state: Arc<GatewayState>) {
     let mut connections = HashMap::new();
@@ -41,7 +69,8 @@
             continue;
         }
         let host = state.settings.host.id.to_string();
-        let ask = Ask { host, evidence, ..Ask::default() };
+        let sessions = kept_sessions(&state, Told::All);
+        let ask = Ask { host, evidence, sessions, ..Ask::default() };
         let relays = state.peers.lock().other_relays();
         for addr in relays {
             let told = tokio::time::timeout(ANSWER_TIMEOUT, tell(&mut connections, addr, &ask));
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -1,6 +1,9 @@
 //! What entries say to each other, as protocol buffers.
 
+use std::time::Duration;
+
 use bytes::Bytes;
+use stallhoist_core::NameError;
 use stallhoist_core::ServiceName;
 use stallhoist_core::StoreVersion;
 use stallhoist_policy::rollout::EvidenceTotals;
@@ -9,6 +12,8 @@
 use crate::control_store::Feed;
 use crate::control_store::FeedPage;
 use crate::control_store::FeedRow;
+use crate::sessions::KeptSession;
+use crate::sessions::SessionKey;
 
 /// The largest message: a whole configuration of many routes fits in.
 pub(super) const MAX_MESSAGE_BYTES: usize = 8 << 20;
@@ -31,6 +36,50 @@
     /// What it has seen of versions that are rolled out, in all so far.
     #[prost(message, repeated, tag = "5")]
     pub(super) evidence: Vec<Evidence>,
+    /// Sessions that stay on the old version of a service.
+    #[prost(message, repeated, tag = "6")]
+    pub(super) sessions: Vec<Session>,
+}
+
+/// A session that stays on the version that answered it.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Session {
+    /// A hash of its name.
+    #[prost(fixed64, tag = "1")]
+    pub(super) key: u64,
+    /// The service that it asks.
+    #[prost(string, tag = "2")]
+    pub(super) service: String,
+    /// The version.
+    #[prost(string, tag = "3")]
+    pub(super) version: String,
+    /// For how long it has asked nothing.
+    #[prost(uint64, tag = "4")]
+    pub(super) idle_ms: u64,
+}
+
+impl Session {
+    pub(super) fn of(kept: &KeptSession) -> Self {
+        Self {
+            key: kept.key.0,
+            service: kept.service.to_string(),
+            version: kept.version.to_string(),
+            idle_ms: u64::try_from(kept.idle.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+
+    /// The session that the message tells of.
+    ///
+    /// # Errors
+    /// Fails when the service or the version has no valid name.
+    pub(super) fn kept(&self) -> Result<KeptSession, NameError> {
+        Ok(KeptSession {
+            key: SessionKey(self.key),
+            service: self.service.parse()?,
+            version: self.version.parse()?,
+            idle: Duration::from_millis(self.idle_ms),
+        })
+    }
 }
 
 /// What an entry has seen of a roll-out, in all so far.
@@ -116,6 +165,9 @@
     /// The store's clock, in milliseconds.
     #[prost(uint64, tag = "5")]
     pub(super) store_now_ms: u64,
+    /// Sessions that stay on the old version of a service, as far as they are known here.
+    #[prost(message, repeated, tag = "6")]
+    pub(super) sessions: Vec<Session>,
 }
 
 /// A row of a feed.
@@ -141,6 +193,7 @@
             rows: page.rows.into_iter().map(row).collect(),
             version: page.version.0,
             store_now_ms: page.store_now_ms,
+            sessions: Vec::new(),
         }
     }
 
--- a/crates/gateway/src/peers/relayed_store.rs
+++ b/crates/gateway/src/peers/relayed_store.rs
@@ -14,7 +14,9 @@
 use super::connection::PeerError;
 use super::connection::connect;
 use super::connection::exchange;
+use super::evidence::kept_sessions;
 use super::evidence::own_evidence;
+use super::evidence::take_sessions;
 use super::messages::Answer;
 use super::messages::Ask;
 use super::messages::feed_number;
@@ -27,6 +29,7 @@
 use crate::control_store::ListedEntry;
 use crate::control_store::RolloutChange;
 use crate::control_store::UnreadableRow;
+use crate::sessions::Told;
 use crate::state::GatewayState;
 
 /// How long another entry may take beyond the wait it was asked for.
@@ -147,11 +150,25 @@
             after: after.map(|after| after.0),
             wait_ms: wait.as_millis() as u64,
             host: self.state.settings.host.id.to_string(),
-            evidence: if feed == Feed::Rollouts { own_evidence(&self.state) } else { Vec::new() },
+            ..self.news_for(feed)
         };
         let answered = exchange(connection, &ask);
         let answer = tokio::time::timeout(wait + ANSWER_SLACK, answered).await;
-        answer.map_err(|_| PeerError::TimedOut)?
+        let answer = answer.map_err(|_| PeerError::TimedOut)??;
+        take_sessions(&self.state, &answer.sessions);
+        Ok(answer)
+    }
+
+    /// What the entry that is asked is told with the question.
+    fn news_for(&self, feed: Feed) -> Ask {
+        if feed != Feed::Rollouts {
+            return Ask::default();
+        }
+        Ask {
+            evidence: own_evidence(&self.state),
+            sessions: kept_sessions(&self.state, Told::Own),
+            ..Ask::default()
+        }
     }
 }
 
--- a/crates/gateway/src/peers/server.rs
+++ b/crates/gateway/src/peers/server.rs
@@ -17,12 +17,15 @@
 
 use super::connection::PeerError;
 use super::connection::framed;
+use super::evidence::kept_sessions;
+use super::evidence::take_sessions;
 use super::messages::Answer;
 use super::messages::Ask;
 use super::messages::Evidence;
 use super::messages::feed_of;
 use crate::control_store::ControlStoreError;
 use crate::control_store::Feed;
+use crate::sessions::Told;
 use crate::state::GatewayState;
 
 /// The longest that a question may wait for changes.
@@ -100,6 +103,7 @@
     for evidence in &ask.evidence {
         take_evidence(state, &ask.host, evidence);
     }
+    take_sessions(state, &ask.sessions);
     // Another relay tells its evidence and asks for nothing.
     let Some(feed) = feed_of(ask.feed) else {
         return Answer::default();
@@ -107,7 +111,11 @@
     let now = state.now();
     state.copies.asked(now);
     let until = now.after(Duration::from_millis(ask.wait_ms).min(MAX_WAIT));
-    page(state, feed, ask.after.map(StoreVersion), until).await
+    let answer = page(state, feed, ask.after.map(StoreVersion), until).await;
+    if feed != Feed::Rollouts {
+        return answer;
+    }
+    Answer { sessions: kept_sessions(state, Told::All), ..answer }
 }
 
 /// Waits until there is something to say.
--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -9,11 +9,11 @@
 use stallhoist_core::MonoTime;
 use stallhoist_core::ServiceName;
 use stallhoist_core::WorkspaceName;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::dialect::CallHead;
 use crate::routing::Route;
 use crate::routing::Service;
+use crate::sessions::SessionKey;
 
 /// A request as it was taken from a caller.
 #[derive(Debug)]
@@ -36,10 +36,14 @@
 }
 
 impl Call {
+    /// The session that a request belongs to, if any.
+    pub(crate) fn session(head: &CallHead) -> Option<SessionKey> {
+        head.session.as_deref().map(SessionKey::of)
+    }
+
     /// A number from 0 to 1 that stays with the session, or with the request if it
     /// belongs to none.
     pub(crate) fn unit(head: &CallHead) -> f64 {
-        let text = head.session.as_deref().unwrap_or(&head.id);
-        xxh3_64(text.as_bytes()) as f64 / u64::MAX as f64
+        Self::session(head).unwrap_or_else(|| SessionKey::of(&head.id)).unit()
     }
 }
--- a/crates/gateway/src/request/execution/choice.rs
+++ b/crates/gateway/src/request/execution/choice.rs
@@ -69,7 +69,7 @@
     fn version_rule(&self) -> VersionRule {
         let now = self.state.now();
         let service = &self.call.service_name;
-        let session = self.call.head.session.as_deref();
+        let session = Call::session(&self.call.head);
         let session_version =
             session.and_then(|session| self.state.sessions.lock().version(now, service, session));
         let unit = Call::unit(&self.call.head);
--- a/crates/gateway/src/request/execution/mod.rs
+++ b/crates/gateway/src/request/execution/mod.rs
@@ -265,7 +265,7 @@
 
     /// A version answers, or has answered, a request of the session.
     pub(crate) fn remember_session(&self, version: &VersionName) {
-        if let Some(session) = &self.call.head.session {
+        if let Some(session) = Call::session(&self.call.head) {
             let now = self.state.now();
             let service = &self.call.service_name;
             self.state.sessions.lock().used(now, service, session, version);
--- a/crates/gateway/src/rollouts/state.rs
+++ b/crates/gateway/src/rollouts/state.rs
@@ -198,6 +198,17 @@
             .collect()
     }
 
+    /// The services of which a part of the sessions is sent to a new version: the service,
+    /// the new version and the part.
+    pub fn canaries(&self) -> Vec<(ServiceName, VersionName, f64)> {
+        let current = self.services.values().filter_map(ServiceRollout::current);
+        let canaries = current.filter(|stored| stored.record.phase == RolloutPhase::Canary);
+        let canary = |stored: &StoredRollout| {
+            (stored.service.clone(), stored.record.target.clone(), self.config.canary_share)
+        };
+        canaries.map(canary).collect()
+    }
+
     /// Another entry tells what it has counted in all so far, since an order.
     pub fn peer_evidence(
         &mut self,
--- a/tests/all/gateway/peers.rs
+++ b/tests/all/gateway/peers.rs
@@ -7,6 +7,8 @@
 use serde_json::Value;
 use serde_json::json;
 use stallhoist_gateway::Gateway;
+use stallhoist_gateway::sessions::SessionKey;
+use stallhoist_policy::rollout::RolloutConfig;
 use stallhoist_standins::users_platform::Behaviour;
 use stallhoist_standins::users_platform::StoreFault;
 use stallhoist_standins::users_platform::StoreStandin;
@@ -39,6 +41,8 @@
         let mut entries = Vec::new();
         for n in 0..count {
             let mut settings = settings(&store);
+            // The test is not to be faster than a session lasts.
+            settings.session_ms = 60_000;
             settings.host.id = format!("entry-{n}").parse().expect("a name");
             entries.push(start_gateway_with(settings).await);
         }
@@ -55,6 +59,15 @@
         join_all(self.entries.iter().map(dump)).await
     }
 
+    /// A request of a session to one entry; gives its status.
+    async fn ask_in_session(&self, entry: usize, round: &str, n: usize) -> u16 {
+        let url = format!("http://{}/stream/x", self.entries[entry].callers_addr());
+        let request = self.http.post(url).header("Host", "test.example").bearer_auth(KEY);
+        let request = request.header("Request-Id", format!("{round}-{n}")).header("Model", "*");
+        let answer = request.header("Session", session(n)).send().await.expect("an answer");
+        answer.status().as_u16()
+    }
+
     /// Waits until so many entries get all their news of configurations from the store.
     async fn wait_for_asking_the_store(&self, expected: usize) {
         wait_until("the others ask them", async || {
@@ -128,6 +141,42 @@
     assert!(new.runs() <= 3 * SEEN_BY_EACH);
 });
 
+// A session that began before the order is in the new version's share by its hash, and goes on
+// at another entry: that one was told that it stays on the old version.
+case!(a_session_that_moves_to_another_entry_keeps_its_version, async {
+    const SESSIONS: usize = 300;
+    let old = UpstreamStandin::start("i-old", Behaviour::stream(1)).await.expect("it starts");
+    let new = UpstreamStandin::start("i-new", Behaviour::stream(1)).await.expect("it starts");
+    let fleet = Fleet::start().await;
+    fleet.store.put("servers", "i-old", old.entry(ENGINE, "zone-1", "v1", "ready"));
+    fleet.wait_for_asking_the_store(3).await;
+    let first = (0..SESSIONS).map(|n| fleet.ask_in_session(0, "first", n));
+    assert!(join_all(first).await.iter().all(|status| *status == 200));
+    fleet.store.put("servers", "i-new", new.entry(ENGINE, "zone-1", "v2", "ready"));
+    let order = json!({ "service": ENGINE, "target_version": "v2", "duration_s": 600 });
+    fleet.store.put("op", "rollout/engine", order);
+    let in_share = (0..SESSIONS).filter(|n| in_canary_share(&session(*n))).count();
+    assert!(in_share > 0, "the sessions are enough for some to be in the share");
+    wait_until("all entries know which sessions stay", async || {
+        let dumps = fleet.dumps().await;
+        dumps[1..].iter().all(|dump| dump["sessions_told"] == in_share)
+    })
+    .await;
+    for entry in 1..ENTRIES {
+        let name = format!("entry-{entry}");
+        join_all((0..SESSIONS).map(|n| fleet.ask_in_session(entry, &name, n))).await;
+    }
+    assert_eq!(new.runs(), 0, "sessions changed their version");
+});
+
+fn session(n: usize) -> String {
+    format!("session-{n}")
+}
+
+fn in_canary_share(session: &str) -> bool {
+    SessionKey::of(session).unit() < RolloutConfig::default().canary_share
+}
+
 fn is_rolled_back(store: &StoreStandin) -> bool {
     let status = store.get("status", "rollout/engine");
     status.is_some_and(|status| status["state"] == "rolled_back")
