The more entries there are, the fewer attempts one makes at once

Cause, found by reading: each entry may use a burst of a sixth of the platform's slack (13 at Lakeshore), as if there were six. With 21 or 32 entries that is 290 to 550 attempts at once where 82 to 104 are allowed besides the ratio. Change: the burst is the slack divided by the entries that are listed, at least six and giving at least one. Test: gateway::attempts::the_more_entries_the_fewer_attempts_at_once; without the change 12 runs in place of at most 8. The state dump tells how many entries are known.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -185,7 +185,7 @@
             Change::MemberListed(_) | Change::MemberGone(_) => {
                 state.upstreams.apply(state.now(), change);
             }
-            Change::EntryListed(entry) => state.peers.lock().listed(entry),
+            Change::EntryListed(entry) => state.entry_listed(entry),
         }
     }
 
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -60,6 +60,8 @@
     is_ready: bool,
     is_leaving: bool,
     config_version: Option<u64>,
+    /// How many entries are listed, this one included.
+    entries: usize,
     /// Where the news of each feed came from last: the store or another entry.
     news_from: BTreeMap<String, String>,
     upstreams: Vec<String>,
@@ -92,6 +94,7 @@
         is_ready: state.is_ready(),
         is_leaving: state.is_leaving(),
         config_version: state.config().map(|config| config.version.0),
+        entries: state.peers.lock().count(),
         news_from: news_from(state),
         upstreams: state.upstreams.summary(state.now()),
         sessions_told: state.sessions.lock().count_told(),
--- a/crates/gateway/src/peers/list.rs
+++ b/crates/gateway/src/peers/list.rs
@@ -35,6 +35,11 @@
         self.entries.insert(order_of(&entry.host), entry.peers_addr);
     }
 
+    /// How many entries are listed, also such as have gone since.
+    pub fn count(&self) -> usize {
+        self.entries.len()
+    }
+
     /// Whether this entry is listed at an address.
     pub fn is_listed_at(&self, addr: SocketAddr) -> bool {
         self.entries.get(&order_of(&self.own)) == Some(&addr)
--- a/crates/gateway/src/retry_budgets.rs
+++ b/crates/gateway/src/retry_budgets.rs
@@ -28,6 +28,12 @@
         self.budget(service).take()
     }
 
+    /// From now on at most `burst` further attempts are made at once for each service.
+    pub(crate) fn set_burst(&mut self, burst: u32) {
+        self.fresh.set_burst(burst);
+        self.by_service.values_mut().for_each(|budget| budget.set_burst(burst));
+    }
+
     fn budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
         self.by_service.entry(service.clone()).or_insert_with(|| self.fresh.clone())
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -25,6 +25,7 @@
 use tokio::sync::Notify;
 
 use crate::control_store::Feed;
+use crate::control_store::ListedEntry;
 use crate::decision_log::DecisionLog;
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
@@ -78,7 +79,8 @@
     pub(crate) fn new(settings: GatewaySettings, dialect: Arc<dyn Dialect>) -> Self {
         let session_lifetime = Duration::from_millis(settings.session_ms) + SESSION_MARGIN;
         let zone = settings.host.zone.clone();
-        let budget = RetryBudget::new(settings.retries.budget_percent(), settings.retries.burst());
+        let retries = &settings.retries;
+        let budget = RetryBudget::new(retries.budget_percent(), retries.burst_of(1));
         let below_confidence = settings.step_up.below_confidence_percent.clone();
         Self {
             upstreams: Arc::new(Upstreams::new(zone, BalanceConfig::default())),
@@ -208,6 +210,16 @@
         self.stop.lock().is_none_or(|stop| stop.takes(now, work))
     }
 
+    /// Another entry is listed: what all may do together is divided among more.
+    pub(crate) fn entry_listed(&self, entry: ListedEntry) {
+        let entries = {
+            let mut peers = self.peers.lock();
+            peers.listed(entry);
+            peers.count()
+        };
+        self.retries.lock().set_burst(self.settings.retries.burst_of(entries));
+    }
+
     /// How hard pressed the engines of a service are.
     pub(crate) fn pressure(&self, service: &ServiceName) -> f64 {
         let now = self.now();
--- a/crates/policy/src/retry/budget.rs
+++ b/crates/policy/src/retry/budget.rs
@@ -20,6 +20,12 @@
         Self { balance: max_balance, percent: u64::from(percent), max_balance }
     }
 
+    /// From now on at most `burst` retries are made at once.
+    pub fn set_burst(&mut self, burst: u32) {
+        self.max_balance = u64::from(burst) * WHOLE_RETRY;
+        self.balance = self.balance.min(self.max_balance);
+    }
+
     /// A request came.
     pub fn request(&mut self) {
         self.balance = (self.balance + self.percent).min(self.max_balance);
--- a/crates/settings/src/gateway/retries.rs
+++ b/crates/settings/src/gateway/retries.rs
@@ -10,8 +10,8 @@
 /// for requests that count at one entry and were sent to another.
 const USED_SHARE: f64 = 0.95;
 
-/// The entries whose bursts together stay within the slack.
-const ENTRIES_RECKONED: u32 = 6;
+/// Before it is known how many entries there are, they are taken for so many.
+const FEWEST_ENTRIES: u32 = 6;
 
 /// How many further attempts are made.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -35,10 +35,11 @@
         (self.fleet_ratio * USED_SHARE * 100.0).max(0.0) as u32
     }
 
-    /// The attempts that one entry may make at once. Entries do not know how many they
-    /// are; with up to six, their bursts together stay within the slack.
-    pub fn burst(&self) -> u32 {
-        (self.fleet_slack / ENTRIES_RECKONED).max(2)
+    /// The attempts that one of so many entries may make at once: together they stay within
+    /// the slack. At least one, or no attempt could ever be made.
+    pub fn burst_of(&self, entries: usize) -> u32 {
+        let entries = u32::try_from(entries).unwrap_or(u32::MAX);
+        (self.fleet_slack / entries.max(FEWEST_ENTRIES)).max(1)
     }
 }
 
--- a/tests/all/gateway/attempts.rs
+++ b/tests/all/gateway/attempts.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use reqwest::Method;
+use serde_json::json;
 use stallhoist_standins::users_platform::Behaviour;
 
 use super::world::PLAIN;
@@ -137,3 +138,23 @@
         assert!(metrics.contains(line), "{line} is not in\n{metrics}");
     }
 });
+
+// What all entries may do together is divided among them: thirty with a burst of eight each
+// would exceed what the platform allows besides the ratio.
+case!(the_more_entries_the_fewer_attempts_at_once, async {
+    const REQUESTS: usize = 4;
+    let world = World::start(PLAIN, &[Behaviour::Fail, Behaviour::Fail, Behaviour::Fail]).await;
+    for n in 0..30 {
+        let gone = json!({ "peers_addr": "127.0.0.1:1" });
+        world.store.put("stallhoist-entries", &format!("other-{n}"), gone);
+    }
+    wait_until("they are known", async || {
+        world.dump().await["entries"].as_u64().is_some_and(|entries| entries >= 30)
+    })
+    .await;
+    for n in 0..REQUESTS {
+        send(world.request(Method::GET, "/safe/x", &format!("id-{n}"))).await.expect("an answer");
+    }
+    // One at once, and 0.855 more for each request; each request alone might make two.
+    assert!(world.runs() <= REQUESTS + 4, "{} runs", world.runs());
+});
