An entry that starts while the platform's store is away asks others what they knew last

Cause: an entry that starts needs the configuration and the list of upstreams, and both came from the store alone. Change: the address for other entries is the control address, and the settings' seeds tell some of them. A feed that was never read in this process and that the store does not give within 0.3 s is asked from them; every entry keeps a copy of what it knows, and tells it whatever its age only for this. What came so is given to nobody as fresh, and the store goes on being asked. Entries that were told by others keep copies too. Tests: gateway::peers::an_entry_that_starts_while_the_store_refuses_asks_a_seed and .._is_silent_..; decisions::peers::a_copy_from_another_entry_is_only_the_last_known.

--- a/crates/gateway/src/peers/feed_copies.rs
+++ b/crates/gateway/src/peers/feed_copies.rs
@@ -23,6 +23,16 @@
 /// How long an entry counts as asked by others after a question.
 const ASKED_FOR: Duration = Duration::from_secs(5);
 
+/// Whom the news of a feed came from.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Origin {
+    /// The platform's store.
+    #[default]
+    Store,
+    /// Another entry: how old it is there is not known.
+    OtherEntry,
+}
+
 #[derive(Debug, Default)]
 struct FeedCopy {
     rows: BTreeMap<String, FeedRow>,
@@ -31,6 +41,29 @@
     version: StoreVersion,
     store_now_ms: u64,
     read_at: MonoTime,
+    origin: Origin,
+}
+
+impl FeedCopy {
+    /// Whether others may take it for what the store says now.
+    fn is_fresh(&self, now: MonoTime, feed: Feed) -> bool {
+        // The list of entries changes rarely, and nothing is bound to it.
+        let is_young = now.since(self.read_at) <= FRESH_FOR || feed == Feed::Entries;
+        self.origin == Origin::Store && is_young
+    }
+
+    /// Those of its rows that fit, as a page.
+    fn page(
+        &self,
+        now: MonoTime,
+        version: StoreVersion,
+        fits: impl Fn(&FeedRow) -> bool,
+    ) -> FeedPage {
+        let mut rows: Vec<_> = self.rows.values().filter(|row| fits(row)).cloned().collect();
+        rows.sort_by_key(|row| row.version);
+        let age_ms = u64::try_from(now.since(self.read_at).as_millis()).unwrap_or(u64::MAX);
+        FeedPage { rows, version, store_now_ms: self.store_now_ms + age_ms }
+    }
 }
 
 #[derive(Debug, Default)]
@@ -47,15 +80,15 @@
 }
 
 impl FeedCopies {
-    /// The whole feed was read at the store.
-    pub fn replace(&self, now: MonoTime, feed: Feed, page: &FeedPage) {
+    /// The whole feed was read.
+    pub fn replace(&self, now: MonoTime, feed: Feed, page: &FeedPage, origin: Origin) {
         let copy = FeedCopy { complete_since: page.version, ..FeedCopy::default() };
         self.copies.lock().by_feed.insert(feed, copy);
-        self.extend(now, feed, page);
+        self.extend(now, feed, page, origin);
     }
 
-    /// Changes came from the store. Without the rows before them they are of no use.
-    pub fn extend(&self, now: MonoTime, feed: Feed, page: &FeedPage) {
+    /// Changes came. Without the rows before them they are of no use.
+    pub fn extend(&self, now: MonoTime, feed: Feed, page: &FeedPage, origin: Origin) {
         let mut copies = self.copies.lock();
         let Some(copy) = copies.by_feed.get_mut(&feed) else {
             return;
@@ -66,6 +99,7 @@
         copy.version = page.version;
         copy.store_now_ms = page.store_now_ms;
         copy.read_at = now;
+        copy.origin = origin;
         drop(copies);
         self.changed.notify_waiters();
     }
@@ -75,11 +109,6 @@
         self.copies.lock().by_feed.contains_key(&feed)
     }
 
-    /// The feed comes from elsewhere now: there is no copy for others.
-    pub fn forget(&self, feed: Feed) {
-        self.copies.lock().by_feed.remove(&feed);
-    }
-
     /// Another entry asks.
     pub fn asked(&self, now: MonoTime) {
         self.copies.lock().asked_at = Some(now);
@@ -102,23 +131,26 @@
     ) -> Option<Result<FeedPage, ControlStoreError>> {
         let copies = self.copies.lock();
         let copy = copies.by_feed.get(&feed)?;
-        let age = now.since(copy.read_at);
-        // The list of entries changes rarely, and nothing is bound to it.
-        if age > FRESH_FOR && feed != Feed::Entries {
+        if !copy.is_fresh(now, feed) {
             return None;
         }
         if after.is_some_and(|after| after < copy.complete_since) {
             return Some(Err(ControlStoreError::HistoryGone));
         }
-        let is_new = |row: &&FeedRow| match after {
+        let is_new = |row: &FeedRow| match after {
             Some(after) => row.version > after,
             None => row.value.is_some(),
         };
-        let mut rows: Vec<_> = copy.rows.values().filter(is_new).cloned().collect();
-        rows.sort_by_key(|row| row.version);
-        let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
         let version = after.map_or(copy.version, |after| after.max(copy.version));
-        Some(Ok(FeedPage { rows, version, store_now_ms: copy.store_now_ms + age_ms }))
+        Some(Ok(copy.page(now, version, is_new)))
+    }
+
+    /// All rows of a feed as they were known last, however long ago and from whomever: for an
+    /// entry that starts while the store is away. None when the feed was never read here.
+    pub fn last_known(&self, now: MonoTime, feed: Feed) -> Option<FeedPage> {
+        let copies = self.copies.lock();
+        let copy = copies.by_feed.get(&feed)?;
+        Some(copy.page(now, copy.version, |row| row.value.is_some()))
     }
 
     /// Waits until a copy changes, or is read again, after this call: to be called before
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -39,6 +39,9 @@
     /// Sessions that stay on the old version of a service.
     #[prost(message, repeated, tag = "6")]
     pub(super) sessions: Vec<Session>,
+    /// Whether the feed is wanted however old it is.
+    #[prost(bool, tag = "7")]
+    pub(super) is_any_age: bool,
 }
 
 /// A session that stays on the version that answered it.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -7,6 +7,9 @@
 //! Which entries follow the store comes from the system's own list of entries, ordered by
 //! a hash that all compute alike: no election, and two that disagree only ask the store
 //! more often than they need.
+//!
+//! An entry that starts while the store is away knows nobody. It asks the seeds of its
+//! settings for what they knew last, which is what they serve by themselves.
 
 mod connection;
 mod evidence;
@@ -18,6 +21,7 @@
 
 pub(crate) use evidence::tell_relays;
 pub use feed_copies::FeedCopies;
+pub use feed_copies::Origin;
 pub use list::PeerList;
 pub(crate) use relayed_store::RelayedStore;
 pub(crate) use server::PeerServer;
--- a/crates/gateway/src/peers/relayed_store.rs
+++ b/crates/gateway/src/peers/relayed_store.rs
@@ -17,6 +17,7 @@
 use super::evidence::kept_sessions;
 use super::evidence::own_evidence;
 use super::evidence::take_sessions;
+use super::feed_copies::Origin;
 use super::messages::Answer;
 use super::messages::Ask;
 use super::messages::feed_number;
@@ -44,6 +45,13 @@
 /// The same for the list of entries, to which no bound applies.
 const ENTRIES_WAIT: Duration = Duration::from_secs(8);
 
+/// A store that has not answered within this time is taken to be away at a start. It takes
+/// 4 ms when it is well.
+const SEEDS_AFTER: Duration = Duration::from_millis(300);
+
+/// How long a seed may take to answer, its connection included.
+const SEED_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// How long the store is asked directly after no other entry could answer.
 const DIRECT_FOR: Duration = Duration::from_secs(8);
 
@@ -109,9 +117,12 @@
             }
             match self.ask_peer(&mut route, addr, feed, after).await {
                 Ok(answer) if answer.has_copy => {
-                    self.state.copies.forget(feed);
+                    let page = answer.into_page();
+                    if let Ok(page) = &page {
+                        self.keep(feed, page, after.is_none(), Origin::OtherEntry);
+                    }
                     self.state.news_from.lock().insert(feed, Some(addr));
-                    return Some(answer.into_page());
+                    return Some(page);
                 }
                 Ok(_) => {}
                 Err(error) => {
@@ -131,6 +142,41 @@
         None
     }
 
+    /// Keeps a copy of what was read: of the whole feed, or of its changes.
+    fn keep(&self, feed: Feed, page: &FeedPage, is_whole: bool, origin: Origin) {
+        let now = self.state.now();
+        if is_whole {
+            self.state.copies.replace(now, feed, page, origin);
+        } else {
+            self.state.copies.extend(now, feed, page, origin);
+        }
+    }
+
+    /// What the seeds knew last of a feed that was never read here; none when no seed knows.
+    async fn ask_seeds(&self, feed: Feed) -> Option<FeedPage> {
+        if self.state.copies.has(feed) {
+            return None;
+        }
+        let seeds = self.state.settings.seeds.iter();
+        for addr in seeds.filter_map(|seed| seed.parse().ok()) {
+            let ask = Ask { feed: feed_number(feed), is_any_age: true, ..Ask::default() };
+            let answer = async { exchange(&mut connect(addr).await?, &ask).await };
+            let answer = tokio::time::timeout(SEED_TIMEOUT, answer).await;
+            match answer.unwrap_or(Err(PeerError::TimedOut)) {
+                Ok(answer) if answer.has_copy => {
+                    log::info!(feed:? = feed, addr:% = addr; "the store is away, a seed answered");
+                    self.state.news_from.lock().insert(feed, Some(addr));
+                    return answer.into_page().ok();
+                }
+                Ok(_) => log::debug!(feed:? = feed, addr:% = addr; "a seed knows nothing either"),
+                Err(error) => {
+                    log::debug!(addr:% = addr, error:% = error; "a seed did not answer");
+                }
+            }
+        }
+        None
+    }
+
     async fn ask_peer(
         &self,
         route: &mut Route,
@@ -186,9 +232,20 @@
         if let Some(answer) = self.ask_peers(feed, None).await {
             return answer;
         }
-        let page = self.store.read(feed).await?;
+        let mut reading = std::pin::pin!(self.store.read(feed));
+        let read = tokio::time::timeout(SEEDS_AFTER, reading.as_mut()).await;
+        if !matches!(read, Ok(Ok(_)))
+            && let Some(page) = self.ask_seeds(feed).await
+        {
+            self.keep(feed, &page, true, Origin::OtherEntry);
+            return Ok(page);
+        }
+        let page = match read {
+            Ok(read) => read?,
+            Err(_) => reading.await?,
+        };
         self.state.news_from.lock().insert(feed, None);
-        self.state.copies.replace(self.state.now(), feed, &page);
+        self.keep(feed, &page, true, Origin::Store);
         Ok(page)
     }
 
@@ -210,7 +267,7 @@
         let wait = if is_asked { wait.min(FRESH_WAIT) } else { wait };
         let page = self.store.follow(feed, after, wait).await?;
         self.state.news_from.lock().insert(feed, None);
-        self.state.copies.extend(self.state.now(), feed, &page);
+        self.keep(feed, &page, false, Origin::Store);
         Ok(page)
     }
 
--- a/crates/gateway/src/peers/server.rs
+++ b/crates/gateway/src/peers/server.rs
@@ -109,6 +109,9 @@
         return Answer::default();
     };
     let now = state.now();
+    if ask.is_any_age {
+        return state.copies.last_known(now, feed).map_or_else(Answer::default, Answer::of);
+    }
     state.copies.asked(now);
     let until = now.after(Duration::from_millis(ask.wait_ms).min(MAX_WAIT));
     let answer = page(state, feed, ask.after.map(StoreVersion), until).await;
--- a/crates/settings/src/gateway/whole.rs
+++ b/crates/settings/src/gateway/whole.rs
@@ -28,6 +28,9 @@
     pub operators_addr: String,
     /// Where other entries ask this one for news.
     pub peers_addr: String,
+    /// Where some other entries can be asked by one that starts while the store is away.
+    #[serde(default)]
+    pub seeds: Vec<String>,
     /// Where the platform's store is.
     pub store: StoreSettings,
     /// How upstreams are called.
@@ -60,6 +63,7 @@
             readiness_path: "/ready".to_owned(),
             operators_addr: "127.0.0.1:0".to_owned(),
             peers_addr: "127.0.0.1:0".to_owned(),
+            seeds: Vec::new(),
             store: StoreSettings::default(),
             upstream: UpstreamCallSettings::default(),
             step_up: StepUpSettings::default(),
@@ -76,6 +80,9 @@
         problems.address("readiness_addr", &self.readiness_addr);
         problems.address("operators_addr", &self.operators_addr);
         problems.address("peers_addr", &self.peers_addr);
+        for seed in &self.seeds {
+            problems.address("seeds", seed);
+        }
         if !self.readiness_path.starts_with('/') {
             problems.add("readiness_path", "must begin with a slash");
         }
--- a/tests/all/decisions/peers.rs
+++ b/tests/all/decisions/peers.rs
@@ -10,6 +10,7 @@
 use stallhoist_gateway::control_store::FeedRow;
 use stallhoist_gateway::control_store::ListedEntry;
 use stallhoist_gateway::peers::FeedCopies;
+use stallhoist_gateway::peers::Origin;
 use stallhoist_gateway::peers::PeerList;
 
 use super::at_ms;
@@ -106,8 +107,8 @@
 fn copies() -> FeedCopies {
     let copies = FeedCopies::default();
     let whole = page(vec![row("a", 4, true), row("b", 9, true)], 10);
-    copies.replace(at_ms(0), Feed::Members, &whole);
-    copies.extend(at_ms(100), Feed::Members, &page(vec![row("a", 12, false)], 12));
+    copies.replace(at_ms(0), Feed::Members, &whole, Origin::Store);
+    copies.extend(at_ms(100), Feed::Members, &page(vec![row("a", 12, false)], 12), Origin::Store);
     copies
 }
 
@@ -146,14 +147,14 @@
     let copies = copies();
     assert!(copies.page(at_ms(1_600), Feed::Members, None).is_some());
     assert!(copies.page(at_ms(1_601), Feed::Members, None).is_none());
-    copies.extend(at_ms(1_700), Feed::Members, &page(Vec::new(), 12));
+    copies.extend(at_ms(1_700), Feed::Members, &page(Vec::new(), 12), Origin::Store);
     assert!(copies.page(at_ms(1_701), Feed::Members, None).is_some());
 }
 
 #[test]
 fn changes_without_the_rows_before_them_make_no_copy() {
     let copies = FeedCopies::default();
-    copies.extend(at_ms(0), Feed::Members, &page(vec![row("a", 4, true)], 4));
+    copies.extend(at_ms(0), Feed::Members, &page(vec![row("a", 4, true)], 4), Origin::Store);
     assert!(!copies.has(Feed::Members));
 }
 
@@ -164,3 +165,17 @@
     copies.asked(at_ms(0));
     assert!(copies.is_asked(at_ms(4_999)) && !copies.is_asked(at_ms(5_000)));
 }
+
+// What came from another entry may be old there: it is good for one that knows nothing.
+#[test]
+fn a_copy_from_another_entry_is_only_the_last_known() {
+    let copies = FeedCopies::default();
+    assert!(copies.last_known(at_ms(0), Feed::Members).is_none());
+    let whole = page(vec![row("a", 4, true), row("b", 9, true)], 10);
+    copies.replace(at_ms(0), Feed::Members, &whole, Origin::OtherEntry);
+    assert!(copies.page(at_ms(1), Feed::Members, None).is_none());
+    let known = copies.last_known(at_ms(60_000), Feed::Members).expect("it is known");
+    assert_eq!((keys(&known), known.version), (vec!["a", "b"], StoreVersion(10)));
+    copies.extend(at_ms(61_000), Feed::Members, &page(Vec::new(), 11), Origin::Store);
+    assert!(copies.page(at_ms(61_000), Feed::Members, None).is_some());
+}
--- a/tests/all/gateway/peers.rs
+++ b/tests/all/gateway/peers.rs
@@ -59,6 +59,13 @@
         join_all(self.entries.iter().map(dump)).await
     }
 
+    /// Where an entry is asked for news, as it listed itself.
+    fn peers_addr(&self, entry: usize) -> String {
+        let row = self.store.get("stallhoist-entries", &format!("entry-{entry}"));
+        let row = row.expect("it is listed");
+        row["peers_addr"].as_str().expect("it has an address").to_owned()
+    }
+
     /// A request of a session to one entry; gives its status.
     async fn ask_in_session(&self, entry: usize, round: &str, n: usize) -> u16 {
         let url = format!("http://{}/stream/x", self.entries[entry].callers_addr());
@@ -182,6 +189,45 @@
     status.is_some_and(|status| status["state"] == "rolled_back")
 }
 
+// A store that is away keeps nobody from starting: the others tell what they knew last.
+async fn starts_in_spite_of(fault: StoreFault) {
+    let upstream = UpstreamStandin::start("i-0", Behaviour::stream(1)).await.expect("it starts");
+    let mut fleet = Fleet::start().await;
+    fleet.store.put("servers", "i-0", upstream.entry(ENGINE, "zone-1", "v1", "ready"));
+    fleet.wait_for_asking_the_store(3).await;
+    let seeds: Vec<_> = (0..ENTRIES).map(|n| fleet.peers_addr(n)).collect();
+    wait_until("all know the upstream", async || {
+        let dumps = fleet.dumps().await;
+        dumps.iter().all(|dump| dump["upstreams"].as_array().is_some_and(|l| l.len() == 1))
+    })
+    .await;
+    fleet.store.set_fault(Some(fault));
+    for (n, seed) in (ENTRIES..).zip(seeds) {
+        let mut settings = settings(&fleet.store);
+        settings.host.id = format!("entry-{n}").parse().expect("a name");
+        settings.seeds = vec!["127.0.0.1:1".to_owned(), seed];
+        fleet.entries.push(start_gateway_with(settings).await);
+    }
+    wait_until("all that started are ready", async || {
+        fleet.dumps().await.iter().all(|dump| dump["is_ready"] == true)
+    })
+    .await;
+    for entry in ENTRIES..fleet.entries.len() {
+        assert_eq!(fleet.ask_in_session(entry, &format!("at-{entry}"), 1).await, 200);
+    }
+    fleet.store.put("op", "config", config(5));
+    fleet.store.set_fault(None);
+    fleet.wait_for_version(5).await;
+}
+
+case!(an_entry_that_starts_while_the_store_refuses_asks_a_seed, async {
+    starts_in_spite_of(StoreFault::Status(503)).await;
+});
+
+case!(an_entry_that_starts_while_the_store_is_silent_asks_a_seed, async {
+    starts_in_spite_of(StoreFault::Silent).await;
+});
+
 // Their copies are no longer fresh, so the relays say that they have none.
 case!(news_comes_after_an_outage_that_all_share, async {
     let fleet = Fleet::start().await;
