--- a/tests/all/gateway/stops.rs
+++ b/tests/all/gateway/stops.rs
@@ -5,6 +5,7 @@
 
 use reqwest::Method;
 use stallhoist_standins::users_platform::Behaviour;
+use stallhoist_standins::users_platform::StoreFault;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -123,6 +124,20 @@
     connection.read_to_end(&mut rest).await.expect("it is closed in order");
 }
 
+// Seen on the bench: an entry that did not reach the store was told to stop, and a request that
+// waited there for the configuration was cut by its end (own day start-while-lapsed, LOST).
+case!(an_entry_that_stops_lets_nobody_wait_for_a_configuration, async {
+    let mut world = World::start(PLAIN, &[Behaviour::answer("done")]).await;
+    world.store.set_fault(Some(StoreFault::Status(503)));
+    world.gateway = start_gateway_with(settings(&world.store)).await;
+    let request = world.request(Method::GET, "/safe/x", "id-1");
+    let World { gateway, store, upstreams, .. } = world;
+    let leaving = gateway.leave();
+    let answer = send(request).await.expect("an answer");
+    assert_eq!((answer.status, answer.header("retry-after")), (503, "4.00"));
+    drop((leaving, store, upstreams));
+});
+
 case!(a_caller_of_a_stopping_entry_is_told_when_to_come_back, async {
     let mut world = World::start(ENGINE, &[Behaviour::stream(2)]).await;
     let mut settings = settings(&world.store);
