--- a/crates/settings/src/gateway/retries.rs
+++ b/crates/settings/src/gateway/retries.rs
@@ -13,6 +13,12 @@
 /// Before it is known how many entries there are, they are taken for so many.
 const FEWEST_ENTRIES: u32 = 6;
 
+/// The bursts of all entries come to so many times the slack. Half of it is for the reserve
+/// in the ratio, which is as much again at 200 requests a second. With the slack alone, answers
+/// that should have been bettered were not: 0.941 -> 0.914 of a calm day's worth was served on
+/// the grown Fjordsegl, as a burst of three is soon used up by three streams at once.
+const SLACK_SHARE: u32 = 2;
+
 /// How many further attempts are made.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -35,11 +41,11 @@
         (self.fleet_ratio * USED_SHARE * 100.0).max(0.0) as u32
     }
 
-    /// The attempts that one of so many entries may make at once: together they stay within
-    /// the slack. At least one, or no attempt could ever be made.
+    /// The attempts that one of so many entries may make at once. At least one, or no attempt
+    /// could ever be made.
     pub fn burst_of(&self, entries: usize) -> u32 {
         let entries = u32::try_from(entries).unwrap_or(u32::MAX);
-        (self.fleet_slack / entries.max(FEWEST_ENTRIES)).max(1)
+        (self.fleet_slack.saturating_mul(SLACK_SHARE) / entries.max(FEWEST_ENTRIES)).max(1)
     }
 }
 
