--- a/crates/gateway/src/peers/relayed_store.rs
+++ b/crates/gateway/src/peers/relayed_store.rs
@@ -142,6 +142,14 @@
         None
     }
 
+    /// The store did not answer this entry either: other entries are asked first again, so that
+    /// all return to them as soon as one of them has reached it.
+    async fn ask_peers_next(&self, feed: Feed) {
+        if let Some(route) = self.routes.get(&feed) {
+            route.lock().await.direct_until = self.state.now();
+        }
+    }
+
     /// Keeps a copy of what was read: of the whole feed, or of its changes.
     fn keep(&self, feed: Feed, page: &FeedPage, is_whole: bool, origin: Origin) {
         let now = self.state.now();
@@ -265,7 +273,13 @@
         }
         let is_asked = is_asked && feed != Feed::Entries;
         let wait = if is_asked { wait.min(FRESH_WAIT) } else { wait };
-        let page = self.store.follow(feed, after, wait).await?;
+        let page = match self.store.follow(feed, after, wait).await {
+            Ok(page) => page,
+            Err(error) => {
+                self.ask_peers_next(feed).await;
+                return Err(error);
+            }
+        };
         self.state.news_from.lock().insert(feed, None);
         self.keep(feed, &page, false, Origin::Store);
         Ok(page)
