Limits of a table row are enforced over the whole fleet

Cause: max_in_flight_requests, max_requests_per_s and max_tokens_per_s were kept in the table and enforced by nobody. Change: each entry keeps to its share, which follows from the list of hosts: policy::limits decides (shares that add up, token buckets), entry::limits asks before the first attempt and counts until the request has ended. Refusals are 429 limit-reached, not run, with a time to come back. A list that is old halves the share. Ruled out: a counter in the store, an allocator with leases (design/limits.md). Tests: decisions::limits (11), limits::* with two real entries (3), of which two were seen failing with the check off.

--- a/crates/entry/src/background.rs
+++ b/crates/entry/src/background.rs
@@ -33,7 +33,10 @@
     shared.links.connect_seeds(&shared);
     loop {
         match shared.platform.hosts().await {
-            Ok(list) => shared.links.reconcile(&shared, list.hosts),
+            Ok(list) => {
+                shared.limits.lock().listed(shared.now(), &list.hosts);
+                shared.links.reconcile(&shared, list.hosts);
+            }
             Err(error) => log::warn!(error:%; "cannot read the host list"),
         }
         tokio::time::sleep(jittered(every)).await;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,7 +9,7 @@
 //!
 //! Lock order: `links`, `link state`, `waiters`, `bills`, `holders`, `retries`,
 //! `ejection`, `guard`, `learners`,
-//! `unreleased`. No lock is held across an await point.
+//! `unreleased`, `limits`. No lock is held across an await point.
 
 mod background;
 mod billing;
@@ -17,6 +17,7 @@
 mod claiming;
 mod holds;
 mod learners;
+mod limits;
 mod mesh;
 mod metrics;
 mod operators;
--- a/crates/entry/src/operators/dump.rs
+++ b/crates/entry/src/operators/dump.rs
@@ -39,6 +39,8 @@
     unsettled_bills: usize,
     unreleased_claims: usize,
     listed_hosts: usize,
+    /// Among how many entries the limits of rows are divided; none before the first list.
+    listed_entries: Option<usize>,
     ejected: Vec<HostId>,
     holds: Vec<Hold>,
     links: Vec<LinkDump>,
@@ -58,6 +60,7 @@
         unsettled_bills: shared.bills.lock().held.len(),
         unreleased_claims: shared.unreleased.lock().len(),
         listed_hosts: shared.links.hosts().len(),
+        listed_entries: shared.limits.lock().entries(),
         holds: shared.guard.lock().holds(),
         ejected: shared.ejection.lock().ejected(shared.now()),
         links: links.iter().map(|(host, link)| dump_link(host, link)).collect(),
--- a/crates/entry/src/request/execution.rs
+++ b/crates/entry/src/request/execution.rs
@@ -32,6 +32,8 @@
 use super::attempt_end::AttemptEnd;
 use super::place::place;
 use crate::billing;
+use crate::limits;
+use crate::limits::LimitPermit;
 use crate::mesh::AttemptEvent;
 use crate::shared::Shared;
 
@@ -63,6 +65,8 @@
     pub(crate) order: Order,
     attempt: Option<Attempt>,
     progress: RequestProgress,
+    /// Counts the request under the limits of its row; none where it has none.
+    permit: Option<LimitPermit>,
     avoid: BTreeSet<HostId>,
     served_by: Option<HostId>,
     bill: Option<BillRecord>,
@@ -84,6 +88,7 @@
             order,
             attempt: None,
             progress,
+            permit: None,
             avoid: BTreeSet::new(),
             served_by: None,
             bill: None,
@@ -176,6 +181,11 @@
 
     /// Places the request and sends it.
     async fn begin_attempt(&mut self) -> Result<(), EndKind> {
+        if self.permit.is_none() {
+            let admitted = limits::admit(&self.shared, &self.order);
+            self.permit = admitted
+                .map_err(|reached| self.not_run(NotRunReason::LimitReached, reached.retry_after))?;
+        }
         let host = match place(&self.shared, &self.order, &self.avoid).await {
             Choice::Send(host) => host,
             Choice::Refuse { reason, retry_after } => {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -31,6 +31,7 @@
 
 use crate::billing::PendingBills;
 use crate::learners::Learners;
+use crate::limits::FleetLimits;
 use crate::mesh::Links;
 use crate::metrics::Metrics;
 use crate::session::SessionKeys;
@@ -56,6 +57,7 @@
     pub(crate) ejection: Mutex<Ejection>,
     pub(crate) guard: Mutex<Guard>,
     pub(crate) learners: Mutex<Learners>,
+    pub(crate) limits: Mutex<FleetLimits>,
     /// Claims that may stand in the store though nothing ran for them.
     pub(crate) unreleased: Mutex<Vec<PendingClaim>>,
     pub(crate) metrics: Metrics,
@@ -98,6 +100,7 @@
             ejection: Mutex::new(Ejection::new(ejection)),
             guard: Mutex::new(Guard::new(GuardConfig::default())),
             learners: Mutex::default(),
+            limits: Mutex::default(),
             unreleased: Mutex::default(),
             metrics: Metrics::default(),
             in_flight: AtomicUsize::new(0),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod balance;
 pub mod cascade;
 pub mod guard;
+pub mod limits;
 pub mod placement;
 pub mod retry;
 pub mod rollout;
--- a/tests/all/decisions/mod.rs
+++ b/tests/all/decisions/mod.rs
@@ -3,6 +3,7 @@
 mod balance;
 mod directory;
 mod event_frames;
+mod limits;
 mod peers;
 mod planned_stop;
 mod request_progress;
--- a/tests/all/harness/fleet.rs
+++ b/tests/all/harness/fleet.rs
@@ -148,6 +148,20 @@
         self.platform.set_hosts(self.hosts.iter().map(|host| host.listed.clone()).collect());
     }
 
+    /// Writes the hosts into the list, those of the entries too.
+    pub(crate) fn list_hosts_and_entries(&self) {
+        let entry = |settings: &Value| HostEntry {
+            host: settings["host"]["id"].as_str().and_then(|id| id.parse().ok()).expect("a name"),
+            zone: ZONES[0].parse().expect("a valid name"),
+            role: HostRole::Entry,
+            address: "127.0.0.1:1".to_owned(),
+            state: HostState::Live,
+            serves: Vec::new(),
+        };
+        let hosts = self.hosts.iter().map(|host| host.listed.clone());
+        self.platform.set_hosts(hosts.chain(self.entry_settings.iter().map(entry)).collect());
+    }
+
     /// Starts a sidecar again, at the address it had.
     pub(crate) fn restart_sidecar(&mut self, number: usize) {
         let settings = self.hosts[number].settings.clone();
--- /dev/null
+++ b/tests/all/limits.rs
@@ -0,0 +1,80 @@
+//! Limits of table rows over the whole fleet.
+
+use serde_json::json;
+use stallhoist_standins::engine::EngineSwitches;
+
+use crate::case::case;
+use crate::harness::Fleet;
+use crate::harness::Plan;
+use crate::harness::send;
+use crate::harness::wait_until;
+
+/// Tokens of a request that takes several seconds, at 20 ms a token.
+const LONG: u64 = 400;
+
+/// Two entries that know each other, and a limit for both.
+async fn fleet(cell: &'static str, value: &'static str) -> Fleet {
+    let fleet = Fleet::start(Plan {
+        entries: 2,
+        engines: vec!["m@v1"],
+        switches: EngineSwitches { step_base_us: 20_000, ..EngineSwitches::default() },
+        cells: vec![(cell, value)],
+        // A list is believed for six polls, however busy the machine is.
+        entry_settings: vec![("platform", "host_list_poll_ms", json!(2_000))],
+        ..Plan::default()
+    })
+    .await;
+    fleet.list_hosts_and_entries();
+    wait_until("both entries are listed", async || {
+        let states = [fleet.entry_state(0).await, fleet.entry_state(1).await];
+        states.iter().all(|state| state["listed_entries"] == 2)
+    })
+    .await;
+    fleet
+}
+
+async fn assert_refused(fleet: &Fleet, entry: usize) {
+    let answer = send(fleet.caller(entry).chat("m@v1", "x", 1, false)).await.expect("an answer");
+    let refused = (answer.status, answer.outcome.as_str(), answer.code());
+    assert_eq!(refused, (429, "not-run", "limit-reached".to_owned()));
+    assert!(answer.retry_after.is_some(), "it is told when to come back");
+}
+
+case!(requests_in_progress_are_limited_over_both_entries, async {
+    let fleet = fleet("w/m@v1/max_in_flight_requests", "2").await;
+    let mut running = Vec::new();
+    for entry in 0..2 {
+        let request = fleet.caller(entry).chat("m@v1", "x", LONG, true);
+        running.push(tokio::spawn(send(request)));
+        let expected = running.len();
+        wait_until("it runs", async || fleet.engines[0].executions().len() == expected).await;
+        assert_refused(&fleet, entry).await;
+    }
+    // A caller that leaves makes room.
+    running[0].abort();
+    wait_until("the first entry takes requests again", async || {
+        let answer = send(fleet.caller(0).chat("m@v1", "x", 1, false)).await;
+        answer.is_some_and(|answer| answer.status == 200)
+    })
+    .await;
+    assert_refused(&fleet, 1).await;
+});
+
+case!(tokens_are_limited_over_both_entries, async {
+    let fleet = fleet("w/m@v1/max_tokens_per_s", "10").await;
+    for entry in 0..2 {
+        // More than a second's worth: it gets in and overdraws the share.
+        let answer = send(fleet.caller(entry).chat("m@v1", "x", 100, false)).await;
+        assert_eq!(answer.expect("an answer").status, 200);
+        assert_refused(&fleet, entry).await;
+    }
+    assert_eq!(fleet.engines[0].executions().len(), 2);
+});
+
+case!(a_row_without_limits_takes_all, async {
+    let fleet = fleet("w/m@v1/max_requests_per_s", "0").await;
+    for _ in 0..10 {
+        let answer = send(fleet.caller(0).chat("m@v1", "x", 1, false)).await;
+        assert_eq!(answer.expect("an answer").status, 200);
+    }
+});
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -11,6 +11,7 @@
 mod harness;
 mod held_bills;
 mod leases;
+mod limits;
 mod local;
 mod operators;
 mod path;
