Upstreams that cost the same are chosen by a hash of the request

On the users' platform prompts share parts, which steers them apart, so it did not show there. Change: ties go by a hash of the request's id and the upstream. The bench with the change follows.

--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -4,6 +4,9 @@
 //! they know. Refusals are off (the first token may take a minute), so that the times
 //! compare. The figure is the 95th percentile of the time to the first token.
 
+#[path = "support/own_knowledge.rs"]
+mod own_knowledge;
+
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -21,12 +24,15 @@
 use stallhoist_measure::WorkloadShape;
 use stallhoist_measure::percentile;
 use stallhoist_policy::admission::AdmissionConfig;
+use stallhoist_policy::balance::WorkItem;
 use stallhoist_policy::placement::Candidate;
 use stallhoist_policy::placement::Choice;
 use stallhoist_policy::placement::ProbePlan;
 use stallhoist_policy::placement::choose;
 use stallhoist_policy::placement::plan_probes;
 
+use crate::own_knowledge::OwnKnowledge;
+
 const SEEDS: [u64; 5] = [11, 22, 33, 44, 55];
 const REPORT_LAG: Duration = Duration::from_secs(1);
 const ROUND_TRIP: Duration = Duration::from_millis(1);
@@ -35,15 +41,18 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Policy {
     Probing,
+    /// The gateway's choice, without probes.
+    OwnKnowledge,
     RoundRobin,
     LeastInFlight,
     TwoChoices,
     Oracle,
 }
 
-const POLICIES: [Policy; 5] = [
+const POLICIES: [Policy; 6] = [
     Policy::Oracle,
     Policy::Probing,
+    Policy::OwnKnowledge,
     Policy::TwoChoices,
     Policy::LeastInFlight,
     Policy::RoundRobin,
@@ -135,7 +144,9 @@
     reported: Vec<usize>,
     in_flight: Vec<Vec<usize>>,
     next_in_turn: Vec<usize>,
-    sent_by: HashMap<usize, (usize, usize)>,
+    knowledge: Vec<OwnKnowledge>,
+    /// By request: the entry, the upstream, and the work that it was reckoned to be.
+    sent_by: HashMap<usize, (usize, usize, WorkItem)>,
     probes: usize,
     rng: StdRng,
 }
@@ -161,16 +172,27 @@
             reported: vec![0; scenario.engines],
             in_flight: vec![vec![0; scenario.engines]; scenario.entries],
             next_in_turn: (0..scenario.entries).collect(),
+            knowledge: (0..scenario.entries)
+                .map(|entry| OwnKnowledge::new(scenario.engines, seed + entry as u64))
+                .collect(),
             sent_by: HashMap::new(),
             probes: 0,
             rng: StdRng::seed_from_u64(seed),
         }
     }
 
-    fn place(&mut self, now: MonoTime, entry: usize, request: &FakeRequest) -> usize {
+    /// Chooses an upstream, and says what work the request is reckoned to be there.
+    fn place(&mut self, now: MonoTime, entry: usize, request: &FakeRequest) -> (usize, WorkItem) {
+        if self.policy == Policy::OwnKnowledge {
+            return self.knowledge[entry].send(now, request);
+        }
+        (self.place_without_work(now, entry, request), WorkItem::default())
+    }
+
+    fn place_without_work(&mut self, now: MonoTime, entry: usize, request: &FakeRequest) -> usize {
         match self.policy {
             Policy::Probing => self.probe(now, request),
-            Policy::Oracle => self.best_of_all(now, request),
+            Policy::Oracle | Policy::OwnKnowledge => self.best_of_all(now, request),
             Policy::RoundRobin => {
                 self.next_in_turn[entry] += 1;
                 self.next_in_turn[entry] % self.upstreams.len()
@@ -249,21 +271,20 @@
             match event {
                 Event::Arrive(id) => {
                     let entry = id % scenario.entries;
-                    let at = self.place(now, entry, &requests[id]);
+                    let (at, work) = self.place(now, entry, &requests[id]);
                     self.in_flight[entry][at] += 1;
-                    self.sent_by.insert(id, (entry, at));
+                    self.sent_by.insert(id, (entry, at, work));
                     self.upstreams[at].offer(now, id, &requests[id], far(now));
                     self.begin(&mut queue, now, at);
                 }
                 Event::StepEnd(at) => {
                     let step = self.upstreams[at].end_step(now);
                     for id in step.first_tokens {
+                        self.note_first_token(id);
                         first_tokens[id] = Some(now.since(requests[id].arrives).as_secs_f64());
                     }
                     for id in step.finished {
-                        if let Some((entry, at)) = self.sent_by.remove(&id) {
-                            self.in_flight[entry][at] -= 1;
-                        }
+                        self.note_end(id);
                     }
                     self.begin(&mut queue, now, at);
                 }
@@ -288,6 +309,19 @@
         }
     }
 
+    fn note_first_token(&mut self, id: usize) {
+        if let Some((entry, at, work)) = self.sent_by.get(&id).copied() {
+            self.knowledge[entry].first_token(at, work);
+        }
+    }
+
+    fn note_end(&mut self, id: usize) {
+        if let Some((entry, at, _)) = self.sent_by.remove(&id) {
+            self.in_flight[entry][at] -= 1;
+            self.knowledge[entry].ended(at);
+        }
+    }
+
     fn begin(&mut self, queue: &mut EventQueue<Event>, now: MonoTime, at: usize) {
         if let Some(ends) = self.upstreams[at].begin_step(now) {
             queue.add(ends, Event::StepEnd(at));
--- /dev/null
+++ b/benches/support/own_knowledge.rs
@@ -0,0 +1,99 @@
+//! The choice that a gateway makes: from what one entry knows itself.
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use stallhoist_core::InstanceId;
+use stallhoist_core::ModelName;
+use stallhoist_core::MonoTime;
+use stallhoist_core::PromptPart;
+use stallhoist_measure::FakeRequest;
+use stallhoist_policy::balance::BalanceConfig;
+use stallhoist_policy::balance::CandidateFacts;
+use stallhoist_policy::balance::PrefixCaches;
+use stallhoist_policy::balance::RequestFacts;
+use stallhoist_policy::balance::UpstreamLoad;
+use stallhoist_policy::balance::WorkItem;
+use stallhoist_policy::balance::expected_cost_ms;
+
+/// The fake engines take in a prompt token in 100 us.
+const PREFILL_TOKENS_PER_MS: f64 = 10.0;
+const BLOCK_TOKENS: u64 = 64;
+const SLOTS: u32 = 256;
+
+/// What one entry knows.
+pub(crate) struct OwnKnowledge {
+    config: BalanceConfig,
+    model: ModelName,
+    instances: Vec<InstanceId>,
+    load: UpstreamLoad,
+    prefixes: PrefixCaches,
+    /// Breaks ties, as the gateway does by a hash of the request.
+    rng: StdRng,
+}
+
+impl OwnKnowledge {
+    /// Of so many upstreams nothing is known yet.
+    pub(crate) fn new(upstreams: usize, seed: u64) -> Self {
+        let instance = |n| format!("instance-{n}").parse().expect("a name");
+        Self {
+            config: BalanceConfig {
+                prefill_tokens_per_ms: PREFILL_TOKENS_PER_MS,
+                ..BalanceConfig::default()
+            },
+            model: "model".parse().expect("a name"),
+            instances: (0..upstreams).map(instance).collect(),
+            load: UpstreamLoad::default(),
+            prefixes: PrefixCaches::default(),
+            rng: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Chooses the upstream that is expected to cost least, and sends the request there.
+    pub(crate) fn send(&mut self, now: MonoTime, request: &FakeRequest) -> (usize, WorkItem) {
+        let facts =
+            RequestFacts { prompt_tokens: request.prompt_tokens, model_pace: 1.0, body_bytes: 0 };
+        let parts = parts(request);
+        let ties: Vec<u64> = self.instances.iter().map(|_| self.rng.random()).collect();
+        let cost = |at: usize| {
+            let candidate = self.candidate(now, at, &parts);
+            (expected_cost_ms(&self.config, &facts, &candidate), ties[at], at)
+        };
+        let costs = (0..self.instances.len()).map(cost);
+        let best = costs.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        let best = best.map_or(0, |(.., at)| at);
+        let instance = &self.instances[best];
+        let read = self.prefixes.read_tokens(now, instance, &self.model, &parts);
+        let unread = request.prompt_tokens.saturating_sub(read);
+        let work = WorkItem { unread_tokens: unread as f64 };
+        self.load.started(instance, work);
+        self.prefixes.read(now, instance, &self.model, &parts);
+        (best, work)
+    }
+
+    /// The first token came: the prompt has been read.
+    pub(crate) fn first_token(&mut self, at: usize, work: WorkItem) {
+        self.load.prompt_read(&self.instances[at], work);
+    }
+
+    /// The answer is whole.
+    pub(crate) fn ended(&mut self, at: usize) {
+        self.load.ended(&self.instances[at], WorkItem::default());
+    }
+
+    fn candidate(&self, now: MonoTime, at: usize, parts: &[PromptPart]) -> CandidateFacts {
+        let instance = &self.instances[at];
+        CandidateFacts {
+            in_progress: self.load.in_progress(now, instance),
+            slots: SLOTS,
+            unread_tokens: self.load.unread_tokens(instance),
+            read_tokens: self.prefixes.read_tokens(now, instance, &self.model, parts),
+            is_same_zone: true,
+            failure_rate: 0.0,
+        }
+    }
+}
+
+fn parts(request: &FakeRequest) -> Vec<PromptPart> {
+    request.blocks.iter().map(|id| PromptPart { id: *id, tokens: BLOCK_TOKENS }).collect()
+}
--- a/crates/gateway/src/request/execution/choice.rs
+++ b/crates/gateway/src/request/execution/choice.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use super::Execution;
 use crate::request::Call;
 use crate::request::GiveUp;
@@ -59,6 +61,7 @@
                 .map_or(1.0, |(service, model)| service.model_pace(model)),
             prompt: self.call.head.prompt.as_ref(),
             body_bytes: self.call.body.len(),
+            tie_seed: xxh3_64(self.call.head.id.as_bytes()),
             tried: &self.tried,
             max_connections: service
                 .map_or(u32::MAX, |s| (s.max_connections / CONNECTION_DIVISOR).max(1)),
--- a/crates/gateway/src/upstreams/choice.rs
+++ b/crates/gateway/src/upstreams/choice.rs
@@ -76,9 +76,11 @@
         let costs = members.into_iter().map(|member| {
             let is_home = home == Some(&member.instance);
             let facts = self.facts(member, is_home);
-            (expected_cost_ms(self.config, &request, &facts), facts, member)
+            let cost_ms = expected_cost_ms(self.config, &request, &facts);
+            (cost_ms, hash_of(member, self.placement.tie_seed), facts, member)
         });
-        let (_, facts, member) = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
+        let cheapest = costs.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        let (.., facts, member) = cheapest?;
         let unread = request.prompt_tokens.saturating_sub(facts.read_tokens) as f64;
         Some(Chosen {
             instance: member.instance.clone(),
@@ -93,10 +95,8 @@
     /// by a hash, without talking to each other.
     fn home<'m>(&self, members: &[&'m Member]) -> Option<&'m InstanceId> {
         let part = self.placement.prompt?.shared_parts().last()?;
-        let hash =
-            |member: &&&Member| xxh3_64_with_seed(member.instance.as_str().as_bytes(), part.id);
         let in_zone = members.iter().filter(|member| member.zone == *self.own_zone);
-        in_zone.min_by_key(hash).map(|member| &member.instance)
+        in_zone.min_by_key(|member| hash_of(member, part.id)).map(|member| &member.instance)
     }
 
     fn facts(&self, member: &Member, is_home: bool) -> CandidateFacts {
@@ -121,6 +121,10 @@
     }
 }
 
+fn hash_of(member: &Member, seed: u64) -> u64 {
+    xxh3_64_with_seed(member.instance.as_str().as_bytes(), seed)
+}
+
 /// What the upstream that all entries steer a prompt to has probably read of it, sent there
 /// by another entry.
 fn likely_read_tokens(shared: &[PromptPart]) -> u64 {
--- a/crates/gateway/src/upstreams/placement.rs
+++ b/crates/gateway/src/upstreams/placement.rs
@@ -20,6 +20,9 @@
     pub(crate) model_pace: f64,
     pub(crate) prompt: Option<&'a Prompt>,
     pub(crate) body_bytes: usize,
+    /// Differs from request to request. Of upstreams that cost the same, which many do in a
+    /// large fleet, all entries must not choose the same one.
+    pub(crate) tie_seed: u64,
     /// Upstreams that this request was sent to before.
     pub(crate) tried: &'a [InstanceId],
     /// The most connections that this entry keeps to one upstream.
--- a/tests/all/gateway/attempts.rs
+++ b/tests/all/gateway/attempts.rs
@@ -5,6 +5,7 @@
 use reqwest::Method;
 use serde_json::json;
 use stallhoist_standins::users_platform::Behaviour;
+use stallhoist_standins::users_platform::UpstreamStandin;
 
 use super::world::PLAIN;
 use super::world::World;
@@ -158,3 +159,14 @@
     // Three at once, and 0.855 more for each request; each request alone might make two.
     assert!(world.runs() <= REQUESTS + 3 + 7, "{} runs", world.runs());
 });
+
+// In a large fleet most upstreams look alike to an entry: all entries would send to the first.
+case!(requests_are_spread_over_upstreams_that_look_alike, async {
+    let world = World::start(PLAIN, &vec![Behaviour::answer("done"); 6]).await;
+    for n in 0..30 {
+        let request = world.request(Method::GET, "/safe/x", &format!("id-{n}"));
+        assert_eq!(send(request).await.expect("an answer").status, 200);
+    }
+    let most = world.upstreams.iter().map(UpstreamStandin::runs).max();
+    assert!(most < Some(15), "one upstream got {most:?} of 30");
+});
