Evidence of a roll-out: one type of counts, two of them in the totals

Cause: EvidenceTotals held each count twice, once for each version, and the functions that count an observation stood twice but for the side. Change: no behaviour. VersionCounts holds the counts of one version and EvidenceTotals two of them; one function says what an observation counts as. Messages between entries keep their fields and tags; the counts are in a file of their own.

--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -7,6 +7,7 @@
 use stallhoist_core::ServiceName;
 use stallhoist_core::StoreVersion;
 use stallhoist_policy::rollout::EvidenceTotals;
+use stallhoist_policy::rollout::VersionCounts;
 
 use crate::control_store::ControlStoreError;
 use crate::control_store::Feed;
@@ -125,28 +126,31 @@
         Self {
             service: service.to_string(),
             order_version: order.0,
-            old_answers: totals.old_answers,
-            old_failures: totals.old_failures,
-            old_timed: totals.old_timed,
-            old_slow: totals.old_slow,
-            new_answers: totals.new_answers,
-            new_failures: totals.new_failures,
-            new_timed: totals.new_timed,
-            new_slow: totals.new_slow,
+            old_answers: totals.old.answers,
+            old_failures: totals.old.failures,
+            old_timed: totals.old.timed,
+            old_slow: totals.old.slow,
+            new_answers: totals.new.answers,
+            new_failures: totals.new.failures,
+            new_timed: totals.new.timed,
+            new_slow: totals.new.slow,
         }
     }
 
     pub(super) fn totals(&self) -> EvidenceTotals {
-        EvidenceTotals {
-            old_answers: self.old_answers,
-            old_failures: self.old_failures,
-            old_timed: self.old_timed,
-            old_slow: self.old_slow,
-            new_answers: self.new_answers,
-            new_failures: self.new_failures,
-            new_timed: self.new_timed,
-            new_slow: self.new_slow,
-        }
+        let old = VersionCounts {
+            answers: self.old_answers,
+            failures: self.old_failures,
+            timed: self.old_timed,
+            slow: self.old_slow,
+        };
+        let new = VersionCounts {
+            answers: self.new_answers,
+            failures: self.new_failures,
+            timed: self.new_timed,
+            slow: self.new_slow,
+        };
+        EvidenceTotals { old, new }
     }
 }
 
--- a/crates/gateway/src/rollouts/state.rs
+++ b/crates/gateway/src/rollouts/state.rs
@@ -60,12 +60,12 @@
             return;
         }
         self.is_found_bad = true;
-        let own = self.evidence.own();
+        let own = self.evidence.own().new;
         log::warn!(
             service:% = service,
-            answers = own.new_answers,
-            failures = own.new_failures,
-            slow = own.new_slow,
+            answers = own.answers,
+            failures = own.failures,
+            slow = own.slow,
             entries_told = self.peers.len();
             "the new version is worse than the old one"
         );
--- a/crates/policy/src/rollout/evidence.rs
+++ b/crates/policy/src/rollout/evidence.rs
@@ -6,6 +6,8 @@
 use stallhoist_core::ModelName;
 use stallhoist_core::RouteName;
 
+use super::EvidenceTotals;
+use super::VersionCounts;
 use crate::guard::SequentialTest;
 
 /// How unlikely of a good version the evidence must be before it is called bad.
@@ -105,46 +107,6 @@
     }
 }
 
-/// What was counted of the old and the new version of a service.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct EvidenceTotals {
-    /// Answers of the old version.
-    pub old_answers: u64,
-    /// Those that failed.
-    pub old_failures: u64,
-    /// Answers of the old version whose time was compared.
-    pub old_timed: u64,
-    /// Those that were slow.
-    pub old_slow: u64,
-    /// Answers of the new version.
-    pub new_answers: u64,
-    /// Those that failed.
-    pub new_failures: u64,
-    /// Answers of the new version whose time was compared.
-    pub new_timed: u64,
-    /// Those that were slow.
-    pub new_slow: u64,
-}
-
-impl EvidenceTotals {
-    /// What came since `earlier`; everything, when the counts have started anew.
-    pub fn since(self, earlier: Self) -> Self {
-        if self.old_answers < earlier.old_answers || self.new_answers < earlier.new_answers {
-            return self;
-        }
-        Self {
-            old_answers: self.old_answers - earlier.old_answers,
-            old_failures: self.old_failures.saturating_sub(earlier.old_failures),
-            old_timed: self.old_timed.saturating_sub(earlier.old_timed),
-            old_slow: self.old_slow.saturating_sub(earlier.old_slow),
-            new_answers: self.new_answers - earlier.new_answers,
-            new_failures: self.new_failures.saturating_sub(earlier.new_failures),
-            new_timed: self.new_timed.saturating_sub(earlier.new_timed),
-            new_slow: self.new_slow.saturating_sub(earlier.new_slow),
-        }
-    }
-}
-
 /// What is known of the old and the new version of a service: what this entry has seen, and
 /// what others have counted.
 #[derive(Debug, Default)]
@@ -158,37 +120,17 @@
 impl RolloutEvidence {
     /// What an attempt on the old version has shown.
     pub fn old_version(&mut self, kind: &RequestKind, observation: Observation) {
-        let mut seen = EvidenceTotals::default();
-        match observation {
-            Observation::Failed => (seen.old_answers, seen.old_failures) = (1, 1),
-            Observation::Overdue => (seen.old_timed, seen.old_slow) = (1, 1),
-            Observation::AnsweredOverdue => seen.old_answers = 1,
-            Observation::Answered(time) | Observation::Paced(time) => {
-                let usual = self.usual.entry(kind.clone()).or_default();
-                seen.old_answers = u64::from(observation == Observation::Answered(time));
-                seen.old_timed = 1;
-                seen.old_slow = u64::from(usual.is_slow(log_ms(time)));
-                usual.observe(log_ms(time));
-            }
+        let old = self.counts_of(kind, observation);
+        if let Observation::Answered(time) | Observation::Paced(time) = observation {
+            self.usual.entry(kind.clone()).or_default().observe(log_ms(time));
         }
-        self.seen(seen);
+        self.counted_here(EvidenceTotals { old, ..EvidenceTotals::default() });
     }
 
     /// What an attempt on the new version has shown.
     pub fn new_version(&mut self, kind: &RequestKind, observation: Observation) {
-        let mut seen = EvidenceTotals::default();
-        match observation {
-            Observation::Failed => (seen.new_answers, seen.new_failures) = (1, 1),
-            Observation::Overdue => (seen.new_timed, seen.new_slow) = (1, 1),
-            Observation::AnsweredOverdue => seen.new_answers = 1,
-            Observation::Answered(time) | Observation::Paced(time) => {
-                let usual = self.usual.get(kind);
-                seen.new_answers = u64::from(observation == Observation::Answered(time));
-                seen.new_timed = 1;
-                seen.new_slow = u64::from(usual.is_some_and(|u| u.is_slow(log_ms(time))));
-            }
-        }
-        self.seen(seen);
+        let new = self.counts_of(kind, observation);
+        self.counted_here(EvidenceTotals { new, ..EvidenceTotals::default() });
     }
 
     /// The time from which on an answer is slow; none while that is not known.
@@ -199,10 +141,10 @@
 
     /// Another entry has counted these, which were not counted here before.
     pub fn counted_elsewhere(&mut self, counts: EvidenceTotals) {
-        self.failures.old_version(counts.old_answers, counts.old_failures);
-        self.slow_answers.old_version(counts.old_timed, counts.old_slow);
-        self.failures.new_version(counts.new_answers, counts.new_failures);
-        self.slow_answers.new_version(counts.new_timed, counts.new_slow);
+        self.failures.old_version(counts.old.answers, counts.old.failures);
+        self.slow_answers.old_version(counts.old.timed, counts.old.slow);
+        self.failures.new_version(counts.new.answers, counts.new.failures);
+        self.slow_answers.new_version(counts.new.timed, counts.new.slow);
     }
 
     /// Whether the new version is worse than the old one.
@@ -215,17 +157,28 @@
         self.own
     }
 
-    fn seen(&mut self, seen: EvidenceTotals) {
-        let own = &mut self.own;
-        own.old_answers += seen.old_answers;
-        own.old_failures += seen.old_failures;
-        own.old_timed += seen.old_timed;
-        own.old_slow += seen.old_slow;
-        own.new_answers += seen.new_answers;
-        own.new_failures += seen.new_failures;
-        own.new_timed += seen.new_timed;
-        own.new_slow += seen.new_slow;
-        self.counted_elsewhere(seen);
+    fn counted_here(&mut self, counts: EvidenceTotals) {
+        self.own.add(counts);
+        self.counted_elsewhere(counts);
+    }
+
+    /// What an observation of either version counts as, by the usual times so far.
+    fn counts_of(&self, kind: &RequestKind, observation: Observation) -> VersionCounts {
+        let nothing = VersionCounts::default();
+        let slow = |time| u64::from(self.is_slow(kind, time));
+        match observation {
+            Observation::Failed => VersionCounts { answers: 1, failures: 1, ..nothing },
+            Observation::Overdue => VersionCounts { timed: 1, slow: 1, ..nothing },
+            Observation::AnsweredOverdue => VersionCounts { answers: 1, ..nothing },
+            Observation::Answered(time) => {
+                VersionCounts { answers: 1, timed: 1, slow: slow(time), ..nothing }
+            }
+            Observation::Paced(time) => VersionCounts { timed: 1, slow: slow(time), ..nothing },
+        }
+    }
+
+    fn is_slow(&self, kind: &RequestKind, time: Duration) -> bool {
+        self.usual.get(kind).is_some_and(|usual| usual.is_slow(log_ms(time)))
     }
 }
 
--- a/crates/policy/src/rollout/mod.rs
+++ b/crates/policy/src/rollout/mod.rs
@@ -5,11 +5,13 @@
 //! small, fixed share of requests goes to the new version; if it proves bad, everything
 //! goes back; if not, everything moves over near the end of the ordered time.
 
+mod counts;
 mod evidence;
 mod plan;
 mod record;
 
-pub use evidence::EvidenceTotals;
+pub use counts::EvidenceTotals;
+pub use counts::VersionCounts;
 pub use evidence::Observation;
 pub use evidence::RequestKind;
 pub use evidence::RolloutEvidence;
--- a/tests/all/decisions/rollout_evidence.rs
+++ b/tests/all/decisions/rollout_evidence.rs
@@ -152,8 +152,8 @@
     let mut evidence = RolloutEvidence::default();
     evidence.new_version(&kind("r"), Observation::Overdue);
     evidence.new_version(&kind("r"), Observation::AnsweredOverdue);
-    let own = evidence.own();
-    assert_eq!((own.new_answers, own.new_failures, own.new_timed, own.new_slow), (1, 0, 1, 1));
+    let own = evidence.own().new;
+    assert_eq!((own.answers, own.failures, own.timed, own.slow), (1, 0, 1, 1));
 }
 
 #[test]
@@ -178,5 +178,5 @@
         evidence.new_version(&pace, paced_ms(400));
     }
     assert!(evidence.is_bad());
-    assert_eq!(evidence.own().new_answers, 15, "a pace is no answer of its own");
+    assert_eq!(evidence.own().new.answers, 15, "a pace is no answer of its own");
 }
--- a/tests/all/decisions/rollout_rules.rs
+++ b/tests/all/decisions/rollout_rules.rs
@@ -17,6 +17,7 @@
 use stallhoist_policy::rollout::RolloutPhase;
 use stallhoist_policy::rollout::RolloutRecord;
 use stallhoist_policy::rollout::TimedPart;
+use stallhoist_policy::rollout::VersionCounts;
 
 use super::at_ms;
 
@@ -146,8 +147,10 @@
     assert_eq!(rollouts.due(at_ms(1))[0].record.started_ms, 700);
 }
 
-fn told(new_answers: u64, new_failures: u64) -> EvidenceTotals {
-    EvidenceTotals { old_answers: 100, new_answers, new_failures, ..EvidenceTotals::default() }
+fn told(answers: u64, failures: u64) -> EvidenceTotals {
+    let old = VersionCounts { answers: 100, ..VersionCounts::default() };
+    let new = VersionCounts { answers, failures, ..VersionCounts::default() };
+    EvidenceTotals { old, new }
 }
 
 fn tell(rollouts: &mut Rollouts, entry: &str, order_version: u64, totals: EvidenceTotals) {
@@ -201,5 +204,6 @@
     rollouts.observe(&service(), &version("v2"), &kind, Observation::Failed);
     let own = rollouts.own_evidence();
     assert_eq!(own.len(), 1);
-    assert_eq!((own[0].2.new_answers, own[0].2.new_failures, own[0].2.old_answers), (1, 1, 0));
+    let totals = own[0].2;
+    assert_eq!((totals.new.answers, totals.new.failures, totals.old.answers), (1, 1, 0));
 }
