News between entries: routes and seeds in files of their own

`Told` did not say what it chooses. Change: no behaviour. route.rs says which entries are passed over, seeds.rs asks the seeds; whether an answer is fresh is a function of its own. Told is SessionScope, and the header of sessions says what sessions are remembered for.

--- a/crates/gateway/src/peers/evidence.rs
+++ b/crates/gateway/src/peers/evidence.rs
@@ -18,7 +18,7 @@
 use super::messages::Ask;
 use super::messages::Evidence;
 use super::messages::Session;
-use crate::sessions::Told;
+use crate::sessions::SessionScope;
 use crate::state::GatewayState;
 
 /// How often it is told.
@@ -35,12 +35,12 @@
 
 /// The sessions that stay on the old version of a service, though their hash is in the new
 /// one's share. Another entry, at which a session goes on, cannot know it otherwise.
-pub(super) fn kept_sessions(state: &GatewayState, whose: Told) -> Vec<Session> {
+pub(super) fn kept_sessions(state: &GatewayState, scope: SessionScope) -> Vec<Session> {
     let now = state.now();
     let canaries = state.rollouts.lock().canaries();
     let sessions = state.sessions.lock();
     let kept = canaries.iter().flat_map(|(service, target, share)| {
-        sessions.kept_from(now, service, target, *share, whose)
+        sessions.kept_from(now, service, target, *share, scope)
     });
     kept.map(|kept| Session::of(&kept)).collect()
 }
@@ -69,7 +69,7 @@
             continue;
         }
         let host = state.settings.host.id.to_string();
-        let sessions = kept_sessions(&state, Told::All);
+        let sessions = kept_sessions(&state, SessionScope::All);
         let ask = Ask { host, evidence, sessions, ..Ask::default() };
         let relays = state.peers.lock().other_relays();
         for addr in relays {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -17,6 +17,8 @@
 mod list;
 mod messages;
 mod relayed_store;
+mod route;
+mod seeds;
 mod server;
 
 pub(crate) use evidence::tell_relays;
--- a/crates/gateway/src/peers/relayed_store.rs
+++ b/crates/gateway/src/peers/relayed_store.rs
@@ -6,11 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use stallhoist_core::MonoTime;
 use stallhoist_core::StoreVersion;
 use tokio::sync::Mutex;
 
-use super::connection::Connection;
 use super::connection::PeerError;
 use super::connection::connect;
 use super::connection::exchange;
@@ -21,6 +19,8 @@
 use super::messages::Answer;
 use super::messages::Ask;
 use super::messages::feed_number;
+use super::route::Route;
+use super::seeds::ask_seeds;
 use crate::control_store::Change;
 use crate::control_store::ControlStore;
 use crate::control_store::ControlStoreError;
@@ -30,7 +30,7 @@
 use crate::control_store::ListedEntry;
 use crate::control_store::RolloutChange;
 use crate::control_store::UnreadableRow;
-use crate::sessions::Told;
+use crate::sessions::SessionScope;
 use crate::state::GatewayState;
 
 /// How long another entry may take beyond the wait it was asked for.
@@ -49,40 +49,13 @@
 /// 4 ms when it is well.
 const SEEDS_AFTER: Duration = Duration::from_millis(300);
 
-/// How long a seed may take to answer, its connection included.
-const SEED_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// How long the store is asked directly after no other entry could answer.
 const DIRECT_FOR: Duration = Duration::from_secs(8);
 
-/// How long an entry that did not answer is not asked again.
-const SKIP_FOR: Duration = Duration::from_secs(8);
-
 /// While others ask this entry, it asks the store at least so often, as its copies are of
 /// no use to them when they are older.
 const FRESH_WAIT: Duration = Duration::from_millis(900);
 
-/// What one feed's follower knows of the others.
-#[derive(Debug, Default)]
-struct Route {
-    connection: Option<(SocketAddr, Connection)>,
-    direct_until: MonoTime,
-    skipped_until: HashMap<SocketAddr, MonoTime>,
-}
-
-impl Route {
-    /// Whether an entry is not asked at present.
-    fn is_skipped(&self, now: MonoTime, addr: SocketAddr) -> bool {
-        self.skipped_until.get(&addr).is_some_and(|until| now < *until)
-    }
-
-    /// An entry gave no fresh answer: it is not asked again for a while.
-    fn skip(&mut self, now: MonoTime, addr: SocketAddr) {
-        self.connection = None;
-        self.skipped_until.insert(addr, now.after(SKIP_FOR));
-    }
-}
-
 /// The store, through another entry where that answers.
 #[derive(Debug)]
 pub(crate) struct RelayedStore<S> {
@@ -115,24 +88,13 @@
             if route.is_skipped(self.state.now(), addr) {
                 continue;
             }
-            match self.ask_peer(&mut route, addr, feed, after).await {
-                Ok(answer) if answer.has_copy => {
-                    let page = answer.into_page();
-                    if let Ok(page) = &page {
-                        self.keep(feed, page, after.is_none(), Origin::OtherEntry);
-                    }
-                    self.state.news_from.lock().insert(feed, Some(addr));
-                    return Some(page);
-                }
-                Ok(_) => {}
-                Err(error) => {
-                    log::debug!(
-                        feed:? = feed,
-                        addr:% = addr,
-                        error:% = error;
-                        "an entry did not answer"
-                    );
+            if let Some(answer) = self.fresh_answer(&mut route, addr, feed, after).await {
+                let page = answer.into_page();
+                if let Ok(page) = &page {
+                    self.keep(feed, page, after.is_none(), Origin::OtherEntry);
                 }
+                self.state.news_from.lock().insert(feed, Some(addr));
+                return Some(page);
             }
             route.skip(self.state.now(), addr);
         }
@@ -142,6 +104,28 @@
         None
     }
 
+    /// An entry's answer; none when it does not answer or has no fresh copy.
+    async fn fresh_answer(
+        &self,
+        route: &mut Route,
+        addr: SocketAddr,
+        feed: Feed,
+        after: Option<StoreVersion>,
+    ) -> Option<Answer> {
+        match self.ask_peer(route, addr, feed, after).await {
+            Ok(answer) => answer.has_copy.then_some(answer),
+            Err(error) => {
+                log::debug!(
+                    feed:? = feed,
+                    addr:% = addr,
+                    error:% = error;
+                    "an entry did not answer"
+                );
+                None
+            }
+        }
+    }
+
     /// The store did not answer this entry either: other entries are asked first again, so that
     /// all return to them as soon as one of them has reached it.
     async fn ask_peers_next(&self, feed: Feed) {
@@ -160,31 +144,6 @@
         }
     }
 
-    /// What the seeds knew last of a feed that was never read here; none when no seed knows.
-    async fn ask_seeds(&self, feed: Feed) -> Option<FeedPage> {
-        if self.state.copies.has(feed) {
-            return None;
-        }
-        let seeds = self.state.settings.seeds.iter();
-        for addr in seeds.filter_map(|seed| seed.parse().ok()) {
-            let ask = Ask { feed: feed_number(feed), is_any_age: true, ..Ask::default() };
-            let answer = async { exchange(&mut connect(addr).await?, &ask).await };
-            let answer = tokio::time::timeout(SEED_TIMEOUT, answer).await;
-            match answer.unwrap_or(Err(PeerError::TimedOut)) {
-                Ok(answer) if answer.has_copy => {
-                    log::info!(feed:? = feed, addr:% = addr; "the store is away, a seed answered");
-                    self.state.news_from.lock().insert(feed, Some(addr));
-                    return answer.into_page().ok();
-                }
-                Ok(_) => log::debug!(feed:? = feed, addr:% = addr; "a seed knows nothing either"),
-                Err(error) => {
-                    log::debug!(addr:% = addr, error:% = error; "a seed did not answer");
-                }
-            }
-        }
-        None
-    }
-
     async fn ask_peer(
         &self,
         route: &mut Route,
@@ -220,7 +179,7 @@
         }
         Ask {
             evidence: own_evidence(&self.state),
-            sessions: kept_sessions(&self.state, Told::Own),
+            sessions: kept_sessions(&self.state, SessionScope::Own),
             ..Ask::default()
         }
     }
@@ -243,7 +202,7 @@
         let mut reading = std::pin::pin!(self.store.read(feed));
         let read = tokio::time::timeout(SEEDS_AFTER, reading.as_mut()).await;
         if !matches!(read, Ok(Ok(_)))
-            && let Some(page) = self.ask_seeds(feed).await
+            && let Some(page) = ask_seeds(&self.state, feed).await
         {
             self.keep(feed, &page, true, Origin::OtherEntry);
             return Ok(page);
--- /dev/null
+++ b/crates/gateway/src/peers/seeds.rs
@@ -0,0 +1,45 @@
+//! Asking the seeds of the settings, for an entry that starts while the store is away.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::connection::PeerError;
+use super::connection::connect;
+use super::connection::exchange;
+use super::messages::Answer;
+use super::messages::Ask;
+use super::messages::feed_number;
+use crate::control_store::Feed;
+use crate::control_store::FeedPage;
+use crate::state::GatewayState;
+
+/// How long a seed may take to answer, its connection included.
+const SEED_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// What the seeds knew last of a feed that was never read here; none when no seed knows.
+pub(super) async fn ask_seeds(state: &GatewayState, feed: Feed) -> Option<FeedPage> {
+    if state.copies.has(feed) {
+        return None;
+    }
+    let seeds = state.settings.seeds.iter();
+    for addr in seeds.filter_map(|seed| seed.parse().ok()) {
+        let answer = tokio::time::timeout(SEED_TIMEOUT, ask_seed(addr, feed)).await;
+        match answer.unwrap_or(Err(PeerError::TimedOut)) {
+            Ok(answer) if answer.has_copy => {
+                log::info!(feed:? = feed, addr:% = addr; "the store is away, a seed answered");
+                state.news_from.lock().insert(feed, Some(addr));
+                return answer.into_page().ok();
+            }
+            Ok(_) => log::debug!(feed:? = feed, addr:% = addr; "a seed knows nothing either"),
+            Err(error) => {
+                log::debug!(addr:% = addr, error:% = error; "a seed did not answer");
+            }
+        }
+    }
+    None
+}
+
+async fn ask_seed(addr: SocketAddr, feed: Feed) -> Result<Answer, PeerError> {
+    let ask = Ask { feed: feed_number(feed), is_any_age: true, ..Ask::default() };
+    exchange(&mut connect(addr).await?, &ask).await
+}
--- a/crates/gateway/src/peers/server.rs
+++ b/crates/gateway/src/peers/server.rs
@@ -25,7 +25,7 @@
 use super::messages::feed_of;
 use crate::control_store::ControlStoreError;
 use crate::control_store::Feed;
-use crate::sessions::Told;
+use crate::sessions::SessionScope;
 use crate::state::GatewayState;
 
 /// The longest that a question may wait for changes.
@@ -118,7 +118,7 @@
     if feed != Feed::Rollouts {
         return answer;
     }
-    Answer { sessions: kept_sessions(state, Told::All), ..answer }
+    Answer { sessions: kept_sessions(state, SessionScope::All), ..answer }
 }
 
 /// Waits until there is something to say.
--- a/crates/gateway/src/sessions.rs
+++ b/crates/gateway/src/sessions.rs
@@ -1,4 +1,5 @@
-//! Which version each session was answered by.
+//! Which version each session was answered by, so that a roll-out does not change it
+//! within a session, also when the session goes on at another entry.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -12,8 +13,8 @@
 /// not are kept, however many they are.
 const CLEAN_UP_FROM: usize = 20_000;
 
-/// The most sessions that are told to another entry at once, those used last: 3 kB.
-const MAX_TOLD: usize = 200;
+/// The most sessions that are shared with another entry at once, those used last: 3 kB.
+const MAX_SHARED: usize = 200;
 
 /// Stands for a session: a hash of its name.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -44,9 +45,9 @@
     pub idle: Duration,
 }
 
-/// Whose sessions are told to another entry.
+/// Which sessions are shared with another entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Told {
+pub enum SessionScope {
     /// Those that this entry has served.
     Own,
     /// Those that others have told of as well.
@@ -116,13 +117,13 @@
         service: &ServiceName,
         target: &VersionName,
         share: f64,
-        whose: Told,
+        scope: SessionScope,
     ) -> Vec<KeptSession> {
         let is_kept = |(of, key): &(ServiceName, SessionKey), kept: &Kept| {
             of == service
                 && key.unit() < share
                 && kept.version != *target
-                && (kept.is_own || whose == Told::All)
+                && (kept.is_own || scope == SessionScope::All)
                 && now.since(kept.last_used) < self.lifetime
         };
         let kept = self.by_session.iter().filter(|(key, kept)| is_kept(key, kept));
@@ -135,7 +136,7 @@
             })
             .collect();
         kept.sort_by_key(|kept| (kept.idle, kept.key.0));
-        kept.truncate(MAX_TOLD);
+        kept.truncate(MAX_SHARED);
         kept
     }
 
