Plainer names in retries and pauses; readiness asked twice in one place

Cause: max_unsent counted connections that failed, MOST_SHARES is a divisor, SLACK_SHARE a multiple, and the pause "of told" that of an entry with relays. Change: no behaviour. max_connect_failures and connect_failed; MIN_DIVISOR and SLACK_MULTIPLE; MAX_PAUSE_WITH_RELAYS; the loop is a function, with the same check.

--- a/crates/entry/src/request/execution.rs
+++ b/crates/entry/src/request/execution.rs
@@ -77,7 +77,7 @@
             is_resumable: false,
             max_attempts: shared.settings.retries.max_attempts,
             // A sidecar that cannot be reached is not chosen in the first place.
-            max_unsent: 0,
+            max_connect_failures: 0,
         });
         Self {
             shared,
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -20,9 +20,9 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 const MAX_PAUSE: Duration = Duration::from_millis(800);
 
-/// The longest pause of an entry that others tell the news: no bound holds until the store has
-/// been well for three seconds.
-const MAX_PAUSE_OF_TOLD: Duration = Duration::from_millis(2_000);
+/// The longest pause of an entry that gets its news from relays: no bound holds until the store
+/// has been well for three seconds.
+const MAX_PAUSE_WITH_RELAYS: Duration = Duration::from_millis(2_000);
 
 /// After changes came, those of this time are gathered for one call, as each call has a
 /// price. It is a small part of the two seconds in which changes must be in force.
@@ -108,8 +108,8 @@
     /// The pauses after failed calls. Where a few entries follow the store for many, the others
     /// hear from those as soon as it is back, and need not try so often themselves.
     fn pauses(&self) -> impl Iterator<Item = Duration> + use<S> {
-        let is_told = !self.state.peers.lock().asked().is_empty();
-        pauses_up_to(if is_told { MAX_PAUSE_OF_TOLD } else { MAX_PAUSE })
+        let has_relays = !self.state.peers.lock().asked().is_empty();
+        pauses_up_to(if has_relays { MAX_PAUSE_WITH_RELAYS } else { MAX_PAUSE })
     }
 
     /// How long a call waits for news: not long after a failure, as a call that the store
--- a/crates/gateway/src/request/execution/mod.rs
+++ b/crates/gateway/src/request/execution/mod.rs
@@ -27,7 +27,7 @@
 
 /// The most connections that may fail to come up for one request before it is given up;
 /// none of them counts as an attempt, as nothing is sent.
-const MAX_UNSENT: u32 = 8;
+const MAX_CONNECT_FAILURES: u32 = 8;
 
 /// When a caller that was refused is told to come back.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -60,7 +60,7 @@
             is_repeatable: call.route.is_repeatable(),
             is_resumable: call.route.is_resumable,
             max_attempts: call.route.max_attempts,
-            max_unsent: MAX_UNSENT,
+            max_connect_failures: MAX_CONNECT_FAILURES,
         });
         Self { state, models, tried: Vec::new(), progress, failure: None, last_event, call }
     }
@@ -138,7 +138,7 @@
     ) -> Result<Option<Answer>, GiveUp> {
         match end {
             AttemptEnd::NotSent(_) => {
-                self.after_unsent(instance)?;
+                self.after_connect_failure(instance)?;
                 Ok(None)
             }
             AttemptEnd::NotRun(_) => {
@@ -173,8 +173,8 @@
     }
 
     /// No connection came up. This does not count as an attempt.
-    fn after_unsent(&mut self, instance: InstanceId) -> Result<(), GiveUp> {
-        if !self.progress.unsent() {
+    fn after_connect_failure(&mut self, instance: InstanceId) -> Result<(), GiveUp> {
+        if !self.progress.connect_failed() {
             return Err(self.give_up());
         }
         self.tried.push(instance);
--- a/crates/policy/src/retry/progress.rs
+++ b/crates/policy/src/retry/progress.rs
@@ -14,7 +14,7 @@
     /// The most upstreams that the request is sent to.
     pub max_attempts: u32,
     /// The most connections that may fail to come up; none of them counts as an attempt.
-    pub max_unsent: u32,
+    pub max_connect_failures: u32,
 }
 
 /// How far the attempts of one request have come: what every interface for callers keeps of
@@ -27,7 +27,7 @@
 pub struct RequestProgress {
     rules: RequestRules,
     attempts: u32,
-    unsent: u32,
+    connect_failures: u32,
     /// Attempts of which it is not proved that they did not run.
     unproved_attempts: u32,
     is_last_proved: bool,
@@ -40,7 +40,7 @@
         Self {
             rules,
             attempts: 0,
-            unsent: 0,
+            connect_failures: 0,
             unproved_attempts: 0,
             is_last_proved: false,
             is_delivered: false,
@@ -55,9 +55,9 @@
     }
 
     /// No connection came up, so nothing was sent. Says whether another may be tried.
-    pub fn unsent(&mut self) -> bool {
-        self.unsent += 1;
-        self.unsent < self.rules.max_unsent
+    pub fn connect_failed(&mut self) -> bool {
+        self.connect_failures += 1;
+        self.connect_failures < self.rules.max_connect_failures
     }
 
     /// It is proved that the attempt that was sent last did not run and will not.
--- a/crates/settings/src/gateway/retries.rs
+++ b/crates/settings/src/gateway/retries.rs
@@ -10,14 +10,15 @@
 /// for requests that count at one entry and were sent to another.
 const USED_SHARE: f64 = 0.95;
 
-/// No entry alone has more than this part of the slack: up to six of them stay within it.
-const MOST_SHARES: u32 = 6;
+/// The slack divided by this is the most that one entry has, so that up to six entries
+/// together stay within the slack.
+const MIN_DIVISOR: u32 = 6;
 
 /// The bursts of a large fleet's entries come to at most so many times the slack. Half of it
 /// is for the reserve in the ratio, which is as much again at 200 requests a second. With the
 /// slack alone, answers that should have been bettered were not: 0.941 -> 0.914 of a calm
 /// day's worth was served on the grown Fjordsegl.
-const SLACK_SHARE: u32 = 2;
+const SLACK_MULTIPLE: u32 = 2;
 
 /// How many further attempts are made.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -45,8 +46,8 @@
     /// could ever be made.
     pub fn burst_of(&self, entries: usize) -> u32 {
         let entries = u32::try_from(entries).unwrap_or(u32::MAX);
-        let share = self.fleet_slack.saturating_mul(SLACK_SHARE) / entries.max(1);
-        share.min(self.fleet_slack / MOST_SHARES).max(1)
+        let share = self.fleet_slack.saturating_mul(SLACK_MULTIPLE) / entries.max(1);
+        share.min(self.fleet_slack / MIN_DIVISOR).max(1)
     }
 }
 
--- a/tests/all/decisions/request_progress.rs
+++ b/tests/all/decisions/request_progress.rs
@@ -17,8 +17,12 @@
 use Happened::Failed;
 use Happened::TurnedAway;
 
-const REPEATABLE: RequestRules =
-    RequestRules { is_repeatable: true, is_resumable: false, max_attempts: 3, max_unsent: 2 };
+const REPEATABLE: RequestRules = RequestRules {
+    is_repeatable: true,
+    is_resumable: false,
+    max_attempts: 3,
+    max_connect_failures: 2,
+};
 const RESUMABLE: RequestRules = RequestRules { is_resumable: true, ..REPEATABLE };
 const ONCE: RequestRules = RequestRules { is_repeatable: false, ..REPEATABLE };
 
@@ -70,8 +74,8 @@
 #[test]
 fn connections_that_fail_are_no_attempts_but_bounded() {
     let mut progress = RequestProgress::new(ONCE);
-    assert!(progress.unsent());
-    assert!(!progress.unsent());
+    assert!(progress.connect_failed());
+    assert!(!progress.connect_failed());
     assert_eq!(progress.attempts(), 0);
     assert!(!progress.may_have_run());
 }
--- a/tests/all/gateway/stops.rs
+++ b/tests/all/gateway/stops.rs
@@ -32,6 +32,13 @@
     }
 }
 
+/// Asks for readiness as the platform does, until it has learnt that the entry stops.
+async fn fail_readiness_twice(http: &reqwest::Client, ready_addr: &str) {
+    for _ in 0..2 {
+        assert_eq!(readiness(http, ready_addr).await, 503);
+    }
+}
+
 case!(what_is_in_progress_is_finished, async {
     let world = World::start(ENGINE, &[slow_stream(20)]).await;
     let request = world.stream("id-1");
@@ -64,9 +71,7 @@
     let ready_addr = world.gateway.readiness_addr().to_string();
     let leaving = world.gateway.leave();
     let started = Instant::now();
-    for _ in 0..2 {
-        assert_eq!(readiness(&http, &ready_addr).await, 503);
-    }
+    fail_readiness_twice(&http, &ready_addr).await;
     leaving.wait_for_balancer().await.finish().await;
     assert!(started.elapsed() < Duration::from_millis(2_000), "{:?}", started.elapsed());
 });
@@ -83,9 +88,7 @@
     upstreams[0].then([Behaviour::stream(2)]);
     let ready_addr = gateway.readiness_addr().to_string();
     let leaving = gateway.leave();
-    for _ in 0..2 {
-        assert_eq!(readiness(&http, &ready_addr).await, 503);
-    }
+    fail_readiness_twice(&http, &ready_addr).await;
     let draining = leaving.wait_for_balancer().await;
     let answer = send(request).await.expect("it is read and answered");
     assert_eq!((answer.status, answer.header("connection")), (200, "close"));
@@ -99,7 +102,8 @@
     let callers_addr = world.gateway.callers_addr();
     let mut kept = TcpStream::connect(callers_addr).await.expect("it connects");
     let head = format!(
-        "GET /safe/x HTTP/1.1\r\nHost: test.example\r\nRequest-Id: id-1\r\nAuthorization: Bearer {KEY}\r\n\r\n"
+        "GET /safe/x HTTP/1.1\r\nHost: test.example\r\nRequest-Id: id-1\r\n\
+         Authorization: Bearer {KEY}\r\n\r\n"
     );
     kept.write_all(head.as_bytes()).await.expect("it is sent");
     let mut answer = vec![0; 1_024];
@@ -109,9 +113,7 @@
     let http = reqwest::Client::builder().no_proxy().build().expect("a client");
     let World { gateway, store, upstreams, .. } = world;
     let leaving = gateway.leave();
-    for _ in 0..2 {
-        assert_eq!(readiness(&http, &ready_addr).await, 503);
-    }
+    fail_readiness_twice(&http, &ready_addr).await;
     let draining = leaving.wait_for_balancer().await;
     let closed = tokio::time::timeout(PATIENCE, read_to_end(kept)).await;
     assert!(closed.is_ok(), "it stays open");
