A store that others told nothing new of is first asked without a wait; the longer pauses go back

Change: the first call after others told the news waits 50 ms. Also reverted: pauses of up to 2 s, and asking the relays again after each failed call: with jitter and entries that are cut off too, they could take longer than the bound.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -20,10 +20,6 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 const MAX_PAUSE: Duration = Duration::from_millis(800);
 
-/// The longest pause of an entry that gets its news from relays: no bound holds until the store
-/// has been well for three seconds.
-const MAX_PAUSE_WITH_RELAYS: Duration = Duration::from_millis(2_000);
-
 /// After changes came, those of this time are gathered for one call, as each call has a
 /// price. It is a small part of the two seconds in which changes must be in force.
 const GATHER: Duration = Duration::from_millis(300);
@@ -58,7 +54,7 @@
 impl<S: ControlStore> Follower<S> {
     /// Reads the whole feed, again and again until it was read.
     async fn read_until_read(&mut self) -> StoreVersion {
-        let mut pauses = self.pauses();
+        let mut pauses = pauses();
         loop {
             match self.store.read(self.feed).await {
                 Ok(page) => {
@@ -75,13 +71,13 @@
 
     /// Follows changes until the store no longer has those that would come next.
     async fn follow_until_gone(&mut self, mut after: StoreVersion) {
-        let mut failures = self.pauses();
+        let mut failures = pauses();
         loop {
             self.wait_until_needed().await;
             match self.store.follow(self.feed, after, self.wait()).await {
                 Ok(page) => {
                     self.reached();
-                    failures = self.pauses();
+                    failures = pauses();
                     after = page.version;
                     let has_changes = !page.rows.is_empty();
                     self.take_changes(page);
@@ -105,13 +101,6 @@
         }
     }
 
-    /// The pauses after failed calls. Where a few entries follow the store for many, the others
-    /// hear from those as soon as it is back, and need not try so often themselves.
-    fn pauses(&self) -> impl Iterator<Item = Duration> + use<S> {
-        let has_relays = !self.state.peers.lock().asked().is_empty();
-        pauses_up_to(if has_relays { MAX_PAUSE_WITH_RELAYS } else { MAX_PAUSE })
-    }
-
     /// How long a call waits for news: not long after a failure, as a call that the store
     /// never got is only known by its silence.
     fn wait(&self) -> Duration {
@@ -253,11 +242,10 @@
     }
 }
 
-/// Pauses that grow to `longest`.
-fn pauses_up_to(longest: Duration) -> impl Iterator<Item = Duration> {
+fn pauses() -> impl Iterator<Item = Duration> {
     ExponentialBuilder::default()
         .with_min_delay(FIRST_PAUSE)
-        .with_max_delay(longest)
+        .with_max_delay(MAX_PAUSE)
         .with_jitter()
         .without_max_times()
         .build()
--- a/crates/gateway/src/peers/feed_copies.rs
+++ b/crates/gateway/src/peers/feed_copies.rs
@@ -109,6 +109,12 @@
         self.copies.lock().by_feed.contains_key(&feed)
     }
 
+    /// Whether the newest news of a feed came from the store itself.
+    pub fn is_from_store(&self, feed: Feed) -> bool {
+        let copies = self.copies.lock();
+        copies.by_feed.get(&feed).is_some_and(|copy| copy.origin == Origin::Store)
+    }
+
     /// Another entry asks.
     pub fn asked(&self, now: MonoTime) {
         self.copies.lock().asked_at = Some(now);
--- a/crates/gateway/src/peers/relayed_store.rs
+++ b/crates/gateway/src/peers/relayed_store.rs
@@ -45,6 +45,11 @@
 /// The same for the list of entries, to which no bound applies.
 const ENTRIES_WAIT: Duration = Duration::from_secs(8);
 
+/// How long the store is asked to wait for news by the first call after others told them, who
+/// may have lost it: a store that is silent would be waited for until the call's own time-out,
+/// and its return be noticed too late.
+const FIRST_DIRECT_WAIT: Duration = Duration::from_millis(50);
+
 /// A store that has not answered within this time is taken to be away at a start. It takes
 /// 4 ms when it is well.
 const SEEDS_AFTER: Duration = Duration::from_millis(300);
@@ -126,14 +131,6 @@
         }
     }
 
-    /// The store did not answer this entry either: other entries are asked first again, so that
-    /// all return to them as soon as one of them has reached it.
-    async fn ask_peers_next(&self, feed: Feed) {
-        if let Some(route) = self.routes.get(&feed) {
-            route.lock().await.direct_until = self.state.now();
-        }
-    }
-
     /// Keeps a copy of what was read: of the whole feed, or of its changes.
     fn keep(&self, feed: Feed, page: &FeedPage, is_whole: bool, origin: Origin) {
         let now = self.state.now();
@@ -232,13 +229,9 @@
         }
         let is_asked = is_asked && feed != Feed::Entries;
         let wait = if is_asked { wait.min(FRESH_WAIT) } else { wait };
-        let page = match self.store.follow(feed, after, wait).await {
-            Ok(page) => page,
-            Err(error) => {
-                self.ask_peers_next(feed).await;
-                return Err(error);
-            }
-        };
+        let is_reached = self.state.copies.is_from_store(feed);
+        let wait = if is_reached { wait } else { wait.min(FIRST_DIRECT_WAIT) };
+        let page = self.store.follow(feed, after, wait).await?;
         self.state.news_from.lock().insert(feed, None);
         self.keep(feed, &page, false, Origin::Store);
         Ok(page)
