--- a/crates/policy/src/balance/config.rs
+++ b/crates/policy/src/balance/config.rs
@@ -8,6 +8,8 @@
     pub per_running_ms: f64,
     /// The usual time of a call to a plain service, in milliseconds.
     pub service_call_ms: f64,
+    /// How many other requests the reading of a prompt holds up, on average.
+    pub held_up_by_reading: f64,
     /// What going to another availability zone costs whatever is sent, in milliseconds.
     pub other_zone_ms: f64,
     /// What each kilobyte sent to another availability zone costs, in milliseconds.
@@ -21,6 +23,7 @@
         Self {
             per_running_ms: 4.0,
             service_call_ms: 60.0,
+            held_up_by_reading: 2.0,
             other_zone_ms: 10.0,
             other_zone_ms_per_kb: 8.0,
             failing_ms: 2_000.0,
--- a/crates/policy/src/balance/cost.rs
+++ b/crates/policy/src/balance/cost.rs
@@ -61,7 +61,9 @@
 ) -> f64 {
     let zone_ms =
         if candidate.is_same_zone { 0.0 } else { other_zone_cost_ms(config, request.body_bytes) };
+    let others_ms = config.held_up_by_reading * own_reading_ms(request, candidate);
     expected_wait_ms(config, request, candidate)
+        + others_ms
         + zone_ms
         + candidate.failure_rate * config.failing_ms
 }
