--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -46,6 +46,20 @@
     /// The work that it, and the entries that tell it theirs, have in progress.
     #[prost(message, optional, tag = "8")]
     pub(super) work: Option<WorkNews>,
+    /// The new versions that it knows to be bad.
+    #[prost(message, repeated, tag = "9")]
+    pub(super) bad_versions: Vec<BadVersion>,
+}
+
+/// The new version of an order is bad.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct BadVersion {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub(super) service: String,
+    /// The version of the order's row.
+    #[prost(uint64, tag = "2")]
+    pub(super) order_version: u64,
 }
 
 /// Work in progress, by upstream.
@@ -203,6 +217,9 @@
     /// The work that all entries but the one that asked have in progress, if it told its own.
     #[prost(message, optional, tag = "7")]
     pub(super) work: Option<WorkNews>,
+    /// The new versions that are known to be bad here, in the same case.
+    #[prost(message, repeated, tag = "8")]
+    pub(super) bad_versions: Vec<BadVersion>,
 }
 
 /// A row of a feed.
@@ -230,6 +247,7 @@
             store_now_ms: page.store_now_ms,
             sessions: Vec::new(),
             work: None,
+            bad_versions: Vec::new(),
         }
     }
 
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -21,6 +21,7 @@
 mod seeds;
 mod server;
 mod teller;
+mod verdicts;
 mod work_news;
 
 pub(crate) use evidence::tell_relays;
--- a/crates/gateway/src/peers/work_news.rs
+++ b/crates/gateway/src/peers/work_news.rs
@@ -20,6 +20,8 @@
 use super::messages::WorkNews;
 use super::messages::WorkOn;
 use super::teller::Teller;
+use super::verdicts::known_bad;
+use super::verdicts::take_bad;
 use crate::state::GatewayState;
 
 /// How often it is told. With 50 ms the worth of days with faults was the same (0.705 and 0.704).
@@ -50,13 +52,21 @@
         let news = group_work(&state);
         pause = pause_after(news.len() * told.len());
         let host = state.settings.host.id.to_string();
-        let ask = Ask { host, work: Some(WorkNews::of(&news)), ..Ask::default() };
+        let ask = Ask {
+            host,
+            work: Some(WorkNews::of(&news)),
+            bad_versions: known_bad(&state),
+            ..Ask::default()
+        };
         for (host, addr) in told {
             if skipped_until.iter().any(|(skipped, _)| *skipped == addr) {
                 continue;
             }
             match teller.tell(addr, &ask).await {
-                Ok(answer) => take_work(&state, host, answer.work.as_ref()),
+                Ok(answer) => {
+                    take_work(&state, host, answer.work.as_ref());
+                    take_bad(&state, &answer.bad_versions);
+                }
                 Err(error) => {
                     log::debug!(addr:% = addr, error:% = error; "work not told");
                     skipped_until.push((addr, state.now().after(SKIP_FOR)));
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -2,9 +2,11 @@
 
 mod driver;
 mod state;
+mod verdict;
 mod version_rule;
 
 pub(crate) use driver::drive;
 pub use state::Rollouts;
+pub use verdict::Verdict;
 pub use version_rule::VersionFilter;
 pub use version_rule::VersionRule;
--- a/crates/gateway/src/rollouts/state.rs
+++ b/crates/gateway/src/rollouts/state.rs
@@ -20,6 +20,7 @@
 use stallhoist_policy::rollout::new_version_share;
 use stallhoist_policy::rollout::next_step;
 
+use super::Verdict;
 use super::VersionFilter;
 use super::VersionRule;
 use crate::control_store::RolloutChange;
@@ -228,6 +229,32 @@
         rollout.judge(service);
     }
 
+    /// The orders whose new versions this entry knows to be bad, from its own evidence or from
+    /// others, and that are not settled.
+    pub fn verdicts(&self) -> Vec<Verdict> {
+        let bad = self.services.values().filter(|rollout| rollout.is_found_bad);
+        let orders = bad.filter(|rollout| rollout.is_running()).filter_map(|r| r.order.as_ref());
+        let verdict = |order: &RolloutOrder| Verdict {
+            service: order.service.clone(),
+            order_version: order.row_version,
+        };
+        orders.map(verdict).collect()
+    }
+
+    /// Another entry has found the new version of an order bad. Its verdict counts here too:
+    /// one that started after the evidence was seen would complete the roll-out.
+    pub fn told_bad(&mut self, verdict: &Verdict) {
+        let Some(rollout) = self.services.get_mut(&verdict.service) else {
+            return;
+        };
+        let order_version = rollout.order.as_ref().map(|order| order.row_version);
+        if rollout.is_found_bad || order_version != Some(verdict.order_version) {
+            return;
+        }
+        rollout.is_found_bad = true;
+        log::warn!(service:% = verdict.service; "another entry has found the new version bad");
+    }
+
     /// The changes to be stored now.
     pub fn due(&self, now: MonoTime) -> Vec<RolloutChange> {
         if self.clock_offset_ms.is_none() {
--- a/tests/all/decisions/rollout_rules.rs
+++ b/tests/all/decisions/rollout_rules.rs
@@ -8,6 +8,7 @@
 use stallhoist_gateway::control_store::RolloutOrder;
 use stallhoist_gateway::control_store::StoredRollout;
 use stallhoist_gateway::rollouts::Rollouts;
+use stallhoist_gateway::rollouts::Verdict;
 use stallhoist_gateway::rollouts::VersionFilter;
 use stallhoist_gateway::rollouts::VersionRule;
 use stallhoist_policy::rollout::EvidenceTotals;
@@ -207,3 +208,39 @@
     let totals = own[0].2;
     assert_eq!((totals.new.answers, totals.new.failures, totals.old.answers), (1, 1, 0));
 }
+
+fn verdict(order_version: u64) -> Verdict {
+    Verdict { service: service(), order_version: StoreVersion(order_version) }
+}
+
+// Three entries had found a version bad while the store was away; one that had started since
+// then completed the roll-out when the store came back.
+#[test]
+fn a_verdict_of_another_entry_counts_at_one_that_has_seen_nothing() {
+    let mut rollouts = rollouts(SHIFTING);
+    rollouts.told_bad(&verdict(10));
+    assert_eq!(rule(&rollouts, 0.01, None).wanted, old());
+    let due = rollouts.due(at_ms(30_000));
+    assert_eq!(due.len(), 1);
+    assert_eq!(due[0].record.phase, RolloutPhase::RolledBack, "and is not completed");
+    assert_eq!(rollouts.verdicts(), [verdict(10)], "it is passed on");
+}
+
+#[test]
+fn a_verdict_on_another_order_does_not_count() {
+    let mut rollouts = rollouts(SHIFTING);
+    rollouts.told_bad(&verdict(9));
+    assert_eq!(rule(&rollouts, 0.01, None).wanted, new());
+    rollouts.told_bad(&verdict(10));
+    rollouts.ordered(order(12));
+    assert_eq!(rollouts.verdicts(), [], "a new order begins without a verdict");
+}
+
+#[test]
+fn a_verdict_is_told_until_it_is_stored() {
+    let mut rollouts = rollouts(RolloutPhase::Canary);
+    rollouts.told_bad(&verdict(10));
+    assert_eq!(rollouts.verdicts().len(), 1);
+    rollouts.stored(stored(RolloutPhase::RolledBack, 12));
+    assert_eq!(rollouts.verdicts(), []);
+}
