--- a/crates/gateway/src/request/execution/mod.rs
+++ b/crates/gateway/src/request/execution/mod.rs
@@ -232,7 +232,7 @@
         let priority = self.call.route.priority;
         is_possible
             && self.state.step_up.is_poor(priority, stream.reply_head.confidence)
-            && self.is_better_in_time()
+            && (!self.state.settings.decisions.needs_better_in_time || self.is_better_in_time())
             && self.state.retries.lock().take(&self.call.service_name)
     }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,7 +14,6 @@
 use parking_lot::RwLock;
 use stallhoist_coordination::ProcessClock;
 use stallhoist_core::MonoTime;
-use stallhoist_policy::balance::BalanceConfig;
 use stallhoist_policy::cascade::StepUpConfig;
 use stallhoist_policy::retry::RetryBudget;
 use stallhoist_policy::rollout::RolloutConfig;
@@ -78,7 +77,7 @@
         let budget = RetryBudget::new(retries.budget_percent(), retries.burst_of(1));
         let below_confidence = settings.step_up.below_confidence_percent.clone();
         Self {
-            upstreams: Arc::new(Upstreams::new(zone, BalanceConfig::default())),
+            upstreams: Arc::new(Upstreams::new(zone, settings.decisions.clone())),
             rollouts: Mutex::new(Rollouts::new(RolloutConfig::default())),
             sessions: Mutex::new(Sessions::new(session_lifetime)),
             retries: Mutex::new(RetryBudgets::new(budget)),
--- a/crates/gateway/src/upstreams/choice.rs
+++ b/crates/gateway/src/upstreams/choice.rs
@@ -32,6 +32,7 @@
     pub(super) known: &'a Known,
     pub(super) own_zone: &'a ZoneName,
     pub(super) config: &'a BalanceConfig,
+    pub(super) has_fleet_homes: bool,
     pub(super) now: MonoTime,
     pub(super) placement: &'a Placement<'a>,
 }
@@ -107,7 +108,8 @@
         let shared = self.placement.prompt?.shared_parts();
         let part = shared.last()?;
         let saved_ms = request.reading.of_tokens_ms(likely_read_tokens(shared));
-        let is_worth_the_way = saved_ms > other_zone_cost_ms(self.config, request.body_bytes);
+        let is_worth_the_way =
+            self.has_fleet_homes && saved_ms > other_zone_cost_ms(self.config, request.body_bytes);
         let eligible =
             members.iter().filter(|member| is_worth_the_way || member.zone == *self.own_zone);
         eligible.min_by_key(|member| hash_of(member, part.id)).map(|member| &member.instance)
--- a/crates/gateway/src/upstreams/mod.rs
+++ b/crates/gateway/src/upstreams/mod.rs
@@ -28,6 +28,7 @@
 use stallhoist_policy::balance::UpstreamLoad;
 use stallhoist_policy::balance::WorkByUpstream;
 use stallhoist_policy::balance::WorkInProgress;
+use stallhoist_settings::DecisionSettings;
 use tokio::sync::Notify;
 use tokio::sync::futures::Notified;
 
@@ -55,15 +56,18 @@
 pub(crate) struct Upstreams {
     own_zone: ZoneName,
     config: BalanceConfig,
+    decisions: DecisionSettings,
     known: Mutex<Known>,
     changed: Notify,
 }
 
 impl Upstreams {
-    pub(crate) fn new(own_zone: ZoneName, config: BalanceConfig) -> Self {
+    pub(crate) fn new(own_zone: ZoneName, decisions: DecisionSettings) -> Self {
+        let held_up_by_reading = decisions.held_up_by_reading;
+        let config = BalanceConfig { held_up_by_reading, ..BalanceConfig::default() };
         let health = UpstreamHealth::new(HealthConfig::default());
         let known = Known { health, ..Known::default() };
-        Self { own_zone, config, known: Mutex::new(known), changed: Notify::new() }
+        Self { own_zone, config, decisions, known: Mutex::new(known), changed: Notify::new() }
     }
 
     /// The whole list was read.
@@ -102,7 +106,9 @@
     /// The upstream that a request is best sent to; none when there is none to use.
     pub(crate) fn choose(&self, now: MonoTime, placement: &Placement<'_>) -> Option<Chosen> {
         let known = &self.known.lock();
-        Choice { known, own_zone: &self.own_zone, config: &self.config, now, placement }.best()
+        let has_fleet_homes = self.decisions.has_fleet_homes;
+        let (own_zone, config) = (&self.own_zone, &self.config);
+        Choice { known, own_zone, config, has_fleet_homes, now, placement }.best()
     }
 
     /// Work is sent to an upstream. It counts until the guard is dropped.
@@ -139,8 +145,12 @@
         self.known.lock().prefix_caches.read(now, instance, model, prompt.shared_parts());
     }
 
-    /// This entry's work in progress, and what the entries that are `included` told of theirs.
+    /// This entry's work in progress, and what the entries that are `included` told of theirs:
+    /// what it tells others.
     pub(crate) fn work(&self, included: impl Fn(&HostId) -> bool) -> WorkByUpstream {
+        if !self.decisions.tells_work {
+            return WorkByUpstream::new();
+        }
         let known = self.known.lock();
         let mut work = known.load.own_work().collect();
         known.fleet_work.add_to(&mut work, included);
@@ -171,6 +181,9 @@
         chosen: &Chosen,
         took: Duration,
     ) {
+        if !self.decisions.learns_speeds {
+            return;
+        }
         let first_part = FirstPart {
             unread_tokens: chosen.unread_tokens,
             other_ms: chosen.other_ms,
--- a/crates/settings/src/gateway/mod.rs
+++ b/crates/settings/src/gateway/mod.rs
@@ -1,5 +1,6 @@
 //! A gateway's settings: the file as a whole, and a module for each of its sections.
 
+mod decisions;
 mod host;
 mod retries;
 mod step_up;
@@ -8,6 +9,7 @@
 mod upstream_calls;
 mod whole;
 
+pub use decisions::DecisionSettings;
 pub use host::GatewayHost;
 pub use retries::GatewayRetrySettings;
 pub use step_up::StepUpSettings;
--- a/crates/settings/src/gateway/whole.rs
+++ b/crates/settings/src/gateway/whole.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::DecisionSettings;
 use super::GatewayHost;
 use super::GatewayRetrySettings;
 use super::StepUpSettings;
@@ -39,6 +40,9 @@
     /// When a better model is asked.
     #[serde(default)]
     pub step_up: StepUpSettings,
+    /// Which mechanisms decide about models and upstreams.
+    #[serde(default)]
+    pub decisions: DecisionSettings,
     /// How many further attempts are made.
     #[serde(default)]
     pub retries: GatewayRetrySettings,
@@ -67,6 +71,7 @@
             store: StoreSettings::default(),
             upstream: UpstreamCallSettings::default(),
             step_up: StepUpSettings::default(),
+            decisions: DecisionSettings::default(),
             retries: GatewayRetrySettings::default(),
             stop: StopSettings::default(),
             session_ms: 5_000,
@@ -89,6 +94,7 @@
         problems.section("store", &self.store);
         problems.section("upstream", &self.upstream);
         problems.section("step_up", &self.step_up);
+        problems.section("decisions", &self.decisions);
         problems.section("retries", &self.retries);
         problems.section("stop", &self.stop);
         problems.range("session_ms", self.session_ms, 0..=86_400_000);
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -31,6 +31,7 @@
 pub use error::SettingsError;
 pub use error::SettingsProblem;
 pub use error::SettingsProblems;
+pub use gateway::DecisionSettings;
 pub use gateway::GatewayHost;
 pub use gateway::GatewayRetrySettings;
 pub use gateway::GatewaySettings;
