--- a/crates/gateway/src/request/execution/mod.rs
+++ b/crates/gateway/src/request/execution/mod.rs
@@ -207,7 +207,8 @@
     fn require_another(&mut self) -> Result<(), GiveUp> {
         if self.may_retry() {
             // Only one attempt is left: a small model's answer could not be bettered.
-            if self.progress.is_next_the_last() && !self.progress.is_delivered() {
+            let is_last = self.progress.is_next_the_last() && !self.progress.is_delivered();
+            if is_last && self.is_better_in_time() {
                 self.models.choose_best();
             }
             return Ok(());
