--- a/crates/gateway/src/upstreams/mod.rs
+++ b/crates/gateway/src/upstreams/mod.rs
@@ -209,12 +209,15 @@
         let known = self.known.lock();
         let line = |(member, presence): (&Member, _)| {
             let instance = &member.instance;
+            let others = known.fleet_work.on(UpstreamKey::of(instance));
             format!(
-                "{instance} {} {} {} {presence:?} in_progress={} failure_rate={:.2} paused={}",
+                "{instance} {} {} {} {presence:?} in_progress={} told_by_others={} \
+                 failure_rate={:.2} paused={}",
                 member.service,
                 member.version,
                 member.addr,
                 known.load.in_progress(now, instance, 0),
+                others.requests,
                 known.health.failure_rate(now, instance),
                 known.health.is_paused(now, instance),
             )
--- a/tests/all/gateway/peers.rs
+++ b/tests/all/gateway/peers.rs
@@ -103,6 +103,23 @@
         .await;
     }
 
+    /// Whether all entries know an upstream.
+    async fn knows(&self, upstream: &str) -> bool {
+        let dumps = self.dumps().await;
+        dumps.iter().all(|dump| dump["upstreams"].to_string().contains(upstream))
+    }
+
+    /// Waits until so many entries were told that others have so many requests in progress.
+    async fn wait_for_told(&self, entries: usize, requests: u32) {
+        let wanted = format!("told_by_others={requests} ");
+        wait_until("others' work is told", async || {
+            let dumps = self.dumps().await;
+            let is_told = |dump: &&Value| dump["upstreams"].to_string().contains(&wanted);
+            dumps.iter().filter(is_told).count() == entries
+        })
+        .await;
+    }
+
     async fn wait_for_version(&self, version: u64) {
         wait_until("the configuration is in force everywhere", async || {
             self.dumps().await.iter().all(|dump| dump["config_version"] == version)
@@ -262,3 +279,27 @@
     fleet.store.set_fault(None);
     fleet.wait_for_version(4).await;
 });
+
+/// In a fleet of so many entries, the work that one of them has in progress is known to all
+/// others, and forgotten by them when it has ended.
+macro_rules! work_is_known_to_all {
+    ($name:ident, $entries:expr) => {
+        case!($name, async {
+            let engine = UpstreamStandin::start("i-1", Behaviour::Hang).await.expect("it starts");
+            let fleet = Fleet::of($entries).await;
+            let listed = engine.entry(ENGINE, "zone-1", "v1", "ready");
+            fleet.store.put("servers", "i-1", listed);
+            wait_until("all know the upstream", async || fleet.knows("i-1 ").await).await;
+            let asked = fleet.ask_in_session(0, "busy", 1);
+            let told = fleet.wait_for_told($entries - 1, 1);
+            tokio::select! {
+                status = asked => panic!("it was answered with {status}"),
+                () = told => {}
+            }
+            fleet.wait_for_told($entries, 0).await;
+        });
+    };
+}
+
+work_is_known_to_all!(work_is_known_to_all_of_three, 3);
+work_is_known_to_all!(work_is_known_to_all_of_seven, ENTRIES);
