--- a/crates/gateway/src/peers/work_news.rs
+++ b/crates/gateway/src/peers/work_news.rs
@@ -31,8 +31,8 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
 const SKIP_FOR: Duration = Duration::from_secs(2);
 
-/// What an entry may send in a second for this: the more upstreams have work, the less often
-/// it is told.
+/// What an entry may send and be answered in a second for this: the more upstreams have work,
+/// the less often it is told.
 const MAX_BYTES_PER_S: usize = 4_000;
 
 /// Bytes that one upstream takes in a message, about.
@@ -50,7 +50,7 @@
         skipped_until.retain(|(_, until)| now < *until);
         let told = told_by(&state);
         let news = group_work(&state);
-        pause = pause_after(news.len() * told.len());
+        let mut items = news.len() * told.len();
         let host = state.settings.host.id.to_string();
         let ask = Ask {
             host,
@@ -64,6 +64,7 @@
             }
             match teller.tell(addr, &ask).await {
                 Ok(answer) => {
+                    items += answer.work.as_ref().map_or(0, |news| news.on.len());
                     take_work(&state, host, answer.work.as_ref());
                     take_bad(&state, &answer.bad_versions);
                 }
@@ -73,6 +74,7 @@
                 }
             }
         }
+        pause = pause_after(items);
     }
 }
 
@@ -84,7 +86,7 @@
     if relays.is_empty() { peers.asked().into_iter().take(1).collect() } else { relays }
 }
 
-/// The pause after so many items were sent.
+/// The pause after so many items were sent and received.
 fn pause_after(items: usize) -> Duration {
     let bytes = items * BYTES_PER_UPSTREAM;
     let allowed = Duration::from_secs_f64(bytes as f64 / MAX_BYTES_PER_S as f64);
