--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -46,20 +46,23 @@
     /// The work that it, and the entries that tell it theirs, have in progress.
     #[prost(message, optional, tag = "8")]
     pub(super) work: Option<WorkNews>,
-    /// The new versions that it knows to be bad.
+    /// What it knows of the ends of roll-outs.
     #[prost(message, repeated, tag = "9")]
-    pub(super) bad_versions: Vec<BadVersion>,
+    pub(super) verdicts: Vec<VerdictNews>,
 }
 
-/// The new version of an order is bad.
+/// What an entry knows of the end of a roll-out.
 #[derive(Clone, PartialEq, prost::Message)]
-pub(super) struct BadVersion {
+pub(super) struct VerdictNews {
     /// The service.
     #[prost(string, tag = "1")]
     pub(super) service: String,
     /// The version of the order's row.
     #[prost(uint64, tag = "2")]
     pub(super) order_version: u64,
+    /// Whether it is completed; else the new version is bad.
+    #[prost(bool, tag = "3")]
+    pub(super) is_completed: bool,
 }
 
 /// Work in progress, by upstream.
@@ -217,9 +220,9 @@
     /// The work that all entries but the one that asked have in progress, if it told its own.
     #[prost(message, optional, tag = "7")]
     pub(super) work: Option<WorkNews>,
-    /// The new versions that are known to be bad here, in the same case.
+    /// What is known here of the ends of roll-outs, in the same case.
     #[prost(message, repeated, tag = "8")]
-    pub(super) bad_versions: Vec<BadVersion>,
+    pub(super) verdicts: Vec<VerdictNews>,
 }
 
 /// A row of a feed.
@@ -247,7 +250,7 @@
             store_now_ms: page.store_now_ms,
             sessions: Vec::new(),
             work: None,
-            bad_versions: Vec::new(),
+            verdicts: Vec::new(),
         }
     }
 
--- a/crates/gateway/src/peers/server.rs
+++ b/crates/gateway/src/peers/server.rs
@@ -25,8 +25,8 @@
 use super::messages::Evidence;
 use super::messages::WorkNews;
 use super::messages::feed_of;
-use super::verdicts::known_bad;
-use super::verdicts::take_bad;
+use super::verdicts::own_verdicts;
+use super::verdicts::take_verdicts;
 use super::work_news::answer_to;
 use super::work_news::take_work;
 use crate::control_store::ControlStoreError;
@@ -110,11 +110,11 @@
         take_evidence(state, &ask.host, evidence);
     }
     take_sessions(state, &ask.sessions);
-    take_bad(state, &ask.bad_versions);
+    take_verdicts(state, &ask.verdicts);
     let work = exchange_work(state, &ask);
     // What is told here asks for no feed.
     let Some(feed) = feed_of(ask.feed) else {
-        return Answer { work, bad_versions: known_bad(state), ..Answer::default() };
+        return Answer { work, verdicts: own_verdicts(state), ..Answer::default() };
     };
     let now = state.now();
     if ask.is_any_age {
--- a/crates/gateway/src/peers/verdicts.rs
+++ b/crates/gateway/src/peers/verdicts.rs
@@ -1,31 +1,34 @@
-//! Telling other entries which new versions are known to be bad.
+//! Telling other entries how roll-outs end.
 
 use stallhoist_core::StoreVersion;
 
-use super::messages::BadVersion;
+use super::messages::VerdictNews;
+use crate::rollouts::Ending;
 use crate::rollouts::Verdict;
 use crate::state::GatewayState;
 
 /// What this entry knows.
-pub(super) fn known_bad(state: &GatewayState) -> Vec<BadVersion> {
+pub(super) fn own_verdicts(state: &GatewayState) -> Vec<VerdictNews> {
     let verdicts = state.rollouts.lock().verdicts();
-    let message = |verdict: &Verdict| BadVersion {
+    let message = |verdict: &Verdict| VerdictNews {
         service: verdict.service.to_string(),
         order_version: verdict.order_version.0,
+        is_completed: verdict.ending == Ending::Completed,
     };
     verdicts.iter().map(message).collect()
 }
 
 /// Takes in what another entry knows.
-pub(super) fn take_bad(state: &GatewayState, told: &[BadVersion]) {
-    for bad in told {
-        match bad.service.parse() {
+pub(super) fn take_verdicts(state: &GatewayState, told: &[VerdictNews]) {
+    for news in told {
+        match news.service.parse() {
             Ok(service) => {
-                let order_version = StoreVersion(bad.order_version);
-                state.rollouts.lock().told_bad(&Verdict { service, order_version });
+                let order_version = StoreVersion(news.order_version);
+                let ending = if news.is_completed { Ending::Completed } else { Ending::Bad };
+                state.rollouts.lock().told(&Verdict { service, order_version, ending });
             }
             Err(error) => {
-                log::warn!(service = bad.service, error:% = error; "verdict on no service ignored");
+                log::warn!(service = news.service, error:% = error; "verdict on no service ignored");
             }
         }
     }
--- a/crates/gateway/src/peers/work_news.rs
+++ b/crates/gateway/src/peers/work_news.rs
@@ -21,8 +21,8 @@
 use super::messages::WorkNews;
 use super::messages::WorkOn;
 use super::teller::Teller;
-use super::verdicts::known_bad;
-use super::verdicts::take_bad;
+use super::verdicts::own_verdicts;
+use super::verdicts::take_verdicts;
 use crate::state::GatewayState;
 
 /// How often it is told. With 50 ms the worth of days with faults was the same (0.705 and 0.704).
@@ -69,7 +69,7 @@
         let ask = Ask {
             host: self.state.settings.host.id.to_string(),
             work: Some(WorkNews::of(&news)),
-            bad_versions: known_bad(&self.state),
+            verdicts: own_verdicts(&self.state),
             ..Ask::default()
         };
         let mut items = 0;
@@ -86,7 +86,7 @@
         match self.teller.tell(addr, ask).await {
             Ok(answer) => {
                 take_work(&self.state, host, answer.work.as_ref());
-                take_bad(&self.state, &answer.bad_versions);
+                take_verdicts(&self.state, &answer.verdicts);
                 answer.work.map_or(0, |work| work.on.len())
             }
             Err(error) => {
--- a/crates/gateway/src/request/execution/choice.rs
+++ b/crates/gateway/src/request/execution/choice.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use stallhoist_core::InstanceId;
 use stallhoist_core::ModelName;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -31,7 +32,7 @@
             if now >= self.call.deadline {
                 return Err(self.give_up());
             }
-            if let Some(chosen) = self.choose_for(self.models.chosen()) {
+            if let Some(chosen) = self.choose_for(self.models.chosen(), &self.tried) {
                 return Ok(chosen);
             }
             if !self.tried.is_empty() {
@@ -48,8 +49,12 @@
         }
     }
 
-    /// The upstream for an attempt with a model, if there is one now.
-    pub(super) fn choose_for(&self, model: Option<&ModelName>) -> Option<Chosen> {
+    /// The upstream for an attempt with a model, if there is one now that was not tried.
+    pub(super) fn choose_for(
+        &self,
+        model: Option<&ModelName>,
+        tried: &[InstanceId],
+    ) -> Option<Chosen> {
         let now = self.state.now();
         let rule = self.version_rule();
         let service = self.call.service.as_ref();
@@ -61,7 +66,7 @@
             prompt: self.call.head.prompt.as_ref(),
             body_bytes: self.call.body.len(),
             tie_seed: xxh3_64(self.call.head.id.as_bytes()),
-            tried: &self.tried,
+            tried,
             max_connections: service
                 .map_or(u32::MAX, |s| (s.max_connections / CONNECTION_DIVISOR).max(1)),
         };
--- a/crates/gateway/src/request/execution/mod.rs
+++ b/crates/gateway/src/request/execution/mod.rs
@@ -239,7 +239,10 @@
 
     /// Whether an answer of the best model is expected in time.
     fn is_better_in_time(&self) -> bool {
-        let Some(chosen) = self.choose_for(self.models.best()) else {
+        let best = self.models.best();
+        // Better one that has failed before than none, as in the choice itself.
+        let chosen = self.choose_for(best, &self.tried).or_else(|| self.choose_for(best, &[]));
+        let Some(chosen) = chosen else {
             return false;
         };
         let better = BetterAnswer {
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -7,6 +7,7 @@
 
 pub(crate) use driver::drive;
 pub use state::Rollouts;
+pub use verdict::Ending;
 pub use verdict::Verdict;
 pub use version_rule::VersionFilter;
 pub use version_rule::VersionRule;
--- a/crates/gateway/src/rollouts/state.rs
+++ b/crates/gateway/src/rollouts/state.rs
@@ -20,6 +20,7 @@
 use stallhoist_policy::rollout::new_version_share;
 use stallhoist_policy::rollout::next_step;
 
+use super::Ending;
 use super::Verdict;
 use super::VersionFilter;
 use super::VersionRule;
@@ -36,6 +37,8 @@
     peers: HashMap<HostId, EvidenceTotals>,
     /// This entry has seen enough of the target of the record to call it bad.
     is_found_bad: bool,
+    /// Another entry has read that the order is completed.
+    is_told_completed: bool,
 }
 
 impl ServiceRollout {
@@ -52,7 +55,12 @@
 
 impl ServiceRollout {
     fn is_running(&self) -> bool {
-        self.current().is_some_and(|stored| !stored.record.is_settled())
+        !self.is_completed() && self.current().is_some_and(|stored| !stored.record.is_settled())
+    }
+
+    fn is_completed(&self) -> bool {
+        let is_completed = |stored: &StoredRollout| stored.record.phase == RolloutPhase::Completed;
+        self.is_told_completed || self.current().is_some_and(is_completed)
     }
 
     /// Calls the new version bad if the evidence says so.
@@ -101,6 +109,7 @@
             rollout.evidence = RolloutEvidence::default();
             rollout.peers.clear();
             rollout.is_found_bad = false;
+            rollout.is_told_completed = false;
         }
         rollout.order = Some(order);
     }
@@ -144,15 +153,19 @@
             };
         };
         let record = &stored.record;
-        if record.phase == RolloutPhase::RolledBack || rollout.is_found_bad {
+        if record.phase == RolloutPhase::RolledBack {
             return except(&record.target);
         }
-        if record.phase == RolloutPhase::Completed {
+        // Goes before what this entry has found: the old version is being stopped.
+        if rollout.is_completed() {
             return VersionRule {
                 wanted: VersionFilter::Only(record.target.clone()),
                 otherwise: Some(VersionFilter::Any),
             };
         }
+        if rollout.is_found_bad {
+            return except(&record.target);
+        }
         let share = new_version_share(&self.config, record, self.store_now_ms(now));
         let is_new = match session_version {
             Some(version) if *version == record.target => true,
@@ -229,30 +242,47 @@
         rollout.judge(service);
     }
 
-    /// The orders whose new versions this entry knows to be bad, from its own evidence or from
-    /// others, and that are not settled.
+    /// What this entry knows of the ends of roll-outs: versions found bad, by its own evidence
+    /// or by others, that are not recorded yet, and orders that are completed.
     pub fn verdicts(&self) -> Vec<Verdict> {
-        let bad = self.services.values().filter(|rollout| rollout.is_found_bad);
-        let orders = bad.filter(|rollout| rollout.is_running()).filter_map(|r| r.order.as_ref());
-        let verdict = |order: &RolloutOrder| Verdict {
-            service: order.service.clone(),
-            order_version: order.row_version,
+        let verdict = |rollout: &ServiceRollout| {
+            let order = rollout.order.as_ref()?;
+            let ending = if rollout.is_completed() {
+                Ending::Completed
+            } else if rollout.is_found_bad && rollout.is_running() {
+                Ending::Bad
+            } else {
+                return None;
+            };
+            let (service, order_version) = (order.service.clone(), order.row_version);
+            Some(Verdict { service, order_version, ending })
         };
-        orders.map(verdict).collect()
+        self.services.values().filter_map(verdict).collect()
     }
 
-    /// Another entry has found the new version of an order bad. Its verdict counts here too:
-    /// one that started after the evidence was seen would complete the roll-out.
-    pub fn told_bad(&mut self, verdict: &Verdict) {
+    /// Another entry knows how a roll-out ends. A bad version is bad here too: an entry that
+    /// started after the evidence was seen would complete the roll-out. That it is completed
+    /// counts for an entry that does not reach the store: it would go on sending requests to
+    /// the old version, which is gone.
+    pub fn told(&mut self, verdict: &Verdict) {
         let Some(rollout) = self.services.get_mut(&verdict.service) else {
             return;
         };
         let order_version = rollout.order.as_ref().map(|order| order.row_version);
-        if rollout.is_found_bad || order_version != Some(verdict.order_version) {
+        if order_version != Some(verdict.order_version) {
             return;
         }
-        rollout.is_found_bad = true;
-        log::warn!(service:% = verdict.service; "another entry has found the new version bad");
+        match verdict.ending {
+            Ending::Completed if !rollout.is_completed() => {
+                rollout.is_told_completed = true;
+                log::info!(service:% = verdict.service; "another entry has read that it is completed");
+            }
+            Ending::Bad if rollout.is_running() && !rollout.is_found_bad => {
+                rollout.is_found_bad = true;
+                log::warn!(service:% = verdict.service; "another entry has found the new version bad");
+            }
+            Ending::Bad | Ending::Completed => {}
+        }
     }
 
     /// The changes to be stored now.
@@ -278,6 +308,9 @@
             };
             return Some(RolloutChange { service, expected, record });
         };
+        if rollout.is_completed() {
+            return None;
+        }
         match next_step(&self.config, &stored.record, now_ms, rollout.is_found_bad) {
             RolloutStep::Wait => None,
             RolloutStep::Enter(phase) => {
--- a/tests/all/decisions/rollout_rules.rs
+++ b/tests/all/decisions/rollout_rules.rs
@@ -7,6 +7,7 @@
 use stallhoist_core::VersionName;
 use stallhoist_gateway::control_store::RolloutOrder;
 use stallhoist_gateway::control_store::StoredRollout;
+use stallhoist_gateway::rollouts::Ending;
 use stallhoist_gateway::rollouts::Rollouts;
 use stallhoist_gateway::rollouts::Verdict;
 use stallhoist_gateway::rollouts::VersionFilter;
@@ -209,8 +210,8 @@
     assert_eq!((totals.new.answers, totals.new.failures, totals.old.answers), (1, 1, 0));
 }
 
-fn verdict(order_version: u64) -> Verdict {
-    Verdict { service: service(), order_version: StoreVersion(order_version) }
+fn verdict(order_version: u64, ending: Ending) -> Verdict {
+    Verdict { service: service(), order_version: StoreVersion(order_version), ending }
 }
 
 // Three entries had found a version bad while the store was away; one that had started since
@@ -218,20 +219,21 @@
 #[test]
 fn a_verdict_of_another_entry_counts_at_one_that_has_seen_nothing() {
     let mut rollouts = rollouts(SHIFTING);
-    rollouts.told_bad(&verdict(10));
+    rollouts.told(&verdict(10, Ending::Bad));
     assert_eq!(rule(&rollouts, 0.01, None).wanted, old());
     let due = rollouts.due(at_ms(30_000));
     assert_eq!(due.len(), 1);
     assert_eq!(due[0].record.phase, RolloutPhase::RolledBack, "and is not completed");
-    assert_eq!(rollouts.verdicts(), [verdict(10)], "it is passed on");
+    assert_eq!(rollouts.verdicts(), [verdict(10, Ending::Bad)], "it is passed on");
 }
 
 #[test]
 fn a_verdict_on_another_order_does_not_count() {
     let mut rollouts = rollouts(SHIFTING);
-    rollouts.told_bad(&verdict(9));
+    rollouts.told(&verdict(9, Ending::Bad));
+    rollouts.told(&verdict(9, Ending::Completed));
     assert_eq!(rule(&rollouts, 0.01, None).wanted, new());
-    rollouts.told_bad(&verdict(10));
+    rollouts.told(&verdict(10, Ending::Bad));
     rollouts.ordered(order(12));
     assert_eq!(rollouts.verdicts(), [], "a new order begins without a verdict");
 }
@@ -239,8 +241,28 @@
 #[test]
 fn a_verdict_is_told_until_it_is_stored() {
     let mut rollouts = rollouts(RolloutPhase::Canary);
-    rollouts.told_bad(&verdict(10));
+    rollouts.told(&verdict(10, Ending::Bad));
     assert_eq!(rollouts.verdicts().len(), 1);
     rollouts.stored(stored(RolloutPhase::RolledBack, 12));
     assert_eq!(rollouts.verdicts(), []);
 }
+
+// An entry that did not reach the store called the version bad after others had completed the
+// roll-out, and they believed it: with the old version gone all three refused every request.
+#[test]
+fn a_version_that_is_completed_cannot_be_found_bad() {
+    let mut rollouts = rollouts(RolloutPhase::Completed);
+    rollouts.told(&verdict(10, Ending::Bad));
+    assert_eq!(rule(&rollouts, 0.99, None).wanted, new());
+    assert_eq!(rollouts.verdicts(), [verdict(10, Ending::Completed)]);
+}
+
+#[test]
+fn an_entry_that_does_not_reach_the_store_is_told_of_the_completion() {
+    let mut rollouts = rollouts(SHIFTING);
+    rollouts.told(&verdict(10, Ending::Bad));
+    rollouts.told(&verdict(10, Ending::Completed));
+    let rule = rule(&rollouts, 0.99, None);
+    assert_eq!((rule.wanted, rule.otherwise), (new(), Some(VersionFilter::Any)));
+    assert!(rollouts.due(at_ms(30_000)).is_empty(), "there is nothing left to store");
+}
