--- a/crates/gateway/src/planned_stop.rs
+++ b/crates/gateway/src/planned_stop.rs
@@ -15,10 +15,10 @@
 const CALL_TIME: Duration = Duration::from_millis(1_500);
 
 /// The most time that the first part of a stream is reckoned to take: a stream of at most 95
-/// tokens took over 3.4 s on the users' bench and was cut by the end of a stop.
+/// tokens took over 3.4 s on a user's deployment and was cut by the end of a stop.
 const FIRST_PART_TIME: Duration = Duration::from_millis(3_000);
 
-/// The time that each generated token is reckoned to take. On the users' bench whole
+/// The time that each generated token is reckoned to take. On two users' deployments whole
 /// streams took 7 ms a token in the median and 18 to 21 ms for 99 in 100 on two days, but
 /// 41 ms on one whose engines were hard pressed: there it is no upper bound.
 const TOKEN_TIME: Duration = Duration::from_millis(20);
--- a/crates/policy/src/cascade/step_up.rs
+++ b/crates/policy/src/cascade/step_up.rs
@@ -12,7 +12,7 @@
 }
 
 impl Default for StepUpConfig {
-    /// The best of the thresholds tried on the users' bench; see docs/design/platform.md.
+    /// The best of the thresholds tried; see docs/design/platform.md.
     fn default() -> Self {
         Self { below_confidence: vec![50] }
     }
