Roll-outs: log lines and metrics show how near a verdict the evidence is, and at which load

Cause for it: the logs could not tell an unfair comparison from evidence that is not joined. Every 2 s each entry writes the strength of each test, the counts of all entries, and the mean load at which its times of either version were taken; /metrics has the same.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,7 @@
 //! What the gateway counts.
 
+use std::sync::atomic::AtomicU64;
+
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::EncodeLabelValue;
 use prometheus_client::metrics::counter::Counter;
@@ -57,6 +59,37 @@
     pub(crate) result: AttemptResult,
 }
 
+/// A test of a new version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub(crate) enum TestLabel {
+    Failures,
+    SlowAnswers,
+}
+
+/// Labels of the evidence of a roll-out.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct EvidenceLabels {
+    pub(crate) service: String,
+    pub(crate) test: TestLabel,
+}
+
+/// A version of a roll-out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub(crate) enum RolloutSide {
+    Old,
+    New,
+}
+
+/// Labels of the load at which the times of a version were taken.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct LoadLabels {
+    pub(crate) service: String,
+    pub(crate) side: RolloutSide,
+}
+
+/// A gauge of a fraction.
+pub(crate) type FractionGauge = Gauge<f64, AtomicU64>;
+
 /// What the gateway counts.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -69,6 +102,8 @@
     pub(crate) upstreams: Gauge,
     pub(crate) store_failures: Counter,
     pub(crate) first_part_s: Histogram,
+    pub(crate) rollout_evidence: Family<EvidenceLabels, FractionGauge>,
+    pub(crate) rollout_load: Family<LoadLabels, FractionGauge>,
 }
 
 /// Bounds from 1 ms to 32 s.
@@ -87,6 +122,8 @@
             upstreams: Gauge::default(),
             store_failures: Counter::default(),
             first_part_s: Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS)),
+            rollout_evidence: Family::default(),
+            rollout_load: Family::default(),
         }
     }
 }
@@ -105,6 +142,10 @@
         r.register("store_failures", "Failed calls to the store", self.store_failures.clone());
         let help = "Time from arrival to the first part of the answer";
         r.register("first_part_seconds", help, self.first_part_s.clone());
+        let help = "Decimal logarithm of how much likelier the answers are of a worse version";
+        r.register("rollout_evidence", help, self.rollout_evidence.clone());
+        let help = "Mean of the requests in progress at the upstreams whose times were compared";
+        r.register("rollout_load", help, self.rollout_load.clone());
     }
 
     pub(crate) fn request_ended(&self, end: RequestEnd) {
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -210,6 +210,7 @@
         tasks.spawn(follow(Arc::clone(state), Arc::clone(store), feed));
     }
     tasks.spawn(rollouts::drive(Arc::clone(state), Arc::clone(store)));
+    tasks.spawn(rollouts::watch(Arc::clone(state)));
     tasks.spawn(tell_relays(Arc::clone(state)));
     tasks.spawn(tell_work(Arc::clone(state)));
     tasks.spawn(expire(Arc::clone(state)));
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -42,6 +42,8 @@
     pub(crate) events: EventBuffer,
     pub(crate) instance: InstanceId,
     pub(crate) version: VersionName,
+    /// Requests in progress at the upstream when the stream began.
+    pub(crate) in_progress: u32,
     /// Ends the work in the books when the stream is dropped.
     pub(crate) _work: WorkGuard,
 }
@@ -135,8 +137,9 @@
     fn observe(&self, observation: Observation) {
         let version = &self.chosen.version;
         let kind = self.kind();
+        let service = &self.call.service_name;
         let mut rollouts = self.state.rollouts.lock();
-        rollouts.observe(&self.call.service_name, version, &kind, observation);
+        rollouts.observe(service, version, &kind, self.chosen.in_progress, observation);
     }
 
     fn outgoing(&self) -> Outgoing {
@@ -202,6 +205,8 @@
         reply_head: ReplyHead,
         work: WorkGuard,
     ) -> AttemptEnd {
+        let in_progress =
+            reply_head.load.map_or(self.chosen.in_progress, |load| load.in_progress());
         let mut events = EventBuffer::default();
         let first = match reply.next_events(&mut events).await {
             Ok(first) => first,
@@ -215,6 +220,7 @@
             events,
             instance: self.chosen.instance.clone(),
             version: self.chosen.version.clone(),
+            in_progress,
             _work: work,
         }))
     }
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -98,8 +98,9 @@
         let state = Arc::clone(self.execution.state());
         let service = self.execution.call().service_name.clone();
         let version = self.stream.version.clone();
+        let in_progress = self.stream.in_progress;
         let observe = |observation| {
-            state.rollouts.lock().observe(&service, &version, &kind, observation);
+            state.rollouts.lock().observe(&service, &version, &kind, in_progress, observation);
         };
         let slow_after = state.rollouts.lock().slow_after(&service, &kind);
         let began = state.now();
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -4,6 +4,7 @@
 mod state;
 mod verdict;
 mod version_rule;
+mod watch;
 
 pub(crate) use driver::drive;
 pub use state::Rollouts;
@@ -11,3 +12,4 @@
 pub use verdict::Verdict;
 pub use version_rule::VersionFilter;
 pub use version_rule::VersionRule;
+pub(crate) use watch::watch;
--- a/crates/gateway/src/rollouts/state.rs
+++ b/crates/gateway/src/rollouts/state.rs
@@ -9,6 +9,7 @@
 use stallhoist_core::ServiceName;
 use stallhoist_core::StoreVersion;
 use stallhoist_core::VersionName;
+use stallhoist_policy::rollout::EvidenceStanding;
 use stallhoist_policy::rollout::EvidenceTotals;
 use stallhoist_policy::rollout::Observation;
 use stallhoist_policy::rollout::RequestKind;
@@ -182,14 +183,15 @@
         service: &ServiceName,
         version: &VersionName,
         kind: &RequestKind,
+        in_progress: u32,
         observation: Observation,
     ) {
         let rollout = self.services.entry(service.clone()).or_default();
         let target = rollout.order.as_ref().map(|order| &order.target);
         if target == Some(version) {
-            rollout.evidence.new_version(kind, observation);
+            rollout.evidence.new_version(kind, in_progress, observation);
         } else {
-            rollout.evidence.old_version(kind, observation);
+            rollout.evidence.old_version(kind, in_progress, observation);
         }
         rollout.judge(service);
     }
@@ -212,6 +214,16 @@
             .collect()
     }
 
+    /// How near the evidence of each roll-out under way is to a verdict, and how many other
+    /// entries have told theirs.
+    pub fn standings(&self) -> Vec<(ServiceName, EvidenceStanding, usize)> {
+        let running = self.services.iter().filter(|(_, rollout)| rollout.is_running());
+        let standing = |(service, rollout): (&ServiceName, &ServiceRollout)| {
+            (service.clone(), rollout.evidence.standing(), rollout.peers.len())
+        };
+        running.map(standing).collect()
+    }
+
     /// The services of which a part of the sessions is sent to a new version: the service,
     /// the new version and the part.
     pub fn canaries(&self) -> Vec<(ServiceName, VersionName, f64)> {
--- /dev/null
+++ b/crates/gateway/src/rollouts/watch.rs
@@ -0,0 +1,72 @@
+//! The task that shows how near the evidence of each roll-out is to a verdict.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use stallhoist_core::ServiceName;
+use stallhoist_policy::rollout::EvidenceStanding;
+use stallhoist_policy::rollout::EvidenceTest;
+use stallhoist_policy::rollout::VersionCounts;
+
+use crate::metrics::EvidenceLabels;
+use crate::metrics::LoadLabels;
+use crate::metrics::Metrics;
+use crate::metrics::RolloutSide;
+use crate::metrics::TestLabel;
+use crate::state::GatewayState;
+
+/// How often it is shown: a roll-out of the shortest duration in use, 16 s, gets eight lines.
+const SHOW_EVERY: Duration = Duration::from_secs(2);
+
+/// Shows the evidence of each roll-out that is under way, for ever.
+pub(crate) async fn watch(state: Arc<GatewayState>) {
+    loop {
+        tokio::time::sleep(SHOW_EVERY).await;
+        let standings = state.rollouts.lock().standings();
+        for (service, standing, entries_told) in &standings {
+            measure(&state.metrics, service, standing);
+            show(service, standing, *entries_told);
+        }
+    }
+}
+
+fn measure(metrics: &Metrics, service: &ServiceName, standing: &EvidenceStanding) {
+    for (test, strength) in &standing.strengths {
+        let labels = EvidenceLabels { service: service.to_string(), test: label_of(*test) };
+        metrics.rollout_evidence.get_or_create(&labels).set(*strength);
+    }
+    let loads = [(RolloutSide::Old, standing.old_load), (RolloutSide::New, standing.new_load)];
+    for (side, load) in loads {
+        let labels = LoadLabels { service: service.to_string(), side };
+        metrics.rollout_load.get_or_create(&labels).set(load.requests());
+    }
+}
+
+fn label_of(test: EvidenceTest) -> TestLabel {
+    match test {
+        EvidenceTest::Failures => TestLabel::Failures,
+        EvidenceTest::SlowAnswers => TestLabel::SlowAnswers,
+    }
+}
+
+fn show(service: &ServiceName, standing: &EvidenceStanding, entries_told: usize) {
+    let strengths: Vec<_> =
+        standing.strengths.iter().map(|(test, value)| format!("{test:?} {value:.1}")).collect();
+    log::info!(
+        service:% = service,
+        strengths = strengths.join(", "),
+        needed = format!("{:.1}", standing.needed_strength),
+        old = counts(standing.all.old),
+        new = counts(standing.all.new),
+        own_new = counts(standing.own.new),
+        old_load = format!("{:.1}", standing.old_load.requests()),
+        new_load = format!("{:.1}", standing.new_load.requests()),
+        entries_told;
+        "evidence of the roll-out"
+    );
+}
+
+fn counts(counts: VersionCounts) -> String {
+    let VersionCounts { answers, failures, timed, slow } = counts;
+    format!("{failures} failed of {answers}, {slow} slow of {timed}")
+}
--- a/crates/gateway/src/upstreams/placement.rs
+++ b/crates/gateway/src/upstreams/placement.rs
@@ -44,6 +44,8 @@
     pub(crate) base_ms: f64,
     /// The part of the expected wait that is owed to other requests.
     pub(crate) other_ms: f64,
+    /// Requests in progress there.
+    pub(crate) in_progress: u32,
 }
 
 impl Chosen {
--- a/crates/policy/src/balance/load.rs
+++ b/crates/policy/src/balance/load.rs
@@ -28,6 +28,13 @@
     pub waiting: u32,
 }
 
+impl ReportedLoad {
+    /// Requests that it has to do.
+    pub fn in_progress(self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
+}
+
 #[derive(Debug, Default)]
 struct InstanceLoad {
     in_progress: u32,
@@ -78,7 +85,7 @@
         };
         let known = load.in_progress.saturating_add(others);
         let reported = load.reported.filter(|(at, _)| now.since(*at) < REPORT_LIFETIME);
-        reported.map_or(known, |(_, r)| known.max(r.running.saturating_add(r.waiting)))
+        reported.map_or(known, |(_, r)| known.max(r.in_progress()))
     }
 
     /// How long an upstream is expected to read prompts of this entry's requests.
--- a/crates/policy/src/rollout/evidence.rs
+++ b/crates/policy/src/rollout/evidence.rs
@@ -1,12 +1,16 @@
 //! Whether a new version is worse than the one it follows.
 
 use std::collections::HashMap;
+use std::f64::consts::LN_10;
 use std::time::Duration;
 
 use stallhoist_core::ModelName;
 use stallhoist_core::RouteName;
 
+use super::EvidenceStanding;
+use super::EvidenceTest;
 use super::EvidenceTotals;
+use super::MeanLoad;
 use super::VersionCounts;
 use crate::guard::SequentialTest;
 
@@ -115,12 +119,19 @@
     failures: Comparison,
     slow_answers: Comparison,
     own: EvidenceTotals,
+    all: EvidenceTotals,
+    old_load: MeanLoad,
+    new_load: MeanLoad,
 }
 
 impl RolloutEvidence {
-    /// What an attempt on the old version has shown.
-    pub fn old_version(&mut self, kind: &RequestKind, observation: Observation) {
+    /// What an attempt on the old version has shown. `in_progress` is how many requests the
+    /// upstream had to do.
+    pub fn old_version(&mut self, kind: &RequestKind, in_progress: u32, observation: Observation) {
         let old = self.counts_of(kind, observation);
+        if old.timed > 0 {
+            self.old_load.observe(in_progress);
+        }
         if let Observation::Answered(time) | Observation::Paced(time) = observation {
             self.usual.entry(kind.clone()).or_default().observe(log_ms(time));
         }
@@ -128,8 +139,11 @@
     }
 
     /// What an attempt on the new version has shown.
-    pub fn new_version(&mut self, kind: &RequestKind, observation: Observation) {
+    pub fn new_version(&mut self, kind: &RequestKind, in_progress: u32, observation: Observation) {
         let new = self.counts_of(kind, observation);
+        if new.timed > 0 {
+            self.new_load.observe(in_progress);
+        }
         self.counted_here(EvidenceTotals { new, ..EvidenceTotals::default() });
     }
 
@@ -141,6 +155,7 @@
 
     /// Another entry has counted these, which were not counted here before.
     pub fn counted_elsewhere(&mut self, counts: EvidenceTotals) {
+        self.all.add(counts);
         self.failures.old_version(counts.old.answers, counts.old.failures);
         self.slow_answers.old_version(counts.old.timed, counts.old.slow);
         self.failures.new_version(counts.new.answers, counts.new.failures);
@@ -152,6 +167,22 @@
         self.failures.test.rejects(ALPHA) || self.slow_answers.test.rejects(ALPHA)
     }
 
+    /// How near the evidence is to a verdict.
+    pub fn standing(&self) -> EvidenceStanding {
+        let strength = |comparison: &Comparison| comparison.test.log_value() / LN_10;
+        EvidenceStanding {
+            own: self.own,
+            all: self.all,
+            strengths: vec![
+                (EvidenceTest::Failures, strength(&self.failures)),
+                (EvidenceTest::SlowAnswers, strength(&self.slow_answers)),
+            ],
+            needed_strength: -ALPHA.log10(),
+            old_load: self.old_load,
+            new_load: self.new_load,
+        }
+    }
+
     /// What this entry has counted itself.
     pub fn own(&self) -> EvidenceTotals {
         self.own
--- a/crates/policy/src/rollout/mod.rs
+++ b/crates/policy/src/rollout/mod.rs
@@ -9,6 +9,7 @@
 mod evidence;
 mod plan;
 mod record;
+mod standing;
 
 pub use counts::EvidenceTotals;
 pub use counts::VersionCounts;
@@ -22,3 +23,6 @@
 pub use plan::next_step;
 pub use record::RolloutPhase;
 pub use record::RolloutRecord;
+pub use standing::EvidenceStanding;
+pub use standing::EvidenceTest;
+pub use standing::MeanLoad;
--- a/tests/all/decisions/rollout_evidence.rs
+++ b/tests/all/decisions/rollout_evidence.rs
@@ -10,6 +10,9 @@
 use stallhoist_policy::rollout::RolloutEvidence;
 use stallhoist_policy::rollout::TimedPart;
 
+/// Requests in progress at the upstream.
+const LOAD: u32 = 4;
+
 fn kind(route: &str) -> RequestKind {
     RequestKind { route: route.parse().expect("a name"), model: None, part: TimedPart::First }
 }
@@ -36,9 +39,9 @@
     let mut evidence = RolloutEvidence::default();
     for n in 1..=most {
         for _ in 0..16 {
-            evidence.old_version(&kind("r"), observation(&mut rng, old_rate));
+            evidence.old_version(&kind("r"), LOAD, observation(&mut rng, old_rate));
         }
-        evidence.new_version(&kind("r"), observation(&mut rng, new_rate));
+        evidence.new_version(&kind("r"), LOAD, observation(&mut rng, new_rate));
         if evidence.is_bad() {
             return Some(n);
         }
@@ -70,10 +73,10 @@
 fn a_version_that_takes_eight_times_as_long_is_found() {
     let mut evidence = RolloutEvidence::default();
     for _ in 0..50 {
-        evidence.old_version(&kind("r"), answered_ms(100));
+        evidence.old_version(&kind("r"), LOAD, answered_ms(100));
     }
     for _ in 0..8 {
-        evidence.new_version(&kind("r"), answered_ms(800));
+        evidence.new_version(&kind("r"), LOAD, answered_ms(800));
     }
     assert!(evidence.is_bad());
 }
@@ -83,11 +86,11 @@
 fn a_slow_route_does_not_make_a_version_slow() {
     let mut evidence = RolloutEvidence::default();
     for _ in 0..50 {
-        evidence.old_version(&kind("quick"), answered_ms(50));
-        evidence.old_version(&kind("slow"), answered_ms(1_000));
+        evidence.old_version(&kind("quick"), LOAD, answered_ms(50));
+        evidence.old_version(&kind("slow"), LOAD, answered_ms(1_000));
     }
     for _ in 0..100 {
-        evidence.new_version(&kind("slow"), answered_ms(1_100));
+        evidence.new_version(&kind("slow"), LOAD, answered_ms(1_100));
     }
     assert!(!evidence.is_bad());
 }
@@ -101,15 +104,15 @@
         let mut evidence = RolloutEvidence::default();
         let mut time = |base_ms: u64| answered_ms(base_ms * rng.random_range(5..20) / 10);
         for _ in 0..100 {
-            evidence.old_version(&kind_of_model("small"), time(60));
-            evidence.old_version(&kind_of_model("large"), time(500));
+            evidence.old_version(&kind_of_model("small"), LOAD, time(60));
+            evidence.old_version(&kind_of_model("large"), LOAD, time(500));
         }
         let mut answers = 0;
         while !evidence.is_bad() {
             answers += 1;
             assert!(answers < 60, "seed {seed}");
             let factor = if answers % 2 == 0 { 8 } else { 1 };
-            evidence.new_version(&kind_of_model("small"), time(60 * factor));
+            evidence.new_version(&kind_of_model("small"), LOAD, time(60 * factor));
         }
     }
 }
@@ -123,9 +126,9 @@
         let mut time = || answered_ms(40 + rng.random_range(0..100u64).pow(2) / 8);
         for _ in 0..300 {
             for _ in 0..10 {
-                evidence.old_version(&kind("r"), time());
+                evidence.old_version(&kind("r"), LOAD, time());
             }
-            evidence.new_version(&kind("r"), time());
+            evidence.new_version(&kind("r"), LOAD, time());
         }
         called += usize::from(evidence.is_bad());
     }
@@ -138,11 +141,11 @@
 fn answers_that_are_overdue_count_before_they_come() {
     let mut evidence = RolloutEvidence::default();
     for _ in 0..100 {
-        evidence.old_version(&kind("r"), answered_ms(100));
+        evidence.old_version(&kind("r"), LOAD, answered_ms(100));
     }
     assert_eq!(evidence.slow_after(&kind("r")), Some(Duration::from_millis(250)));
     for _ in 0..15 {
-        evidence.new_version(&kind("r"), Observation::Overdue);
+        evidence.new_version(&kind("r"), LOAD, Observation::Overdue);
     }
     assert!(evidence.is_bad());
 }
@@ -150,8 +153,8 @@
 #[test]
 fn an_overdue_answer_counts_once() {
     let mut evidence = RolloutEvidence::default();
-    evidence.new_version(&kind("r"), Observation::Overdue);
-    evidence.new_version(&kind("r"), Observation::AnsweredOverdue);
+    evidence.new_version(&kind("r"), LOAD, Observation::Overdue);
+    evidence.new_version(&kind("r"), LOAD, Observation::AnsweredOverdue);
     let own = evidence.own().new;
     assert_eq!((own.answers, own.failures, own.timed, own.slow), (1, 0, 1, 1));
 }
@@ -159,7 +162,7 @@
 #[test]
 fn before_a_usual_time_is_known_nothing_is_overdue() {
     let mut evidence = RolloutEvidence::default();
-    evidence.old_version(&kind("r"), answered_ms(100));
+    evidence.old_version(&kind("r"), LOAD, answered_ms(100));
     assert_eq!(evidence.slow_after(&kind("r")), None);
 }
 
@@ -170,12 +173,12 @@
     let paced_ms = |ms| Observation::Paced(Duration::from_millis(ms));
     let mut evidence = RolloutEvidence::default();
     for _ in 0..100 {
-        evidence.old_version(&kind("r"), answered_ms(100));
-        evidence.old_version(&pace, paced_ms(70));
+        evidence.old_version(&kind("r"), LOAD, answered_ms(100));
+        evidence.old_version(&pace, LOAD, paced_ms(70));
     }
     for _ in 0..15 {
-        evidence.new_version(&kind("r"), answered_ms(110));
-        evidence.new_version(&pace, paced_ms(400));
+        evidence.new_version(&kind("r"), LOAD, answered_ms(110));
+        evidence.new_version(&pace, LOAD, paced_ms(400));
     }
     assert!(evidence.is_bad());
     assert_eq!(evidence.own().new.answers, 15, "a pace is no answer of its own");
--- a/tests/all/decisions/rollout_rules.rs
+++ b/tests/all/decisions/rollout_rules.rs
@@ -133,7 +133,7 @@
     let kind =
         RequestKind { route: "r".parse().expect("a name"), model: None, part: TimedPart::First };
     for _ in 0..30 {
-        rollouts.observe(&service(), &version("v2"), &kind, Observation::Failed);
+        rollouts.observe(&service(), &version("v2"), &kind, 4, Observation::Failed);
     }
     assert_eq!(rule(&rollouts, 0.01, Some("v2")).wanted, old());
     let due = rollouts.due(at_ms(2_000));
@@ -203,7 +203,7 @@
     tell(&mut rollouts, "entry-1", 10, told(3, 1));
     let kind =
         RequestKind { route: "r".parse().expect("a name"), model: None, part: TimedPart::First };
-    rollouts.observe(&service(), &version("v2"), &kind, Observation::Failed);
+    rollouts.observe(&service(), &version("v2"), &kind, 4, Observation::Failed);
     let own = rollouts.own_evidence();
     assert_eq!(own.len(), 1);
     let totals = own[0].2;
