--- a/crates/standins/src/users_platform/upstream_behaviour.rs
+++ b/crates/standins/src/users_platform/upstream_behaviour.rs
@@ -28,6 +28,16 @@
         /// After this event, half of the next one is sent and the connection cut.
         torn_after: Option<u64>,
     },
+    /// Answers with an event stream, as an engine that works on all its requests in one
+    /// batch: the more there are, the longer each event takes. Tells its load.
+    Batch {
+        /// The number of the last event; they are numbered from 1.
+        events: u64,
+        /// The time before each event that does not depend on the load.
+        idle_pause: Duration,
+        /// The time that each request in the batch adds to it.
+        pause_a_request: Duration,
+    },
     /// Runs the request and fails with its own 500.
     Fail,
     /// Does not run it, and says so.
--- a/tests/all/gateway/mod.rs
+++ b/tests/all/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod headers;
 mod members;
 mod peers;
+mod rollout_loads;
 mod rollouts;
 mod stops;
 mod streams;
