Roll-outs: versions are compared at like loads, by a pace that prompts of others do not disturb

Cause: times of the new version, whose engines are almost idle, were compared with the old one's whatever the load, by one usual time for each route and model; and the second part's delay shows above all how many prompts an engine had to read. An idle engine three times as slow (58 ms) looked faster than a good one with 50 requests in progress (130 ms); a good version looked slow when everything moved over to it. Class: a comparison of two groups that differ in something else (the load) than what is to be judged. Change: each load (by powers of two) has a usual time of its own, with a line between them, no verdict above the loads that were seen and a step down of a third at most below them; the load is the greater of those at an answer's ends; a stream's pace is the quicker half of its first eight pauses, told after 1 s at the latest; failures, first parts and paces are tested apart; twice the usual time is slow (2.5 before); usual times are learnt before the order too, and a completed version's are the next one's measure; the old version's overdue answers count in what is usual.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -63,7 +63,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub(crate) enum TestLabel {
     Failures,
-    SlowAnswers,
+    FirstParts,
+    Paces,
 }
 
 /// Labels of the evidence of a roll-out.
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -7,6 +7,7 @@
 use stallhoist_core::ServiceName;
 use stallhoist_core::StoreVersion;
 use stallhoist_policy::rollout::EvidenceTotals;
+use stallhoist_policy::rollout::TimedCounts;
 use stallhoist_policy::rollout::VersionCounts;
 
 use crate::control_store::ControlStoreError;
@@ -143,24 +144,36 @@
     /// Those that failed.
     #[prost(uint64, tag = "4")]
     pub(super) old_failures: u64,
-    /// Answers of the old version whose time was compared.
+    /// Answers of the old version whose time to the first part was compared.
     #[prost(uint64, tag = "5")]
-    pub(super) old_timed: u64,
+    pub(super) old_first_parts: u64,
     /// Those that were slow.
     #[prost(uint64, tag = "6")]
-    pub(super) old_slow: u64,
+    pub(super) old_slow_first_parts: u64,
     /// Answers of the new version.
     #[prost(uint64, tag = "7")]
     pub(super) new_answers: u64,
     /// Those that failed.
     #[prost(uint64, tag = "8")]
     pub(super) new_failures: u64,
-    /// Answers of the new version whose time was compared.
+    /// Answers of the new version whose time to the first part was compared.
     #[prost(uint64, tag = "9")]
-    pub(super) new_timed: u64,
+    pub(super) new_first_parts: u64,
     /// Those that were slow.
     #[prost(uint64, tag = "10")]
-    pub(super) new_slow: u64,
+    pub(super) new_slow_first_parts: u64,
+    /// Streams of the old version whose pace was compared.
+    #[prost(uint64, tag = "11")]
+    pub(super) old_paces: u64,
+    /// Those that were slow.
+    #[prost(uint64, tag = "12")]
+    pub(super) old_slow_paces: u64,
+    /// Streams of the new version whose pace was compared.
+    #[prost(uint64, tag = "13")]
+    pub(super) new_paces: u64,
+    /// Those that were slow.
+    #[prost(uint64, tag = "14")]
+    pub(super) new_slow_paces: u64,
 }
 
 impl Evidence {
@@ -170,12 +183,16 @@
             order_version: order.0,
             old_answers: totals.old.answers,
             old_failures: totals.old.failures,
-            old_timed: totals.old.timed,
-            old_slow: totals.old.slow,
+            old_first_parts: totals.old.first_parts.timed,
+            old_slow_first_parts: totals.old.first_parts.slow,
+            old_paces: totals.old.paces.timed,
+            old_slow_paces: totals.old.paces.slow,
             new_answers: totals.new.answers,
             new_failures: totals.new.failures,
-            new_timed: totals.new.timed,
-            new_slow: totals.new.slow,
+            new_first_parts: totals.new.first_parts.timed,
+            new_slow_first_parts: totals.new.first_parts.slow,
+            new_paces: totals.new.paces.timed,
+            new_slow_paces: totals.new.paces.slow,
         }
     }
 
@@ -183,14 +200,20 @@
         let old = VersionCounts {
             answers: self.old_answers,
             failures: self.old_failures,
-            timed: self.old_timed,
-            slow: self.old_slow,
+            first_parts: TimedCounts {
+                timed: self.old_first_parts,
+                slow: self.old_slow_first_parts,
+            },
+            paces: TimedCounts { timed: self.old_paces, slow: self.old_slow_paces },
         };
         let new = VersionCounts {
             answers: self.new_answers,
             failures: self.new_failures,
-            timed: self.new_timed,
-            slow: self.new_slow,
+            first_parts: TimedCounts {
+                timed: self.new_first_parts,
+                slow: self.new_slow_first_parts,
+            },
+            paces: TimedCounts { timed: self.new_paces, slow: self.new_slow_paces },
         };
         EvidenceTotals { old, new }
     }
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -42,8 +42,6 @@
     pub(crate) events: EventBuffer,
     pub(crate) instance: InstanceId,
     pub(crate) version: VersionName,
-    /// Requests in progress at the upstream when the stream began.
-    pub(crate) in_progress: u32,
     /// Ends the work in the books when the stream is dropped.
     pub(crate) _work: WorkGuard,
 }
@@ -105,7 +103,7 @@
         let end = loop {
             tokio::select! {
                 end = answered.as_mut() => break end.unwrap_or(AttemptEnd::TimedOut),
-                () = self.overdue(), if !is_overdue => {
+                () = self.overdue(started), if !is_overdue => {
                     is_overdue = true;
                     self.observe(Observation::Overdue);
                 }
@@ -115,20 +113,35 @@
         end
     }
 
-    /// Waits until an answer would be slow, if a roll-out wants to know.
-    async fn overdue(&self) {
+    /// Waits until an answer is slow, if a roll-out wants to know. The load may grow meanwhile.
+    async fn overdue(&self, started: MonoTime) {
+        let service = &self.call.service_name;
         let kind = self.kind();
-        let slow_after = self.state.rollouts.lock().slow_after(&self.call.service_name, &kind);
-        match slow_after {
-            Some(time) => tokio::time::sleep(time).await,
-            None => std::future::pending().await,
+        loop {
+            let in_progress = self.in_progress();
+            let slow_after = self.state.rollouts.lock().slow_after(service, &kind, in_progress);
+            let Some(slow_after) = slow_after else {
+                return std::future::pending().await;
+            };
+            let left = slow_after.saturating_sub(self.state.now().since(started));
+            if left.is_zero() {
+                return;
+            }
+            tokio::time::sleep(left).await;
         }
     }
 
+    /// Requests in progress at the upstream, this one included: when it was chosen, or now if
+    /// there are more. What comes after a request holds it up as well.
+    fn in_progress(&self) -> u32 {
+        let now = self.state.upstreams.in_progress(self.state.now(), &self.chosen.instance);
+        self.chosen.in_progress.saturating_add(1).max(now)
+    }
+
     /// The requests that its time is compared with.
     fn kind(&self) -> RequestKind {
         RequestKind {
-            route: self.call.route.name.clone(),
+            route: Some(self.call.route.name.clone()),
             model: self.model.cloned(),
             part: TimedPart::First,
         }
@@ -138,8 +151,8 @@
         let version = &self.chosen.version;
         let kind = self.kind();
         let service = &self.call.service_name;
-        let mut rollouts = self.state.rollouts.lock();
-        rollouts.observe(service, version, &kind, self.chosen.in_progress, observation);
+        let in_progress = self.in_progress();
+        self.state.rollouts.lock().observe(service, version, &kind, in_progress, observation);
     }
 
     fn outgoing(&self) -> Outgoing {
@@ -205,8 +218,6 @@
         reply_head: ReplyHead,
         work: WorkGuard,
     ) -> AttemptEnd {
-        let in_progress =
-            reply_head.load.map_or(self.chosen.in_progress, |load| load.in_progress());
         let mut events = EventBuffer::default();
         let first = match reply.next_events(&mut events).await {
             Ok(first) => first,
@@ -220,7 +231,6 @@
             events,
             instance: self.chosen.instance.clone(),
             version: self.chosen.version.clone(),
-            in_progress,
             _work: work,
         }))
     }
@@ -238,10 +248,11 @@
         let now = self.state.now();
         let upstreams = &self.state.upstreams;
         let instance = &self.chosen.instance;
+        let took = now.since(started);
         let answered = if is_overdue {
-            Observation::AnsweredOverdue
+            Observation::AnsweredOverdue(took)
         } else {
-            Observation::Answered(now.since(started))
+            Observation::Answered(took)
         };
         let (result, observation) = match end {
             AttemptEnd::NotSent(_) => (AttemptResult::NotSent, None),
@@ -259,7 +270,7 @@
         if let (AttemptEnd::Stream(_), Some(model)) = (end, self.model) {
             let start_pace = self.call.start_pace(Some(model));
             let service = &self.call.service_name;
-            upstreams.first_part(service, model, start_pace, self.chosen, now.since(started));
+            upstreams.first_part(service, model, start_pace, self.chosen, took);
         }
         match observation {
             Some(Observation::Failed) => upstreams.failed(now, instance),
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -5,6 +5,7 @@
 mod execution;
 mod model_choice;
 mod outcome;
+mod pace_watch;
 mod relay;
 
 pub(crate) use call::Call;
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -1,5 +1,6 @@
 //! Passing an event stream on, event by event.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,12 +8,11 @@
 use displaydoc::Display;
 use http::HeaderMap;
 use http::StatusCode;
-use stallhoist_policy::rollout::Observation;
-use stallhoist_policy::rollout::RequestKind;
-use stallhoist_policy::rollout::TimedPart;
 
 use super::Execution;
 use super::attempt::OpenStream;
+use super::pace_watch::PaceSubject;
+use super::pace_watch::PaceWatch;
 use crate::event_frames::EventFrames;
 use crate::metrics::RequestEnd;
 
@@ -25,6 +25,16 @@
 #[derive(Debug, Display, thiserror::Error)]
 pub(crate) struct RelayError;
 
+fn watch_of(execution: &Execution, stream: &OpenStream) -> PaceWatch {
+    let subject = PaceSubject {
+        service: execution.call().service_name.clone(),
+        model: execution.model().cloned(),
+        version: stream.version.clone(),
+        instance: stream.instance.clone(),
+    };
+    PaceWatch::new(Arc::clone(execution.state()), subject)
+}
+
 /// A stream on its way to the caller. Dropping it closes the connection to the upstream.
 #[derive(Debug)]
 pub(crate) struct Relay {
@@ -34,8 +44,7 @@
     headers: HeaderMap,
     last_event: Option<u64>,
     is_ended: bool,
-    /// The first part has come, the second has not.
-    is_second_due: bool,
+    pace: PaceWatch,
 }
 
 impl Relay {
@@ -43,15 +52,8 @@
         let head = &stream.reply.head;
         let headers = execution.state().dialect.caller_headers(&head.headers);
         let status = head.status;
-        Self {
-            execution,
-            stream,
-            status,
-            headers,
-            last_event: None,
-            is_ended: false,
-            is_second_due: true,
-        }
+        let pace = watch_of(&execution, &stream);
+        Self { execution, stream, status, headers, last_event: None, is_ended: false, pace }
     }
 
     /// The head of the answer: that of the first upstream, whichever continues it.
@@ -68,11 +70,11 @@
             if let Some(first) = self.stream.first.take() {
                 return Ok(Some(self.passed_on(first)));
             }
-            let next =
-                if self.is_second_due { self.read_second().await } else { self.read().await };
+            let next = self.read().await;
             match next {
                 Ok(Some(events)) => return Ok(Some(self.passed_on(events))),
                 Ok(None) => {
+                    self.pace.ended();
                     self.ended(RequestEnd::Answered, "complete");
                     return Ok(None);
                 }
@@ -86,53 +88,28 @@
         events.bytes
     }
 
-    /// Reads the second part of the stream. The time it takes shows how fast the upstream
-    /// generates, which a roll-out may want to know before the stream has ended.
-    async fn read_second(&mut self) -> Result<Option<EventFrames>, String> {
-        self.is_second_due = false;
-        let kind = RequestKind {
-            route: self.execution.call().route.name.clone(),
-            model: self.execution.model().cloned(),
-            part: TimedPart::Second,
-        };
-        let state = Arc::clone(self.execution.state());
-        let service = self.execution.call().service_name.clone();
-        let version = self.stream.version.clone();
-        let in_progress = self.stream.in_progress;
-        let observe = |observation| {
-            state.rollouts.lock().observe(&service, &version, &kind, in_progress, observation);
-        };
-        let slow_after = state.rollouts.lock().slow_after(&service, &kind);
-        let began = state.now();
-        let mut is_overdue = false;
-        let next = {
-            let mut read = std::pin::pin!(self.read());
-            match slow_after {
-                Some(time) => match tokio::time::timeout(time, read.as_mut()).await {
-                    Ok(next) => next,
-                    Err(_) => {
-                        is_overdue = true;
-                        observe(Observation::Overdue);
-                        read.await
-                    }
-                },
-                None => read.await,
-            }
-        };
-        if matches!(next, Ok(Some(_))) && !is_overdue {
-            observe(Observation::Paced(state.now().since(began)));
-        }
-        next
-    }
-
     /// Reads from the upstream until an event is whole.
     async fn read(&mut self) -> Result<Option<EventFrames>, String> {
         let silence = self.allowed_silence();
+        let state = Arc::clone(self.execution.state());
+        let began = state.now();
         let next = self.stream.reply.next_events(&mut self.stream.events);
-        match tokio::time::timeout(silence, next).await {
-            Ok(events) => events.map_err(|error| error.to_string()),
-            Err(_) => Err("nothing came for too long".to_owned()),
+        let mut next = pin!(tokio::time::timeout(silence, next));
+        let read = match self.pace.time_left() {
+            Some(left) => match tokio::time::timeout(left, next.as_mut()).await {
+                Ok(read) => read,
+                Err(_) => {
+                    self.pace.paused(state.now().since(began));
+                    next.await
+                }
+            },
+            None => next.await,
+        };
+        let events = read.map_err(|_| "nothing came for too long".to_owned())?;
+        if matches!(events, Ok(Some(_))) {
+            self.pace.paused(state.now().since(began));
         }
+        events.map_err(|error| error.to_string())
     }
 
     fn allowed_silence(&self) -> Duration {
@@ -160,6 +137,7 @@
             Ok(stream) => {
                 state.metrics.streams_resumed.inc();
                 self.stream = *stream;
+                self.pace = watch_of(&self.execution, &self.stream);
                 Ok(())
             }
             Err(give_up) => {
--- a/crates/gateway/src/rollouts/state.rs
+++ b/crates/gateway/src/rollouts/state.rs
@@ -40,6 +40,8 @@
     is_found_bad: bool,
     /// Another entry has read that the order is completed.
     is_told_completed: bool,
+    /// The evidence is of the target, which has become the version in force.
+    has_adopted_target: bool,
 }
 
 impl ServiceRollout {
@@ -64,6 +66,45 @@
         self.is_told_completed || self.current().is_some_and(is_completed)
     }
 
+    /// A new order: what is known of the version in force is kept, also from before the order.
+    /// The new version is compared with it at once, at whatever load it was seen.
+    fn forget_new_version(&mut self) {
+        let evidence = std::mem::take(&mut self.evidence);
+        if !self.is_completed() || self.has_adopted_target {
+            self.evidence = evidence.of_next_order();
+        }
+        self.has_adopted_target = false;
+    }
+
+    /// An attempt on an upstream of a version ended.
+    fn observe(
+        &mut self,
+        version: &VersionName,
+        kind: &RequestKind,
+        in_progress: u32,
+        observation: Observation,
+    ) {
+        let is_target = self.order.as_ref().is_some_and(|order| order.target == *version);
+        match (is_target, self.is_completed()) {
+            (true, false) => self.evidence.new_version(kind, in_progress, observation),
+            (false, false) => self.evidence.old_version(kind, in_progress, observation),
+            (true, true) => {
+                self.adopt_target();
+                self.evidence.old_version(kind, in_progress, observation);
+            }
+            // The version that is being stopped.
+            (false, true) => {}
+        }
+    }
+
+    /// The new version has become the one in force: the next one is compared with its times.
+    fn adopt_target(&mut self) {
+        if !self.has_adopted_target {
+            self.has_adopted_target = true;
+            self.evidence = RolloutEvidence::default();
+        }
+    }
+
     /// Calls the new version bad if the evidence says so.
     fn judge(&mut self, service: &ServiceName) {
         if self.is_found_bad || !self.is_running() || !self.evidence.is_bad() {
@@ -75,7 +116,8 @@
             service:% = service,
             answers = own.answers,
             failures = own.failures,
-            slow = own.slow,
+            slow_first_parts = own.first_parts.slow,
+            slow_paces = own.paces.slow,
             entries_told = self.peers.len();
             "the new version is worse than the old one"
         );
@@ -107,7 +149,7 @@
         let rollout = self.services.entry(order.service.clone()).or_default();
         let is_same = rollout.order.as_ref().is_some_and(|o| o.row_version == order.row_version);
         if !is_same {
-            rollout.evidence = RolloutEvidence::default();
+            rollout.forget_new_version();
             rollout.peers.clear();
             rollout.is_found_bad = false;
             rollout.is_told_completed = false;
@@ -187,19 +229,19 @@
         observation: Observation,
     ) {
         let rollout = self.services.entry(service.clone()).or_default();
-        let target = rollout.order.as_ref().map(|order| &order.target);
-        if target == Some(version) {
-            rollout.evidence.new_version(kind, in_progress, observation);
-        } else {
-            rollout.evidence.old_version(kind, in_progress, observation);
-        }
+        rollout.observe(version, kind, in_progress, observation);
         rollout.judge(service);
     }
 
     /// The time from which on an answer is slow, while a roll-out runs.
-    pub fn slow_after(&self, service: &ServiceName, kind: &RequestKind) -> Option<Duration> {
+    pub fn slow_after(
+        &self,
+        service: &ServiceName,
+        kind: &RequestKind,
+        in_progress: u32,
+    ) -> Option<Duration> {
         let rollout = self.services.get(service).filter(|rollout| rollout.is_running())?;
-        rollout.evidence.slow_after(kind)
+        rollout.evidence.slow_after(kind, in_progress)
     }
 
     /// What this entry has counted of the roll-outs that are under way: the service, the
--- a/crates/gateway/src/rollouts/watch.rs
+++ b/crates/gateway/src/rollouts/watch.rs
@@ -45,7 +45,8 @@
 fn label_of(test: EvidenceTest) -> TestLabel {
     match test {
         EvidenceTest::Failures => TestLabel::Failures,
-        EvidenceTest::SlowAnswers => TestLabel::SlowAnswers,
+        EvidenceTest::FirstParts => TestLabel::FirstParts,
+        EvidenceTest::Paces => TestLabel::Paces,
     }
 }
 
@@ -67,6 +68,9 @@
 }
 
 fn counts(counts: VersionCounts) -> String {
-    let VersionCounts { answers, failures, timed, slow } = counts;
-    format!("{failures} failed of {answers}, {slow} slow of {timed}")
+    let VersionCounts { answers, failures, first_parts, paces } = counts;
+    format!(
+        "{failures} failed of {answers}, first parts {} slow of {}, paces {} slow of {}",
+        first_parts.slow, first_parts.timed, paces.slow, paces.timed
+    )
 }
--- a/crates/gateway/src/upstreams/mod.rs
+++ b/crates/gateway/src/upstreams/mod.rs
@@ -134,6 +134,13 @@
         self.known.lock().load.reported(now, instance, load);
     }
 
+    /// Requests in progress at an upstream, as far as it is known.
+    pub(crate) fn in_progress(&self, now: MonoTime, instance: &InstanceId) -> u32 {
+        let known = self.known.lock();
+        let others = known.fleet_work.on(UpstreamKey::of(instance));
+        known.load.in_progress(now, instance, others.requests)
+    }
+
     /// An upstream has read a prompt with a model.
     pub(crate) fn prompt_read(
         &self,
--- a/crates/policy/src/rollout/evidence.rs
+++ b/crates/policy/src/rollout/evidence.rs
@@ -1,123 +1,36 @@
 //! Whether a new version is worse than the one it follows.
 
 use std::collections::HashMap;
-use std::f64::consts::LN_10;
 use std::time::Duration;
 
-use stallhoist_core::ModelName;
-use stallhoist_core::RouteName;
-
 use super::EvidenceStanding;
 use super::EvidenceTest;
 use super::EvidenceTotals;
 use super::MeanLoad;
+use super::Observation;
+use super::RequestKind;
+use super::TimedCounts;
+use super::UsualTime;
 use super::VersionCounts;
-use crate::guard::SequentialTest;
-
-/// How unlikely of a good version the evidence must be before it is called bad.
-const ALPHA: f64 = 0.000_1;
-
-/// The failure rate assumed of the old version before anything is known of it, and how
-/// many answers the assumption counts as.
-const PRIOR_RATE: f64 = 0.02;
-const PRIOR_ANSWERS: f64 = 30.0;
-
-/// How much worse than the old version a version may be.
-const MARGIN: f64 = 0.03;
-
-/// An answer that takes so many times the old version's usual time counts as slow. The old
-/// version has slow answers too; what counts is whether the new one has more of them.
-const SLOW_FACTOR: f64 = 2.5;
-
-/// Answers of the old version to a kind of request before its usual time is believed.
-const MIN_TIMED: u64 = 10;
-
-/// The weight of the newest time in the usual time.
-const NEWEST_TIME_WEIGHT: f64 = 0.05;
-
-/// What an attempt has shown.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Observation {
-    /// It was answered; the first part of the answer came after this time.
-    Answered(Duration),
-    /// It is not answered yet, after the time from which on an answer is slow. Told at
-    /// once: slow answers come late, and a verdict cannot wait for them.
-    Overdue,
-    /// It was answered after it had been overdue.
-    AnsweredOverdue,
-    /// So much time passed between the first two parts of a stream.
-    Paced(Duration),
-    /// It failed, or its answer broke off.
-    Failed,
-}
-
-/// Which time is compared.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum TimedPart {
-    /// From sending the request to the first part of its answer.
-    First,
-    /// From the first to the second part of a stream: how fast an engine generates.
-    Second,
-}
-
-/// The requests whose times are compared: those of one route, to one model.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct RequestKind {
-    /// The route.
-    pub route: RouteName,
-    /// The model that was asked, if any.
-    pub model: Option<ModelName>,
-    /// Which time it is.
-    pub part: TimedPart,
-}
-
-/// The geometric mean of times: a few very long ones hardly change it.
-#[derive(Debug, Default)]
-struct UsualTime {
-    answers: u64,
-    mean_log_ms: f64,
-}
-
-impl UsualTime {
-    fn observe(&mut self, log_ms: f64) {
-        self.answers += 1;
-        let weight = NEWEST_TIME_WEIGHT.max(1.0 / self.answers as f64);
-        self.mean_log_ms += weight * (log_ms - self.mean_log_ms);
-    }
-
-    fn is_slow(&self, log_ms: f64) -> bool {
-        self.answers >= MIN_TIMED && log_ms - self.mean_log_ms > SLOW_FACTOR.ln()
-    }
-}
-
-/// The old version's rate of one kind of bad answer, and the test of the new version.
-#[derive(Debug, Default)]
-struct Comparison {
-    old_answers: f64,
-    old_bad: f64,
-    test: SequentialTest,
-}
-
-impl Comparison {
-    fn old_version(&mut self, answers: u64, bad: u64) {
-        self.old_answers += answers as f64;
-        self.old_bad += bad as f64;
-    }
+use super::comparison::Comparison;
 
-    fn new_version(&mut self, answers: u64, bad: u64) {
-        let old_bad = self.old_bad + PRIOR_RATE * PRIOR_ANSWERS;
-        let base_rate = (old_bad / (self.old_answers + PRIOR_ANSWERS) + MARGIN).min(0.5);
-        self.test.observe(answers, bad, base_rate);
-    }
-}
+/// An answer that takes so many times the old version's usual time at the same load counts as
+/// slow. The old version has slow answers too; what counts is whether the new one has more of
+/// them. Of recorded paces of three deployments 0.01 to 0.11 of the old version's were longer
+/// than that, up to 0.06 of a good new one's, and 0.6 to 1 of one three times as slow.
+const SLOW_FACTOR: f64 = 2.0;
 
 /// What is known of the old and the new version of a service: what this entry has seen, and
 /// what others have counted.
+///
+/// First parts and paces are tested apart: a version that generates slowly answers the first
+/// part of a short prompt in time, and twice as many good observations would hide the bad ones.
 #[derive(Debug, Default)]
 pub struct RolloutEvidence {
     usual: HashMap<RequestKind, UsualTime>,
     failures: Comparison,
-    slow_answers: Comparison,
+    first_parts: Comparison,
+    paces: Comparison,
     own: EvidenceTotals,
     all: EvidenceTotals,
     old_load: MeanLoad,
@@ -125,59 +38,66 @@
 }
 
 impl RolloutEvidence {
+    /// Another new version is to be judged against the same old one, whose usual times are known.
+    pub fn of_next_order(self) -> Self {
+        Self { usual: self.usual, ..Self::default() }
+    }
+
     /// What an attempt on the old version has shown. `in_progress` is how many requests the
     /// upstream had to do.
     pub fn old_version(&mut self, kind: &RequestKind, in_progress: u32, observation: Observation) {
-        let old = self.counts_of(kind, observation);
-        if old.timed > 0 {
+        let old = self.counts_of(kind, in_progress, observation);
+        // Those that were overdue too: what is usual may have changed.
+        if let Observation::Answered(time)
+        | Observation::AnsweredOverdue(time)
+        | Observation::Paced(time) = observation
+        {
+            self.usual.entry(kind.clone()).or_default().observe(in_progress, time);
             self.old_load.observe(in_progress);
         }
-        if let Observation::Answered(time) | Observation::Paced(time) = observation {
-            self.usual.entry(kind.clone()).or_default().observe(log_ms(time));
-        }
         self.counted_here(EvidenceTotals { old, ..EvidenceTotals::default() });
     }
 
-    /// What an attempt on the new version has shown.
+    /// What an attempt on the new version has shown. `in_progress` is how many requests the
+    /// upstream had to do.
     pub fn new_version(&mut self, kind: &RequestKind, in_progress: u32, observation: Observation) {
-        let new = self.counts_of(kind, observation);
-        if new.timed > 0 {
+        let new = self.counts_of(kind, in_progress, observation);
+        if new.first_parts.timed + new.paces.timed > 0 {
             self.new_load.observe(in_progress);
         }
         self.counted_here(EvidenceTotals { new, ..EvidenceTotals::default() });
     }
 
     /// The time from which on an answer is slow; none while that is not known.
-    pub fn slow_after(&self, kind: &RequestKind) -> Option<Duration> {
-        let usual = self.usual.get(kind).filter(|usual| usual.answers >= MIN_TIMED)?;
-        Some(Duration::from_secs_f64(usual.mean_log_ms.exp() * SLOW_FACTOR / 1_000.0))
+    pub fn slow_after(&self, kind: &RequestKind, in_progress: u32) -> Option<Duration> {
+        Some(self.usual.get(kind)?.at(in_progress)?.mul_f64(SLOW_FACTOR))
     }
 
     /// Another entry has counted these, which were not counted here before.
     pub fn counted_elsewhere(&mut self, counts: EvidenceTotals) {
         self.all.add(counts);
-        self.failures.old_version(counts.old.answers, counts.old.failures);
-        self.slow_answers.old_version(counts.old.timed, counts.old.slow);
-        self.failures.new_version(counts.new.answers, counts.new.failures);
-        self.slow_answers.new_version(counts.new.timed, counts.new.slow);
+        let EvidenceTotals { old, new } = counts;
+        self.failures.old_version(old.answers, old.failures);
+        self.first_parts.old_version(old.first_parts.timed, old.first_parts.slow);
+        self.paces.old_version(old.paces.timed, old.paces.slow);
+        self.failures.new_version(new.answers, new.failures);
+        self.first_parts.new_version(new.first_parts.timed, new.first_parts.slow);
+        self.paces.new_version(new.paces.timed, new.paces.slow);
     }
 
     /// Whether the new version is worse than the old one.
     pub fn is_bad(&self) -> bool {
-        self.failures.test.rejects(ALPHA) || self.slow_answers.test.rejects(ALPHA)
+        self.tests().iter().any(|(_, comparison)| comparison.is_worse())
     }
 
     /// How near the evidence is to a verdict.
     pub fn standing(&self) -> EvidenceStanding {
-        let strength = |comparison: &Comparison| comparison.test.log_value() / LN_10;
+        let strengths = self.tests().map(|(test, comparison)| (test, comparison.strength()));
         EvidenceStanding {
             own: self.own,
             all: self.all,
-            strengths: vec![
-                (EvidenceTest::Failures, strength(&self.failures)),
-                (EvidenceTest::SlowAnswers, strength(&self.slow_answers)),
-            ],
-            needed_strength: -ALPHA.log10(),
+            strengths: strengths.to_vec(),
+            needed_strength: Comparison::needed_strength(),
             old_load: self.old_load,
             new_load: self.new_load,
         }
@@ -188,31 +108,44 @@
         self.own
     }
 
+    fn tests(&self) -> [(EvidenceTest, &Comparison); 3] {
+        [
+            (EvidenceTest::Failures, &self.failures),
+            (EvidenceTest::FirstParts, &self.first_parts),
+            (EvidenceTest::Paces, &self.paces),
+        ]
+    }
+
     fn counted_here(&mut self, counts: EvidenceTotals) {
         self.own.add(counts);
         self.counted_elsewhere(counts);
     }
 
     /// What an observation of either version counts as, by the usual times so far.
-    fn counts_of(&self, kind: &RequestKind, observation: Observation) -> VersionCounts {
+    fn counts_of(
+        &self,
+        kind: &RequestKind,
+        in_progress: u32,
+        observation: Observation,
+    ) -> VersionCounts {
         let nothing = VersionCounts::default();
-        let slow = |time| u64::from(self.is_slow(kind, time));
+        let timed = |time| self.timed(kind, in_progress, time);
         match observation {
             Observation::Failed => VersionCounts { answers: 1, failures: 1, ..nothing },
-            Observation::Overdue => VersionCounts { timed: 1, slow: 1, ..nothing },
-            Observation::AnsweredOverdue => VersionCounts { answers: 1, ..nothing },
+            Observation::Overdue => {
+                VersionCounts { first_parts: TimedCounts::one(true), ..nothing }
+            }
+            Observation::AnsweredOverdue(_) => VersionCounts { answers: 1, ..nothing },
             Observation::Answered(time) => {
-                VersionCounts { answers: 1, timed: 1, slow: slow(time), ..nothing }
+                VersionCounts { answers: 1, first_parts: timed(time), ..nothing }
             }
-            Observation::Paced(time) => VersionCounts { timed: 1, slow: slow(time), ..nothing },
+            Observation::Paced(time) => VersionCounts { paces: timed(time), ..nothing },
         }
     }
 
-    fn is_slow(&self, kind: &RequestKind, time: Duration) -> bool {
-        self.usual.get(kind).is_some_and(|usual| usual.is_slow(log_ms(time)))
+    /// Where the usual time is not known, a time says nothing.
+    fn timed(&self, kind: &RequestKind, in_progress: u32, time: Duration) -> TimedCounts {
+        let slow_after = self.slow_after(kind, in_progress);
+        slow_after.map_or_else(TimedCounts::default, |slow| TimedCounts::one(time > slow))
     }
 }
-
-fn log_ms(time: Duration) -> f64 {
-    (time.as_secs_f64() * 1_000.0).max(1.0).ln()
-}
--- a/crates/policy/src/rollout/mod.rs
+++ b/crates/policy/src/rollout/mod.rs
@@ -5,18 +5,23 @@
 //! small, fixed share of requests goes to the new version; if it proves bad, everything
 //! goes back; if not, everything moves over near the end of the ordered time.
 
+mod comparison;
 mod counts;
 mod evidence;
+mod observation;
 mod plan;
 mod record;
 mod standing;
+mod stream_pace;
+mod usual_time;
 
 pub use counts::EvidenceTotals;
+pub use counts::TimedCounts;
 pub use counts::VersionCounts;
-pub use evidence::Observation;
-pub use evidence::RequestKind;
 pub use evidence::RolloutEvidence;
-pub use evidence::TimedPart;
+pub use observation::Observation;
+pub use observation::RequestKind;
+pub use observation::TimedPart;
 pub use plan::RolloutConfig;
 pub use plan::RolloutStep;
 pub use plan::new_version_share;
@@ -26,3 +31,6 @@
 pub use standing::EvidenceStanding;
 pub use standing::EvidenceTest;
 pub use standing::MeanLoad;
+pub use stream_pace::Pace;
+pub use stream_pace::StreamPace;
+pub use usual_time::UsualTime;
--- /dev/null
+++ b/crates/policy/src/rollout/observation.rs
@@ -0,0 +1,42 @@
+//! What attempts show of a version.
+
+use std::time::Duration;
+
+use stallhoist_core::ModelName;
+use stallhoist_core::RouteName;
+
+/// What an attempt has shown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Observation {
+    /// It was answered; the first part of the answer came after this time.
+    Answered(Duration),
+    /// It is not answered yet, after the time from which on an answer is slow. Told at
+    /// once: slow answers come late, and a verdict cannot wait for them.
+    Overdue,
+    /// It was answered after it had been overdue; the first part came after this time.
+    AnsweredOverdue(Duration),
+    /// A stream was generated at this pace.
+    Paced(Duration),
+    /// It failed, or its answer broke off.
+    Failed,
+}
+
+/// Which time is compared.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum TimedPart {
+    /// From sending the request to the first part of its answer.
+    First,
+    /// The pause between two parts of a stream.
+    Pause,
+}
+
+/// The requests whose times are compared.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct RequestKind {
+    /// The route; none where it makes no difference, as for how fast a model generates.
+    pub route: Option<RouteName>,
+    /// The model that was asked, if any.
+    pub model: Option<ModelName>,
+    /// Which time it is.
+    pub part: TimedPart,
+}
--- a/crates/policy/src/rollout/standing.rs
+++ b/crates/policy/src/rollout/standing.rs
@@ -7,8 +7,10 @@
 pub enum EvidenceTest {
     /// Whether more of its answers fail.
     Failures,
-    /// Whether more of its answers are slow.
-    SlowAnswers,
+    /// Whether the first parts of more of its answers are slow.
+    FirstParts,
+    /// Whether it generates more of its streams slowly.
+    Paces,
 }
 
 /// Running mean of the requests in progress at the upstream when an answer was asked for.
--- /dev/null
+++ b/crates/policy/src/rollout/usual_time.rs
@@ -0,0 +1,103 @@
+//! How long a version usually takes, by the load.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Answers at a load before its usual time is believed.
+const MIN_ANSWERS: u64 = 5;
+
+/// The weight of the newest time in the usual time.
+const NEWEST_WEIGHT: f64 = 0.05;
+
+/// A load is compared with known ones up to so many times the highest of them, and one
+/// request more. Beyond that a longer time may be the load's doing.
+const MAX_BEYOND: f64 = 1.5;
+
+/// At a load lower than all known ones the usual time is taken to be shorter by this factor at
+/// most. Recorded answers of three deployments, with bursts and without: with no such step down
+/// 0.25 of the pauses that were three times as long counted as slow at the least, with this one
+/// 0.39 (0.57 where all loads were known); with 1/2 up to 0.25 of a good version's did, with
+/// this one up to 0.06.
+const MAX_STEP_DOWN: f64 = 1.0 / 1.5;
+
+/// What was seen at loads of the same power of two.
+#[derive(Debug, Default)]
+struct LoadLevel {
+    answers: u64,
+    mean_load: f64,
+    /// The geometric mean: a few very long times hardly change it.
+    mean_log_ms: f64,
+}
+
+impl LoadLevel {
+    fn observe(&mut self, load: f64, log_ms: f64) {
+        self.answers += 1;
+        let weight = NEWEST_WEIGHT.max(1.0 / self.answers as f64);
+        self.mean_load += weight * (load - self.mean_load);
+        self.mean_log_ms += weight * (log_ms - self.mean_log_ms);
+    }
+
+    fn point(&self) -> Point {
+        Point { load: self.mean_load, ms: self.mean_log_ms.exp() }
+    }
+}
+
+/// The usual time at a load.
+#[derive(Debug, Clone, Copy)]
+struct Point {
+    load: f64,
+    ms: f64,
+}
+
+/// How long a version usually takes, by the requests in progress at the upstream.
+///
+/// A new version is observed with a small share of the requests: its upstreams are almost
+/// idle, those of the old version are not. Times taken at unlike loads say nothing of the
+/// versions: an idle engine that is three times as slow pauses as long as a good one that
+/// works on 50 requests at once, and a good version that gets all requests at once takes
+/// longer than an old one that has lost them. So each load has a usual time of its own, and
+/// what is learnt at one load changes nothing at another.
+#[derive(Debug, Default)]
+pub struct UsualTime {
+    levels: BTreeMap<u32, LoadLevel>,
+}
+
+impl UsualTime {
+    /// An answer took so long, with so many requests in progress.
+    pub fn observe(&mut self, in_progress: u32, time: Duration) {
+        let level = self.levels.entry(level_of(in_progress)).or_default();
+        level.observe(f64::from(in_progress), log_ms(time));
+    }
+
+    /// The usual time with so many requests in progress; none where nothing can be said.
+    pub fn at(&self, in_progress: u32) -> Option<Duration> {
+        let load = f64::from(in_progress);
+        let known = self.levels.values().filter(|level| level.answers >= MIN_ANSWERS);
+        let points: Vec<_> = known.map(LoadLevel::point).collect();
+        let (lowest, highest) = (points.first()?, points.last()?);
+        if load > highest.load * MAX_BEYOND + 1.0 {
+            return None;
+        }
+        let around = points.windows(2).find(|pair| load <= pair[1].load);
+        let ms = match around {
+            Some(pair) => on_line(pair[0], pair[1], load).max(lowest.ms * MAX_STEP_DOWN),
+            None => highest.ms,
+        };
+        let ms = if load < lowest.load { ms.min(lowest.ms) } else { ms };
+        Some(Duration::from_secs_f64(ms / 1_000.0))
+    }
+}
+
+/// Loads are taken together by powers of two; none and one are alike.
+fn level_of(in_progress: u32) -> u32 {
+    in_progress.max(1).ilog2()
+}
+
+fn on_line(a: Point, b: Point, load: f64) -> f64 {
+    let span = (b.load - a.load).max(f64::MIN_POSITIVE);
+    a.ms + (b.ms - a.ms) * (load - a.load) / span
+}
+
+fn log_ms(time: Duration) -> f64 {
+    (time.as_secs_f64() * 1_000.0).max(1.0).ln()
+}
--- a/tests/all/decisions/mod.rs
+++ b/tests/all/decisions/mod.rs
@@ -12,6 +12,7 @@
 mod rollout_evidence;
 mod rollout_plan;
 mod rollout_rules;
+mod rollout_times;
 mod routing;
 mod step_up;
 
--- /dev/null
+++ b/tests/all/decisions/rollout_times.rs
@@ -0,0 +1,157 @@
+//! Usual times by load, and the pace of streams.
+
+use std::time::Duration;
+
+use stallhoist_policy::rollout::Observation;
+use stallhoist_policy::rollout::RequestKind;
+use stallhoist_policy::rollout::RolloutEvidence;
+use stallhoist_policy::rollout::StreamPace;
+use stallhoist_policy::rollout::TimedPart;
+use stallhoist_policy::rollout::UsualTime;
+
+const PACE: RequestKind = RequestKind { route: None, model: None, part: TimedPart::Pause };
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// What a good engine pauses with so many requests in progress.
+fn pause(in_progress: u32) -> Duration {
+    ms(20) + ms(2) * in_progress
+}
+
+/// Times that were seen at these loads, ten each.
+fn usual(loads: &[u32]) -> UsualTime {
+    let mut usual = UsualTime::default();
+    for load in loads.iter().flat_map(|load| std::iter::repeat_n(*load, 10)) {
+        usual.observe(load, pause(load));
+    }
+    usual
+}
+
+/// Names a case: the usual time at a load, when these were seen.
+macro_rules! usual_time {
+    ($name:ident, $loads:expr, $at:expr, $expected:expr) => {
+        #[test]
+        fn $name() {
+            let usual = usual(&$loads).at($at);
+            let expected: Option<Duration> = $expected;
+            assert_eq!(
+                usual.map(|time| time.as_secs_f64().mul_add(1e3, 0.5) as u128),
+                expected.map(|time| time.as_millis())
+            );
+        }
+    };
+}
+
+usual_time!(nothing_is_known_at_first, [], 4, None);
+usual_time!(a_load_that_was_seen, [4, 40], 4, Some(pause(4)));
+usual_time!(a_load_between_two_that_were_seen, [4, 40], 22, Some(pause(22)));
+usual_time!(a_little_more_than_was_seen, [4, 40], 50, Some(pause(40)));
+usual_time!(much_more_than_was_seen, [4, 40], 80, None);
+usual_time!(a_load_below_two_that_were_seen, [4, 8], 1, Some(pause(1)));
+// The line through 16 and 64 would give 22 ms: it is not believed so far from what was seen.
+usual_time!(a_load_far_below_all_that_were_seen, [16, 64], 1, Some(ms(35)));
+usual_time!(a_load_below_the_only_one_that_was_seen, [40], 1, Some(pause(40)));
+
+#[test]
+fn what_is_seen_at_one_load_changes_nothing_at_another() {
+    let mut usual = usual(&[4]);
+    for _ in 0..1_000 {
+        usual.observe(50, ms(500));
+    }
+    assert_eq!(usual.at(4).map(|time| time.as_millis()), Some(28));
+}
+
+#[test]
+fn a_few_answers_at_a_load_are_not_believed() {
+    let mut usual = UsualTime::default();
+    for _ in 0..4 {
+        usual.observe(4, ms(20));
+    }
+    assert_eq!(usual.at(4), None);
+}
+
+/// The pace that a stream with these pauses shows while it goes on, and at its end.
+fn paces(pauses_ms: &[u64]) -> (Option<Duration>, Option<Duration>) {
+    let mut pace = StreamPace::default();
+    let told = pauses_ms.iter().find_map(|pause| pace.paused(ms(*pause), 4));
+    (told.map(|pace| pace.pause), pace.ended().map(|pace| pace.pause))
+}
+
+#[test]
+fn the_pace_is_that_of_the_quicker_half_of_eight_pauses() {
+    assert_eq!(paces(&[20, 22, 500, 20, 100, 22, 90, 21]).0, Some(ms(83) / 4));
+}
+
+#[test]
+fn a_short_stream_shows_its_pace_at_the_end() {
+    assert_eq!(paces(&[20, 30, 90]), (None, Some(ms(25))));
+}
+
+#[test]
+fn one_pause_shows_nothing() {
+    assert_eq!(paces(&[20]), (None, None));
+}
+
+#[test]
+fn a_pause_that_lasts_shows_the_pace() {
+    assert_eq!(paces(&[400, 600]).0, Some(ms(400)));
+    assert_eq!(paces(&[1_000]).0, Some(ms(1_000)));
+}
+
+// A stream that begins on an idle engine and goes on in a burst.
+#[test]
+fn the_load_is_that_of_the_pauses_that_count() {
+    let mut pace = StreamPace::default();
+    for in_progress in [2, 2, 30, 30, 30, 2, 30] {
+        assert_eq!(pace.paused(pause(in_progress), in_progress), None);
+    }
+    let told = pace.paused(pause(2), 2).expect("eight pauses show it");
+    assert_eq!((told.pause, told.in_progress), (pause(2), 2));
+}
+
+/// An old version that was seen at loads from 1 to 12, and then, under pressure, only at 40 and
+/// more.
+fn after_a_burst() -> RolloutEvidence {
+    let mut evidence = RolloutEvidence::default();
+    for load in (0..200).map(|n| 1 + n % 12).chain((0..600).map(|n| 40 + n % 30)) {
+        evidence.old_version(&PACE, load, Observation::Paced(pause(load)));
+    }
+    evidence
+}
+
+// What users saw: a version three times as slow, almost idle, beside an old one under pressure.
+#[test]
+fn a_slow_version_that_is_idle_is_found_beside_a_busy_one() {
+    let mut evidence = after_a_burst();
+    for _ in 0..15 {
+        evidence.new_version(&PACE, 1, Observation::Paced(3 * pause(1)));
+    }
+    assert!(evidence.is_bad(), "{:?}", evidence.standing());
+}
+
+// Seen when everything had moved over: the new version had all the load, the old one none.
+#[test]
+fn a_good_version_is_not_called_worse_for_its_load() {
+    let mut evidence = RolloutEvidence::default();
+    for load in (0..400).map(|n| 1 + n % 4) {
+        evidence.old_version(&PACE, load, Observation::Paced(pause(load)));
+    }
+    for load in (0..400).map(|n| 1 + n % 90) {
+        evidence.new_version(&PACE, load, Observation::Paced(pause(load)));
+    }
+    assert!(!evidence.is_bad(), "{:?}", evidence.standing());
+}
+
+// An order may come in the middle of a burst: what was known before it is what shows the
+// difference.
+#[test]
+fn what_was_known_before_an_order_is_kept() {
+    let mut evidence = after_a_burst().of_next_order();
+    assert_eq!(evidence.own(), RolloutEvidence::default().own(), "counts start anew");
+    for _ in 0..15 {
+        evidence.new_version(&PACE, 1, Observation::Paced(3 * pause(1)));
+    }
+    assert!(evidence.is_bad(), "{:?}", evidence.standing());
+}
