Roll-outs: first parts are compared by the wait that was expected

Change: the load by which first parts are compared is the wait that was expected: the prompt as far as it is not read there, and what the upstream had to do before.

--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -118,8 +118,8 @@
         let service = &self.call.service_name;
         let kind = self.kind();
         loop {
-            let in_progress = self.in_progress();
-            let slow_after = self.state.rollouts.lock().slow_after(service, &kind, in_progress);
+            let load = self.load();
+            let slow_after = self.state.rollouts.lock().slow_after(service, &kind, load);
             let Some(slow_after) = slow_after else {
                 return std::future::pending().await;
             };
@@ -131,11 +131,13 @@
         }
     }
 
-    /// Requests in progress at the upstream, this one included: when it was chosen, or now if
-    /// there are more. What comes after a request holds it up as well.
-    fn in_progress(&self) -> u32 {
-        let now = self.state.upstreams.in_progress(self.state.now(), &self.chosen.instance);
-        self.chosen.in_progress.saturating_add(1).max(now)
+    /// What the first part is expected to take, in milliseconds: by what the upstream had to
+    /// do when it was chosen, or by what it has to do now if that is more. What comes after a
+    /// request holds it up as well.
+    fn load(&self) -> u32 {
+        let now = self.state.upstreams.expected_wait(self.state.now(), self.chosen);
+        let expected = self.chosen.expected_wait().max(now);
+        u32::try_from(expected.as_millis()).unwrap_or(u32::MAX)
     }
 
     /// The requests that its time is compared with.
@@ -151,8 +153,8 @@
         let version = &self.chosen.version;
         let kind = self.kind();
         let service = &self.call.service_name;
-        let in_progress = self.in_progress();
-        self.state.rollouts.lock().observe(service, version, &kind, in_progress, observation);
+        let load = self.load();
+        self.state.rollouts.lock().observe(service, version, &kind, load, observation);
     }
 
     fn outgoing(&self) -> Outgoing {
--- a/crates/gateway/src/rollouts/state.rs
+++ b/crates/gateway/src/rollouts/state.rs
@@ -81,16 +81,16 @@
         &mut self,
         version: &VersionName,
         kind: &RequestKind,
-        in_progress: u32,
+        load: u32,
         observation: Observation,
     ) {
         let is_target = self.order.as_ref().is_some_and(|order| order.target == *version);
         match (is_target, self.is_completed()) {
-            (true, false) => self.evidence.new_version(kind, in_progress, observation),
-            (false, false) => self.evidence.old_version(kind, in_progress, observation),
+            (true, false) => self.evidence.new_version(kind, load, observation),
+            (false, false) => self.evidence.old_version(kind, load, observation),
             (true, true) => {
                 self.adopt_target();
-                self.evidence.old_version(kind, in_progress, observation);
+                self.evidence.old_version(kind, load, observation);
             }
             // The version that is being stopped.
             (false, true) => {}
@@ -225,11 +225,11 @@
         service: &ServiceName,
         version: &VersionName,
         kind: &RequestKind,
-        in_progress: u32,
+        load: u32,
         observation: Observation,
     ) {
         let rollout = self.services.entry(service.clone()).or_default();
-        rollout.observe(version, kind, in_progress, observation);
+        rollout.observe(version, kind, load, observation);
         rollout.judge(service);
     }
 
@@ -238,10 +238,10 @@
         &self,
         service: &ServiceName,
         kind: &RequestKind,
-        in_progress: u32,
+        load: u32,
     ) -> Option<Duration> {
         let rollout = self.services.get(service).filter(|rollout| rollout.is_running())?;
-        rollout.evidence.slow_after(kind, in_progress)
+        rollout.evidence.slow_after(kind, load)
     }
 
     /// What this entry has counted of the roll-outs that are under way: the service, the
--- a/crates/gateway/src/upstreams/choice.rs
+++ b/crates/gateway/src/upstreams/choice.rs
@@ -94,7 +94,6 @@
             unread_tokens: request.prompt_tokens.saturating_sub(facts.read_tokens),
             base_ms: request.reading.base_ms,
             other_ms: other_ms(self.config, &facts),
-            in_progress: facts.in_progress,
         })
     }
 
--- a/crates/gateway/src/upstreams/mod.rs
+++ b/crates/gateway/src/upstreams/mod.rs
@@ -16,6 +16,7 @@
 use stallhoist_core::ServiceName;
 use stallhoist_core::ZoneName;
 use stallhoist_policy::balance::BalanceConfig;
+use stallhoist_policy::balance::CandidateFacts;
 use stallhoist_policy::balance::FirstPart;
 use stallhoist_policy::balance::FleetWork;
 use stallhoist_policy::balance::HealthConfig;
@@ -28,6 +29,7 @@
 use stallhoist_policy::balance::UpstreamLoad;
 use stallhoist_policy::balance::WorkByUpstream;
 use stallhoist_policy::balance::WorkInProgress;
+use stallhoist_policy::balance::other_ms;
 use stallhoist_settings::DecisionSettings;
 use tokio::sync::Notify;
 use tokio::sync::futures::Notified;
@@ -141,6 +143,22 @@
         known.load.in_progress(now, instance, others.requests)
     }
 
+    /// How long the first part of an answer that was asked for is expected to take, by what the
+    /// chosen upstream has to do now besides.
+    pub(crate) fn expected_wait(&self, now: MonoTime, chosen: &Chosen) -> Duration {
+        let in_progress = self.in_progress(now, &chosen.instance).saturating_sub(1);
+        let known = self.known.lock();
+        let others = known.fleet_work.on(UpstreamKey::of(&chosen.instance));
+        let unread_ms = known.load.unread_ms(&chosen.instance) + f64::from(others.reading_ms);
+        let facts = CandidateFacts {
+            in_progress,
+            slots: u32::MAX,
+            unread_ms: (unread_ms - chosen.work.unread_ms).max(0.0),
+            ..CandidateFacts::default()
+        };
+        chosen.wait_after(other_ms(&self.config, &facts))
+    }
+
     /// An upstream has read a prompt with a model.
     pub(crate) fn prompt_read(
         &self,
--- a/crates/gateway/src/upstreams/placement.rs
+++ b/crates/gateway/src/upstreams/placement.rs
@@ -44,14 +44,17 @@
     pub(crate) base_ms: f64,
     /// The part of the expected wait that is owed to other requests.
     pub(crate) other_ms: f64,
-    /// Requests in progress there.
-    pub(crate) in_progress: u32,
 }
 
 impl Chosen {
     /// How long the first part of the answer is expected to take.
     pub(crate) fn expected_wait(&self) -> Duration {
-        Duration::try_from_secs_f64((self.base_ms + self.work.unread_ms + self.other_ms) / 1e3)
+        self.wait_after(self.other_ms)
+    }
+
+    /// The same, if other requests take so long.
+    pub(super) fn wait_after(&self, other_ms: f64) -> Duration {
+        Duration::try_from_secs_f64((self.base_ms + self.work.unread_ms + other_ms) / 1e3)
             .unwrap_or(Duration::MAX)
     }
 }
--- a/crates/policy/src/rollout/evidence.rs
+++ b/crates/policy/src/rollout/evidence.rs
@@ -43,34 +43,34 @@
         Self { usual: self.usual, ..Self::default() }
     }
 
-    /// What an attempt on the old version has shown. `in_progress` is how many requests the
-    /// upstream had to do.
-    pub fn old_version(&mut self, kind: &RequestKind, in_progress: u32, observation: Observation) {
-        let old = self.counts_of(kind, in_progress, observation);
+    /// What an attempt on the old version has shown, at the load that the kind is compared by.
+    pub fn old_version(&mut self, kind: &RequestKind, load: u32, observation: Observation) {
+        let old = self.counts_of(kind, load, observation);
         // Those that were overdue too: what is usual may have changed.
         if let Observation::Answered(time)
         | Observation::AnsweredOverdue(time)
         | Observation::Paced(time) = observation
         {
-            self.usual.entry(kind.clone()).or_default().observe(in_progress, time);
-            self.old_load.observe(in_progress);
+            self.usual.entry(kind.clone()).or_default().observe(load, time);
+        }
+        if old.paces.timed > 0 {
+            self.old_load.observe(load);
         }
         self.counted_here(EvidenceTotals { old, ..EvidenceTotals::default() });
     }
 
-    /// What an attempt on the new version has shown. `in_progress` is how many requests the
-    /// upstream had to do.
-    pub fn new_version(&mut self, kind: &RequestKind, in_progress: u32, observation: Observation) {
-        let new = self.counts_of(kind, in_progress, observation);
-        if new.first_parts.timed + new.paces.timed > 0 {
-            self.new_load.observe(in_progress);
+    /// What an attempt on the new version has shown, at the load that the kind is compared by.
+    pub fn new_version(&mut self, kind: &RequestKind, load: u32, observation: Observation) {
+        let new = self.counts_of(kind, load, observation);
+        if new.paces.timed > 0 {
+            self.new_load.observe(load);
         }
         self.counted_here(EvidenceTotals { new, ..EvidenceTotals::default() });
     }
 
     /// The time from which on an answer is slow; none while that is not known.
-    pub fn slow_after(&self, kind: &RequestKind, in_progress: u32) -> Option<Duration> {
-        Some(self.usual.get(kind)?.at(in_progress)?.mul_f64(SLOW_FACTOR))
+    pub fn slow_after(&self, kind: &RequestKind, load: u32) -> Option<Duration> {
+        Some(self.usual.get(kind)?.at(load)?.mul_f64(SLOW_FACTOR))
     }
 
     /// Another entry has counted these, which were not counted here before.
@@ -122,14 +122,9 @@
     }
 
     /// What an observation of either version counts as, by the usual times so far.
-    fn counts_of(
-        &self,
-        kind: &RequestKind,
-        in_progress: u32,
-        observation: Observation,
-    ) -> VersionCounts {
+    fn counts_of(&self, kind: &RequestKind, load: u32, observation: Observation) -> VersionCounts {
         let nothing = VersionCounts::default();
-        let timed = |time| self.timed(kind, in_progress, time);
+        let timed = |time| self.timed(kind, load, time);
         match observation {
             Observation::Failed => VersionCounts { answers: 1, failures: 1, ..nothing },
             Observation::Overdue => {
@@ -144,8 +139,8 @@
     }
 
     /// Where the usual time is not known, a time says nothing.
-    fn timed(&self, kind: &RequestKind, in_progress: u32, time: Duration) -> TimedCounts {
-        let slow_after = self.slow_after(kind, in_progress);
+    fn timed(&self, kind: &RequestKind, load: u32, time: Duration) -> TimedCounts {
+        let slow_after = self.slow_after(kind, load);
         slow_after.map_or_else(TimedCounts::default, |slow| TimedCounts::one(time > slow))
     }
 }
--- a/crates/policy/src/rollout/observation.rs
+++ b/crates/policy/src/rollout/observation.rs
@@ -21,12 +21,15 @@
     Failed,
 }
 
-/// Which time is compared.
+/// Which time is compared, and by which load.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum TimedPart {
-    /// From sending the request to the first part of its answer.
+    /// From sending the request to the first part of its answer. The load is the time that
+    /// it was expected to take, in milliseconds: reading the prompt, as far as the upstream
+    /// has not read it, and what it had to do before. A version that gets all requests at
+    /// once has to read all prompts anew.
     First,
-    /// The pause between two parts of a stream.
+    /// The pause between two parts of a stream. The load is the requests in progress.
     Pause,
 }
 
--- a/crates/policy/src/rollout/standing.rs
+++ b/crates/policy/src/rollout/standing.rs
@@ -13,7 +13,7 @@
     Paces,
 }
 
-/// Running mean of the requests in progress at the upstream when an answer was asked for.
+/// Running mean of the loads at which streams were generated: requests in progress.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct MeanLoad {
     answers: u64,
@@ -21,9 +21,9 @@
 }
 
 impl MeanLoad {
-    pub(super) fn observe(&mut self, in_progress: u32) {
+    pub(super) fn observe(&mut self, load: u32) {
         self.answers += 1;
-        self.requests += (f64::from(in_progress) - self.requests) / self.answers as f64;
+        self.requests += (f64::from(load) - self.requests) / self.answers as f64;
     }
 
     /// Requests in progress; zero before the first answer.
--- a/crates/policy/src/rollout/usual_time.rs
+++ b/crates/policy/src/rollout/usual_time.rs
@@ -9,8 +9,7 @@
 /// The weight of the newest time in the usual time.
 const NEWEST_WEIGHT: f64 = 0.05;
 
-/// A load is compared with known ones up to so many times the highest of them, and one
-/// request more. Beyond that a longer time may be the load's doing.
+/// A load is compared with known ones up to so many times the highest of them, and one more. Beyond that a longer time may be the load's doing.
 const MAX_BEYOND: f64 = 1.5;
 
 /// At a load lower than all known ones the usual time is taken to be shorter by this factor at
@@ -49,7 +48,7 @@
     ms: f64,
 }
 
-/// How long a version usually takes, by the requests in progress at the upstream.
+/// How long a version usually takes, by the load of the upstream.
 ///
 /// A new version is observed with a small share of the requests: its upstreams are almost
 /// idle, those of the old version are not. Times taken at unlike loads say nothing of the
@@ -63,15 +62,15 @@
 }
 
 impl UsualTime {
-    /// An answer took so long, with so many requests in progress.
-    pub fn observe(&mut self, in_progress: u32, time: Duration) {
-        let level = self.levels.entry(level_of(in_progress)).or_default();
-        level.observe(f64::from(in_progress), log_ms(time));
+    /// An answer took so long at a load.
+    pub fn observe(&mut self, load: u32, time: Duration) {
+        let level = self.levels.entry(level_of(load)).or_default();
+        level.observe(f64::from(load), log_ms(time));
     }
 
-    /// The usual time with so many requests in progress; none where nothing can be said.
-    pub fn at(&self, in_progress: u32) -> Option<Duration> {
-        let load = f64::from(in_progress);
+    /// The usual time at a load; none where nothing can be said.
+    pub fn at(&self, load: u32) -> Option<Duration> {
+        let load = f64::from(load);
         let known = self.levels.values().filter(|level| level.answers >= MIN_ANSWERS);
         let points: Vec<_> = known.map(LoadLevel::point).collect();
         let (lowest, highest) = (points.first()?, points.last()?);
@@ -89,8 +88,8 @@
 }
 
 /// Loads are taken together by powers of two; none and one are alike.
-fn level_of(in_progress: u32) -> u32 {
-    in_progress.max(1).ilog2()
+fn level_of(load: u32) -> u32 {
+    load.max(1).ilog2()
 }
 
 fn on_line(a: Point, b: Point, load: f64) -> f64 {
