Roll-outs: an entry that starts is told the usual times it has not seen

Cause: an entry that starts in a burst knows the usual times of busy upstreams only. It called none of the slow answers of an idle version slow (0 of 10 paces, where an entry that had stayed called 7 of 30), and what it told made the others' evidence count for less. Change: an entry asks the others for the old version's usual times once for each order, with what it tells them anyway; what is told is believed where fewer than five answers were seen, and counts as five; loads and times that cannot be are ignored, at most 500 are taken. /state shows the times. The message is sent once an order: about 60 bytes a time and load.

--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -70,6 +70,8 @@
     /// Sessions that stay on a version because another entry said so.
     sessions_told: usize,
     rollouts: Vec<RolloutDump>,
+    /// What new versions are compared with, while a roll-out runs.
+    usual_times: Vec<String>,
 }
 
 #[derive(Debug, Serialize)]
@@ -88,6 +90,13 @@
     sources.iter().map(|(feed, source)| (format!("{feed:?}"), name(source))).collect()
 }
 
+fn usual_times(state: &GatewayState) -> Vec<String> {
+    let times = state.rollouts.lock().known_times();
+    let mut lines: Vec<_> = times.iter().map(ToString::to_string).collect();
+    lines.sort_unstable();
+    lines
+}
+
 #[get("/state")]
 fn dump(state: &State<Arc<GatewayState>>) -> Json<Dump> {
     let rollouts = state.rollouts.lock().summary().into_iter();
@@ -101,6 +110,7 @@
         upstreams: state.upstreams.summary(state.now()),
         speeds: state.upstreams.speeds_summary(),
         sessions_told: state.sessions.lock().count_told(),
+        usual_times: usual_times(state),
         rollouts: rollouts
             .map(|(service, record, row_version)| RolloutDump {
                 service: service.to_string(),
--- a/crates/gateway/src/peers/evidence.rs
+++ b/crates/gateway/src/peers/evidence.rs
@@ -12,6 +12,7 @@
 use super::messages::Evidence;
 use super::messages::Session;
 use super::teller::Teller;
+use super::usual_times::take_times;
 use crate::sessions::SessionScope;
 use crate::state::GatewayState;
 
@@ -64,11 +65,13 @@
         }
         let host = state.settings.host.id.to_string();
         let sessions = kept_sessions(&state, SessionScope::All);
-        let ask = Ask { host, evidence, sessions, ..Ask::default() };
+        let is_wanting_times = state.rollouts.lock().wants_times();
+        let ask = Ask { host, evidence, sessions, is_wanting_times, ..Ask::default() };
         let relays = state.peers.lock().other_relays();
         for (_, addr) in relays {
-            if let Err(error) = teller.tell(addr, &ask).await {
-                log::debug!(addr:% = addr, error:% = error; "evidence not told");
+            match teller.tell(addr, &ask).await {
+                Ok(answer) => take_times(&state, &answer.times),
+                Err(error) => log::debug!(addr:% = addr, error:% = error; "evidence not told"),
             }
         }
     }
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -50,6 +50,9 @@
     /// What it knows of the ends of roll-outs.
     #[prost(message, repeated, tag = "9")]
     pub(super) verdicts: Vec<VerdictNews>,
+    /// Whether it wants the usual times of versions that are in force.
+    #[prost(bool, tag = "10")]
+    pub(super) is_wanting_times: bool,
 }
 
 /// What an entry knows of the end of a roll-out.
@@ -246,6 +249,35 @@
     /// What is known here of the ends of roll-outs, in the same case.
     #[prost(message, repeated, tag = "8")]
     pub(super) verdicts: Vec<VerdictNews>,
+    /// The usual times of versions that are in force, if they were wanted.
+    #[prost(message, repeated, tag = "9")]
+    pub(super) times: Vec<TimeNews>,
+}
+
+/// The usual time of a version that is in force, at a load.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct TimeNews {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub(super) service: String,
+    /// The version of the order's row.
+    #[prost(uint64, tag = "2")]
+    pub(super) order_version: u64,
+    /// The route, where it makes a difference.
+    #[prost(string, optional, tag = "3")]
+    pub(super) route: Option<String>,
+    /// The model, if one was asked.
+    #[prost(string, optional, tag = "4")]
+    pub(super) model: Option<String>,
+    /// Whether it is a pause of a stream; else the time to the first part.
+    #[prost(bool, tag = "5")]
+    pub(super) is_pause: bool,
+    /// The load.
+    #[prost(double, tag = "6")]
+    pub(super) load: f64,
+    /// The time, in milliseconds.
+    #[prost(double, tag = "7")]
+    pub(super) usual_ms: f64,
 }
 
 /// A row of a feed.
@@ -274,6 +306,7 @@
             sessions: Vec::new(),
             work: None,
             verdicts: Vec::new(),
+            times: Vec::new(),
         }
     }
 
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -21,6 +21,7 @@
 mod seeds;
 mod server;
 mod teller;
+mod usual_times;
 mod verdicts;
 mod work_news;
 
--- a/crates/gateway/src/peers/relayed_store.rs
+++ b/crates/gateway/src/peers/relayed_store.rs
@@ -21,6 +21,7 @@
 use super::messages::feed_number;
 use super::route::Route;
 use super::seeds::ask_seeds;
+use super::usual_times::take_times;
 use crate::control_store::Change;
 use crate::control_store::ControlStore;
 use crate::control_store::ControlStoreError;
@@ -166,6 +167,7 @@
         let answer = tokio::time::timeout(wait + ANSWER_SLACK, answered).await;
         let answer = answer.map_err(|_| PeerError::TimedOut)??;
         take_sessions(&self.state, &answer.sessions);
+        take_times(&self.state, &answer.times);
         Ok(answer)
     }
 
@@ -177,6 +179,7 @@
         Ask {
             evidence: own_evidence(&self.state),
             sessions: kept_sessions(&self.state, SessionScope::Own),
+            is_wanting_times: self.state.rollouts.lock().wants_times(),
             ..Ask::default()
         }
     }
--- a/crates/gateway/src/peers/server.rs
+++ b/crates/gateway/src/peers/server.rs
@@ -25,6 +25,7 @@
 use super::messages::Evidence;
 use super::messages::WorkNews;
 use super::messages::feed_of;
+use super::usual_times::own_times;
 use super::verdicts::own_verdicts;
 use super::verdicts::take_verdicts;
 use super::work_news::answer_to;
@@ -112,9 +113,10 @@
     take_sessions(state, &ask.sessions);
     take_verdicts(state, &ask.verdicts);
     let work = exchange_work(state, &ask);
+    let times = own_times(state, ask.is_wanting_times);
     // What is told here asks for no feed.
     let Some(feed) = feed_of(ask.feed) else {
-        return Answer { work, verdicts: own_verdicts(state), ..Answer::default() };
+        return Answer { work, verdicts: own_verdicts(state), times, ..Answer::default() };
     };
     let now = state.now();
     if ask.is_any_age {
@@ -126,7 +128,7 @@
     if feed != Feed::Rollouts {
         return answer;
     }
-    Answer { sessions: kept_sessions(state, SessionScope::All), ..answer }
+    Answer { sessions: kept_sessions(state, SessionScope::All), times, ..answer }
 }
 
 /// Waits until there is something to say.
--- /dev/null
+++ b/crates/gateway/src/peers/usual_times.rs
@@ -0,0 +1,62 @@
+//! Telling a starting entry the usual times of versions that are in force.
+
+use stallhoist_core::NameError;
+use stallhoist_core::StoreVersion;
+use stallhoist_policy::rollout::KnownTime;
+use stallhoist_policy::rollout::RequestKind;
+use stallhoist_policy::rollout::TimedPart;
+
+use super::messages::TimeNews;
+use crate::rollouts::ToldTime;
+use crate::state::GatewayState;
+
+/// The most times that are told or taken in at once. Three routes, two models and six loads
+/// make 48.
+const MAX_TIMES: usize = 500;
+
+/// The usual times that are known here, for one who wants them.
+pub(super) fn own_times(state: &GatewayState, is_wanted: bool) -> Vec<TimeNews> {
+    if !is_wanted {
+        return Vec::new();
+    }
+    let known = state.rollouts.lock().known_times();
+    known.into_iter().take(MAX_TIMES).map(news_of).collect()
+}
+
+/// Takes in what another entry tells.
+pub(super) fn take_times(state: &GatewayState, news: &[TimeNews]) {
+    for news in news.iter().take(MAX_TIMES) {
+        match time_of(news) {
+            Ok(time) => state.rollouts.lock().told_time(time),
+            Err(error) => {
+                log::warn!(error:% = error; "a usual time of no service, route or model ignored");
+            }
+        }
+    }
+}
+
+fn news_of(time: ToldTime) -> TimeNews {
+    TimeNews {
+        service: time.service.to_string(),
+        order_version: time.order_version.0,
+        route: time.kind.route.map(|route| route.to_string()),
+        model: time.kind.model.map(|model| model.to_string()),
+        is_pause: time.kind.part == TimedPart::Pause,
+        load: time.known.load,
+        usual_ms: time.known.usual_ms,
+    }
+}
+
+fn time_of(news: &TimeNews) -> Result<ToldTime, NameError> {
+    let kind = RequestKind {
+        route: news.route.as_deref().map(str::parse).transpose()?,
+        model: news.model.as_deref().map(str::parse).transpose()?,
+        part: if news.is_pause { TimedPart::Pause } else { TimedPart::First },
+    };
+    Ok(ToldTime {
+        service: news.service.parse()?,
+        order_version: StoreVersion(news.order_version),
+        kind,
+        known: KnownTime { load: news.load, usual_ms: news.usual_ms },
+    })
+}
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -2,12 +2,14 @@
 
 mod driver;
 mod state;
+mod told_time;
 mod verdict;
 mod version_rule;
 mod watch;
 
 pub(crate) use driver::drive;
 pub use state::Rollouts;
+pub use told_time::ToldTime;
 pub use verdict::Ending;
 pub use verdict::Verdict;
 pub use version_rule::VersionFilter;
--- a/crates/gateway/src/rollouts/state.rs
+++ b/crates/gateway/src/rollouts/state.rs
@@ -22,6 +22,7 @@
 use stallhoist_policy::rollout::next_step;
 
 use super::Ending;
+use super::ToldTime;
 use super::Verdict;
 use super::VersionFilter;
 use super::VersionRule;
@@ -38,6 +39,8 @@
     peers: HashMap<HostId, EvidenceTotals>,
     /// This entry has seen enough of the target of the record to call it bad.
     is_found_bad: bool,
+    /// Another entry has told the old version's usual times.
+    has_told_times: bool,
     /// Another entry has read that the order is completed.
     is_told_completed: bool,
     /// The evidence is of the target, which has become the version in force.
@@ -152,6 +155,7 @@
             rollout.forget_new_version();
             rollout.peers.clear();
             rollout.is_found_bad = false;
+            rollout.has_told_times = false;
             rollout.is_told_completed = false;
         }
         rollout.order = Some(order);
@@ -296,6 +300,40 @@
         rollout.judge(service);
     }
 
+    /// Whether the old version's usual times are to be asked of another entry: one that starts
+    /// during a roll-out, in a burst perhaps, has not seen an upstream that is as idle as the
+    /// new version's.
+    pub fn wants_times(&self) -> bool {
+        self.services.values().any(|rollout| rollout.is_running() && !rollout.has_told_times)
+    }
+
+    /// The old versions' usual times, as far as roll-outs are under way.
+    pub fn known_times(&self) -> Vec<ToldTime> {
+        let running = self.services.values().filter(|rollout| rollout.is_running());
+        let times = running.filter_map(|rollout| {
+            let order = rollout.order.as_ref()?;
+            let times = rollout.evidence.known_times().map(|(kind, known)| ToldTime {
+                service: order.service.clone(),
+                order_version: order.row_version,
+                kind: kind.clone(),
+                known,
+            });
+            Some(times)
+        });
+        times.flatten().collect()
+    }
+
+    /// Another entry tells a usual time.
+    pub fn told_time(&mut self, time: ToldTime) {
+        let Some(rollout) = self.services.get_mut(&time.service) else {
+            return;
+        };
+        if rollout.order.as_ref().is_some_and(|order| order.row_version == time.order_version) {
+            rollout.has_told_times = true;
+            rollout.evidence.told_time(time.kind, time.known);
+        }
+    }
+
     /// What this entry knows of the ends of roll-outs: versions found bad, by its own evidence
     /// or by others, that are not recorded yet, and orders that are completed.
     pub fn verdicts(&self) -> Vec<Verdict> {
--- a/crates/policy/src/rollout/evidence.rs
+++ b/crates/policy/src/rollout/evidence.rs
@@ -6,6 +6,7 @@
 use super::EvidenceStanding;
 use super::EvidenceTest;
 use super::EvidenceTotals;
+use super::KnownTime;
 use super::MeanLoad;
 use super::Observation;
 use super::RequestKind;
@@ -73,6 +74,16 @@
         Some(self.usual.get(kind)?.at(load)?.mul_f64(SLOW_FACTOR))
     }
 
+    /// The old version's usual times, to be told to others.
+    pub fn known_times(&self) -> impl Iterator<Item = (&RequestKind, KnownTime)> {
+        self.usual.iter().flat_map(|(kind, usual)| usual.known().map(move |known| (kind, known)))
+    }
+
+    /// Another entry tells a usual time of the old version.
+    pub fn told_time(&mut self, kind: RequestKind, known: KnownTime) {
+        self.usual.entry(kind).or_default().told(known);
+    }
+
     /// Another entry has counted these, which were not counted here before.
     pub fn counted_elsewhere(&mut self, counts: EvidenceTotals) {
         self.all.add(counts);
--- a/crates/policy/src/rollout/mod.rs
+++ b/crates/policy/src/rollout/mod.rs
@@ -33,4 +33,5 @@
 pub use standing::MeanLoad;
 pub use stream_pace::Pace;
 pub use stream_pace::StreamPace;
+pub use usual_time::KnownTime;
 pub use usual_time::UsualTime;
--- a/crates/policy/src/rollout/usual_time.rs
+++ b/crates/policy/src/rollout/usual_time.rs
@@ -19,6 +19,26 @@
 /// this one up to 0.06.
 const MAX_STEP_DOWN: f64 = 1.0 / 1.5;
 
+/// The usual time at a load, as entries tell each other.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct KnownTime {
+    /// The load.
+    pub load: f64,
+    /// The usual time there, in milliseconds.
+    pub usual_ms: f64,
+}
+
+impl KnownTime {
+    /// No load that is told is greater: 10 minutes of waiting, or as many requests.
+    const MAX_LOAD: f64 = 600_000.0;
+    /// No time that is told is longer: no request is waited for so long.
+    const MAX_MS: f64 = 600_000.0;
+
+    fn is_credible(self) -> bool {
+        (0.0..=Self::MAX_LOAD).contains(&self.load) && (0.0..=Self::MAX_MS).contains(&self.usual_ms)
+    }
+}
+
 /// What was seen at loads of the same power of two.
 #[derive(Debug, Default)]
 struct LoadLevel {
@@ -36,6 +56,10 @@
         self.mean_log_ms += weight * (log_ms - self.mean_log_ms);
     }
 
+    fn is_known(&self) -> bool {
+        self.answers >= MIN_ANSWERS
+    }
+
     fn point(&self) -> Point {
         Point { load: self.mean_load, ms: self.mean_log_ms.exp() }
     }
@@ -68,10 +92,32 @@
         level.observe(f64::from(load), log_ms(time));
     }
 
+    /// What is known, to be told to others.
+    pub fn known(&self) -> impl Iterator<Item = KnownTime> {
+        let known = self.levels.values().filter(|level| level.is_known());
+        known.map(|level| KnownTime { load: level.mean_load, usual_ms: level.mean_log_ms.exp() })
+    }
+
+    /// Another entry tells what is usual. It is believed where too little was seen here, and
+    /// counts as little, so that what is seen here soon goes before it.
+    pub fn told(&mut self, known: KnownTime) {
+        if !known.is_credible() {
+            return;
+        }
+        let level = self.levels.entry(level_of(known.load as u32)).or_default();
+        if !level.is_known() {
+            *level = LoadLevel {
+                answers: MIN_ANSWERS,
+                mean_load: known.load,
+                mean_log_ms: known.usual_ms.max(1.0).ln(),
+            };
+        }
+    }
+
     /// The usual time at a load; none where nothing can be said.
     pub fn at(&self, load: u32) -> Option<Duration> {
         let load = f64::from(load);
-        let known = self.levels.values().filter(|level| level.answers >= MIN_ANSWERS);
+        let known = self.levels.values().filter(|level| level.is_known());
         let points: Vec<_> = known.map(LoadLevel::point).collect();
         let (lowest, highest) = (points.first()?, points.last()?);
         if load > highest.load * MAX_BEYOND + 1.0 {
--- a/tests/all/gateway/peers.rs
+++ b/tests/all/gateway/peers.rs
@@ -183,6 +183,26 @@
     assert!(new.runs() <= 3 * SEEN_BY_EACH);
 });
 
+// An entry that starts in a burst has seen no upstream that is as idle as the new version's: it
+// called none of its slow answers slow, and what it told others made theirs count for less.
+case!(an_entry_is_told_the_usual_times_that_it_has_not_seen, async {
+    const SESSIONS: usize = 40;
+    let old = UpstreamStandin::start("i-old", Behaviour::stream(1)).await.expect("it starts");
+    let fleet = Fleet::of(3).await;
+    fleet.store.put("servers", "i-old", old.entry(ENGINE, "zone-1", "v1", "ready"));
+    fleet.wait_for_asking_the_store(3).await;
+    wait_until("the upstream is known", async || fleet.knows("i-old").await).await;
+    fleet.ask_in_sessions(0, "first", SESSIONS).await;
+    let order = json!({ "service": ENGINE, "target_version": "v2", "duration_s": 600 });
+    fleet.store.put("op", "rollout/engine", order);
+    wait_until("the others know its usual times", async || {
+        let dumps = fleet.dumps().await;
+        let knows = |dump: &Value| dump["usual_times"].to_string().contains("First route=stream");
+        dumps.iter().all(knows)
+    })
+    .await;
+});
+
 // A session that began before the order is in the new version's share by its hash, and goes on
 // at another entry: that one was told that it stays on the old version.
 case!(a_session_that_moves_to_another_entry_keeps_its_version, async {
