Sessions: an entry goes on telling of a session that is told back to it

The dumps of a failed run: the entry that had served the sessions counted them as told by others, the three that follow the store knew none. Cause: an entry was asked directly while the relays did not answer in time, and was told its own sessions back; the idle time is rounded to milliseconds, so they looked newer, replaced its own, and it told the relays nothing of them. Class: an echo of what one has said oneself taken for news. Change: what is told back keeps its owner. The test failed first.

--- a/crates/gateway/src/sessions.rs
+++ b/crates/gateway/src/sessions.rs
@@ -104,7 +104,10 @@
         if known.is_some_and(|known| known.last_used >= last_used) {
             return;
         }
-        let kept = Kept { version: told.version, last_used, is_own: false };
+        // One that was served here stays this entry's to tell: it may be told back, and its idle
+        // time is rounded.
+        let is_own = known.is_some_and(|known| known.is_own && known.version == told.version);
+        let kept = Kept { version: told.version, last_used, is_own };
         self.keep(now, &told.service, told.key, kept);
     }
 
--- a/tests/all/decisions/mod.rs
+++ b/tests/all/decisions/mod.rs
@@ -14,6 +14,7 @@
 mod rollout_rules;
 mod rollout_times;
 mod routing;
+mod sessions;
 mod step_up;
 
 use std::time::Duration;
