Roll-outs: what belongs to one service stands in a file of its own

ServiceRollout now answers for itself (rule, due, verdict, evidence, times), and the constructors of rules stand with VersionRule. No change of behaviour.

--- /dev/null
+++ b/crates/gateway/src/rollouts/service_rollout.rs
@@ -0,0 +1,289 @@
+//! What an entry knows of the roll-out of one service.
+
+use std::collections::HashMap;
+
+use stallhoist_core::HostId;
+use stallhoist_core::ServiceName;
+use stallhoist_core::StoreVersion;
+use stallhoist_core::VersionName;
+use stallhoist_policy::rollout::EvidenceTotals;
+use stallhoist_policy::rollout::KnownTime;
+use stallhoist_policy::rollout::Observation;
+use stallhoist_policy::rollout::RequestKind;
+use stallhoist_policy::rollout::RolloutConfig;
+use stallhoist_policy::rollout::RolloutEvidence;
+use stallhoist_policy::rollout::RolloutPhase;
+use stallhoist_policy::rollout::RolloutRecord;
+use stallhoist_policy::rollout::RolloutStep;
+use stallhoist_policy::rollout::new_version_share;
+use stallhoist_policy::rollout::next_step;
+
+use super::Ending;
+use super::ToldTime;
+use super::Verdict;
+use super::VersionRule;
+use crate::control_store::RolloutChange;
+use crate::control_store::RolloutOrder;
+use crate::control_store::StoredRollout;
+
+/// What an entry knows of the roll-out of one service.
+#[derive(Debug, Default)]
+pub(super) struct ServiceRollout {
+    pub(super) order: Option<RolloutOrder>,
+    pub(super) stored: Option<StoredRollout>,
+    pub(super) evidence: RolloutEvidence,
+    /// What other entries had counted when they last told.
+    pub(super) peers: HashMap<HostId, EvidenceTotals>,
+    /// This entry has seen enough of the target of the record to call it bad.
+    is_found_bad: bool,
+    /// Another entry has told the old version's usual times.
+    has_told_times: bool,
+    /// Another entry has read that the order is completed.
+    is_told_completed: bool,
+    /// The evidence is of the target, which has become the version in force.
+    has_adopted_target: bool,
+}
+
+impl ServiceRollout {
+    /// The record, if it answers the newest order.
+    pub(super) fn current(&self) -> Option<&StoredRollout> {
+        let stored = self.stored.as_ref()?;
+        let answers = |order: &RolloutOrder| {
+            order.target == stored.record.target && order.row_version < stored.row_version
+        };
+        let is_answer = self.order.as_ref().is_none_or(answers);
+        is_answer.then_some(stored)
+    }
+
+    pub(super) fn is_running(&self) -> bool {
+        !self.is_completed() && self.current().is_some_and(|stored| !stored.record.is_settled())
+    }
+
+    pub(super) fn is_completed(&self) -> bool {
+        let is_completed = |stored: &StoredRollout| stored.record.phase == RolloutPhase::Completed;
+        self.is_told_completed || self.current().is_some_and(is_completed)
+    }
+
+    /// A new order: what is known of the version in force is kept, also from before the order.
+    /// The new version is compared with it at once, at whatever load it was seen.
+    fn forget_new_version(&mut self) {
+        let evidence = std::mem::take(&mut self.evidence);
+        if !self.is_completed() || self.has_adopted_target {
+            self.evidence = evidence.of_next_order();
+        }
+        self.has_adopted_target = false;
+    }
+
+    /// An attempt on an upstream of a version ended.
+    pub(super) fn observe(
+        &mut self,
+        version: &VersionName,
+        kind: &RequestKind,
+        load: u32,
+        observation: Observation,
+    ) {
+        let is_target = self.order.as_ref().is_some_and(|order| order.target == *version);
+        match (is_target, self.is_completed()) {
+            (true, false) => self.evidence.new_version(kind, load, observation),
+            (false, false) => self.evidence.old_version(kind, load, observation),
+            (true, true) => {
+                self.adopt_target();
+                self.evidence.old_version(kind, load, observation);
+            }
+            // The version that is being stopped.
+            (false, true) => {}
+        }
+    }
+
+    /// The new version has become the one in force: the next one is compared with its times.
+    fn adopt_target(&mut self) {
+        if !self.has_adopted_target {
+            self.has_adopted_target = true;
+            self.evidence = RolloutEvidence::default();
+        }
+    }
+
+    /// Calls the new version bad if the evidence says so.
+    pub(super) fn judge(&mut self, service: &ServiceName) {
+        if self.is_found_bad || !self.is_running() || !self.evidence.is_bad() {
+            return;
+        }
+        self.is_found_bad = true;
+        let own = self.evidence.own().new;
+        log::warn!(
+            service:% = service,
+            answers = own.answers,
+            failures = own.failures,
+            slow_first_parts = own.first_parts.slow,
+            slow_paces = own.paces.slow,
+            entries_told = self.peers.len();
+            "the new version is worse than the old one"
+        );
+    }
+
+    /// An operator's order was read.
+    pub(super) fn ordered(&mut self, order: RolloutOrder) {
+        if self.order_version() != Some(order.row_version) {
+            self.forget_new_version();
+            self.peers.clear();
+            self.is_found_bad = false;
+            self.has_told_times = false;
+            self.is_told_completed = false;
+        }
+        self.order = Some(order);
+    }
+
+    /// A record was read. Older ones than what is known change nothing.
+    pub(super) fn stored(&mut self, stored: StoredRollout) {
+        if self.stored.as_ref().is_none_or(|known| known.row_version < stored.row_version) {
+            self.stored = Some(stored);
+        }
+    }
+
+    fn order_version(&self) -> Option<StoreVersion> {
+        self.order.as_ref().map(|order| order.row_version)
+    }
+
+    /// Which versions a request goes to. `now_ms` is the store's clock.
+    pub(super) fn rule(
+        &self,
+        config: &RolloutConfig,
+        now_ms: u64,
+        unit: f64,
+        session_version: Option<&VersionName>,
+    ) -> VersionRule {
+        let Some(stored) = self.current() else {
+            // An order whose record is not known: the new version gets work only when it is
+            // all there is, as after a roll-out that was completed before this process began.
+            return match &self.order {
+                Some(order) => VersionRule::first_except(&order.target),
+                None => VersionRule::any(),
+            };
+        };
+        let record = &stored.record;
+        if record.phase == RolloutPhase::RolledBack {
+            return VersionRule::except(&record.target);
+        }
+        // Goes before what this entry has found: the old version is being stopped.
+        if self.is_completed() {
+            return VersionRule::first_only(&record.target);
+        }
+        if self.is_found_bad {
+            return VersionRule::except(&record.target);
+        }
+        let share = new_version_share(config, record, now_ms);
+        let is_new = match session_version {
+            Some(version) if *version == record.target => true,
+            // Until everything moves over, a session stays on the old version.
+            Some(_) if record.phase == RolloutPhase::Canary => false,
+            _ => unit < share,
+        };
+        if is_new {
+            VersionRule::only_or_except(&record.target)
+        } else {
+            VersionRule::except(&record.target)
+        }
+    }
+
+    /// Another entry tells what it has counted in all so far, since an order.
+    pub(super) fn peer_evidence(
+        &mut self,
+        host: HostId,
+        service: &ServiceName,
+        order_version: StoreVersion,
+        totals: EvidenceTotals,
+    ) {
+        if self.order_version() != Some(order_version) {
+            return;
+        }
+        let earlier = self.peers.insert(host, totals).unwrap_or_default();
+        self.evidence.counted_elsewhere(totals.since(earlier));
+        self.judge(service);
+    }
+
+    /// Whether the old version's usual times are to be asked of another entry.
+    pub(super) fn wants_times(&self) -> bool {
+        self.is_running() && !self.has_told_times
+    }
+
+    /// The old version's usual times, while a roll-out is under way.
+    pub(super) fn known_times(&self) -> Vec<ToldTime> {
+        let Some(order) = self.order.as_ref().filter(|_| self.is_running()) else {
+            return Vec::new();
+        };
+        let told = |(kind, known): (&RequestKind, KnownTime)| ToldTime {
+            service: order.service.clone(),
+            order_version: order.row_version,
+            kind: kind.clone(),
+            known,
+        };
+        self.evidence.known_times().map(told).collect()
+    }
+
+    /// Another entry tells a usual time.
+    pub(super) fn told_time(&mut self, time: ToldTime) {
+        if self.order_version() == Some(time.order_version) {
+            self.has_told_times = true;
+            self.evidence.told_time(time.kind, time.known);
+        }
+    }
+
+    /// What is known of the end of the roll-out.
+    pub(super) fn verdict(&self) -> Option<Verdict> {
+        let order = self.order.as_ref()?;
+        let ending = if self.is_completed() {
+            Ending::Completed
+        } else if self.is_found_bad && self.is_running() {
+            Ending::Bad
+        } else {
+            return None;
+        };
+        let (service, order_version) = (order.service.clone(), order.row_version);
+        Some(Verdict { service, order_version, ending })
+    }
+
+    /// Another entry knows how the roll-out ends.
+    pub(super) fn told(&mut self, verdict: &Verdict) {
+        if self.order_version() != Some(verdict.order_version) {
+            return;
+        }
+        match verdict.ending {
+            Ending::Completed if !self.is_completed() => {
+                self.is_told_completed = true;
+                log::info!(service:% = verdict.service; "another entry has read that it is completed");
+            }
+            Ending::Bad if self.is_running() && !self.is_found_bad => {
+                self.is_found_bad = true;
+                log::warn!(service:% = verdict.service; "another entry has found the new version bad");
+            }
+            Ending::Bad | Ending::Completed => {}
+        }
+    }
+
+    /// The change to be stored now. `now_ms` is the store's clock.
+    pub(super) fn due(&self, config: &RolloutConfig, now_ms: u64) -> Option<RolloutChange> {
+        let order = self.order.as_ref()?;
+        let service = order.service.clone();
+        let expected = self.stored.as_ref().map(|stored| stored.row_version);
+        let Some(stored) = self.current() else {
+            let duration_ms = u64::try_from(order.duration.as_millis()).unwrap_or(u64::MAX);
+            let record = RolloutRecord {
+                target: order.target.clone(),
+                started_ms: now_ms,
+                duration_ms,
+                phase: RolloutPhase::Canary,
+            };
+            return Some(RolloutChange { service, expected, record });
+        };
+        if self.is_completed() {
+            return None;
+        }
+        match next_step(config, &stored.record, now_ms, self.is_found_bad) {
+            RolloutStep::Wait => None,
+            RolloutStep::Enter(phase) => {
+                let record = RolloutRecord { phase, ..stored.record.clone() };
+                Some(RolloutChange { service, expected, record })
+            }
+        }
+    }
+}
--- a/crates/gateway/src/rollouts/version_rule.rs
+++ b/crates/gateway/src/rollouts/version_rule.rs
@@ -38,4 +38,26 @@
     pub fn any() -> Self {
         Self { wanted: VersionFilter::Any, otherwise: None }
     }
+
+    /// Any version but this one.
+    pub fn except(version: &VersionName) -> Self {
+        Self { wanted: VersionFilter::Except(version.clone()), otherwise: None }
+    }
+
+    /// Any version but this one, and this one if there is no other.
+    pub fn first_except(version: &VersionName) -> Self {
+        Self { otherwise: Some(VersionFilter::Any), ..Self::except(version) }
+    }
+
+    /// This version, and any if it cannot be used.
+    pub fn first_only(version: &VersionName) -> Self {
+        let wanted = VersionFilter::Only(version.clone());
+        Self { wanted, otherwise: Some(VersionFilter::Any) }
+    }
+
+    /// This version, and the others if it cannot be used.
+    pub fn only_or_except(version: &VersionName) -> Self {
+        let others = VersionFilter::Except(version.clone());
+        Self { otherwise: Some(others), ..Self::first_only(version) }
+    }
 }
