Settings: times with their unit, fractions included; every form of the template's values is tried on the real program

Cause: the template put 000 behind a value of seconds; 8.5 gave 8.5000, each gateway ended at its start with 'invalid type', and the whole deployment was down. The slack was read as a whole number; a grace under 0.5 s, a ratio over 10 and a slack over a million were refused though they mean something. Change: TimeSpan ('8.5 s', '250 ms'), for stop.grace and session in place of grace_ms and session_ms; the slack may have a fraction; 0 is taken everywhere; what cannot be is refused in one line with key, value and place. Looked through: node, zone and addresses come as JSON strings, the first internal port as a whole number.

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -71,7 +71,7 @@
 
 impl GatewayState {
     pub(crate) fn new(settings: GatewaySettings, dialect: Arc<dyn Dialect>) -> Self {
-        let session_lifetime = Duration::from_millis(settings.session_ms) + SESSION_MARGIN;
+        let session_lifetime = settings.session.as_duration() + SESSION_MARGIN;
         let zone = settings.host.zone.clone();
         let retries = &settings.retries;
         let budget = RetryBudget::new(retries.budget_percent(), retries.burst_of(1));
@@ -187,7 +187,7 @@
 
     /// A stop is asked for now.
     pub(crate) fn begin_stop(&self) {
-        let grace = Duration::from_millis(self.settings.stop.grace_ms);
+        let grace = self.settings.stop.grace.as_duration();
         *self.stop.lock() = Some(PlannedStop::new(self.now(), grace));
     }
 
--- a/crates/settings/src/gateway/whole.rs
+++ b/crates/settings/src/gateway/whole.rs
@@ -12,6 +12,7 @@
 use super::UpstreamCallSettings;
 use crate::Checked;
 use crate::Problems;
+use crate::TimeSpan;
 
 /// All settings of a gateway.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -50,12 +51,15 @@
     #[serde(default)]
     pub stop: StopSettings,
     /// How long a session lasts after its last request.
-    #[serde(default = "default_session_ms")]
-    pub session_ms: u64,
+    #[serde(default = "default_session")]
+    pub session: TimeSpan,
 }
 
-fn default_session_ms() -> u64 {
-    GatewaySettings::default().session_ms
+/// A year: a session that lasts for ever, for all that a process lives to see.
+const MAX_SESSION: TimeSpan = TimeSpan::from_secs(365 * 86_400);
+
+fn default_session() -> TimeSpan {
+    GatewaySettings::default().session
 }
 
 impl Default for GatewaySettings {
@@ -74,7 +78,7 @@
             decisions: DecisionSettings::default(),
             retries: GatewayRetrySettings::default(),
             stop: StopSettings::default(),
-            session_ms: 5_000,
+            session: TimeSpan::from_secs(5),
         }
     }
 }
@@ -97,6 +101,6 @@
         problems.section("decisions", &self.decisions);
         problems.section("retries", &self.retries);
         problems.section("stop", &self.stop);
-        problems.range("session_ms", self.session_ms, 0..=86_400_000);
+        problems.range("session", self.session, TimeSpan::from_secs(0)..=MAX_SESSION);
     }
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -4,7 +4,7 @@
 //! the line, the key, the value and what would be right, and so that all that is
 //! wrong is said at once. `stallhoist check-settings` runs the same code.
 //!
-//! Every key carries its unit. Ranges are part of the type of each section, so a
+//! Every key carries its unit, or its value does. Ranges are part of the type of each section, so a
 //! value in the wrong unit is caught as out of range.
 
 mod admission;
@@ -19,6 +19,7 @@
 mod secret;
 mod service;
 mod sidecar;
+mod time_span;
 mod timing;
 mod upstream;
 
@@ -49,6 +50,8 @@
 pub use secret::Secret;
 pub use service::PlatformSettings;
 pub use sidecar::SidecarSettings;
+pub use time_span::TimeSpan;
+pub use time_span::TimeSpanError;
 pub use timing::TimingSettings;
 pub use upstream::UpstreamKind;
 pub use upstream::UpstreamSettings;
--- a/tests/all/gateway/mod.rs
+++ b/tests/all/gateway/mod.rs
@@ -12,4 +12,5 @@
 mod rollouts;
 mod stops;
 mod streams;
+mod template;
 pub(crate) mod world;
--- /dev/null
+++ b/tests/all/gateway/template.rs
@@ -0,0 +1,89 @@
+//! The platform's template, filled with each value in every form that a deployment may have, and
+//! given to the real program.
+//!
+//! A deployment whose grace is 8.5 s was down as a whole: the template put `000` behind the
+//! value, and each gateway ended at its start with `value 8.5000: invalid type`.
+
+use std::process::Command;
+
+use stallhoist_standins::users_platform::StoreStandin;
+
+use crate::case::case;
+use crate::harness::Process;
+
+const GATEWAY: &str = env!("CARGO_BIN_EXE_stallhoist-gateway");
+const COMMAND_LINE: &str = env!("CARGO_BIN_EXE_stallhoist");
+const TEMPLATE: &str = include_str!("../../../deploy/gateway.jsonc");
+
+/// What a usual deployment gives. The addresses are the test's own.
+const GAPS: [(&str, &str); 13] = [
+    ("{{node|json}}", "\"front-a-1\""),
+    ("{{zone|json}}", "\"a\""),
+    ("{{listen.front|json}}", "\"127.0.0.1:0\""),
+    ("{{listen.ready|json}}", "\"127.0.0.1:0\""),
+    ("{{ip}}", "127.0.0.1"),
+    ("{{internal_ports.0}}", "0"),
+    ("{{listen.control|json}}", "\"127.0.0.1:0\""),
+    ("{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}", ""),
+    ("{{platform.address|json}}", "\"127.0.0.1:1\""),
+    ("{{bounds.retry_budget_ratio|json}}", "0.9"),
+    ("{{bounds.budget_slack|json}}", "52"),
+    ("{{bounds.grace_s}}", "8"),
+    ("{{bounds.session_s}}", "5"),
+];
+
+/// The template with one gap filled by this value, and the others as usual.
+fn filled(gap: &str, value: &str) -> String {
+    assert!(TEMPLATE.contains(gap), "{gap} is in the template");
+    let filled = TEMPLATE.replace(gap, value);
+    GAPS.iter().fold(filled, |text, (gap, value)| text.replace(gap, value))
+}
+
+/// What `check-settings gateway` says of settings, and whether it takes them.
+fn checked(settings: &str) -> (bool, String) {
+    let name = format!("stallhoist-test-{}.json", uuid::Uuid::new_v4().simple());
+    let file = std::env::temp_dir().join(name);
+    std::fs::write(&file, settings).expect("settings can be written");
+    let output = Command::new(COMMAND_LINE).args(["check-settings", "gateway"]).arg(&file).output();
+    std::fs::remove_file(&file).expect("the file is there");
+    let output = output.expect("the program runs");
+    (output.status.success(), String::from_utf8_lossy(&output.stderr).into_owned())
+}
+
+/// Names a case: the gateway serves with each of these values, and `check-settings` takes them.
+macro_rules! takes {
+    ($name:ident, $gap:expr, $values:expr) => {
+        case!($name, async {
+            let store = StoreStandin::start().await.expect("the store starts");
+            for value in $values {
+                let settings = filled($gap, value);
+                let settings = settings.replace("127.0.0.1:1\"", &format!("{}\"", store.addr()));
+                let (is_taken, message) = checked(&settings);
+                assert!(is_taken, "{}: {value}: {message}", $gap);
+                Process::start(GATEWAY, &settings).kill();
+            }
+        });
+    };
+}
+
+takes!(any_grace_is_taken, "{{bounds.grace_s}}", ["8", "8.5", "0", "0.25", "86400", "1e3"]);
+takes!(any_session_is_taken, "{{bounds.session_s}}", ["5", "8.5", "0", "0.001", "31536000"]);
+takes!(any_slack_is_taken, "{{bounds.budget_slack|json}}", ["52", "52.5", "0", "1000000000"]);
+takes!(any_ratio_is_taken, "{{bounds.retry_budget_ratio|json}}", ["0.9", "0", "1", "25"]);
+
+/// Names a case: settings with this value are refused in one line that names key and value.
+macro_rules! refuses {
+    ($name:ident, $gap:expr, $value:expr, $expected:expr) => {
+        #[test]
+        fn $name() {
+            let (is_taken, message) = checked(&filled($gap, $value));
+            let lines: Vec<_> = message.lines().filter(|line| line.contains("key '")).collect();
+            assert!(!is_taken && lines.len() == 1 && lines[0].contains($expected), "{message}");
+        }
+    };
+}
+
+refuses!(a_missing_grace, "{{bounds.grace_s}}", "", "key 'stop.grace', value \" s\"");
+refuses!(a_negative_session, "{{bounds.session_s}}", "-1", "key 'session', value \"-1 s\"");
+refuses!(an_endless_grace, "{{bounds.grace_s}}", "1e300", "key 'stop.grace', value \"1e300 s\"");
+refuses!(a_missing_slack, "{{bounds.budget_slack|json}}", "null", "key 'retries.fleet_slack'");
