News between entries: one that is asked says at once when its copy is no longer fresh

The relay was cut off from the store at 16.5; at 17.94 it was asked again, its copy 1.44 s old, held it for fresh, waited the whole second that it was asked to wait for news, and said at 18.95 that it had none. 18.95 is 2.2 s after the key was taken away. Change: the wait ends when the copy's freshness does (1.5 s after it was read), so that the other asks on, and then the store, within the bound of 2 s. Ruled out: that the others' copies should have been fresh (they follow with a longer wait as nobody asks them, which is meant); a shorter question (more calls, and still a wait too long).

--- a/crates/gateway/src/peers/feed_copies.rs
+++ b/crates/gateway/src/peers/feed_copies.rs
@@ -45,11 +45,15 @@
 }
 
 impl FeedCopy {
-    /// Whether others may take it for what the store says now.
-    fn is_fresh(&self, now: MonoTime, feed: Feed) -> bool {
+    /// Until when others may take it for what the store says; none when they may not at all.
+    fn fresh_until(&self, feed: Feed) -> Option<MonoTime> {
         // The list of entries changes rarely, and nothing is bound to it.
-        let is_young = now.since(self.read_at) <= FRESH_FOR || feed == Feed::Entries;
-        self.origin == Origin::Store && is_young
+        let fresh_for = if feed == Feed::Entries { Duration::MAX } else { FRESH_FOR };
+        (self.origin == Origin::Store).then(|| self.read_at.after(fresh_for))
+    }
+
+    fn is_fresh(&self, now: MonoTime, feed: Feed) -> bool {
+        self.fresh_until(feed).is_some_and(|until| now <= until)
     }
 
     /// Those of its rows that fit, as a page.
@@ -151,6 +155,11 @@
         Some(Ok(copy.page(now, version, is_new)))
     }
 
+    /// Until when the copy of a feed is fresh, if nothing more is read; none if there is none.
+    pub fn fresh_until(&self, feed: Feed) -> Option<MonoTime> {
+        self.copies.lock().by_feed.get(&feed)?.fresh_until(feed)
+    }
+
     /// All rows of a feed as they were known last, however long ago and from whomever: for an
     /// entry that starts while the store is away. None when the feed was never read here.
     pub fn last_known(&self, now: MonoTime, feed: Feed) -> Option<FeedPage> {
--- a/crates/gateway/src/peers/server.rs
+++ b/crates/gateway/src/peers/server.rs
@@ -41,6 +41,9 @@
 /// A connection on which nothing is asked for so long is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// A copy is looked at again this much after its end: at its very end it is still fresh.
+const FRESHNESS_SLACK: Duration = Duration::from_millis(5);
+
 /// After a failed accept, for want of descriptors mostly, the next waits this long.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -155,7 +158,11 @@
             }
             Some(Ok(_)) => {}
         }
-        let _ = tokio::time::timeout(until.since(now), changed).await;
+        // When the copy is no longer fresh, the one that asks is told so at once: it would
+        // learn of a change a whole wait too late otherwise.
+        let fresh_until = state.copies.fresh_until(feed).unwrap_or(now);
+        let wait = until.min(fresh_until).since(now) + FRESHNESS_SLACK;
+        let _ = tokio::time::timeout(wait, changed).await;
     }
 }
 
--- a/tests/all/gateway/peers.rs
+++ b/tests/all/gateway/peers.rs
@@ -1,6 +1,7 @@
 //! News between entries.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use futures_util::future::join_all;
 use reqwest::Client;
@@ -10,6 +11,8 @@
 use stallhoist_gateway::sessions::SessionKey;
 use stallhoist_policy::rollout::RolloutConfig;
 use stallhoist_settings::TimeSpan;
+use stallhoist_standins::Direction;
+use stallhoist_standins::FaultProxy;
 use stallhoist_standins::users_platform::Behaviour;
 use stallhoist_standins::users_platform::StoreFault;
 use stallhoist_standins::users_platform::StoreStandin;
@@ -36,6 +39,8 @@
 
 struct Fleet {
     store: StoreStandin,
+    /// Between each entry and the store.
+    store_links: Vec<FaultProxy>,
     entries: Vec<Gateway>,
     http: Client,
 }
@@ -48,16 +53,19 @@
     async fn of(count: usize) -> Self {
         let store = StoreStandin::start().await.expect("the store starts");
         store.put("op", "config", config(1));
-        let mut entries = Vec::new();
+        let (mut entries, mut store_links) = (Vec::new(), Vec::new());
         for n in 0..count {
+            let link = FaultProxy::start(store.addr()).await.expect("a proxy starts");
             let mut settings = settings(&store);
+            settings.store.addr = link.addr().to_string();
+            store_links.push(link);
             // The test is not to be faster than a session lasts.
             settings.session = TimeSpan::from_secs(60);
             settings.host.id = format!("entry-{n}").parse().expect("a name");
             entries.push(start_gateway_with(settings).await);
         }
         let http = Client::builder().no_proxy().timeout(Duration::from_secs(5)).build();
-        Self { store, entries, http: http.expect("a client can be made") }
+        Self { store, store_links, entries, http: http.expect("a client can be made") }
     }
 
     async fn dumps(&self) -> Vec<Value> {
@@ -301,6 +309,31 @@
     fleet.wait_for_version(4).await;
 });
 
+// A key that was taken away was served for 2.02 s by the entry that asks another for news: the one
+// that it asked had been cut off from the store, held its copy for fresh when it was asked, and
+// said only at the end of the wait, a second later, that it was no longer.
+case!(news_come_in_time_although_those_that_are_asked_are_cut_off_from_the_store, async {
+    // A copy is fresh for 1.5 s; the bound on a configuration is 2 s.
+    const BOUND: Duration = Duration::from_millis(1_800);
+    let fleet = Fleet::start().await;
+    fleet.wait_for_asking_the_store(3).await;
+    let dumps = fleet.dumps().await;
+    let follow_store: Vec<_> =
+        dumps.iter().map(|dump| dump["news_from"]["Operators"] == "store").collect();
+    for (link, _) in fleet.store_links.iter().zip(&follow_store).filter(|(_, follows)| **follows) {
+        link.hold(Direction::ToOpener);
+    }
+    fleet.store.put("op", "config", config(2));
+    let put = Instant::now();
+    wait_until("those that ask others have the news", async || {
+        let dumps = fleet.dumps().await;
+        let mut asking = dumps.iter().zip(&follow_store).filter(|(_, follows)| !**follows);
+        asking.all(|(dump, _)| dump["config_version"] == 2)
+    })
+    .await;
+    assert!(put.elapsed() < BOUND, "it took {:?}", put.elapsed());
+});
+
 /// In a fleet of so many entries, the work that one of them has in progress is known to all
 /// others, and forgotten by them when it has ended.
 macro_rules! work_is_known_to_all {
