--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -70,8 +70,7 @@
             if let Some(first) = self.stream.first.take() {
                 return Ok(Some(self.passed_on(first)));
             }
-            let next = self.read().await;
-            match next {
+            match self.read().await {
                 Ok(Some(events)) => return Ok(Some(self.passed_on(events))),
                 Ok(None) => {
                     self.pace.ended();
@@ -88,7 +87,8 @@
         events.bytes
     }
 
-    /// Reads from the upstream until an event is whole.
+    /// Reads from the upstream until an event is whole. How long it pauses shows how fast it
+    /// generates; a pause that lasts is told of before it has ended.
     async fn read(&mut self) -> Result<Option<EventFrames>, String> {
         let silence = self.allowed_silence();
         let state = Arc::clone(self.execution.state());
--- a/crates/policy/src/rollout/usual_time.rs
+++ b/crates/policy/src/rollout/usual_time.rs
@@ -9,7 +9,8 @@
 /// The weight of the newest time in the usual time.
 const NEWEST_WEIGHT: f64 = 0.05;
 
-/// A load is compared with known ones up to so many times the highest of them, and one more. Beyond that a longer time may be the load's doing.
+/// A load is compared with known ones up to so many times the highest of them, and one more.
+/// Beyond that a longer time may be the load's doing.
 const MAX_BEYOND: f64 = 1.5;
 
 /// At a load lower than all known ones the usual time is taken to be shorter by this factor at
@@ -34,7 +35,8 @@
     /// No time that is told is longer: no request is waited for so long.
     const MAX_MS: f64 = 600_000.0;
 
-    fn is_credible(self) -> bool {
+    /// Whether it can be a usual time at all.
+    pub fn is_credible(self) -> bool {
         (0.0..=Self::MAX_LOAD).contains(&self.load) && (0.0..=Self::MAX_MS).contains(&self.usual_ms)
     }
 }
@@ -119,16 +121,16 @@
         let load = f64::from(load);
         let known = self.levels.values().filter(|level| level.is_known());
         let points: Vec<_> = known.map(LoadLevel::point).collect();
-        let (lowest, highest) = (points.first()?, points.last()?);
+        let highest = points.last()?;
         if load > highest.load * MAX_BEYOND + 1.0 {
             return None;
         }
         let around = points.windows(2).find(|pair| load <= pair[1].load);
         let ms = match around {
-            Some(pair) => on_line(pair[0], pair[1], load).max(lowest.ms * MAX_STEP_DOWN),
+            Some(pair) if load < pair[0].load => below(pair[0], pair[1], load),
+            Some(pair) => on_line(pair[0], pair[1], load),
             None => highest.ms,
         };
-        let ms = if load < lowest.load { ms.min(lowest.ms) } else { ms };
         Some(Duration::from_secs_f64(ms / 1_000.0))
     }
 }
@@ -138,6 +140,12 @@
     load.max(1).ilog2()
 }
 
+/// Below the lowest known load the line to the next one goes on: less work takes no longer, and
+/// not much less than what was seen.
+fn below(lowest: Point, next: Point, load: f64) -> f64 {
+    on_line(lowest, next, load).clamp(lowest.ms * MAX_STEP_DOWN, lowest.ms)
+}
+
 fn on_line(a: Point, b: Point, load: f64) -> f64 {
     let span = (b.load - a.load).max(f64::MIN_POSITIVE);
     a.ms + (b.ms - a.ms) * (load - a.load) / span
