--- a/tests/all/gateway/rollout_loads.rs
+++ b/tests/all/gateway/rollout_loads.rs
@@ -15,14 +15,12 @@
 //! times as long. The other error has the same cause: a good version was called worse when
 //! everything moved over to it.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use futures_util::future::join_all;
 use parking_lot::Mutex;
 use stallhoist_gateway::sessions::SessionKey;
 use stallhoist_standins::users_platform::Behaviour;
-use stallhoist_standins::users_platform::UpstreamStandin;
 
 use super::rollouts::order;
 use super::rollouts::status;
@@ -73,7 +71,8 @@
             self.next += 1;
             let name = format!("request-{}", self.next);
             let unit = SessionKey::of(&name).unit();
-            if if of_new { unit < Self::SHARE } else { unit > 0.5 } {
+            let is_wanted = if of_new { unit < Self::SHARE } else { unit > 0.5 };
+            if is_wanted {
                 return name;
             }
         }
@@ -98,9 +97,9 @@
 }
 
 /// A calm time, in which the old version is all there is; then the roll-out is ordered.
-async fn calm_then_ordered(world: &World) -> Arc<Mutex<Names>> {
+async fn calm_then_ordered(world: &World) -> Mutex<Names> {
     const CALM_ANSWERS: usize = 150;
-    let names = Arc::new(Mutex::new(Names { next: 0 }));
+    let names = Mutex::new(Names { next: 0 });
     let callers = Callers { count: 5, of_new: 0 };
     ask_until(world, callers, &names, || world.runs() >= CALM_ANSWERS).await;
     order(world, 600.0);
@@ -114,7 +113,7 @@
 }
 
 fn answers_of_new(world: &World) -> usize {
-    UpstreamStandin::runs(&world.upstreams[2])
+    world.upstreams[2].runs()
 }
 
 /// A version that is three times as slow is called so within as many answers as say it
