--- a/tests/all/decisions/rollout_times.rs
+++ b/tests/all/decisions/rollout_times.rs
@@ -177,3 +177,17 @@
     }
     assert!(evidence.is_bad(), "{:?}", evidence.standing());
 }
+
+// What is left of the incident: with a burst from an entry's first second on nobody has seen the
+// old version at a load like the new one's, and what is known is not stretched so far.
+#[test]
+fn a_slow_version_is_found_though_the_old_one_was_never_seen_idle() {
+    let mut evidence = RolloutEvidence::default();
+    for load in (0..600).map(|n| 40 + n % 30) {
+        evidence.old_version(&PACE, load, Observation::Paced(pause(load)));
+    }
+    for _ in 0..50 {
+        evidence.new_version(&PACE, 1, Observation::Paced(3 * pause(1)));
+    }
+    assert!(evidence.is_bad(), "{:?}", evidence.standing());
+}
