A test of an unreachable upstream keeps the port that it has freed

Cause: the test stops its engine and counts on nobody listening there; tests run side by side and listen on any free port, and one of them answered: nothing in the fleet of this test answers 401 to the entry's own call. Change: the port is bound and not listened on; if it is gone already, the test begins anew. The assertion is the same.

--- a/tests/all/promises/not_run.rs
+++ b/tests/all/promises/not_run.rs
@@ -6,6 +6,7 @@
 use stallhoist_standins::Direction;
 use stallhoist_standins::engine::EngineSwitches;
 use stallhoist_standins::platform::Faults;
+use tokio::net::TcpSocket;
 
 use crate::case::case;
 use crate::harness::Answer;
@@ -78,10 +79,28 @@
     assert!(fleet.services[0].executions().len() <= 2);
 });
 
+/// A fleet whose only engine is gone. Its port is kept from other tests, which run meanwhile and
+/// listen on any that is free: one of them answered in its place, with 401 or with an answer that
+/// was not understood.
+async fn fleet_without_its_engine() -> (Fleet, TcpSocket) {
+    loop {
+        let plan = Plan { engines: vec!["m@v1"], services: 0, ..Plan::default() };
+        let mut fleet = Fleet::start(plan).await;
+        let engine = fleet.engines.remove(0);
+        let url = engine.url();
+        let addr = url.trim_start_matches("http://").parse().expect("it listens on an address");
+        engine.stop().await;
+        // Bound, but not listening: connections are refused.
+        let held = TcpSocket::new_v4().expect("a socket can be made");
+        held.set_reuseaddr(true).expect("the option is known");
+        if held.bind(addr).is_ok() {
+            return (fleet, held);
+        }
+    }
+}
+
 case!(unreachable_upstream_is_not_run, async {
-    let mut fleet =
-        Fleet::start(Plan { engines: vec!["m@v1"], services: 0, ..Plan::default() }).await;
-    fleet.engines.remove(0).stop().await;
+    let (fleet, _held) = fleet_without_its_engine().await;
     let answer = send(fleet.caller(0).chat("m", "x", 2, false)).await.expect("an answer");
     assert_eq!((answer.status, answer.outcome.as_str()), (503, "not-run"));
     assert!(answer.retry_after.is_some());
