Reading the change again: one look at an upstream's work, one name for a test, one wait for the record

Cause: what had been added wrote some things again. The books of an upstream's work (own, told, reported) were summed in the choice and twice more for the load of a time, with the lock taken twice for each answer; the labels of the metrics repeated the policy's enum of tests, with a match between them; an observation was taken in at one place and judged at another, while others' evidence is both at one; the wait for a roll-out's record stood four times in tests. Change: Known::work_on serves the choice, the pauses and the expected wait, under one lock; the label is the test's own name (the same text); ServiceRollout::observe judges; wait_for_record. No change of behaviour; no assertion is touched. Left: two lists of the template's gaps in tests, with unlike values; KnownTime is checked where it arrives, for the log, and where it is believed.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -59,19 +59,11 @@
     pub(crate) result: AttemptResult,
 }
 
-/// A test of a new version.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
-pub(crate) enum TestLabel {
-    Failures,
-    FirstParts,
-    Paces,
-}
-
 /// Labels of the evidence of a roll-out.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct EvidenceLabels {
     pub(crate) service: String,
-    pub(crate) test: TestLabel,
+    pub(crate) test: String,
 }
 
 /// A version of a roll-out.
--- a/crates/gateway/src/rollouts/service_rollout.rs
+++ b/crates/gateway/src/rollouts/service_rollout.rs
@@ -59,7 +59,7 @@
         !self.is_completed() && self.current().is_some_and(|stored| !stored.record.is_settled())
     }
 
-    pub(super) fn is_completed(&self) -> bool {
+    fn is_completed(&self) -> bool {
         let is_completed = |stored: &StoredRollout| stored.record.phase == RolloutPhase::Completed;
         self.is_told_completed || self.current().is_some_and(is_completed)
     }
@@ -77,6 +77,7 @@
     /// An attempt on an upstream of a version ended.
     pub(super) fn observe(
         &mut self,
+        service: &ServiceName,
         version: &VersionName,
         kind: &RequestKind,
         load: u32,
@@ -93,6 +94,7 @@
             // The version that is being stopped.
             (false, true) => {}
         }
+        self.judge(service);
     }
 
     /// The new version has become the one in force: the next one is compared with its times.
@@ -104,7 +106,7 @@
     }
 
     /// Calls the new version bad if the evidence says so.
-    pub(super) fn judge(&mut self, service: &ServiceName) {
+    fn judge(&mut self, service: &ServiceName) {
         if self.is_found_bad || !self.is_running() || !self.evidence.is_bad() {
             return;
         }
--- a/crates/gateway/src/rollouts/state.rs
+++ b/crates/gateway/src/rollouts/state.rs
@@ -86,8 +86,7 @@
         observation: Observation,
     ) {
         let rollout = self.services.entry(service.clone()).or_default();
-        rollout.observe(version, kind, load, observation);
-        rollout.judge(service);
+        rollout.observe(service, version, kind, load, observation);
     }
 
     /// The time from which on an answer is slow, while a roll-out runs.
--- a/crates/gateway/src/rollouts/watch.rs
+++ b/crates/gateway/src/rollouts/watch.rs
@@ -5,14 +5,12 @@
 
 use stallhoist_core::ServiceName;
 use stallhoist_policy::rollout::EvidenceStanding;
-use stallhoist_policy::rollout::EvidenceTest;
 use stallhoist_policy::rollout::VersionCounts;
 
 use crate::metrics::EvidenceLabels;
 use crate::metrics::LoadLabels;
 use crate::metrics::Metrics;
 use crate::metrics::RolloutSide;
-use crate::metrics::TestLabel;
 use crate::state::GatewayState;
 
 /// How often it is shown: a roll-out of the shortest duration in use, 16 s, gets eight lines.
@@ -32,7 +30,7 @@
 
 fn measure(metrics: &Metrics, service: &ServiceName, standing: &EvidenceStanding) {
     for (test, strength) in &standing.strengths {
-        let labels = EvidenceLabels { service: service.to_string(), test: label_of(*test) };
+        let labels = EvidenceLabels { service: service.to_string(), test: format!("{test:?}") };
         metrics.rollout_evidence.get_or_create(&labels).set(*strength);
     }
     let loads = [(RolloutSide::Old, standing.old_load), (RolloutSide::New, standing.new_load)];
@@ -42,14 +40,6 @@
     }
 }
 
-fn label_of(test: EvidenceTest) -> TestLabel {
-    match test {
-        EvidenceTest::Failures => TestLabel::Failures,
-        EvidenceTest::FirstParts => TestLabel::FirstParts,
-        EvidenceTest::Paces => TestLabel::Paces,
-    }
-}
-
 fn show(service: &ServiceName, standing: &EvidenceStanding, entries_told: usize) {
     let strengths: Vec<_> =
         standing.strengths.iter().map(|(test, value)| format!("{test:?} {value:.1}")).collect();
--- a/crates/gateway/src/upstreams/choice.rs
+++ b/crates/gateway/src/upstreams/choice.rs
@@ -8,7 +8,6 @@
 use stallhoist_policy::balance::CandidateFacts;
 use stallhoist_policy::balance::ReadingTime;
 use stallhoist_policy::balance::RequestFacts;
-use stallhoist_policy::balance::UpstreamKey;
 use stallhoist_policy::balance::WorkItem;
 use stallhoist_policy::balance::expected_cost_ms;
 use stallhoist_policy::balance::other_ms;
@@ -133,11 +132,11 @@
             }
             _ => 0,
         };
-        let others = known.fleet_work.on(UpstreamKey::of(instance));
+        let work = known.work_on(now, instance);
         CandidateFacts {
-            in_progress: known.load.in_progress(now, instance, others.requests),
+            in_progress: work.in_progress,
             slots: member.slots,
-            unread_ms: known.load.unread_ms(instance) + f64::from(others.reading_ms),
+            unread_ms: work.unread_ms,
             read_tokens,
             is_same_zone: member.zone == *self.own_zone,
             failure_rate: known.health.failure_rate(now, instance),
--- a/crates/gateway/src/upstreams/mod.rs
+++ b/crates/gateway/src/upstreams/mod.rs
@@ -53,6 +53,23 @@
     speeds: ReadingSpeeds,
 }
 
+/// What an upstream has to do, by this entry's books, the others' and its own word.
+#[derive(Debug, Clone, Copy)]
+struct KnownWork {
+    in_progress: u32,
+    unread_ms: f64,
+}
+
+impl Known {
+    fn work_on(&self, now: MonoTime, instance: &InstanceId) -> KnownWork {
+        let others = self.fleet_work.on(UpstreamKey::of(instance));
+        KnownWork {
+            in_progress: self.load.in_progress(now, instance, others.requests),
+            unread_ms: self.load.unread_ms(instance) + f64::from(others.reading_ms),
+        }
+    }
+}
+
 /// The upstreams: who they are, what they have to do, and which one takes a request.
 #[derive(Debug)]
 pub(crate) struct Upstreams {
@@ -138,22 +155,17 @@
 
     /// Requests in progress at an upstream, as far as it is known.
     pub(crate) fn in_progress(&self, now: MonoTime, instance: &InstanceId) -> u32 {
-        let known = self.known.lock();
-        let others = known.fleet_work.on(UpstreamKey::of(instance));
-        known.load.in_progress(now, instance, others.requests)
+        self.known.lock().work_on(now, instance).in_progress
     }
 
     /// How long the first part of an answer that was asked for is expected to take, by what the
     /// chosen upstream has to do now besides.
     pub(crate) fn expected_wait(&self, now: MonoTime, chosen: &Chosen) -> Duration {
-        let in_progress = self.in_progress(now, &chosen.instance).saturating_sub(1);
-        let known = self.known.lock();
-        let others = known.fleet_work.on(UpstreamKey::of(&chosen.instance));
-        let unread_ms = known.load.unread_ms(&chosen.instance) + f64::from(others.reading_ms);
+        let work = self.known.lock().work_on(now, &chosen.instance);
         let facts = CandidateFacts {
-            in_progress,
+            in_progress: work.in_progress.saturating_sub(1),
             slots: u32::MAX,
-            unread_ms: (unread_ms - chosen.work.unread_ms).max(0.0),
+            unread_ms: (work.unread_ms - chosen.work.unread_ms).max(0.0),
             ..CandidateFacts::default()
         };
         chosen.wait_after(other_ms(&self.config, &facts))
--- a/tests/all/gateway/rollout_loads.rs
+++ b/tests/all/gateway/rollout_loads.rs
@@ -24,12 +24,12 @@
 
 use super::rollouts::order;
 use super::rollouts::status;
+use super::rollouts::wait_for_record;
 use super::rollouts::wait_for_status;
 use super::world::ENGINE;
 use super::world::World;
 use super::world::send;
 use crate::case::case;
-use crate::harness::wait_until;
 
 /// An engine whose pauses are so many times as long as those of a good one.
 fn engine(times: u32) -> Behaviour {
@@ -104,11 +104,7 @@
     ask_until(world, callers, &names, || world.runs() >= CALM_ANSWERS).await;
     order(world, 600.0);
     wait_for_status(world, "running").await;
-    wait_until("the record is known", async || {
-        let rollouts = world.dump().await["rollouts"].clone();
-        rollouts.as_array().is_some_and(|list| list.len() == 1)
-    })
-    .await;
+    wait_for_record(world).await;
     names
 }
 
--- a/tests/all/gateway/rollouts.rs
+++ b/tests/all/gateway/rollouts.rs
@@ -42,6 +42,15 @@
     wait_until("operators are told", async || status(world).as_deref() == Some(state)).await;
 }
 
+/// Waits until the gateway knows the record of the roll-out.
+pub(super) async fn wait_for_record(world: &World) {
+    wait_until("the record is known", async || {
+        let rollouts = world.dump().await["rollouts"].clone();
+        rollouts.as_array().is_some_and(|list| list.len() == 1)
+    })
+    .await;
+}
+
 /// Asks until operators are told this state. Gives how many requests there were.
 async fn ask_until(world: &World, state: &str) -> usize {
     for n in 0..20_000 {
@@ -88,11 +97,7 @@
     wait_for_status(&world, "running").await;
     let first = world.store.get(RECORDS, ENGINE);
     world.store.set_fault(None);
-    wait_until("the record is known", async || {
-        let rollouts = world.dump().await["rollouts"].clone();
-        rollouts.as_array().is_some_and(|list| list.len() == 1)
-    })
-    .await;
+    wait_for_record(&world).await;
     assert_eq!(world.store.get(RECORDS, ENGINE), first, "it was not begun anew");
 });
 
@@ -121,11 +126,7 @@
     ask_until(&world, "rolled_back").await;
     world.gateway = start_gateway(&world.store).await;
     world.wait_until_ready().await;
-    wait_until("the record is known", async || {
-        let rollouts = world.dump().await["rollouts"].clone();
-        rollouts.as_array().is_some_and(|list| list.len() == 1)
-    })
-    .await;
+    wait_for_record(&world).await;
     let seen = world.upstreams[2].runs();
     for n in 0..50 {
         send(world.stream(&format!("after-{n}"))).await.expect("an answer");
@@ -165,11 +166,7 @@
     };
     let (answers, ()) = tokio::join!(first, ordered);
     assert!(answers.iter().flatten().all(|answer| answer.is_whole));
-    wait_until("the record is known", async || {
-        let rollouts = world.dump().await["rollouts"].clone();
-        rollouts.as_array().is_some_and(|list| list.len() == 1)
-    })
-    .await;
+    wait_for_record(&world).await;
     join_all((0..SESSIONS).map(|n| ask(n, "second"))).await;
     let moved = world.upstreams[2].arrivals();
     let moved: Vec<_> = moved.iter().filter(|a| !a.header("session").is_empty()).collect();
