Sight: how much of news had come when they were given up, how large they are, and from whom

The logs of the incident say that the store was lost and that no other entry had fresh news, not why: an answer half of which has come looks like silence. No logic is changed: the same times hold.

--- a/crates/gateway/src/control_store.rs
+++ b/crates/gateway/src/control_store.rs
@@ -116,6 +116,14 @@
     pub store_now_ms: u64,
 }
 
+impl FeedPage {
+    /// The size of its values.
+    pub fn value_bytes(&self) -> usize {
+        let values = self.rows.iter().filter_map(|row| row.value.as_ref());
+        values.map(Bytes::len).sum()
+    }
+}
+
 /// A change of a roll-out's record, made only if the record is still what was read.
 #[derive(Debug, Clone)]
 pub struct RolloutChange {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -11,6 +11,8 @@
 use prometheus_client::metrics::histogram::exponential_buckets;
 use stallhoist_telemetry::MetricsPage;
 
+use crate::peers::Origin;
+
 /// How a request ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub(crate) enum RequestEnd {
@@ -80,6 +82,12 @@
     pub(crate) side: RolloutSide,
 }
 
+/// Labels of news of the store.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct NewsLabels {
+    pub(crate) origin: Origin,
+}
+
 /// A gauge of a fraction.
 pub(crate) type FractionGauge = Gauge<f64, AtomicU64>;
 
@@ -94,6 +102,7 @@
     pub(crate) config_version: Gauge,
     pub(crate) upstreams: Gauge,
     pub(crate) store_failures: Counter,
+    pub(crate) news_bytes: Family<NewsLabels, Counter>,
     pub(crate) first_part_s: Histogram,
     pub(crate) rollout_evidence: Family<EvidenceLabels, FractionGauge>,
     pub(crate) rollout_load: Family<LoadLabels, FractionGauge>,
@@ -114,6 +123,7 @@
             config_version: Gauge::default(),
             upstreams: Gauge::default(),
             store_failures: Counter::default(),
+            news_bytes: Family::default(),
             first_part_s: Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS)),
             rollout_evidence: Family::default(),
             rollout_load: Family::default(),
@@ -133,6 +143,8 @@
         r.register("config_version", "Configuration in force", self.config_version.clone());
         r.register("upstreams", "Upstreams that are known", self.upstreams.clone());
         r.register("store_failures", "Failed calls to the store", self.store_failures.clone());
+        let help = "Bytes of values that came from the store or from other entries";
+        r.register("news_bytes", help, self.news_bytes.clone());
         let help = "Time from arrival to the first part of the answer";
         r.register("first_part_seconds", help, self.first_part_s.clone());
         let help = "Decimal logarithm of how much likelier the answers are of a worse version";
@@ -141,6 +153,10 @@
         r.register("rollout_load", help, self.rollout_load.clone());
     }
 
+    pub(crate) fn news_received(&self, origin: Origin, bytes: usize) {
+        self.news_bytes.get_or_create(&NewsLabels { origin }).inc_by(bytes as u64);
+    }
+
     pub(crate) fn request_ended(&self, end: RequestEnd) {
         self.requests.get_or_create(&RequestLabels { end }).inc();
     }
--- a/crates/gateway/src/peers/connection.rs
+++ b/crates/gateway/src/peers/connection.rs
@@ -34,6 +34,11 @@
     Closed,
     /// nothing came in time
     TimedOut,
+    /// the answer was given up after {received_bytes} bytes
+    GivenUp {
+        /// What had come of it.
+        received_bytes: usize,
+    },
 }
 
 /// Connects to another entry.
--- a/crates/gateway/src/peers/feed_copies.rs
+++ b/crates/gateway/src/peers/feed_copies.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
+use prometheus_client::encoding::EncodeLabelValue;
 use stallhoist_core::MonoTime;
 use stallhoist_core::StoreVersion;
 use tokio::sync::Notify;
@@ -24,7 +25,7 @@
 const ASKED_FOR: Duration = Duration::from_secs(5);
 
 /// Whom the news of a feed came from.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum Origin {
     /// The platform's store.
     #[default]
--- a/crates/gateway/src/peers/relayed_store.rs
+++ b/crates/gateway/src/peers/relayed_store.rs
@@ -62,6 +62,9 @@
 /// no use to them when they are older.
 const FRESH_WAIT: Duration = Duration::from_millis(900);
 
+/// News of so many bytes have a log line of their own: what takes long to come shows there.
+const LARGE_NEWS_BYTES: usize = 32 << 10;
+
 /// The store, through another entry where that answers.
 #[derive(Debug)]
 pub(crate) struct RelayedStore<S> {
@@ -121,7 +124,7 @@
         match self.ask_peer(route, addr, feed, after).await {
             Ok(answer) => answer.has_copy.then_some(answer),
             Err(error) => {
-                log::debug!(
+                log::info!(
                     feed:? = feed,
                     addr:% = addr,
                     error:% = error;
@@ -135,6 +138,11 @@
     /// Keeps a copy of what was read: of the whole feed, or of its changes.
     fn keep(&self, feed: Feed, page: &FeedPage, is_whole: bool, origin: Origin) {
         let now = self.state.now();
+        let bytes = page.value_bytes();
+        self.state.metrics.news_received(origin, bytes);
+        if bytes >= LARGE_NEWS_BYTES {
+            log::info!(feed:? = feed, origin:? = origin, bytes = bytes; "large news came");
+        }
         if is_whole {
             self.state.copies.replace(now, feed, page, origin);
         } else {
@@ -165,7 +173,8 @@
         };
         let answered = exchange(connection, &ask);
         let answer = tokio::time::timeout(wait + ANSWER_SLACK, answered).await;
-        let answer = answer.map_err(|_| PeerError::TimedOut)??;
+        let received_bytes = connection.read_buffer().len();
+        let answer = answer.map_err(|_| PeerError::GivenUp { received_bytes })??;
         take_sessions(&self.state, &answer.sessions);
         take_times(&self.state, &answer.times);
         Ok(answer)
