News between entries: large values travel packed, as differences to what the asker holds

Cause: each change sent the whole configuration to each entry that asks, also when one route of 1,450 had changed: some ten copies of 0.3 MB at once over a link of 10 Mbit/s that callers use too. Change: an entry that asks says which versions of large rows it holds; the answer carries the difference to it (zstd with the earlier value as its prefix), or the compressed whole. The packed value is made once for all that ask; earlier values are kept by entries that are asked, eight and 8 MB at most. A difference to another value is noticed by its checksum.

--- a/crates/gateway/src/peers/connection.rs
+++ b/crates/gateway/src/peers/connection.rs
@@ -40,6 +40,8 @@
     Broken(#[from] io::Error),
     /// a message cannot be read: {0}
     Unreadable(#[from] prost::DecodeError),
+    /// a value cannot be unpacked: {0}
+    Unpackable(io::Error),
     /// the other end closed the connection
     Closed,
     /// nothing came in time
--- a/crates/gateway/src/peers/feed_copies.rs
+++ b/crates/gateway/src/peers/feed_copies.rs
@@ -2,8 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::btree_map::Entry;
 use std::time::Duration;
 
+use bytes::Bytes;
 use parking_lot::Mutex;
 use prometheus_client::encoding::EncodeLabelValue;
 use stallhoist_core::MonoTime;
@@ -11,6 +13,9 @@
 use tokio::sync::Notify;
 use tokio::sync::futures::Notified;
 
+use super::row_copy::BaseVersion;
+use super::row_copy::LazyPack;
+use super::row_copy::RowCopy;
 use crate::control_store::ControlStoreError;
 use crate::control_store::Feed;
 use crate::control_store::FeedPage;
@@ -36,7 +41,7 @@
 
 #[derive(Debug, Default)]
 struct FeedCopy {
-    rows: BTreeMap<String, FeedRow>,
+    rows: BTreeMap<String, RowCopy>,
     /// Changes up to this version may be missing.
     complete_since: StoreVersion,
     version: StoreVersion,
@@ -57,6 +62,16 @@
         self.fresh_until(feed).is_some_and(|until| now <= until)
     }
 
+    /// A row is so now.
+    fn set(&mut self, row: FeedRow, is_asked: bool) {
+        match self.rows.entry(row.key.clone()) {
+            Entry::Occupied(known) => known.into_mut().change(row, is_asked),
+            Entry::Vacant(new) => {
+                new.insert(RowCopy::new(row));
+            }
+        }
+    }
+
     /// Those of its rows that fit, as a page.
     fn page(
         &self,
@@ -64,7 +79,8 @@
         version: StoreVersion,
         fits: impl Fn(&FeedRow) -> bool,
     ) -> FeedPage {
-        let mut rows: Vec<_> = self.rows.values().filter(|row| fits(row)).cloned().collect();
+        let rows = self.rows.values().map(RowCopy::row);
+        let mut rows: Vec<_> = rows.filter(|row| fits(row)).cloned().collect();
         rows.sort_by_key(|row| row.version);
         let age_ms = u64::try_from(now.since(self.read_at).as_millis()).unwrap_or(u64::MAX);
         FeedPage { rows, version, store_now_ms: self.store_now_ms + age_ms }
@@ -77,6 +93,12 @@
     asked_at: Option<MonoTime>,
 }
 
+impl Copies {
+    fn is_asked(&self, now: MonoTime) -> bool {
+        self.asked_at.is_some_and(|at| now.since(at) < ASKED_FOR)
+    }
+}
+
 /// Copies of the feeds that this entry follows at the store.
 #[derive(Debug, Default)]
 pub struct FeedCopies {
@@ -95,11 +117,12 @@
     /// Changes came. Without the rows before them they are of no use.
     pub fn extend(&self, now: MonoTime, feed: Feed, page: &FeedPage, origin: Origin) {
         let mut copies = self.copies.lock();
+        let is_asked = copies.is_asked(now);
         let Some(copy) = copies.by_feed.get_mut(&feed) else {
             return;
         };
         for row in &page.rows {
-            copy.rows.insert(row.key.clone(), row.clone());
+            copy.set(row.clone(), is_asked);
         }
         copy.version = page.version;
         copy.store_now_ms = page.store_now_ms;
@@ -127,7 +150,7 @@
 
     /// Whether others have asked lately: then the copies must be kept fresh.
     pub fn is_asked(&self, now: MonoTime) -> bool {
-        self.copies.lock().asked_at.is_some_and(|at| now.since(at) < ASKED_FOR)
+        self.copies.lock().is_asked(now)
     }
 
     /// All rows of a feed, or the changes after a version; none when there is no fresh copy.
@@ -169,6 +192,35 @@
         Some(copy.page(now, copy.version, |row| row.value.is_some()))
     }
 
+    /// The rows whose values are so large that a difference to them is worth while, with the
+    /// versions that are held.
+    pub(super) fn held(&self, feed: Feed) -> Vec<(String, StoreVersion)> {
+        let copies = self.copies.lock();
+        let rows = copies.by_feed.get(&feed).into_iter().flat_map(|copy| &copy.rows);
+        rows.filter_map(|(key, row)| Some((key.clone(), row.held()?))).collect()
+    }
+
+    /// The value of a row at a version, if that is what is held.
+    pub(super) fn value(&self, feed: Feed, key: &str, version: StoreVersion) -> Option<Bytes> {
+        let copies = self.copies.lock();
+        let row = copies.by_feed.get(&feed)?.rows.get(key)?.row();
+        row.value.clone().filter(|_| row.version == version)
+    }
+
+    /// A row's value, packed for one that holds a version of it; none when it is not packed, or
+    /// has changed since.
+    pub(super) fn pack_for(
+        &self,
+        feed: Feed,
+        key: &str,
+        version: StoreVersion,
+        held: BaseVersion,
+    ) -> Option<LazyPack> {
+        let mut copies = self.copies.lock();
+        let row = copies.by_feed.get_mut(&feed)?.rows.get_mut(key)?;
+        if row.row().version == version { row.pack_for(held) } else { None }
+    }
+
     /// Waits until a copy changes, or is read again, after this call: to be called before
     /// the copy is looked at.
     pub fn changed(&self) -> Notified<'_> {
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -1,5 +1,6 @@
 //! What entries say to each other, as protocol buffers.
 
+use std::io;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,6 +11,8 @@
 use stallhoist_policy::rollout::TimedCounts;
 use stallhoist_policy::rollout::VersionCounts;
 
+use super::feed_copies::FeedCopies;
+use super::packing::unpack;
 use crate::control_store::ControlStoreError;
 use crate::control_store::Feed;
 use crate::control_store::FeedPage;
@@ -53,6 +56,23 @@
     /// Whether it wants the usual times of versions that are in force.
     #[prost(bool, tag = "10")]
     pub(super) is_wanting_times: bool,
+    /// Whether it understands packed values.
+    #[prost(bool, tag = "11")]
+    pub(super) is_unpacking: bool,
+    /// The large rows of the feed that it holds: their values may come as differences.
+    #[prost(message, repeated, tag = "12")]
+    pub(super) held: Vec<HeldRow>,
+}
+
+/// A row that is held by the one that asks.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct HeldRow {
+    /// Its key.
+    #[prost(string, tag = "1")]
+    pub(super) key: String,
+    /// The store's version at its last change.
+    #[prost(uint64, tag = "2")]
+    pub(super) version: u64,
 }
 
 /// What an entry knows of the end of a roll-out.
@@ -286,17 +306,36 @@
     /// Its key.
     #[prost(string, tag = "1")]
     pub(super) key: String,
-    /// Its value; absent when it was removed.
+    /// Its value; absent when it was removed or comes packed.
     #[prost(bytes = "bytes", optional, tag = "2")]
     pub(super) value: Option<Bytes>,
     /// The store's version at its last change.
     #[prost(uint64, tag = "3")]
     pub(super) version: u64,
+    /// Its packed value.
+    #[prost(message, optional, tag = "4")]
+    pub(super) packed: Option<PackedValue>,
+}
+
+/// A packed value.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct PackedValue {
+    /// The value, or its difference to an earlier one.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub(super) bytes: Bytes,
+    /// The version of the earlier value; absent when it is whole.
+    #[prost(uint64, optional, tag = "2")]
+    pub(super) base_version: Option<u64>,
 }
 
 impl Answer {
     pub(super) fn of(page: FeedPage) -> Self {
-        let row = |row: FeedRow| Row { key: row.key, value: row.value, version: row.version.0 };
+        let row = |row: FeedRow| Row {
+            key: row.key,
+            value: row.value,
+            version: row.version.0,
+            packed: None,
+        };
         Self {
             has_copy: true,
             is_history_gone: false,
@@ -310,6 +349,42 @@
         }
     }
 
+    /// Packs the values of large rows for the one that has asked.
+    pub(super) fn pack(&mut self, feed: Feed, ask: &Ask, copies: &FeedCopies) {
+        if !ask.is_unpacking {
+            return;
+        }
+        for row in &mut self.rows {
+            let held = ask.held.iter().find(|held| held.key == row.key);
+            let held = held.map(|held| StoreVersion(held.version));
+            let pack = copies.pack_for(feed, &row.key, StoreVersion(row.version), held);
+            let Some((pack, bytes)) = pack.and_then(|pack| pack.packed().map(|b| (pack, b))) else {
+                continue;
+            };
+            let base_version = pack.base_version.map(|version| version.0);
+            row.packed = Some(PackedValue { bytes, base_version });
+            row.value = None;
+        }
+    }
+
+    /// Unpacks the values that came packed.
+    ///
+    /// # Errors
+    /// Fails when one cannot be unpacked, or is the difference to a value that is not held.
+    pub(super) fn unpack(&mut self, feed: Feed, copies: &FeedCopies) -> io::Result<()> {
+        for row in &mut self.rows {
+            let Some(packed) = row.packed.take() else {
+                continue;
+            };
+            let held = |version| copies.value(feed, &row.key, StoreVersion(version));
+            let base = packed.base_version.map(|version| {
+                held(version).ok_or_else(|| io::Error::other("its base is not held"))
+            });
+            row.value = Some(unpack(&packed.bytes, base.transpose()?.as_deref())?);
+        }
+        Ok(())
+    }
+
     /// The page that the answer carries.
     ///
     /// # Errors
--- a/crates/gateway/src/peers/relayed_store.rs
+++ b/crates/gateway/src/peers/relayed_store.rs
@@ -18,6 +18,7 @@
 use super::feed_copies::Origin;
 use super::messages::Answer;
 use super::messages::Ask;
+use super::messages::HeldRow;
 use super::messages::feed_number;
 use super::route::Route;
 use super::seeds::ask_seeds;
@@ -169,14 +170,23 @@
             after: after.map(|after| after.0),
             wait_ms: wait.as_millis() as u64,
             host: self.state.settings.host.id.to_string(),
+            is_unpacking: true,
+            held: self.held(feed),
             ..self.news_for(feed)
         };
-        let answer = exchange(connection, &ask, wait + ANSWER_SLACK).await?;
+        let mut answer = exchange(connection, &ask, wait + ANSWER_SLACK).await?;
+        answer.unpack(feed, &self.state.copies).map_err(PeerError::Unpackable)?;
         take_sessions(&self.state, &answer.sessions);
         take_times(&self.state, &answer.times);
         Ok(answer)
     }
 
+    /// The large rows that are held of a feed.
+    fn held(&self, feed: Feed) -> Vec<HeldRow> {
+        let held = self.state.copies.held(feed).into_iter();
+        held.map(|(key, version)| HeldRow { key, version: version.0 }).collect()
+    }
+
     /// What the entry that is asked is told with the question.
     fn news_for(&self, feed: Feed) -> Ask {
         if feed != Feed::Rollouts {
--- a/crates/gateway/src/peers/seeds.rs
+++ b/crates/gateway/src/peers/seeds.rs
@@ -23,7 +23,7 @@
     }
     let seeds = state.settings.seeds.iter();
     for addr in seeds.filter_map(|seed| seed.parse().ok()) {
-        match ask_seed(addr, feed).await {
+        match ask_seed(state, addr, feed).await {
             Ok(answer) if answer.has_copy => {
                 log::info!(feed:? = feed, addr:% = addr; "the store is away, a seed answered");
                 state.news_from.lock().insert(feed, Some(addr));
@@ -38,7 +38,10 @@
     None
 }
 
-async fn ask_seed(addr: SocketAddr, feed: Feed) -> Result<Answer, PeerError> {
-    let ask = Ask { feed: feed_number(feed), is_any_age: true, ..Ask::default() };
-    exchange(&mut connect(addr).await?, &ask, BEGINS_WITHIN).await
+async fn ask_seed(state: &GatewayState, addr: SocketAddr, feed: Feed) -> Result<Answer, PeerError> {
+    let ask =
+        Ask { feed: feed_number(feed), is_any_age: true, is_unpacking: true, ..Ask::default() };
+    let mut answer = exchange(&mut connect(addr).await?, &ask, BEGINS_WITHIN).await?;
+    answer.unpack(feed, &state.copies).map_err(PeerError::Unpackable)?;
+    Ok(answer)
 }
--- a/crates/gateway/src/peers/server.rs
+++ b/crates/gateway/src/peers/server.rs
@@ -123,11 +123,15 @@
     };
     let now = state.now();
     if ask.is_any_age {
-        return state.copies.last_known(now, feed).map_or_else(Answer::default, Answer::of);
+        let known = state.copies.last_known(now, feed);
+        let mut answer = known.map_or_else(Answer::default, Answer::of);
+        answer.pack(feed, &ask, &state.copies);
+        return answer;
     }
     state.copies.asked(now);
     let until = now.after(Duration::from_millis(ask.wait_ms).min(MAX_WAIT));
-    let answer = page(state, feed, ask.after.map(StoreVersion), until).await;
+    let mut answer = page(state, feed, ask.after.map(StoreVersion), until).await;
+    answer.pack(feed, &ask, &state.copies);
     if feed != Feed::Rollouts {
         return answer;
     }
