The entries with the fastest links follow the store for the others

The configuration took 0.8 s to come to them, and all that ask share what is left. Change: an entry lists the rate of its link (host.link, from the template; unknown counts as slowest); the order of relays goes by it, then by the hash. A deployment that gives no rate starts as before. The template's values are checked in one place; the second list of its gaps is gone.

--- a/crates/gateway/src/control_store.rs
+++ b/crates/gateway/src/control_store.rs
@@ -9,6 +9,7 @@
 use displaydoc::Display;
 use stallhoist_core::HostId;
 use stallhoist_core::InstanceId;
+use stallhoist_core::LinkRate;
 use stallhoist_core::ServiceName;
 use stallhoist_core::StoreVersion;
 use stallhoist_core::VersionName;
@@ -83,6 +84,8 @@
     pub host: HostId,
     /// Where other entries ask it for news.
     pub peers_addr: SocketAddr,
+    /// What its host's link carries.
+    pub link: LinkRate,
 }
 
 /// the row '{key}' cannot be read: {problem}
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -223,10 +223,11 @@
     store: Arc<S>,
     peers_addr: SocketAddr,
 ) {
-    let entry = ListedEntry { host: state.settings.host.id.clone(), peers_addr };
+    let host = &state.settings.host;
+    let entry = ListedEntry { host: host.id.clone(), peers_addr, link: host.link };
     loop {
         tokio::time::sleep(ANNOUNCE_EVERY).await;
-        if !state.is_informed() || state.peers.lock().is_listed_at(peers_addr) {
+        if !state.is_informed() || state.peers.lock().is_listed(&entry) {
             continue;
         }
         match store.list_entry(&entry).await {
--- a/crates/settings/src/gateway/host.rs
+++ b/crates/settings/src/gateway/host.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use stallhoist_core::HostId;
+use stallhoist_core::LinkRate;
 use stallhoist_core::ZoneName;
 
 /// Who a gateway is.
@@ -13,6 +14,9 @@
     pub id: HostId,
     /// The host's availability zone.
     pub zone: ZoneName,
+    /// What its link carries: the hosts with the fastest links follow the store for all.
+    #[serde(default)]
+    pub link: LinkRate,
 }
 
 impl Default for GatewayHost {
@@ -21,6 +25,7 @@
         Self {
             id: "host-1".parse().expect("a valid name"),
             zone: "zone-1".parse().expect("a valid name"),
+            link: LinkRate::default(),
         }
     }
 }
--- a/tests/all/decisions/peers.rs
+++ b/tests/all/decisions/peers.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use stallhoist_core::HostId;
+use stallhoist_core::LinkRate;
 use stallhoist_core::StoreVersion;
 use stallhoist_gateway::control_store::ControlStoreError;
 use stallhoist_gateway::control_store::Feed;
@@ -23,12 +24,16 @@
     SocketAddr::from(([127, 0, 0, 1], 1_000 + n))
 }
 
+fn entry(n: u16) -> ListedEntry {
+    ListedEntry { host: host(n), peers_addr: addr(n), link: LinkRate::default() }
+}
+
 /// The list of each of so many entries.
 fn lists(count: u16) -> Vec<PeerList> {
     let list = |own| {
         let mut list = PeerList::new(host(own));
         for n in 0..count {
-            list.listed(ListedEntry { host: host(n), peers_addr: addr(n) });
+            list.listed(entry(n));
         }
         list
     };
@@ -90,11 +95,43 @@
 #[test]
 fn an_entry_that_moved_is_listed_anew() {
     let mut list = PeerList::new(host(1));
-    assert!(!list.is_listed_at(addr(1)));
-    list.listed(ListedEntry { host: host(1), peers_addr: addr(1) });
-    assert!(list.is_listed_at(addr(1)));
-    list.listed(ListedEntry { host: host(1), peers_addr: addr(9) });
-    assert!(!list.is_listed_at(addr(1)) && list.is_listed_at(addr(9)));
+    let moved = ListedEntry { peers_addr: addr(9), ..entry(1) };
+    assert!(!list.is_listed(&entry(1)));
+    list.listed(entry(1));
+    assert!(list.is_listed(&entry(1)));
+    list.listed(moved.clone());
+    assert!(!list.is_listed(&entry(1)) && list.is_listed(&moved));
+    assert_eq!(list.count(), 1);
+}
+
+// Three hosts with slow links sent a large configuration to 29 others, while six had faster ones.
+#[test]
+fn the_entries_with_the_fastest_links_follow_the_store() {
+    const FAST: [u16; 4] = [3, 11, 17, 30];
+    let mut list = PeerList::new(host(0));
+    for n in 0..32 {
+        let mbit_per_s = if FAST.contains(&n) { 200 } else { 10 };
+        list.listed(ListedEntry { link: LinkRate::from_mbit_per_s(mbit_per_s), ..entry(n) });
+    }
+    let relays = list.relays();
+    assert_eq!(relays.len(), 3);
+    assert!(relays.iter().all(|relay| FAST.iter().any(|n| host(*n) == *relay)), "{relays:?}");
+    // A host whose link was slower at its last start loses its place.
+    let slowed = relays[0].clone();
+    let n = FAST.into_iter().find(|n| host(*n) == slowed).expect("it is one of them");
+    list.listed(ListedEntry { link: LinkRate::from_mbit_per_s(10), ..entry(n) });
+    assert!(!list.relays().contains(&slowed));
+}
+
+#[test]
+fn a_link_rate_has_its_unit() {
+    let rate = |text: &str| text.parse::<LinkRate>();
+    assert_eq!(rate("200.0 Mbit/s"), Ok(LinkRate::from_mbit_per_s(200)));
+    assert_eq!(rate("0.5 Gbit/s"), Ok(LinkRate::from_mbit_per_s(500)));
+    assert_eq!(LinkRate::from_mbit_per_s(10).to_string(), "10 Mbit/s");
+    for wrong in ["200", " Mbit/s", "-1 Mbit/s", "1e400 Mbit/s", "10 MB/s"] {
+        assert!(rate(wrong).is_err(), "{wrong}");
+    }
 }
 
 fn row(key: &str, version: u64, is_there: bool) -> FeedRow {
--- a/tests/all/gateway/template.rs
+++ b/tests/all/gateway/template.rs
@@ -6,6 +6,10 @@
 
 use std::process::Command;
 
+use stallhoist_core::LinkRate;
+use stallhoist_settings::GatewaySettings;
+use stallhoist_settings::TimeSpan;
+use stallhoist_settings::parse;
 use stallhoist_standins::users_platform::StoreStandin;
 
 use crate::case::case;
@@ -15,10 +19,15 @@
 const COMMAND_LINE: &str = env!("CARGO_BIN_EXE_stallhoist");
 const TEMPLATE: &str = include_str!("../../../deploy/gateway.jsonc");
 
+/// A section of the template, which is left out where no rate is given.
+const LINK_GAP: &str =
+    "{{#limits.link_mbps}}, \"link\": \"{{limits.link_mbps}} Mbit/s\"{{/limits.link_mbps}}";
+
 /// What a usual deployment gives. The addresses are the test's own.
-const GAPS: [(&str, &str); 13] = [
+const GAPS: [(&str, &str); 14] = [
     ("{{node|json}}", "\"front-a-1\""),
     ("{{zone|json}}", "\"a\""),
+    (LINK_GAP, ", \"link\": \"10 Mbit/s\""),
     ("{{listen.front|json}}", "\"127.0.0.1:0\""),
     ("{{listen.ready|json}}", "\"127.0.0.1:0\""),
     ("{{ip}}", "127.0.0.1"),
@@ -34,9 +43,35 @@
 
 /// The template with one gap filled by this value, and the others as usual.
 fn filled(gap: &str, value: &str) -> String {
-    assert!(TEMPLATE.contains(gap), "{gap} is in the template");
-    let filled = TEMPLATE.replace(gap, value);
-    GAPS.iter().fold(filled, |text, (gap, value)| text.replace(gap, value))
+    filled_with(&[(gap, value)])
+}
+
+/// The template with some gaps filled by these values, and the others as usual.
+fn filled_with(values: &[(&str, &str)]) -> String {
+    let mut text = TEMPLATE.to_owned();
+    for (gap, value) in values {
+        assert!(text.contains(gap), "{gap} is in the template");
+        text = text.replace(gap, value);
+    }
+    GAPS.iter().fold(text, |text, (gap, value)| text.replace(gap, value))
+}
+
+// What the platform gives lands in the settings that it is meant for.
+#[test]
+fn the_platforms_values_come_into_the_settings() {
+    let seeds = "\"10.2.0.29:8229\",\"10.3.0.19:8229\"";
+    let filled = filled_with(&[
+        ("{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}", seeds),
+        ("{{listen.control|json}}", "\"10.1.0.40:8229\""),
+    ]);
+    assert!(!filled.contains("{{"), "a gap is left: {filled}");
+    let settings = parse::<GatewaySettings>("deploy/gateway.jsonc", &filled).expect("taken");
+    let expected = (TimeSpan::from_secs(8), TimeSpan::from_secs(5));
+    assert_eq!((settings.stop.grace, settings.session), expected);
+    assert_eq!(settings.host.link, LinkRate::from_mbit_per_s(10));
+    assert_eq!(settings.peers_addr, "10.1.0.40:8229");
+    assert_eq!(settings.store.addr, "127.0.0.1:1");
+    assert_eq!(settings.seeds, ["10.2.0.29:8229", "10.3.0.19:8229"]);
 }
 
 /// What `check-settings gateway` says of settings, and whether it takes them.
@@ -68,6 +103,17 @@
 
 takes!(any_grace_is_taken, "{{bounds.grace_s}}", ["8", "8.5", "0", "0.25", "86400", "1e3"]);
 takes!(any_session_is_taken, "{{bounds.session_s}}", ["5", "8.5", "0", "0.001", "31536000"]);
+takes!(
+    any_link_is_taken,
+    LINK_GAP,
+    [
+        "",
+        ", \"link\": \"10.0 Mbit/s\"",
+        ", \"link\": \"0 Mbit/s\"",
+        ", \"link\": \"0.5 Mbit/s\"",
+        ", \"link\": \"1e6 Mbit/s\"",
+    ]
+);
 takes!(any_slack_is_taken, "{{bounds.budget_slack|json}}", ["52", "52.5", "0", "1000000000"]);
 takes!(any_ratio_is_taken, "{{bounds.retry_budget_ratio|json}}", ["0.9", "0", "1", "25"]);
 
--- a/tests/all/settings.rs
+++ b/tests/all/settings.rs
@@ -8,7 +8,6 @@
 use stallhoist_settings::EntrySettings;
 use stallhoist_settings::GatewaySettings;
 use stallhoist_settings::SidecarSettings;
-use stallhoist_settings::TimeSpan;
 use stallhoist_settings::load;
 use stallhoist_settings::parse;
 
@@ -159,38 +158,6 @@
     parse::<GatewaySettings>("gateway.jsonc", GATEWAY).expect("it is taken");
 }
 
-// The template names every gap that the platform fills; filled with an example's values it
-// is taken.
-#[test]
-fn the_platforms_template_gives_right_settings() {
-    let gaps = [
-        ("{{node|json}}", "\"front-glk-a-1\""),
-        ("{{zone|json}}", "\"glk-a\""),
-        ("{{listen.front|json}}", "\"10.1.0.40:8227\""),
-        ("{{listen.ready|json}}", "\"10.1.0.40:8220\""),
-        ("{{ip}}", "10.1.0.40"),
-        ("{{internal_ports.0}}", "7340"),
-        ("{{listen.control|json}}", "\"10.1.0.40:8229\""),
-        ("{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}", "\"10.2.0.29:8229\",\"10.3.0.19:8229\""),
-        ("{{platform.address|json}}", "\"10.200.1.7:8223\""),
-        ("{{bounds.retry_budget_ratio|json}}", "0.9"),
-        ("{{bounds.budget_slack|json}}", "52"),
-        ("{{bounds.grace_s}}", "8"),
-        ("{{bounds.session_s}}", "5"),
-    ];
-    let mut filled = include_str!("../../deploy/gateway.jsonc").to_owned();
-    for (gap, value) in gaps {
-        assert!(filled.contains(gap), "{gap} is not in the template");
-        filled = filled.replace(gap, value);
-    }
-    assert!(!filled.contains("{{"), "a gap is left: {filled}");
-    let settings = parse::<GatewaySettings>("deploy/gateway.jsonc", &filled).expect("taken");
-    let expected = (TimeSpan::from_secs(8), TimeSpan::from_secs(5));
-    assert_eq!((settings.stop.grace, settings.session), expected);
-    assert_eq!(settings.peers_addr, "10.1.0.40:8229");
-    assert_eq!(settings.seeds, ["10.2.0.29:8229", "10.3.0.19:8229"]);
-}
-
 gateway_refuses!(
     a_gateways_wrong_percent,
     "[50]",
