The same cause elsewhere: frames between entry and sidecar, lists of the table service, seeds

Sought after the incident: what else judges a transfer by its whole time, or by whole messages? A sidecar or an entry took the other end for gone when one message needed longer than the silence that is borne; the client of the table service gave an answer up after the time of a call. Both now go by bytes that come.

--- a/crates/entry/src/mesh/link.rs
+++ b/crates/entry/src/mesh/link.rs
@@ -175,10 +175,9 @@
     ) -> WireError {
         let silence = Duration::from_millis(shared.settings.timing.peer_timeout_ms);
         loop {
-            let body = match tokio::time::timeout(silence, reader.next()).await {
-                Ok(Ok(body)) => body,
-                Ok(Err(error)) => return error,
-                Err(_) => return WireError::Closed,
+            let body = match reader.next_within(silence).await {
+                Ok(body) => body,
+                Err(error) => return error,
             };
             if let Err(error) = self.take(shared, &identity, sender, body) {
                 return error;
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -31,6 +31,8 @@
 pub use feed_copies::FeedCopies;
 pub use feed_copies::Origin;
 pub use list::PeerList;
+pub use packing::pack;
+pub use packing::unpack;
 pub(crate) use relayed_store::RelayedStore;
 pub(crate) use server::PeerServer;
 pub(crate) use work_news::tell_work;
--- a/crates/gateway/src/peers/packing.rs
+++ b/crates/gateway/src/peers/packing.rs
@@ -28,7 +28,7 @@
 ///
 /// # Errors
 /// Fails when the library does.
-pub(super) fn pack(value: &[u8], base: Option<&[u8]>) -> io::Result<Bytes> {
+pub fn pack(value: &[u8], base: Option<&[u8]>) -> io::Result<Bytes> {
     let base = base.unwrap_or_default();
     let mut encoder = Encoder::with_ref_prefix(Vec::new(), LEVEL, base)?;
     // What is alike may stand as far back as the beginning of the base.
@@ -47,7 +47,7 @@
 /// # Errors
 /// Fails when the base is another one, when the bytes are not a packed value or when it is too
 /// large.
-pub(super) fn unpack(packed: &[u8], base: Option<&[u8]>) -> io::Result<Bytes> {
+pub fn unpack(packed: &[u8], base: Option<&[u8]>) -> io::Result<Bytes> {
     let decoder = Decoder::with_ref_prefix(packed, base.unwrap_or_default())?;
     let mut value = Vec::new();
     decoder.take(MAX_VALUE_BYTES as u64 + 1).read_to_end(&mut value)?;
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -24,13 +24,15 @@
 }
 
 impl PlatformClient {
-    /// A client of the platform at `base_url`; each call ends within `call_timeout`.
+    /// A client of the platform at `base_url`. Each call ends when nothing has come for
+    /// `call_timeout`: an answer is judged by its progress, as a long list takes longer over a slow
+    /// link, and would take as long again at the next try.
     ///
     /// # Panics
     /// Panics when the HTTP library cannot start, which is a broken installation.
     pub fn new(base_url: &str, call_timeout: Duration) -> Self {
         let http = reqwest::Client::builder()
-            .timeout(call_timeout)
+            .read_timeout(call_timeout)
             .connect_timeout(call_timeout)
             .no_proxy()
             .build()
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -1,5 +1,9 @@
 //! Frames on a byte stream.
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
 use bytes::Bytes;
 use bytes::BytesMut;
 use prost::Message;
@@ -15,13 +19,20 @@
 #[derive(Debug)]
 pub struct FrameCodec {
     lengths: LengthDelimitedCodec,
+    /// What has come of the frame that is being received.
+    begun_bytes: Arc<AtomicUsize>,
 }
 
 impl FrameCodec {
     /// A codec that refuses frames over `max_frame_bytes`.
     pub fn new(max_frame_bytes: usize) -> Self {
         let lengths = LengthDelimitedCodec::builder().max_frame_length(max_frame_bytes).new_codec();
-        Self { lengths }
+        Self { lengths, begun_bytes: Arc::default() }
+    }
+
+    /// What has come of the frame that is being received, kept up to date.
+    pub(crate) fn begun_bytes(&self) -> Arc<AtomicUsize> {
+        Arc::clone(&self.begun_bytes)
     }
 
     /// Changes the bound, as the end of the handshake does.
@@ -36,8 +47,10 @@
 
     fn decode(&mut self, source: &mut BytesMut) -> Result<Option<Body>, WireError> {
         let Some(bytes) = self.lengths.decode(source)? else {
+            self.begun_bytes.store(source.len(), Ordering::Relaxed);
             return Ok(None);
         };
+        self.begun_bytes.store(0, Ordering::Relaxed);
         let frame = Frame::decode(bytes.freeze())?;
         frame.body.map(Some).ok_or(WireError::EmptyFrame)
     }
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use futures_util::SinkExt;
 use futures_util::StreamExt;
@@ -23,6 +25,8 @@
 #[derive(Debug)]
 pub struct FrameReader {
     stream: SplitStream<Framed<TcpStream, FrameCodec>>,
+    /// What has come of the message that is being received.
+    begun_bytes: Arc<AtomicUsize>,
 }
 
 impl FrameReader {
@@ -33,6 +37,24 @@
     pub async fn next(&mut self) -> Result<Body, WireError> {
         self.stream.next().await.ok_or(WireError::Closed)?
     }
+
+    /// The next message, as long as the peer is not silent for longer than this. Bytes are a sign
+    /// of life, whole messages or not: judged by messages, a peer whose link takes longer than
+    /// that for a large one was taken for gone, connected again and sent it anew.
+    ///
+    /// # Errors
+    /// Any error ends the connection, and so does silence.
+    pub async fn next_within(&mut self, silence: Duration) -> Result<Body, WireError> {
+        loop {
+            let before = self.begun_bytes.load(Ordering::Relaxed);
+            if let Ok(received) = tokio::time::timeout(silence, self.next()).await {
+                return received;
+            }
+            if self.begun_bytes.load(Ordering::Relaxed) == before {
+                return Err(WireError::Closed);
+            }
+        }
+    }
 }
 
 /// The sending half, shared by all tasks that have something to say to the peer.
@@ -103,6 +125,7 @@
 /// Splits a connection and starts the task that writes to it. The task ends when the
 /// last sender is dropped or the connection fails.
 pub fn start_writer(framed: Framed<TcpStream, FrameCodec>) -> (FrameSender, FrameReader) {
+    let begun_bytes = framed.codec().begun_bytes();
     let (mut sink, stream) = framed.split();
     let (frames, mut waiting) = mpsc::channel::<Body>(MAX_WAITING_FRAMES);
     let sent_bytes = Arc::new(AtomicU64::new(0));
@@ -128,7 +151,7 @@
             () = closed.cancelled() => {}
         }
     });
-    (FrameSender { frames, sent_bytes, closing }, FrameReader { stream })
+    (FrameSender { frames, sent_bytes, closing }, FrameReader { stream, begun_bytes })
 }
 
 fn count(counter: &AtomicU64, body: &Body) {
--- a/tests/all/decisions/mod.rs
+++ b/tests/all/decisions/mod.rs
@@ -5,6 +5,7 @@
 mod event_frames;
 mod fleet_work;
 mod limits;
+mod packing;
 mod peers;
 mod planned_stop;
 mod reading_speeds;
--- a/tests/all/gateway/slow_links.rs
+++ b/tests/all/gateway/slow_links.rs
@@ -23,6 +23,8 @@
 use super::fleet::ENTRIES;
 use super::fleet::Fleet;
 use super::world::config;
+use super::world::settings;
+use super::world::start_gateway_with;
 use crate::case::case;
 use crate::harness::wait_until;
 
@@ -119,3 +121,21 @@
     let took = slow.answered_bytes() - before;
     assert!(took < SMALL_CHANGE_BYTES, "a small change took {took} bytes");
 });
+
+// It was never ready: a seed that needed longer than 0.4 s for the whole answer was given up too.
+case!(
+    an_entry_that_starts_while_the_store_is_silent_gets_a_large_configuration_from_a_seed,
+    async {
+        let mut slow = SlowFleet::start().await;
+        slow.fleet.store.put("op", "config", large_config(2));
+        slow.fleet.wait_for_version(2).await;
+        let store_link = FaultProxy::start(slow.fleet.store.addr()).await.expect("a proxy starts");
+        store_link.hold(Direction::ToOpener);
+        let mut starting = settings(&slow.fleet.store);
+        starting.host.id = format!("entry-{ENTRIES}").parse().expect("a name");
+        starting.store.addr = store_link.addr().to_string();
+        starting.seeds = vec![slow.peer_links[0].addr().to_string()];
+        slow.fleet.entries.push(start_gateway_with(starting).await);
+        slow.fleet.wait_for_version(2).await;
+    }
+);
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -19,5 +19,6 @@
 mod promises;
 mod settings;
 mod sidecar_contract;
+mod slow_transfers;
 mod soak;
 mod table;
