Connections between entries that fall silent; the soak has slow links, silent connections and growing configurations

Silent connections between entries were bounded for the one that asks (1.4 s, then another entry), not for the one that answers: an answer that is not taken was waited for without end, and no probe found a host that had gone. Both ends have probes now, and an answer 20 s. The soak draws what makes transfers long from a sequence of its own, so that the faults of each known seed stay.

--- a/crates/gateway/src/peers/connection.rs
+++ b/crates/gateway/src/peers/connection.rs
@@ -16,6 +16,8 @@
 use super::messages::Answer;
 use super::messages::Ask;
 use super::messages::MAX_MESSAGE_BYTES;
+use crate::tcp::SilenceLimits;
+use crate::tcp::tune;
 
 /// How long a connection to another entry may take to come up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -30,6 +32,14 @@
 /// 10 Mbit/s that carries nothing else.
 const LONGEST_TRANSFER: Duration = Duration::from_secs(20);
 
+/// When the host at the other end is taken for gone. The one that asks has shorter waits of its
+/// own; this ends what is kept for one that has gone without a word.
+const PEER_SILENCE: SilenceLimits = SilenceLimits {
+    probe_after: Duration::from_secs(2),
+    probes: 3,
+    acknowledged_within: Duration::from_secs(5),
+};
+
 /// A connection whose messages carry their length.
 pub(super) type Connection = Framed<TcpStream, LengthDelimitedCodec>;
 
@@ -57,14 +67,24 @@
 pub(super) async fn connect(addr: SocketAddr) -> Result<Connection, PeerError> {
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr));
     let stream = connecting.await.map_err(|_| PeerError::TimedOut)??;
-    stream.set_nodelay(true)?;
-    Ok(framed(stream))
+    framed(stream)
 }
 
 /// Puts messages on a stream.
-pub(super) fn framed(stream: TcpStream) -> Connection {
+///
+/// # Errors
+/// Fails when the connection has ended already.
+pub(super) fn framed(stream: TcpStream) -> Result<Connection, PeerError> {
+    tune(&stream, PEER_SILENCE)?;
     let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_MESSAGE_BYTES).new_codec();
-    Framed::new(stream, codec)
+    Ok(Framed::new(stream, codec))
+}
+
+/// Sends an answer, as long as the one that asked takes it.
+pub(super) async fn send(connection: &mut Connection, answer: &Answer) -> Result<(), PeerError> {
+    let sending = connection.send(Bytes::from(answer.encode_to_vec()));
+    let sent = tokio::time::timeout(LONGEST_TRANSFER, sending).await;
+    Ok(sent.map_err(|_| PeerError::TimedOut)??)
 }
 
 /// Asks, and waits for the answer, which begins within this time and comes without long rests.
--- a/crates/gateway/src/peers/server.rs
+++ b/crates/gateway/src/peers/server.rs
@@ -5,8 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use futures_util::SinkExt;
 use futures_util::StreamExt;
 use prost::Message;
 use stallhoist_core::HostId;
@@ -18,6 +16,7 @@
 
 use super::connection::PeerError;
 use super::connection::framed;
+use super::connection::send;
 use super::evidence::kept_sessions;
 use super::evidence::take_sessions;
 use super::messages::Answer;
@@ -96,8 +95,7 @@
 }
 
 async fn serve(state: Arc<GatewayState>, stream: TcpStream) -> Result<(), PeerError> {
-    stream.set_nodelay(true)?;
-    let mut messages = framed(stream);
+    let mut messages = framed(stream)?;
     loop {
         let next = tokio::time::timeout(IDLE_TIMEOUT, messages.next()).await;
         let Some(frame) = next.map_err(|_| PeerError::TimedOut)? else {
@@ -105,7 +103,7 @@
         };
         let ask = Ask::decode(frame?)?;
         let answer = answer(&state, ask).await;
-        messages.send(Bytes::from(answer.encode_to_vec())).await?;
+        send(&mut messages, &answer).await?;
     }
 }
 
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -40,6 +40,8 @@
 struct Mode {
     /// Connections in place are ended when this changes.
     cuts: u64,
+    /// Connections in place carry nothing more once this has changed.
+    silences: u64,
     /// New connections are refused.
     refuses: bool,
     /// Bytes towards the listener wait.
@@ -140,6 +142,11 @@
         self.mode.send_modify(|mode| mode.cuts += 1);
     }
 
+    /// Lets connections in place carry nothing more, and stay open; new ones work.
+    pub fn silence(&self) {
+        self.mode.send_modify(|mode| mode.silences += 1);
+    }
+
     /// Ends all connections and refuses new ones until [`Self::heal`].
     pub fn sever(&self) {
         self.mode.send_modify(|mode| {
@@ -224,6 +231,7 @@
     mut mode: watch::Receiver<Mode>,
 ) {
     let mut buffer = vec![0; BUFFER_BYTES];
+    let silences = mode.borrow().silences;
     loop {
         let bytes_per_s = mode.borrow().bytes_per_s;
         let at_once = bytes_per_s.map_or(BUFFER_BYTES, |_| SLOW_BUFFER_BYTES);
@@ -231,7 +239,8 @@
             Ok(0) | Err(_) => return,
             Ok(read) => read,
         };
-        if mode.wait_for(|mode| !mode.holds(direction)).await.is_err() {
+        let passes = |mode: &Mode| mode.silences == silences && !mode.holds(direction);
+        if mode.wait_for(passes).await.is_err() {
             return;
         }
         let delay = mode.borrow().delay;
--- a/tests/all/gateway/slow_links.rs
+++ b/tests/all/gateway/slow_links.rs
@@ -15,6 +15,9 @@
 //! to 1,376,180 bytes, while every call was answered; links that carried all they could for six
 //! seconds, and no newer configuration at their ends.
 
+use std::time::Duration;
+use std::time::Instant;
+
 use serde_json::Value;
 use serde_json::json;
 use stallhoist_standins::Direction;
@@ -22,6 +25,7 @@
 
 use super::fleet::ENTRIES;
 use super::fleet::Fleet;
+use super::world::add_routes;
 use super::world::config;
 use super::world::settings;
 use super::world::start_gateway_with;
@@ -37,15 +41,7 @@
 /// The shorter configurations of the other tests, and many routes with names of their own.
 fn large_config(version: u64) -> Value {
     let mut config = config(version);
-    let routes = config["routes"].as_array_mut().expect("a list of routes");
-    for n in 0..ROUTES {
-        // Names that share nothing, as those of operators do.
-        let name = n.wrapping_mul(0x9E37_79B9_7F4A_7C15);
-        let mut route = routes[0].clone();
-        route["name"] = json!(format!("route-{name:016x}"));
-        route["path_prefix"] = json!(format!("/path-{:016x}/", name.rotate_left(29)));
-        routes.push(route);
-    }
+    add_routes(&mut config, ROUTES);
     config
 }
 
@@ -139,3 +135,23 @@
         slow.fleet.wait_for_version(2).await;
     }
 );
+
+// Connections that are open fall silent for good, without a reset; new ones work.
+case!(news_come_in_time_although_open_connections_between_entries_fall_silent, async {
+    // The bound on a configuration is 2 s.
+    const BOUND: Duration = Duration::from_millis(2_000);
+    let slow = SlowFleet::start().await;
+    slow.peer_links.iter().for_each(FaultProxy::silence);
+    slow.fleet.store.put("op", "config", config(2));
+    let put = Instant::now();
+    slow.fleet.wait_for_version(2).await;
+    assert!(put.elapsed() < BOUND, "it took {:?}", put.elapsed());
+});
+
+case!(news_come_although_open_connections_to_the_store_fall_silent, async {
+    let fleet = Fleet::of(3).await;
+    fleet.wait_for_version(1).await;
+    fleet.store_links.iter().for_each(FaultProxy::silence);
+    fleet.store.put("op", "config", config(2));
+    fleet.wait_for_version(2).await;
+});
--- a/tests/all/gateway/world.rs
+++ b/tests/all/gateway/world.rs
@@ -66,6 +66,19 @@
     })
 }
 
+/// Adds so many routes to a configuration, some 0.2 KB each, with names that share nothing, as
+/// those of operators do.
+pub(crate) fn add_routes(config: &mut Value, count: u64) {
+    let routes = config["routes"].as_array_mut().expect("a list of routes");
+    for n in 0..count {
+        let name = n.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        let mut route = routes[0].clone();
+        route["name"] = json!(format!("route-{name:016x}"));
+        route["path_prefix"] = json!(format!("/path-{:016x}/", name.rotate_left(29)));
+        routes.push(route);
+    }
+}
+
 /// What a caller got.
 #[derive(Debug, Clone)]
 pub(crate) struct Answer {
--- a/tests/all/soak/faults.rs
+++ b/tests/all/soak/faults.rs
@@ -21,6 +21,8 @@
 use super::upstream::list_all;
 
 const LINK_DELAY: Duration = Duration::from_millis(250);
+/// A configuration that has grown once takes half a second over a slow link.
+const SLOW_BYTES_PER_S: u32 = 200_000;
 
 /// The time between an upstream's announcement that it leaves and its removal.
 const ANNOUNCED: Duration = Duration::from_millis(2_200);
@@ -51,6 +53,10 @@
             }
             Fault::Leave { upstream, is_announced } => self.leave(upstream, is_announced).await,
             Fault::Reconfigure => self.reconfigure(),
+            Fault::Grow => {
+                self.config.grow();
+                self.reconfigure();
+            }
             Fault::ReplaceKey => {
                 self.config.replace_key();
                 self.reconfigure();
@@ -155,5 +161,7 @@
         LinkFault::SilentForth => link.hold(Direction::ToListener),
         LinkFault::SilentBack => link.hold(Direction::ToOpener),
         LinkFault::Delayed => link.delay(LINK_DELAY),
+        LinkFault::Silenced => link.silence(),
+        LinkFault::Slow => link.throttle(SLOW_BYTES_PER_S),
     }
 }
--- a/tests/all/soak/plan.rs
+++ b/tests/all/soak/plan.rs
@@ -15,6 +15,10 @@
 const FAULT_EVERY_MS: std::ops::Range<u64> = 120..520;
 const FAULT_LASTS_MS: std::ops::Range<u64> = 300..2_200;
 
+/// The same for what makes transfers long.
+const TRANSFER_FAULT_EVERY_MS: std::ops::Range<u64> = 400..1_600;
+const TRANSFERS_SEED: u64 = 0x5107_11AC;
+
 /// A fault of the connection between two processes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum LinkFault {
@@ -28,6 +32,10 @@
     SilentBack,
     /// Everything arrives late.
     Delayed,
+    /// Connections in place fall silent for good; new ones come up.
+    Silenced,
+    /// The link carries little.
+    Slow,
 }
 
 /// A fault of the store that all gateways see.
@@ -102,6 +110,8 @@
         is_announced: bool,
     },
     Reconfigure,
+    /// The configuration grows by many routes.
+    Grow,
     /// The oldest valid key is withdrawn, and a new one given.
     ReplaceKey,
 }
@@ -121,10 +131,37 @@
         loop {
             at += Duration::from_millis(rng.random_range(FAULT_EVERY_MS));
             if at >= lasts {
-                return Self { faults };
+                break;
             }
             faults.push((at, draw(&mut rng)));
         }
+        faults.extend(draw_transfers(seed, lasts));
+        faults.sort_by_key(|(at, _)| *at);
+        Self { faults }
+    }
+}
+
+/// What makes transfers long, or lets them never end. Drawn apart, so that the other faults of a
+/// seed stay what they were.
+fn draw_transfers(seed: u64, lasts: Duration) -> Vec<(Duration, Fault)> {
+    let mut rng = StdRng::seed_from_u64(seed ^ TRANSFERS_SEED);
+    let mut at = Duration::ZERO;
+    let mut faults = Vec::new();
+    loop {
+        at += Duration::from_millis(rng.random_range(TRANSFER_FAULT_EVERY_MS));
+        if at >= lasts {
+            return faults;
+        }
+        let gateway = rng.random_range(0..GATEWAYS);
+        let upstream = rng.random_range(0..2 * UPSTREAMS);
+        let lasts = Duration::from_millis(rng.random_range(FAULT_LASTS_MS));
+        let fault = match rng.random_range(0..4) {
+            0 => Fault::Grow,
+            1 => Fault::StoreLink { gateway, kind: LinkFault::Slow, lasts },
+            2 => Fault::StoreLink { gateway, kind: LinkFault::Silenced, lasts },
+            _ => Fault::UpstreamLink { upstream, kind: LinkFault::Silenced, lasts },
+        };
+        faults.push((at, fault));
     }
 }
 
