--- a/tests/all/gateway/mod.rs
+++ b/tests/all/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod configuration;
 mod daemon;
 mod fleet;
+mod going_away;
 mod headers;
 mod members;
 mod peers;
