A relay in each availability zone, which the zone's entries ask first

Change: an entry lists its zone; of those whose links are no slower than the third fastest, one of each zone follows the store first; each entry begins with the relay of its own zone.

--- a/crates/gateway/src/control_store.rs
+++ b/crates/gateway/src/control_store.rs
@@ -13,6 +13,7 @@
 use stallhoist_core::ServiceName;
 use stallhoist_core::StoreVersion;
 use stallhoist_core::VersionName;
+use stallhoist_core::ZoneName;
 use stallhoist_policy::rollout::RolloutRecord;
 
 use crate::members::Member;
@@ -86,6 +87,8 @@
     pub peers_addr: SocketAddr,
     /// What its host's link carries.
     pub link: LinkRate,
+    /// Its host's availability zone, if it is known.
+    pub zone: Option<ZoneName>,
 }
 
 /// the row '{key}' cannot be read: {problem}
--- a/crates/gateway/src/peers/list.rs
+++ b/crates/gateway/src/peers/list.rs
@@ -5,6 +5,7 @@
 
 use stallhoist_core::HostId;
 use stallhoist_core::LinkRate;
+use stallhoist_core::ZoneName;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::control_store::ListedEntry;
@@ -27,14 +28,15 @@
 #[derive(Debug)]
 pub struct PeerList {
     own: HostId,
+    own_zone: ZoneName,
     /// In the order in which they are relays.
     entries: Vec<(Rank, ListedEntry)>,
 }
 
 impl PeerList {
     /// Nobody but the entry itself is known yet.
-    pub fn new(own: HostId) -> Self {
-        Self { own, entries: Vec::new() }
+    pub fn new(own: HostId, own_zone: ZoneName) -> Self {
+        Self { own, own_zone, entries: Vec::new() }
     }
 
     /// An entry listed itself.
@@ -57,7 +59,7 @@
 
     /// The entries that follow the store, as far as they are listed.
     pub fn relays(&self) -> Vec<HostId> {
-        self.in_order().take(RELAYS).map(|entry| entry.host.clone()).collect()
+        self.relay_entries().iter().map(|entry| entry.host.clone()).collect()
     }
 
     /// The other entries that follow the store, if this one does.
@@ -65,23 +67,47 @@
         if !self.asked().is_empty() {
             return Vec::new();
         }
-        let relays = self.in_order().take(RELAYS).filter(|entry| entry.host != self.own);
-        relays.map(|entry| (entry.host.clone(), entry.peers_addr)).collect()
+        let relays = self.relay_entries();
+        let others = relays.iter().filter(|entry| entry.host != self.own);
+        others.map(|entry| (entry.host.clone(), entry.peers_addr)).collect()
     }
 
     /// Whom this entry asks, in order; nobody if it follows the store itself. Each begins
-    /// with another one of the relays, so that they share the work.
+    /// with a relay of its own availability zone, as bytes between zones have a price; where
+    /// there is none, with another one each, so that they share the work.
     pub fn asked(&self) -> Vec<(HostId, SocketAddr)> {
-        let is_relay = self.in_order().take(RELAYS).any(|entry| entry.host == self.own);
+        let mut relays = self.relay_entries();
+        let is_relay = relays.iter().any(|entry| entry.host == self.own);
         if self.entries.len() <= RELAYS || is_relay {
             return Vec::new();
         }
-        let others = self.in_order().filter(|entry| entry.host != self.own);
-        let mut asked: Vec<_> =
-            others.map(|entry| (entry.host.clone(), entry.peers_addr)).take(MAX_ASKED).collect();
-        let relays = RELAYS.min(asked.len());
-        asked[..relays].rotate_left(hash_of(&self.own) as usize % relays.max(1));
-        asked
+        let is_other = |entry: &&ListedEntry| {
+            entry.host != self.own && !relays.iter().any(|relay| relay.host == entry.host)
+        };
+        let others: Vec<_> = self.in_order().filter(is_other).collect();
+        let begin = hash_of(&self.own) as usize % relays.len().max(1);
+        relays.rotate_left(begin);
+        relays.sort_by_key(|relay| relay.zone.as_ref() != Some(&self.own_zone));
+        let asked = relays.into_iter().chain(others).take(MAX_ASKED);
+        asked.map(|entry| (entry.host.clone(), entry.peers_addr)).collect()
+    }
+
+    /// The entries that follow the store: of those whose links are no slower than that of the
+    /// third in order, one of each availability zone first.
+    fn relay_entries(&self) -> Vec<&ListedEntry> {
+        let slowest = self.in_order().nth(RELAYS - 1).map_or(LinkRate::default(), |e| e.link);
+        let fast = || self.in_order().take_while(|entry| entry.link >= slowest);
+        let mut relays: Vec<&ListedEntry> = Vec::new();
+        for entry in fast() {
+            if !relays.iter().any(|relay| relay.zone == entry.zone) {
+                relays.push(entry);
+            }
+        }
+        let rest = fast().filter(|entry| relays.iter().all(|relay| relay.host != entry.host));
+        let rest: Vec<_> = rest.collect();
+        relays.extend(rest);
+        relays.truncate(RELAYS);
+        relays
     }
 
     /// All entries, in the order in which they are relays.
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -224,7 +224,12 @@
     peers_addr: SocketAddr,
 ) {
     let host = &state.settings.host;
-    let entry = ListedEntry { host: host.id.clone(), peers_addr, link: host.link };
+    let entry = ListedEntry {
+        host: host.id.clone(),
+        peers_addr,
+        link: host.link,
+        zone: Some(host.zone.clone()),
+    };
     loop {
         tokio::time::sleep(ANNOUNCE_EVERY).await;
         if !state.is_informed() || state.peers.lock().is_listed(&entry) {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -82,7 +82,7 @@
             sessions: Mutex::new(Sessions::new(session_lifetime)),
             retries: Mutex::new(RetryBudgets::new(budget)),
             step_up: StepUpConfig { below_confidence },
-            peers: Mutex::new(PeerList::new(settings.host.id.clone())),
+            peers: Mutex::new(PeerList::new(settings.host.id.clone(), settings.host.zone.clone())),
             news_from: Mutex::default(),
             copies: FeedCopies::default(),
             metrics: Metrics::default(),
--- a/tests/all/decisions/peers.rs
+++ b/tests/all/decisions/peers.rs
@@ -5,6 +5,7 @@
 use stallhoist_core::HostId;
 use stallhoist_core::LinkRate;
 use stallhoist_core::StoreVersion;
+use stallhoist_core::ZoneName;
 use stallhoist_gateway::control_store::ControlStoreError;
 use stallhoist_gateway::control_store::Feed;
 use stallhoist_gateway::control_store::FeedPage;
@@ -20,18 +21,22 @@
     format!("entry-{n}").parse().expect("a name")
 }
 
+fn zone(name: &str) -> ZoneName {
+    name.parse().expect("a name")
+}
+
 fn addr(n: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 1_000 + n))
 }
 
 fn entry(n: u16) -> ListedEntry {
-    ListedEntry { host: host(n), peers_addr: addr(n), link: LinkRate::default() }
+    ListedEntry { host: host(n), peers_addr: addr(n), link: LinkRate::default(), zone: None }
 }
 
 /// The list of each of so many entries.
 fn lists(count: u16) -> Vec<PeerList> {
     let list = |own| {
-        let mut list = PeerList::new(host(own));
+        let mut list = PeerList::new(host(own), zone("a"));
         for n in 0..count {
             list.listed(entry(n));
         }
@@ -94,7 +99,7 @@
 
 #[test]
 fn an_entry_that_moved_is_listed_anew() {
-    let mut list = PeerList::new(host(1));
+    let mut list = PeerList::new(host(1), zone("a"));
     let moved = ListedEntry { peers_addr: addr(9), ..entry(1) };
     assert!(!list.is_listed(&entry(1)));
     list.listed(entry(1));
@@ -108,7 +113,7 @@
 #[test]
 fn the_entries_with_the_fastest_links_follow_the_store() {
     const FAST: [u16; 4] = [3, 11, 17, 30];
-    let mut list = PeerList::new(host(0));
+    let mut list = PeerList::new(host(0), zone("a"));
     for n in 0..32 {
         let mbit_per_s = if FAST.contains(&n) { 200 } else { 10 };
         list.listed(ListedEntry { link: LinkRate::from_mbit_per_s(mbit_per_s), ..entry(n) });
@@ -123,6 +128,50 @@
     assert!(!list.relays().contains(&slowed));
 }
 
+/// The list of an entry among 40 of four zones, where each zone has some fast links but "d".
+fn list_of_zones(own: u16) -> PeerList {
+    let zone_of = |n: u16| zone(["a", "b", "c", "d"][usize::from(n % 4)]);
+    let mut list = PeerList::new(host(own), zone_of(own));
+    for n in 0..40 {
+        let mbit_per_s = if n < 12 && n % 4 != 3 { 200 } else { 10 };
+        let link = LinkRate::from_mbit_per_s(mbit_per_s);
+        list.listed(ListedEntry { link, zone: Some(zone_of(n)), ..entry(n) });
+    }
+    list
+}
+
+fn number_of(host: &HostId) -> u16 {
+    host.as_str().trim_start_matches("entry-").parse().expect("its number")
+}
+
+#[test]
+fn each_zone_with_fast_links_has_a_relay() {
+    let relays = list_of_zones(39).relays();
+    let mut zones: Vec<_> = relays.iter().map(|relay| number_of(relay) % 4).collect();
+    zones.sort_unstable();
+    assert_eq!(zones, [0, 1, 2]);
+    assert!(relays.iter().all(|relay| number_of(relay) < 12), "{relays:?}");
+}
+
+#[test]
+fn an_entry_first_asks_the_relay_of_its_zone() {
+    let (mut first_of_d, relays) = (Vec::new(), list_of_zones(39).relays());
+    for own in (0..40).filter(|own| !relays.contains(&host(*own))) {
+        let asked = list_of_zones(own).asked();
+        let first = number_of(&asked[0].0);
+        assert!(relays.contains(&host(first)) && asked.len() == 5);
+        if own % 4 == 3 {
+            first_of_d.push(first);
+        } else {
+            assert_eq!(first % 4, own % 4, "of entry {own}");
+        }
+    }
+    // Those that have none in their zone share the others.
+    first_of_d.sort_unstable();
+    first_of_d.dedup();
+    assert!(first_of_d.len() > 1);
+}
+
 #[test]
 fn a_link_rate_has_its_unit() {
     let rate = |text: &str| text.parse::<LinkRate>();
