Rows of news are packed together: a list of upstreams is many short rows that are much alike

Hypothesis: the list of some 3,000 upstreams, read by each entry at its start and at each restart, from others as far as they are known.

--- a/crates/gateway/src/peers/feed_copies.rs
+++ b/crates/gateway/src/peers/feed_copies.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::btree_map::Entry;
+use std::io;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -103,6 +104,8 @@
 #[derive(Debug, Default)]
 pub struct FeedCopies {
     copies: Mutex<Copies>,
+    /// All rows of a feed at a version, packed: all entries that start at once ask for the same.
+    packed_wholes: Mutex<HashMap<Feed, (StoreVersion, Bytes)>>,
     changed: Notify,
 }
 
@@ -221,6 +224,25 @@
         if row.row().version == version { row.pack_for(held) } else { None }
     }
 
+    /// All rows of a feed at a version, as they were packed last, or packed now.
+    ///
+    /// # Errors
+    /// Fails when the packing does.
+    pub(super) fn packed_whole(
+        &self,
+        feed: Feed,
+        version: StoreVersion,
+        pack: impl FnOnce() -> io::Result<Bytes>,
+    ) -> io::Result<Bytes> {
+        let mut wholes = self.packed_wholes.lock();
+        if let Some((_, packed)) = wholes.get(&feed).filter(|(known, _)| *known == version) {
+            return Ok(packed.clone());
+        }
+        let packed = pack()?;
+        wholes.insert(feed, (version, packed.clone()));
+        Ok(packed)
+    }
+
     /// Waits until a copy changes, or is read again, after this call: to be called before
     /// the copy is looked at.
     pub fn changed(&self) -> Notified<'_> {
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use prost::Message;
 use stallhoist_core::NameError;
 use stallhoist_core::ServiceName;
 use stallhoist_core::StoreVersion;
@@ -12,6 +13,8 @@
 use stallhoist_policy::rollout::VersionCounts;
 
 use super::feed_copies::FeedCopies;
+use super::packing::PACKED_FROM_BYTES;
+use super::packing::pack;
 use super::packing::unpack;
 use crate::control_store::ControlStoreError;
 use crate::control_store::Feed;
@@ -272,6 +275,17 @@
     /// The usual times of versions that are in force, if they were wanted.
     #[prost(message, repeated, tag = "9")]
     pub(super) times: Vec<TimeNews>,
+    /// The rows, packed together in place of one by one: [`Rows`].
+    #[prost(bytes = "bytes", optional, tag = "10")]
+    pub(super) packed_rows: Option<Bytes>,
+}
+
+/// Rows of a feed.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Rows {
+    /// The rows.
+    #[prost(message, repeated, tag = "1")]
+    pub(super) rows: Vec<Row>,
 }
 
 /// The usual time of a version that is in force, at a load.
@@ -346,6 +360,7 @@
             work: None,
             verdicts: Vec::new(),
             times: Vec::new(),
+            packed_rows: None,
         }
     }
 
@@ -355,7 +370,9 @@
         values.map(Bytes::len).sum()
     }
 
-    /// Packs the values of large rows for the one that has asked.
+    /// Packs large rows by themselves, as differences to what the one that has asked holds of
+    /// them, and then all rows together: a list of 3,000 upstreams has as many short rows that
+    /// are much alike.
     pub(super) fn pack(&mut self, feed: Feed, ask: &Ask, copies: &FeedCopies) {
         if !ask.is_unpacking {
             return;
@@ -371,6 +388,22 @@
             row.packed = Some(PackedValue { bytes, base_version });
             row.value = None;
         }
+        if self.rows.iter().map(Message::encoded_len).sum::<usize>() < PACKED_FROM_BYTES {
+            return;
+        }
+        let rows = Rows { rows: std::mem::take(&mut self.rows) };
+        let is_whole = ask.after.is_none() && ask.held.is_empty();
+        let version = StoreVersion(self.version);
+        let pack_rows = || pack(&rows.encode_to_vec(), None);
+        let packed =
+            if is_whole { copies.packed_whole(feed, version, pack_rows) } else { pack_rows() };
+        match packed {
+            Ok(packed) => self.packed_rows = Some(packed),
+            Err(error) => {
+                log::error!(error:% = error; "rows cannot be packed, they are sent as they are");
+                self.rows = rows.rows;
+            }
+        }
     }
 
     /// Unpacks the values that came packed.
@@ -378,6 +411,10 @@
     /// # Errors
     /// Fails when one cannot be unpacked, or is the difference to a value that is not held.
     pub(super) fn unpack(&mut self, feed: Feed, copies: &FeedCopies) -> io::Result<()> {
+        if let Some(packed) = self.packed_rows.take() {
+            let rows = Rows::decode(unpack(&packed, None)?);
+            self.rows = rows.map_err(io::Error::other)?.rows;
+        }
         for row in &mut self.rows {
             let Some(packed) = row.packed.take() else {
                 continue;
--- a/tests/all/gateway/slow_links.rs
+++ b/tests/all/gateway/slow_links.rs
@@ -22,9 +22,12 @@
 use serde_json::json;
 use stallhoist_standins::Direction;
 use stallhoist_standins::FaultProxy;
+use stallhoist_standins::users_platform::Behaviour;
+use stallhoist_standins::users_platform::UpstreamStandin;
 
 use super::fleet::ENTRIES;
 use super::fleet::Fleet;
+use super::world::ENGINE;
 use super::world::add_routes;
 use super::world::config;
 use super::world::settings;
@@ -118,6 +121,20 @@
     assert!(took < SMALL_CHANGE_BYTES, "a small change took {took} bytes");
 });
 
+impl SlowFleet {
+    /// Starts an entry that does not reach the store, and asks the first one as a seed.
+    async fn start_without_the_store(&mut self) {
+        let store_link = FaultProxy::start(self.fleet.store.addr()).await.expect("a proxy starts");
+        store_link.hold(Direction::ToOpener);
+        let mut starting = settings(&self.fleet.store);
+        starting.host.id = format!("entry-{ENTRIES}").parse().expect("a name");
+        starting.store.addr = store_link.addr().to_string();
+        starting.seeds = vec![self.peer_links[0].addr().to_string()];
+        self.fleet.store_links.push(store_link);
+        self.fleet.entries.push(start_gateway_with(starting).await);
+    }
+}
+
 // It was never ready: a seed that needed longer than 0.4 s for the whole answer was given up too.
 case!(
     an_entry_that_starts_while_the_store_is_silent_gets_a_large_configuration_from_a_seed,
@@ -125,17 +142,36 @@
         let mut slow = SlowFleet::start().await;
         slow.fleet.store.put("op", "config", large_config(2));
         slow.fleet.wait_for_version(2).await;
-        let store_link = FaultProxy::start(slow.fleet.store.addr()).await.expect("a proxy starts");
-        store_link.hold(Direction::ToOpener);
-        let mut starting = settings(&slow.fleet.store);
-        starting.host.id = format!("entry-{ENTRIES}").parse().expect("a name");
-        starting.store.addr = store_link.addr().to_string();
-        starting.seeds = vec![slow.peer_links[0].addr().to_string()];
-        slow.fleet.entries.push(start_gateway_with(starting).await);
+        slow.start_without_the_store().await;
         slow.fleet.wait_for_version(2).await;
     }
 );
 
+// At 300 hosts, lists of upstreams that entries read at a start were most of what they sent each
+// other: each row is short, and all are much alike.
+case!(an_entry_that_starts_is_told_a_long_list_of_upstreams_in_few_bytes, async {
+    const UPSTREAMS: usize = 500;
+    const FEW_BYTES: usize = 30_000;
+    let mut slow = SlowFleet::start().await;
+    let upstream = UpstreamStandin::start("i-0", Behaviour::stream(1)).await.expect("it starts");
+    let entry = upstream.entry(ENGINE, "zone-1", "v1", "ready");
+    let list_bytes = entry.to_string().len() * UPSTREAMS;
+    assert!(list_bytes > 2 * FEW_BYTES, "the list has {list_bytes} bytes");
+    for n in 0..UPSTREAMS {
+        slow.fleet.store.put("servers", &format!("i-{n}"), entry.clone());
+    }
+    let know_all = async |fleet: &Fleet| {
+        let dumps = fleet.dumps().await;
+        dumps.iter().all(|dump| dump["upstreams"].as_array().is_some_and(|l| l.len() == UPSTREAMS))
+    };
+    wait_until("all know the upstreams", async || know_all(&slow.fleet).await).await;
+    let before = slow.peer_links[0].passed_bytes(Direction::ToOpener);
+    slow.start_without_the_store().await;
+    wait_until("the one that starts knows them", async || know_all(&slow.fleet).await).await;
+    let took = slow.peer_links[0].passed_bytes(Direction::ToOpener) - before;
+    assert!(took < FEW_BYTES, "{took} bytes for a list of {list_bytes}");
+});
+
 // Connections that are open fall silent for good, without a reset; new ones work.
 case!(news_come_in_time_although_open_connections_between_entries_fall_silent, async {
     // The bound on a configuration is 2 s.
