Reading the change again: what an entry answers has a file of its own, a rank is a type, one bound on a transfer

The order of relays was a tuple; the bound of 20 s stood twice, the size of values too; earlier values are dropped in a loop that can be read. Rows of more than 8 MB together are sent as they are, as the receiver unpacks no more than that. Behaviour is else the same.

--- /dev/null
+++ b/crates/gateway/src/peers/answer.rs
@@ -0,0 +1,195 @@
+//! What an entry that is asked answers, and how its rows travel.
+
+use std::io;
+
+use bytes::Bytes;
+use prost::Message;
+use stallhoist_core::StoreVersion;
+
+use super::feed_copies::FeedCopies;
+use super::messages::Ask;
+use super::messages::Session;
+use super::messages::TimeNews;
+use super::messages::VerdictNews;
+use super::messages::WorkNews;
+use super::packing::MAX_VALUE_BYTES;
+use super::packing::PACKED_FROM_BYTES;
+use super::packing::pack;
+use super::packing::unpack;
+use crate::control_store::ControlStoreError;
+use crate::control_store::Feed;
+use crate::control_store::FeedPage;
+use crate::control_store::FeedRow;
+
+/// The answer.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Answer {
+    /// Whether there is a fresh copy of the feed here.
+    #[prost(bool, tag = "1")]
+    pub(super) has_copy: bool,
+    /// Whether changes after the version are no longer known.
+    #[prost(bool, tag = "2")]
+    pub(super) is_history_gone: bool,
+    /// The rows.
+    #[prost(message, repeated, tag = "3")]
+    pub(super) rows: Vec<Row>,
+    /// The version to continue from.
+    #[prost(uint64, tag = "4")]
+    pub(super) version: u64,
+    /// The store's clock, in milliseconds.
+    #[prost(uint64, tag = "5")]
+    pub(super) store_now_ms: u64,
+    /// Sessions that stay on the old version of a service, as far as they are known here.
+    #[prost(message, repeated, tag = "6")]
+    pub(super) sessions: Vec<Session>,
+    /// The work that all entries but the one that asked have in progress, if it told its own.
+    #[prost(message, optional, tag = "7")]
+    pub(super) work: Option<WorkNews>,
+    /// What is known here of the ends of roll-outs, in the same case.
+    #[prost(message, repeated, tag = "8")]
+    pub(super) verdicts: Vec<VerdictNews>,
+    /// The usual times of versions that are in force, if they were wanted.
+    #[prost(message, repeated, tag = "9")]
+    pub(super) times: Vec<TimeNews>,
+    /// The rows, packed together in place of one by one: [`Rows`].
+    #[prost(bytes = "bytes", optional, tag = "10")]
+    pub(super) packed_rows: Option<Bytes>,
+}
+
+/// Rows of a feed.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Rows {
+    /// The rows.
+    #[prost(message, repeated, tag = "1")]
+    pub(super) rows: Vec<Row>,
+}
+
+/// A row of a feed.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Row {
+    /// Its key.
+    #[prost(string, tag = "1")]
+    pub(super) key: String,
+    /// Its value; absent when it was removed or comes packed.
+    #[prost(bytes = "bytes", optional, tag = "2")]
+    pub(super) value: Option<Bytes>,
+    /// The store's version at its last change.
+    #[prost(uint64, tag = "3")]
+    pub(super) version: u64,
+    /// Its packed value.
+    #[prost(message, optional, tag = "4")]
+    pub(super) packed: Option<PackedValue>,
+}
+
+/// A packed value.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct PackedValue {
+    /// The value, or its difference to an earlier one.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub(super) bytes: Bytes,
+    /// The version of the earlier value; absent when it is whole.
+    #[prost(uint64, optional, tag = "2")]
+    pub(super) base_version: Option<u64>,
+}
+
+impl Answer {
+    pub(super) fn of(page: FeedPage) -> Self {
+        let row = |row: FeedRow| Row {
+            key: row.key,
+            value: row.value,
+            version: row.version.0,
+            packed: None,
+        };
+        Self {
+            has_copy: true,
+            is_history_gone: false,
+            rows: page.rows.into_iter().map(row).collect(),
+            version: page.version.0,
+            store_now_ms: page.store_now_ms,
+            sessions: Vec::new(),
+            work: None,
+            verdicts: Vec::new(),
+            times: Vec::new(),
+            packed_rows: None,
+        }
+    }
+
+    /// Packs large rows by themselves, as differences to what the one that has asked holds of
+    /// them, and then all rows together: a list of 3,000 upstreams has as many short rows that
+    /// are much alike.
+    pub(super) fn pack(&mut self, feed: Feed, ask: &Ask, copies: &FeedCopies) {
+        if !ask.is_unpacking {
+            return;
+        }
+        for row in &mut self.rows {
+            let held = ask.held.iter().find(|held| held.key == row.key);
+            let held = held.map(|held| StoreVersion(held.version));
+            let pack = copies.pack_for(feed, &row.key, StoreVersion(row.version), held);
+            let Some((pack, bytes)) = pack.and_then(|pack| pack.packed().map(|b| (pack, b))) else {
+                continue;
+            };
+            let base_version = pack.base_version.map(|version| version.0);
+            row.packed = Some(PackedValue { bytes, base_version });
+            row.value = None;
+        }
+        let rows_bytes: usize = self.rows.iter().map(Message::encoded_len).sum();
+        if !(PACKED_FROM_BYTES..=MAX_VALUE_BYTES).contains(&rows_bytes) {
+            return;
+        }
+        let rows = Rows { rows: std::mem::take(&mut self.rows) };
+        let is_whole = ask.after.is_none() && ask.held.is_empty();
+        let version = StoreVersion(self.version);
+        let pack_rows = || pack(&rows.encode_to_vec(), None);
+        let packed =
+            if is_whole { copies.packed_whole(feed, version, pack_rows) } else { pack_rows() };
+        match packed {
+            Ok(packed) => self.packed_rows = Some(packed),
+            Err(error) => {
+                log::error!(error:% = error; "rows cannot be packed, they are sent as they are");
+                self.rows = rows.rows;
+            }
+        }
+    }
+
+    /// Unpacks the values that came packed.
+    ///
+    /// # Errors
+    /// Fails when one cannot be unpacked, or is the difference to a value that is not held.
+    pub(super) fn unpack(&mut self, feed: Feed, copies: &FeedCopies) -> io::Result<()> {
+        if let Some(packed) = self.packed_rows.take() {
+            let rows = Rows::decode(unpack(&packed, None)?);
+            self.rows = rows.map_err(io::Error::other)?.rows;
+        }
+        for row in &mut self.rows {
+            let Some(packed) = row.packed.take() else {
+                continue;
+            };
+            let held = |version| copies.value(feed, &row.key, StoreVersion(version));
+            let base = packed.base_version.map(|version| {
+                held(version).ok_or_else(|| io::Error::other("its base is not held"))
+            });
+            row.value = Some(unpack(&packed.bytes, base.transpose()?.as_deref())?);
+        }
+        Ok(())
+    }
+
+    /// The page that the answer carries.
+    ///
+    /// # Errors
+    /// [`ControlStoreError::HistoryGone`] when changes after the version are not known.
+    pub(super) fn into_page(self) -> Result<FeedPage, ControlStoreError> {
+        if self.is_history_gone {
+            return Err(ControlStoreError::HistoryGone);
+        }
+        let row = |row: Row| FeedRow {
+            key: row.key,
+            value: row.value,
+            version: StoreVersion(row.version),
+        };
+        Ok(FeedPage {
+            rows: self.rows.into_iter().map(row).collect(),
+            version: StoreVersion(self.version),
+            store_now_ms: self.store_now_ms,
+        })
+    }
+}
--- a/crates/gateway/src/peers/connection.rs
+++ b/crates/gateway/src/peers/connection.rs
@@ -13,9 +13,10 @@
 use tokio_util::codec::Framed;
 use tokio_util::codec::LengthDelimitedCodec;
 
-use super::messages::Answer;
+use super::answer::Answer;
 use super::messages::Ask;
 use super::messages::MAX_MESSAGE_BYTES;
+use crate::control_store::LONGEST_TRANSFER;
 use crate::tcp::SilenceLimits;
 use crate::tcp::tune;
 
@@ -28,10 +29,6 @@
 /// that carry ten copies of it in three seconds. Packets that are lost are sent again within this time.
 const LONGEST_REST: Duration = Duration::from_millis(500);
 
-/// The longest that an answer may take in all. The largest one takes 6.7 s over a link of
-/// 10 Mbit/s that carries nothing else.
-const LONGEST_TRANSFER: Duration = Duration::from_secs(20);
-
 /// When the host at the other end is taken for gone. The one that asks has shorter waits of its
 /// own; this ends what is kept for one that has gone without a word.
 const PEER_SILENCE: SilenceLimits = SilenceLimits {
--- a/crates/gateway/src/peers/list.rs
+++ b/crates/gateway/src/peers/list.rs
@@ -18,11 +18,22 @@
 /// some that are listed may be gone.
 const MAX_ASKED: usize = 5;
 
-/// The order in which entries are relays: those with the fastest links first, as a relay sends
+/// Where an entry stands in the order in which entries are relays: those with the fastest links first, as a relay sends
 /// news to all that ask it. By the hash alone, three of 32 entries with 10 Mbit/s each sent them
 /// while six had 200, and news of 0.75 MB took 0.8 s to reach the relays. Among equals a hash
 /// of the host decides, which all entries compute alike.
-type Rank = (Reverse<LinkRate>, u64, HostId);
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    link: Reverse<LinkRate>,
+    hash: u64,
+    host: HostId,
+}
+
+impl Rank {
+    fn of(entry: &ListedEntry) -> Self {
+        Self { link: Reverse(entry.link), hash: hash_of(&entry.host), host: entry.host.clone() }
+    }
+}
 
 /// The entries of the system.
 #[derive(Debug)]
@@ -42,7 +53,7 @@
     /// An entry listed itself.
     pub fn listed(&mut self, entry: ListedEntry) {
         self.entries.retain(|(_, known)| known.host != entry.host);
-        let rank = rank_of(&entry);
+        let rank = Rank::of(&entry);
         let place = self.entries.partition_point(|(known, _)| *known < rank);
         self.entries.insert(place, (rank, entry));
     }
@@ -81,9 +92,7 @@
         if self.entries.len() <= RELAYS || is_relay {
             return Vec::new();
         }
-        let is_other = |entry: &&ListedEntry| {
-            entry.host != self.own && !relays.iter().any(|relay| relay.host == entry.host)
-        };
+        let is_other = |entry: &&ListedEntry| entry.host != self.own && !relays.contains(entry);
         let others: Vec<_> = self.in_order().filter(is_other).collect();
         let begin = hash_of(&self.own) as usize % relays.len().max(1);
         relays.rotate_left(begin);
@@ -103,10 +112,12 @@
                 relays.push(entry);
             }
         }
-        let rest = fast().filter(|entry| relays.iter().all(|relay| relay.host != entry.host));
-        let rest: Vec<_> = rest.collect();
-        relays.extend(rest);
         relays.truncate(RELAYS);
+        for entry in fast() {
+            if relays.len() < RELAYS && !relays.contains(&entry) {
+                relays.push(entry);
+            }
+        }
         relays
     }
 
@@ -116,10 +127,6 @@
     }
 }
 
-fn rank_of(entry: &ListedEntry) -> Rank {
-    (Reverse(entry.link), hash_of(&entry.host), entry.host.clone())
-}
-
 fn hash_of(host: &HostId) -> u64 {
     xxh3_64(host.as_str().as_bytes())
 }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -4,13 +4,17 @@
 //! a large fleet a few entries follow the store and answer the others, which ask them as
 //! they would ask the store. An entry that gets no fresh answer asks the store itself.
 //!
-//! Which entries follow the store comes from the system's own list of entries, ordered by
-//! a hash that all compute alike: no election, and two that disagree only ask the store
-//! more often than they need.
+//! Which entries follow the store comes from the system's own list of entries, in an order that
+//! all compute alike (fast links first, one of each availability zone, then a hash): no election,
+//! and two that disagree only ask the store more often than they need.
+//!
+//! News travel packed, large values as differences to what the asker holds; a transfer is judged
+//! by its progress, not by the time that it takes in all.
 //!
 //! An entry that starts while the store is away knows nobody. It asks the seeds of its
 //! settings for what they knew last, which is what they serve by themselves.
 
+mod answer;
 mod connection;
 mod evidence;
 mod feed_copies;
--- a/crates/gateway/src/peers/relayed_store.rs
+++ b/crates/gateway/src/peers/relayed_store.rs
@@ -10,6 +10,7 @@
 use stallhoist_core::StoreVersion;
 use tokio::sync::Mutex;
 
+use super::answer::Answer;
 use super::connection::PeerError;
 use super::connection::connect;
 use super::connection::exchange;
@@ -17,7 +18,6 @@
 use super::evidence::own_evidence;
 use super::evidence::take_sessions;
 use super::feed_copies::Origin;
-use super::messages::Answer;
 use super::messages::Ask;
 use super::messages::HeldRow;
 use super::messages::feed_number;
@@ -67,6 +67,13 @@
 /// News of so many bytes have a log line of their own: what takes long to come shows there.
 const LARGE_NEWS_BYTES: usize = 32 << 10;
 
+/// An answer, unpacked, and the bytes that it took on its way.
+#[derive(Debug)]
+struct Arrived {
+    answer: Answer,
+    travelled_bytes: usize,
+}
+
 /// The store, through another entry where that answers.
 #[derive(Debug)]
 pub(crate) struct RelayedStore<S> {
@@ -99,8 +106,7 @@
             if route.is_skipped(self.state.now(), addr) {
                 continue;
             }
-            if let Some(answer) = self.fresh_answer(&mut route, addr, feed, after).await {
-                let page = answer.into_page();
+            if let Some(page) = self.fresh_page(&mut route, addr, feed, after).await {
                 if let Ok(page) = &page {
                     self.keep(feed, page, after.is_none(), Origin::OtherEntry);
                 }
@@ -115,16 +121,22 @@
         None
     }
 
-    /// An entry's answer; none when it does not answer or has no fresh copy.
-    async fn fresh_answer(
+    /// What an entry answers; none when it does not answer or has no fresh copy.
+    async fn fresh_page(
         &self,
         route: &mut Route,
         addr: SocketAddr,
         feed: Feed,
         after: Option<StoreVersion>,
-    ) -> Option<Answer> {
+    ) -> Option<Result<FeedPage, ControlStoreError>> {
         match self.ask_peer(route, addr, feed, after).await {
-            Ok(answer) => answer.has_copy.then_some(answer),
+            Ok(arrived) if !arrived.answer.has_copy => None,
+            Ok(Arrived { answer, travelled_bytes }) => {
+                let page = answer.into_page();
+                let bytes = page.as_ref().map_or(0, FeedPage::value_bytes);
+                self.received(feed, Origin::OtherEntry, bytes, travelled_bytes);
+                Some(page)
+            }
             Err(error) => {
                 log::info!(
                     feed:? = feed,
@@ -153,7 +165,7 @@
         addr: SocketAddr,
         feed: Feed,
         after: Option<StoreVersion>,
-    ) -> Result<Answer, PeerError> {
+    ) -> Result<Arrived, PeerError> {
         if route.connection.as_ref().is_none_or(|(connected, _)| *connected != addr) {
             route.connection = Some((addr, connect(addr).await?));
         }
@@ -173,10 +185,9 @@
         let mut answer = exchange(connection, &ask, wait + ANSWER_SLACK).await?;
         let travelled_bytes = answer.encoded_len();
         answer.unpack(feed, &self.state.copies).map_err(PeerError::Unpackable)?;
-        self.received(feed, Origin::OtherEntry, answer.value_bytes(), travelled_bytes);
         take_sessions(&self.state, &answer.sessions);
         take_times(&self.state, &answer.times);
-        Ok(answer)
+        Ok(Arrived { answer, travelled_bytes })
     }
 
     /// Counts news, and logs them if they are large.
--- a/crates/gateway/src/peers/row_copy.rs
+++ b/crates/gateway/src/peers/row_copy.rs
@@ -73,13 +73,13 @@
         if let Some(value) = before.value.filter(|value| value.len() >= PACKED_FROM_BYTES) {
             self.earlier.push_front((before.version, value));
         }
-        let mut bytes = 0;
-        let fits = |(n, (_, value)): (usize, &(_, Bytes))| {
-            bytes += value.len();
-            n < MAX_EARLIER && bytes <= MAX_EARLIER_BYTES
-        };
-        let kept = self.earlier.iter().enumerate().map(fits).take_while(|fits| *fits).count();
-        self.earlier.truncate(kept);
+        while self.earlier.len() > MAX_EARLIER || self.earlier_bytes() > MAX_EARLIER_BYTES {
+            self.earlier.pop_back();
+        }
+    }
+
+    fn earlier_bytes(&self) -> usize {
+        self.earlier.iter().map(|(_, value)| value.len()).sum()
     }
 
     /// The version that is held, if the value is worth a difference to it.
--- a/crates/gateway/src/peers/seeds.rs
+++ b/crates/gateway/src/peers/seeds.rs
@@ -5,11 +5,11 @@
 
 use prost::Message;
 
+use super::answer::Answer;
 use super::connection::PeerError;
 use super::connection::connect;
 use super::connection::exchange;
 use super::feed_copies::Origin;
-use super::messages::Answer;
 use super::messages::Ask;
 use super::messages::feed_number;
 use crate::control_store::Feed;
--- a/crates/gateway/src/peers/server.rs
+++ b/crates/gateway/src/peers/server.rs
@@ -14,12 +14,12 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
+use super::answer::Answer;
 use super::connection::PeerError;
 use super::connection::framed;
 use super::connection::send;
 use super::evidence::kept_sessions;
 use super::evidence::take_sessions;
-use super::messages::Answer;
 use super::messages::Ask;
 use super::messages::Evidence;
 use super::messages::WorkNews;
--- a/crates/gateway/src/peers/teller.rs
+++ b/crates/gateway/src/peers/teller.rs
@@ -5,11 +5,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::answer::Answer;
 use super::connection::Connection;
 use super::connection::PeerError;
 use super::connection::connect;
 use super::connection::exchange;
-use super::messages::Answer;
 use super::messages::Ask;
 
 /// Connections to the entries that are told something again and again.
