An entry that the store turns away asks other entries again at its next try

Cause: an entry that found no fresh copy asked the store for 8 s, whatever came of it: where the store turned away the three that follow it and this one, it stayed without news, though the store served others that could answer. Change: a failed call to the store ends that time.

--- a/crates/gateway/src/peers/relayed_store.rs
+++ b/crates/gateway/src/peers/relayed_store.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use prost::Message;
+use stallhoist_core::MonoTime;
 use stallhoist_core::StoreVersion;
 use tokio::sync::Mutex;
 
@@ -204,6 +205,22 @@
         }
     }
 
+    /// What the store itself has answered. Where it did not answer, other entries are asked again
+    /// at the next try: the store may turn this entry away and serve others. With the store asked
+    /// for 8 s all the same, one that was turned away had a configuration 9 s after the first.
+    async fn answered_by_store(
+        &self,
+        feed: Feed,
+        answer: Result<FeedPage, ControlStoreError>,
+    ) -> Result<FeedPage, ControlStoreError> {
+        let is_away =
+            matches!(&answer, Err(error) if !matches!(error, ControlStoreError::HistoryGone));
+        if let Some(route) = self.routes.get(&feed).filter(|_| is_away) {
+            route.lock().await.direct_until = MonoTime::default();
+        }
+        answer
+    }
+
     /// Keeps what the store itself has answered.
     fn keep_from_store(&self, feed: Feed, page: &FeedPage, is_whole: bool) {
         let bytes = page.value_bytes();
@@ -254,10 +271,11 @@
             self.keep(feed, &page, true, Origin::OtherEntry);
             return Ok(page);
         }
-        let page = match read {
-            Ok(read) => read?,
-            Err(_) => reading.await?,
+        let read = match read {
+            Ok(read) => read,
+            Err(_) => reading.await,
         };
+        let page = self.answered_by_store(feed, read).await?;
         self.keep_from_store(feed, &page, true);
         Ok(page)
     }
@@ -280,7 +298,8 @@
         let wait = if is_asked { wait.min(FRESH_WAIT) } else { wait };
         let is_reached = self.state.copies.is_from_store(feed);
         let wait = if is_reached { wait } else { wait.min(FIRST_DIRECT_WAIT) };
-        let page = self.store.follow(feed, after, wait).await?;
+        let page = self.store.follow(feed, after, wait).await;
+        let page = self.answered_by_store(feed, page).await?;
         self.keep_from_store(feed, &page, false);
         Ok(page)
     }
--- a/tests/all/gateway/peers.rs
+++ b/tests/all/gateway/peers.rs
@@ -223,6 +223,33 @@
     assert!(put.elapsed() < BOUND, "it took {:?}", put.elapsed());
 });
 
+// The store turned away the three entries that follow it, and one of those that ask them: this one
+// went on asking the store for 8 s, though others that the store served could have answered.
+case!(an_entry_that_the_store_turns_away_asks_others_again, async {
+    const BOUND: Duration = Duration::from_secs(4);
+    let fleet = Fleet::start().await;
+    fleet.wait_for_asking_the_store(3).await;
+    let is_direct = |dump: &Value| dump["news_from"]["Operators"] == "store";
+    let dumps = fleet.dumps().await;
+    let asking = dumps.iter().position(|dump| !is_direct(dump)).expect("some ask others");
+    let turned_away = |n: usize| n == asking || is_direct(&dumps[n]);
+    for n in (0..ENTRIES).filter(|n| turned_away(*n)) {
+        fleet.store_links[n].sever();
+    }
+    wait_until("those that are served ask the store", async || {
+        let dumps = fleet.dumps().await;
+        (0..ENTRIES).filter(|n| !turned_away(*n)).all(|n| is_direct(&dumps[n]))
+    })
+    .await;
+    fleet.store.put("op", "config", config(2));
+    let put = Instant::now();
+    wait_until("the one that is turned away has the news", async || {
+        fleet.dumps().await[asking]["config_version"] == 2
+    })
+    .await;
+    assert!(put.elapsed() < BOUND, "it took {:?}", put.elapsed());
+});
+
 /// In a fleet of so many entries, the work that one of them has in progress is known to all
 /// others, and forgotten by them when it has ended.
 macro_rules! work_is_known_to_all {
