--- a/tests/all/gateway/fleet.rs
+++ b/tests/all/gateway/fleet.rs
@@ -103,6 +103,15 @@
         .await;
     }
 
+    /// Waits until all entries know the record of a roll-out.
+    pub(super) async fn wait_for_record(&self) {
+        wait_until("all know the record", async || {
+            let dumps = self.dumps().await;
+            dumps.iter().all(|dump| dump["rollouts"].as_array().is_some_and(|list| list.len() == 1))
+        })
+        .await;
+    }
+
     /// Whether all entries know an upstream.
     pub(super) async fn knows(&self, upstream: &str) -> bool {
         let dumps = self.dumps().await;
--- a/tests/all/gateway/peers.rs
+++ b/tests/all/gateway/peers.rs
@@ -63,11 +63,7 @@
     .await;
     let order = json!({ "service": ENGINE, "target_version": "v2", "duration_s": 600 });
     fleet.store.put("op", "rollout/engine", order);
-    wait_until("all know the record", async || {
-        let dumps = fleet.dumps().await;
-        dumps.iter().all(|dump| dump["rollouts"].as_array().is_some_and(|list| list.len() == 1))
-    })
-    .await;
+    fleet.wait_for_record().await;
     // Each entry in turn, until the new version has seen a few more of its requests.
     for entry in &fleet.entries {
         let target = new.runs() + SEEN_BY_EACH;
@@ -231,11 +227,7 @@
     fleet.wait_for_asking_the_store(3).await;
     let order = json!({ "service": ENGINE, "target_version": "v2", "duration_s": 600 });
     fleet.store.put("op", "rollout/engine", order);
-    wait_until("all know the record", async || {
-        let dumps = fleet.dumps().await;
-        dumps.iter().all(|dump| dump["rollouts"].as_array().is_some_and(|list| list.len() == 1))
-    })
-    .await;
+    fleet.wait_for_record().await;
     let dumps = fleet.dumps().await;
     let direct = dumps.iter().filter(|dump| dump["news_from"]["Rollouts"] == "store").count();
     assert_eq!(direct, 3, "entries that read the records from the store");
