--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -143,7 +143,7 @@
         r.register("config_version", "Configuration in force", self.config_version.clone());
         r.register("upstreams", "Upstreams that are known", self.upstreams.clone());
         r.register("store_failures", "Failed calls to the store", self.store_failures.clone());
-        let help = "Bytes of values that came from the store or from other entries";
+        let help = "Bytes of news from other entries as they travel, and of values from the store";
         r.register("news_bytes", help, self.news_bytes.clone());
         let help = "Time from arrival to the first part of the answer";
         r.register("first_part_seconds", help, self.first_part_s.clone());
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -349,6 +349,12 @@
         }
     }
 
+    /// The size of its values, as they are.
+    pub(super) fn value_bytes(&self) -> usize {
+        let values = self.rows.iter().filter_map(|row| row.value.as_ref());
+        values.map(Bytes::len).sum()
+    }
+
     /// Packs the values of large rows for the one that has asked.
     pub(super) fn pack(&mut self, feed: Feed, ask: &Ask, copies: &FeedCopies) {
         if !ask.is_unpacking {
--- a/crates/gateway/src/peers/relayed_store.rs
+++ b/crates/gateway/src/peers/relayed_store.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use prost::Message;
 use stallhoist_core::StoreVersion;
 use tokio::sync::Mutex;
 
@@ -139,11 +140,6 @@
     /// Keeps a copy of what was read: of the whole feed, or of its changes.
     fn keep(&self, feed: Feed, page: &FeedPage, is_whole: bool, origin: Origin) {
         let now = self.state.now();
-        let bytes = page.value_bytes();
-        self.state.metrics.news_received(origin, bytes);
-        if bytes >= LARGE_NEWS_BYTES {
-            log::info!(feed:? = feed, origin:? = origin, bytes = bytes; "large news came");
-        }
         if is_whole {
             self.state.copies.replace(now, feed, page, origin);
         } else {
@@ -175,12 +171,36 @@
             ..self.news_for(feed)
         };
         let mut answer = exchange(connection, &ask, wait + ANSWER_SLACK).await?;
+        let travelled_bytes = answer.encoded_len();
         answer.unpack(feed, &self.state.copies).map_err(PeerError::Unpackable)?;
+        self.received(feed, Origin::OtherEntry, answer.value_bytes(), travelled_bytes);
         take_sessions(&self.state, &answer.sessions);
         take_times(&self.state, &answer.times);
         Ok(answer)
     }
 
+    /// Counts news, and logs them if they are large.
+    fn received(&self, feed: Feed, origin: Origin, bytes: usize, travelled_bytes: usize) {
+        self.state.metrics.news_received(origin, travelled_bytes);
+        if bytes >= LARGE_NEWS_BYTES {
+            log::info!(
+                feed:? = feed,
+                origin:? = origin,
+                bytes = bytes,
+                travelled_bytes = travelled_bytes;
+                "large news came"
+            );
+        }
+    }
+
+    /// Keeps what the store itself has answered.
+    fn keep_from_store(&self, feed: Feed, page: &FeedPage, is_whole: bool) {
+        let bytes = page.value_bytes();
+        self.received(feed, Origin::Store, bytes, bytes);
+        self.state.news_from.lock().insert(feed, None);
+        self.keep(feed, page, is_whole, Origin::Store);
+    }
+
     /// The large rows that are held of a feed.
     fn held(&self, feed: Feed) -> Vec<HeldRow> {
         let held = self.state.copies.held(feed).into_iter();
@@ -227,8 +247,7 @@
             Ok(read) => read?,
             Err(_) => reading.await?,
         };
-        self.state.news_from.lock().insert(feed, None);
-        self.keep(feed, &page, true, Origin::Store);
+        self.keep_from_store(feed, &page, true);
         Ok(page)
     }
 
@@ -251,8 +270,7 @@
         let is_reached = self.state.copies.is_from_store(feed);
         let wait = if is_reached { wait } else { wait.min(FIRST_DIRECT_WAIT) };
         let page = self.store.follow(feed, after, wait).await?;
-        self.state.news_from.lock().insert(feed, None);
-        self.keep(feed, &page, false, Origin::Store);
+        self.keep_from_store(feed, &page, false);
         Ok(page)
     }
 
--- a/crates/gateway/src/peers/seeds.rs
+++ b/crates/gateway/src/peers/seeds.rs
@@ -3,9 +3,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use prost::Message;
+
 use super::connection::PeerError;
 use super::connection::connect;
 use super::connection::exchange;
+use super::feed_copies::Origin;
 use super::messages::Answer;
 use super::messages::Ask;
 use super::messages::feed_number;
@@ -42,6 +45,7 @@
     let ask =
         Ask { feed: feed_number(feed), is_any_age: true, is_unpacking: true, ..Ask::default() };
     let mut answer = exchange(&mut connect(addr).await?, &ask, BEGINS_WITHIN).await?;
+    state.metrics.news_received(Origin::OtherEntry, answer.encoded_len());
     answer.unpack(feed, &state.copies).map_err(PeerError::Unpackable)?;
     Ok(answer)
 }
