--- a/crates/gateway/src/callers/handler.rs
+++ b/crates/gateway/src/callers/handler.rs
@@ -1,6 +1,7 @@
 //! One request of a caller: checked, forwarded, answered.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -103,6 +104,7 @@
         headers: parts.headers,
         body,
         route,
+        fingerprint: OnceLock::new(),
     })
 }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -98,6 +98,7 @@
     pub(crate) attempts: Family<AttemptLabels, Counter>,
     pub(crate) streams_resumed: Counter,
     pub(crate) streams_broken: Counter,
+    pub(crate) upstream_ends: Counter,
     pub(crate) in_progress: Gauge,
     pub(crate) config_version: Gauge,
     pub(crate) upstreams: Gauge,
@@ -120,6 +121,7 @@
             attempts: Family::default(),
             streams_resumed: Counter::default(),
             streams_broken: Counter::default(),
+            upstream_ends: Counter::default(),
             in_progress: Gauge::default(),
             config_version: Gauge::default(),
             upstreams: Gauge::default(),
@@ -141,6 +143,8 @@
         r.register("attempts", "Attempts by how they ended", self.attempts.clone());
         r.register("streams_resumed", "Streams continued elsewhere", self.streams_resumed.clone());
         r.register("streams_broken", "Streams that broke off", self.streams_broken.clone());
+        let help = "Requests that broke off because their upstream's process had ended";
+        r.register("upstream_ends", help, self.upstream_ends.clone());
         r.register("in_progress", "Requests in progress", self.in_progress.clone());
         r.register("config_version", "Configuration in force", self.config_version.clone());
         r.register("upstreams", "Upstreams that are known", self.upstreams.clone());
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt of a request on one upstream.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 use stallhoist_policy::rollout::RequestKind;
 use stallhoist_policy::rollout::TimedPart;
 
+use super::Break;
 use super::Call;
 use super::WholeReply;
 use crate::dialect::AttemptHead;
@@ -43,6 +45,7 @@
     pub(crate) first: Option<EventFrames>,
     pub(crate) events: EventBuffer,
     pub(crate) start: StartId,
+    pub(crate) addr: SocketAddr,
     pub(crate) version: VersionName,
     /// Ends the work in the books when the stream is dropped.
     pub(crate) _work: WorkGuard,
@@ -60,7 +63,7 @@
     /// A stream has begun.
     Stream(Box<OpenStream>),
     /// It may have run, but its answer is lost.
-    Broken(String),
+    Broken(Break),
     /// It may have run, but nothing came in time.
     TimedOut,
 }
@@ -185,7 +188,7 @@
         let reply = match send(connection, outgoing).await {
             Ok(reply) => reply,
             Err(error @ SendError::NotSent) => return AttemptEnd::NotSent(error.to_string()),
-            Err(error @ SendError::Broken(_)) => return AttemptEnd::Broken(error.to_string()),
+            Err(SendError::Broken(error)) => return AttemptEnd::Broken(Break::connection(error)),
         };
         let head = self.state.dialect.read_reply(&reply.head);
         if let Some(load) = head.load {
@@ -195,11 +198,11 @@
             return AttemptEnd::NotRun(reply.head.status);
         }
         if head.id.as_deref() != Some(self.call.head.id.as_str()) {
-            return AttemptEnd::Broken("the reply is to another request".to_owned());
+            return AttemptEnd::Broken(Break::ToAnother);
         }
         let is_success = reply.head.status.is_success();
         if is_success && !head.is_sealed {
-            return AttemptEnd::Broken("the reply carries no seal".to_owned());
+            return AttemptEnd::Broken(Break::Unsealed);
         }
         work.prompt_read();
         if is_success && self.call.route.is_stream {
@@ -211,7 +214,7 @@
                 headers: self.state.dialect.caller_headers(&head.headers),
                 body,
             }),
-            Err(error) => AttemptEnd::Broken(error.to_string()),
+            Err(error) => AttemptEnd::Broken(error.into()),
         }
     }
 
@@ -225,7 +228,7 @@
         let mut events = EventBuffer::default();
         let first = match reply.next_events(&mut events).await {
             Ok(first) => first,
-            Err(error) => return AttemptEnd::Broken(error.to_string()),
+            Err(error) => return AttemptEnd::Broken(error.into()),
         };
         self.note_prompt();
         AttemptEnd::Stream(Box::new(OpenStream {
@@ -234,6 +237,7 @@
             first,
             events,
             start: self.chosen.start.clone(),
+            addr: self.chosen.addr,
             version: self.chosen.version.clone(),
             _work: work,
         }))
--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -1,6 +1,7 @@
 //! A request as it was taken from a caller.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 
 use bytes::Bytes;
 use http::HeaderMap;
@@ -8,6 +9,7 @@
 use http::Uri;
 use stallhoist_core::ModelName;
 use stallhoist_core::MonoTime;
+use stallhoist_core::RequestFingerprint;
 use stallhoist_core::ServiceName;
 use stallhoist_core::WorkspaceName;
 
@@ -34,9 +36,19 @@
     pub(crate) arrived: MonoTime,
     /// When its final answer is due.
     pub(crate) deadline: MonoTime,
+    /// What makes it the same request at its next try; worked out when it is first needed.
+    pub(crate) fingerprint: OnceLock<RequestFingerprint>,
 }
 
 impl Call {
+    /// What makes it the same request at its next try, here or at another entry.
+    pub(crate) fn fingerprint(&self) -> RequestFingerprint {
+        let target = self.target.path_and_query().map_or("/", |target| target.as_str());
+        let workspace = self.workspace.as_ref().map_or("", |workspace| workspace.as_str());
+        let of = || RequestFingerprint::of(self.method.as_str(), target, workspace, &self.body);
+        *self.fingerprint.get_or_init(of)
+    }
+
     /// The session that a request belongs to, if any.
     pub(crate) fn session(head: &CallHead) -> Option<SessionKey> {
         head.session.as_deref().map(SessionKey::of)
--- a/crates/gateway/src/request/execution/mod.rs
+++ b/crates/gateway/src/request/execution/mod.rs
@@ -1,6 +1,7 @@
 //! The attempts of one request, until it has its final answer.
 
 mod attempt_log;
+mod break_off;
 mod choice;
 
 use std::sync::Arc;
@@ -133,6 +134,9 @@
             let end = self.attempt(&chosen).await;
             let took = self.state.now().since(started);
             self.log_attempt(&chosen, took, &end);
+            if let AttemptEnd::Broken(cause) = &end {
+                self.after_break(&chosen.start, chosen.addr, cause).await;
+            }
             if let Some(answer) = self.after_attempt(chosen.start, end)? {
                 return Ok(answer);
             }
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -1,6 +1,7 @@
 //! One request, from its head to its final answer.
 
 mod attempt;
+mod broken;
 mod call;
 mod execution;
 mod model_choice;
@@ -8,6 +9,7 @@
 mod pace_watch;
 mod relay;
 
+pub(crate) use broken::Break;
 pub(crate) use call::Call;
 pub(crate) use execution::Execution;
 pub(crate) use outcome::GiveUp;
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -10,6 +10,7 @@
 use http::StatusCode;
 use stallhoist_policy::balance::Evidence;
 
+use super::Break;
 use super::Execution;
 use super::attempt::OpenStream;
 use super::pace_watch::PaceSubject;
@@ -78,7 +79,7 @@
                     self.ended(RequestEnd::Answered, "complete");
                     return Ok(None);
                 }
-                Err(reason) => self.resume(reason).await?,
+                Err(cause) => self.resume(cause).await?,
             }
         }
     }
@@ -90,7 +91,7 @@
 
     /// Reads from the upstream until an event is whole. How long it pauses shows how fast it
     /// generates; a pause that lasts is told of before it has ended.
-    async fn read(&mut self) -> Result<Option<EventFrames>, String> {
+    async fn read(&mut self) -> Result<Option<EventFrames>, Break> {
         let silence = self.allowed_silence();
         let state = Arc::clone(self.execution.state());
         let began = state.now();
@@ -106,11 +107,11 @@
             },
             None => next.await,
         };
-        let events = read.map_err(|_| "nothing came for too long".to_owned())?;
+        let events = read.map_err(|_| Break::Silent)?;
         if matches!(events, Ok(Some(_))) {
             self.pace.paused(state.now().since(began));
         }
-        events.map_err(|error| error.to_string())
+        events.map_err(Break::from)
     }
 
     fn allowed_silence(&self) -> Duration {
@@ -124,16 +125,17 @@
         }
     }
 
-    async fn resume(&mut self, reason: String) -> Result<(), RelayError> {
+    async fn resume(&mut self, cause: Break) -> Result<(), RelayError> {
         let state = self.execution.state().clone();
         state.upstreams.observe(state.now(), &self.stream.start, Evidence::Failed);
         log::info!(
             request = self.execution.call().head.id,
             instance:% = self.stream.start,
             last_event = self.last_event.unwrap_or(0),
-            reason;
+            reason:% = cause;
             "stream broke off"
         );
+        self.execution.after_break(&self.stream.start, self.stream.addr, &cause).await;
         match self.execution.resume(self.last_event).await {
             Ok(stream) => {
                 state.metrics.streams_resumed.inc();
--- a/crates/gateway/src/upstream/call.rs
+++ b/crates/gateway/src/upstream/call.rs
@@ -62,7 +62,7 @@
     pub(crate) async fn read_whole(
         self,
         max_bytes: usize,
-    ) -> Result<(response::Parts, Bytes), Box<dyn std::error::Error + Send + Sync>> {
+    ) -> Result<(response::Parts, Bytes), ReadError> {
         let Self { head, body, driver } = self;
         let whole = Limited::new(body, max_bytes).collect().await?;
         drop(driver);
@@ -70,6 +70,9 @@
     }
 }
 
+/// Why a body could not be read: the connection broke, or it is longer than allowed.
+pub(crate) type ReadError = Box<dyn std::error::Error + Send + Sync>;
+
 /// Why the rest of an event stream did not come.
 #[derive(Debug, Display, thiserror::Error)]
 pub(crate) enum StreamError {
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -11,6 +11,8 @@
 
 pub(crate) use call::OpenReply;
 pub(crate) use call::Outgoing;
+pub(crate) use call::ReadError;
+pub(crate) use call::StreamError;
 pub(crate) use call::send;
 pub(crate) use connection::ConnectSettings;
 pub(crate) use connection::Connection;
--- a/crates/gateway/src/upstreams/mod.rs
+++ b/crates/gateway/src/upstreams/mod.rs
@@ -179,6 +179,11 @@
         }
     }
 
+    /// Whether a start is known to be over.
+    pub(crate) fn is_over(&self, now: MonoTime, start: &StartId) -> bool {
+        self.known.lock().health.fitness(now, start) == Fitness::Over
+    }
+
     /// Waits until a start is found to be over.
     pub(crate) fn found_over(&self) -> Notified<'_> {
         self.found_over.notified()
--- /dev/null
+++ b/crates/standins/src/users_platform/end_rule.rs
@@ -0,0 +1,31 @@
+//! Requests that end the process that runs them.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+
+/// Which requests end an upstream's process, and how.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EndRule {
+    /// Requests whose body begins so.
+    pub body_prefix: Bytes,
+    /// The chance that one does, from 0 to 1.
+    pub chance: f64,
+    /// How long after the upstream has begun to run it. At once, no reply is sent; later, the answer
+    /// is under way.
+    pub after: Duration,
+    /// How long after its end the upstream starts again, at its address and under its id.
+    pub back_after: Duration,
+}
+
+impl EndRule {
+    /// Each request whose body begins so ends the process before it replies; it is back after 0.3 s.
+    pub fn of(body_prefix: &str) -> Self {
+        Self {
+            body_prefix: Bytes::from(body_prefix.to_owned()),
+            chance: 1.0,
+            after: Duration::ZERO,
+            back_after: Duration::from_millis(300),
+        }
+    }
+}
--- a/crates/standins/src/users_platform/server.rs
+++ b/crates/standins/src/users_platform/server.rs
@@ -1,9 +1,10 @@
-//! A small HTTP server whose connections a handler can cut.
+//! A small HTTP server whose connections a handler can cut, and which can end as a process does.
 
 use std::future::Future;
 use std::io;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use http::Request;
@@ -13,32 +14,74 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 
 /// The body of an answer. An error in it cuts the connection.
 pub(super) type Body = UnsyncBoxBody<Bytes, io::Error>;
 
-/// Serves on a free port of loopback until the set is dropped. A handler's error cuts the
-/// connection without an answer.
-pub(super) async fn serve<H, F>(handler: H) -> io::Result<(SocketAddr, JoinSet<()>)>
+/// A server on loopback. It ends when dropped.
+#[derive(Debug)]
+pub(super) struct Server {
+    addr: SocketAddr,
+    accepting: JoinSet<()>,
+    connections: Arc<Mutex<JoinSet<()>>>,
+}
+
+impl Server {
+    /// Serves on a free port. A handler's error cuts the connection without an answer.
+    ///
+    /// # Errors
+    /// Fails when no port can be listened on.
+    pub(super) async fn start<H, F>(handler: H) -> io::Result<Self>
+    where
+        H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+        F: Future<Output = Result<Response<Body>, io::Error>> + Send + 'static,
+    {
+        Self::start_at((Ipv4Addr::LOCALHOST, 0).into(), handler).await
+    }
+
+    /// Serves at an address.
+    ///
+    /// # Errors
+    /// Fails when it cannot be listened on.
+    pub(super) async fn start_at<H, F>(addr: SocketAddr, handler: H) -> io::Result<Self>
+    where
+        H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+        F: Future<Output = Result<Response<Body>, io::Error>> + Send + 'static,
+    {
+        let listener = TcpListener::bind(addr).await?;
+        let addr = listener.local_addr()?;
+        let connections = Arc::new(Mutex::new(JoinSet::new()));
+        let mut accepting = JoinSet::new();
+        accepting.spawn(accept(listener, Arc::clone(&connections), handler));
+        Ok(Self { addr, accepting, connections })
+    }
+
+    /// Where it listens.
+    pub(super) fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Ends as a process does: nothing listens any more, and all connections are cut.
+    pub(super) async fn end(mut self) {
+        self.accepting.shutdown().await;
+        self.connections.lock().abort_all();
+    }
+}
+
+async fn accept<H, F>(listener: TcpListener, connections: Arc<Mutex<JoinSet<()>>>, handler: H)
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Result<Response<Body>, io::Error>> + Send + 'static,
 {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
-    let addr = listener.local_addr()?;
-    let mut accepting = JoinSet::new();
-    accepting.spawn(async move {
-        let mut connections = JoinSet::new();
-        while let Ok((stream, _)) = listener.accept().await {
-            let service = service_fn(handler.clone());
-            let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            connections.spawn(async move {
-                // A connection that was cut on purpose ends in an error.
-                let _ = serving.await;
-            });
-        }
-    });
-    Ok((addr, accepting))
+    while let Ok((stream, _)) = listener.accept().await {
+        let service = service_fn(handler.clone());
+        let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        connections.lock().spawn(async move {
+            // A connection that was cut on purpose ends in an error.
+            let _ = serving.await;
+        });
+    }
 }
--- a/crates/standins/src/users_platform/store.rs
+++ b/crates/standins/src/users_platform/store.rs
@@ -21,10 +21,9 @@
 use serde_json::Value;
 use serde_json::json;
 use tokio::sync::Notify;
-use tokio::task::JoinSet;
 
 use super::server::Body;
-use super::server::serve;
+use super::server::Server;
 use super::store_state::StoreFault;
 use super::store_state::StoreState;
 
@@ -40,7 +39,19 @@
 pub struct StoreStandin {
     addr: SocketAddr,
     shared: Arc<Shared>,
-    _server: JoinSet<()>,
+    _server: Server,
+}
+
+/// Writes rows to a store.
+#[derive(Debug, Clone)]
+pub struct StoreWriter(Arc<Shared>);
+
+impl StoreWriter {
+    /// Writes a row, as an operator or an upstream would.
+    pub fn put(&self, table: &str, key: &str, value: Value) {
+        self.0.state.lock().put(table, key, value);
+        self.0.changed.notify_waiters();
+    }
 }
 
 impl StoreStandin {
@@ -55,8 +66,8 @@
             started: Instant::now(),
         });
         let of_handler = Arc::clone(&shared);
-        let (addr, server) = serve(move |request| handle(Arc::clone(&of_handler), request)).await?;
-        Ok(Self { addr, shared, _server: server })
+        let server = Server::start(move |request| handle(Arc::clone(&of_handler), request)).await?;
+        Ok(Self { addr: server.addr(), shared, _server: server })
     }
 
     /// Where it listens.
@@ -66,8 +77,12 @@
 
     /// Writes a row, as an operator or an upstream would.
     pub fn put(&self, table: &str, key: &str, value: Value) {
-        self.shared.state.lock().put(table, key, value);
-        self.shared.changed.notify_waiters();
+        self.writer().put(table, key, value);
+    }
+
+    /// Writes rows for upstreams that list themselves.
+    pub fn writer(&self) -> StoreWriter {
+        StoreWriter(Arc::clone(&self.shared))
     }
 
     /// Writes a row as another writer may: its value is not encoded, and goes out as it stands.
--- a/crates/standins/src/users_platform/store_state.rs
+++ b/crates/standins/src/users_platform/store_state.rs
@@ -115,6 +115,10 @@
             let value = bytes.ok().and_then(|bytes| serde_json::from_slice(&bytes).ok());
             self.set(&table, &key, value);
         }
+        for entry in list("remove") {
+            let (table, key) = key_of(&entry);
+            self.set(&table, &key, None);
+        }
         true
     }
 
--- a/crates/standins/src/users_platform/upstream.rs
+++ b/crates/standins/src/users_platform/upstream.rs
@@ -3,12 +3,16 @@
 use std::collections::VecDeque;
 use std::future::pending;
 use std::io;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::OnceLock;
+use std::sync::Weak;
 use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
+use futures_util::future::BoxFuture;
 use http::HeaderMap;
 use http::Request;
 use http::Response;
@@ -18,11 +22,12 @@
 use parking_lot::Mutex;
 use serde_json::Value;
 use serde_json::json;
-use tokio::task::JoinSet;
 
 use super::Behaviour;
+use super::EndRule;
+use super::StoreWriter;
 use super::server::Body;
-use super::server::serve;
+use super::server::Server;
 use super::upstream_reply::Events;
 use super::upstream_reply::Pace;
 use super::upstream_reply::cut_body;
@@ -55,6 +60,26 @@
     }
 }
 
+/// An end of an upstream's process by a request.
+#[derive(Debug, Clone)]
+pub struct End {
+    /// The body of the request.
+    pub body: Bytes,
+    /// When it was.
+    pub at: Instant,
+}
+
+/// What an upstream does that ends and starts again.
+#[derive(Debug, Clone)]
+struct Ending {
+    rule: EndRule,
+    /// Where it lists its starts, and its service.
+    list: StoreWriter,
+    service: String,
+    /// When its present start was, by its own clock.
+    born_ms: u64,
+}
+
 #[derive(Debug)]
 struct State {
     usual: Behaviour,
@@ -63,17 +88,30 @@
     runs: usize,
     running: u32,
     abandoned: usize,
+    ending: Option<Ending>,
+    ends: Vec<End>,
 }
 
-/// An upstream of the platform, on loopback. It ends when dropped.
 #[derive(Debug)]
-pub struct UpstreamStandin {
+struct Process {
     instance: String,
-    addr: SocketAddr,
+    /// That of its first start: all others are there as well.
+    addr: OnceLock<SocketAddr>,
     state: Arc<Mutex<State>>,
-    _server: JoinSet<()>,
+    /// None after it has ended, until it has started again.
+    server: Mutex<Option<Server>>,
 }
 
+/// An upstream of the platform, on loopback. It ends when dropped.
+#[derive(Debug)]
+pub struct UpstreamStandin {
+    process: Arc<Process>,
+}
+
+/// The first start of an upstream that tells when it was, and the time between two.
+const FIRST_BORN_MS: u64 = 1_760_000_000_000;
+const BORN_STEP_MS: u64 = 1_000;
+
 impl UpstreamStandin {
     /// Starts an upstream that does the same with each request.
     ///
@@ -87,56 +125,129 @@
             runs: 0,
             running: 0,
             abandoned: 0,
+            ending: None,
+            ends: Vec::new(),
         };
         let state = Arc::new(Mutex::new(state));
-        let of_handler = Arc::clone(&state);
-        let name = instance.to_owned();
-        let (addr, server) =
-            serve(move |request| handle(Arc::clone(&of_handler), name.clone(), request)).await?;
-        Ok(Self { instance: instance.to_owned(), addr, state, _server: server })
+        let instance = instance.to_owned();
+        let addr = OnceLock::new();
+        let process = Arc::new(Process { instance, addr, state, server: Mutex::new(None) });
+        process.start().await?;
+        Ok(Self { process })
+    }
+
+    /// From now on some requests end it. Each of its starts is listed in the store.
+    pub fn ends_on(&self, rule: EndRule, list: StoreWriter, service: &str) {
+        let service = service.to_owned();
+        let ending = Ending { rule, list, service, born_ms: FIRST_BORN_MS };
+        self.process.state.lock().ending = Some(ending);
+        self.process.list_start();
+    }
+
+    /// When requests have ended it.
+    pub fn ends(&self) -> Vec<End> {
+        self.process.state.lock().ends.clone()
     }
 
     /// The id of this start of it.
     pub fn instance(&self) -> &str {
-        &self.instance
+        &self.process.instance
     }
 
     /// Where it listens.
     pub fn addr(&self) -> SocketAddr {
-        self.addr
+        self.process.addr()
     }
 
     /// The entry that it would write into the list.
     pub fn entry(&self, service: &str, zone: &str, version: &str, state: &str) -> Value {
-        json!({
-            "service": service, "address": self.addr.to_string(), "zone": zone,
-            "version": version, "slots": 8, "state": state, "cold_remaining_ms": 0, "seq": 1,
-        })
+        self.process.entry(service, zone, version, state)
     }
 
     /// Does these with the next requests, one each; then as usual.
     pub fn then(&self, behaviours: impl IntoIterator<Item = Behaviour>) {
-        self.state.lock().next.extend(behaviours);
+        self.process.state.lock().next.extend(behaviours);
     }
 
     /// Does as usual from now on, whatever was to come.
     pub fn do_as_usual(&self) {
-        self.state.lock().next.clear();
+        self.process.state.lock().next.clear();
     }
 
     /// The requests that reached it.
     pub fn arrivals(&self) -> Vec<Arrival> {
-        self.state.lock().arrivals.clone()
+        self.process.state.lock().arrivals.clone()
     }
 
     /// How many requests it ran.
     pub fn runs(&self) -> usize {
-        self.state.lock().runs
+        self.process.state.lock().runs
     }
 
     /// How many requests were abandoned before their answer had ended.
     pub fn abandoned(&self) -> usize {
-        self.state.lock().abandoned
+        self.process.state.lock().abandoned
+    }
+}
+
+impl Process {
+    async fn start(self: &Arc<Self>) -> io::Result<()> {
+        let process = Arc::downgrade(self);
+        let handler = move |request| handle(process.clone(), request);
+        let server = Server::start_at(self.addr(), handler).await?;
+        let _ = self.addr.set(server.addr());
+        *self.server.lock() = Some(server);
+        Ok(())
+    }
+
+    /// Where it listens; any free port before it first has.
+    fn addr(&self) -> SocketAddr {
+        self.addr.get().copied().unwrap_or_else(|| (Ipv4Addr::LOCALHOST, 0).into())
+    }
+
+    fn entry(&self, service: &str, zone: &str, version: &str, state: &str) -> Value {
+        json!({
+            "service": service, "address": self.addr().to_string(), "zone": zone,
+            "version": version, "slots": 8, "state": state, "cold_remaining_ms": 0, "seq": 1,
+        })
+    }
+
+    /// Lists the present start.
+    fn list_start(&self) {
+        let Some(ending) = self.state.lock().ending.clone() else {
+            return;
+        };
+        let mut entry = self.entry(&ending.service, "zone-1", "v1", "ready");
+        entry["born"] = json!(ending.born_ms);
+        ending.list.put("servers", &self.instance, entry);
+    }
+
+    /// Ends by a request, and starts again after a while.
+    fn end_by(self: Arc<Self>, rule: EndRule, body: Bytes) -> BoxFuture<'static, ()> {
+        Box::pin(async move {
+            tokio::time::sleep(rule.after).await;
+            let Some(server) = self.server.lock().take() else {
+                return;
+            };
+            self.state.lock().ends.push(End { body, at: Instant::now() });
+            server.end().await;
+            tokio::time::sleep(rule.back_after).await;
+            if let Some(ending) = &mut self.state.lock().ending {
+                ending.born_ms += BORN_STEP_MS;
+            }
+            // Its address may be in use for a moment, by a connection that is being closed.
+            while self.start().await.is_err() {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+            self.list_start();
+        })
+    }
+
+    /// The rule by which a request ends the process, if it does.
+    fn end_rule(&self, body: &Bytes) -> Option<EndRule> {
+        let rule = self.state.lock().ending.as_ref().map(|ending| ending.rule.clone())?;
+        let is_meant = body.starts_with(&rule.body_prefix);
+        (is_meant && rand::random_bool(rule.chance)).then_some(rule)
     }
 }
 
@@ -166,19 +277,25 @@
     }
 }
 
-async fn handle(
-    state: Arc<Mutex<State>>,
-    instance: String,
-    request: Request<Incoming>,
-) -> io::Result<Response<Body>> {
+async fn handle(process: Weak<Process>, request: Request<Incoming>) -> io::Result<Response<Body>> {
+    let process = process.upgrade().ok_or_else(|| io::Error::other("the upstream has ended"))?;
+    let state = Arc::clone(&process.state);
     let (head, body) = request.into_parts();
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
     let path = head.uri.path_and_query().map(ToString::to_string).unwrap_or_default();
     let line = format!("{} {path}", head.method);
     let at = Instant::now();
     let mut arrival = Arrival { line, headers: head.headers, body, at, is_run: false };
-    let behaviour = take_next(&state, &mut arrival, &instance);
+    let behaviour = take_next(&state, &mut arrival, &process.instance);
     let mut running = Running::new(state);
+    if let Some(rule) = process.end_rule(&arrival.body).filter(|_| arrival.is_run) {
+        let is_at_once = rule.after.is_zero();
+        tokio::spawn(Arc::clone(&process).end_by(rule, arrival.body.clone()));
+        if is_at_once {
+            return pending().await;
+        }
+    }
+    drop(process);
     let id = arrival.header("request-id");
     let response = match behaviour {
         Behaviour::Stream { events, pause, confidence, torn_after } => {
