--- a/tests/all/gateway/fatal_requests.rs
+++ b/tests/all/gateway/fatal_requests.rs
@@ -7,6 +7,9 @@
 //! at another entry, which knew nothing of it. What runs beside such a request breaks off with it. The
 //! cause: what had happened was laid at the engines' doors alone, and nothing was kept of the request
 //! after its final answer, so that the next healthy engine was the best choice for it, again and again.
+//!
+//! The evidence: with upstreams that end on one body, that body reached upstreams 35 or 36 times after the
+//! third end, at one entry and at seven, and no other one stood under more than one end.
 
 use std::time::Duration;
 use std::time::Instant;
