A host that was suspended trusts nothing that is older than it seems

Cause: all time of decisions came from the steady clock, which stands still while a host is suspended, so each copy, key, session, rest and deadline was as fresh after a suspension as before it, and questions under way went on waiting by timers that had stood still. A question that is given up takes its connection with it, and no longer leaves its feed marked as waiting.

--- a/crates/gateway/src/control_store.rs
+++ b/crates/gateway/src/control_store.rs
@@ -192,6 +192,8 @@
     Conflict,
     /// the store no longer has the changes since that version
     HistoryGone,
+    /// this host was suspended meanwhile, the answer may be as old as that
+    Suspended,
 }
 
 /// The platform's store, as the gateway needs it.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -63,7 +63,8 @@
     async fn read_until_read(&mut self) -> StoreVersion {
         let mut pauses = pauses();
         loop {
-            match self.store.read(self.feed).await {
+            let reading = self.store.read(self.feed);
+            match self.state.awakening.uninterrupted(reading).await {
                 Ok(page) => {
                     self.reached();
                     let version = page.version;
@@ -81,7 +82,8 @@
         let mut failures = pauses();
         loop {
             self.wait_until_needed().await;
-            match self.store.follow(self.feed, after, self.wait()).await {
+            let following = self.store.follow(self.feed, after, self.wait());
+            match self.state.awakening.uninterrupted(following).await {
                 Ok(page) => {
                     self.reached();
                     failures = pauses();
@@ -240,9 +242,13 @@
             log::info!(feed:? = self.feed; "store reached");
         }
         self.is_reached = Some(true);
+        self.state.heard(self.feed);
     }
 
     fn failed(&mut self, error: &ControlStoreError) {
+        if matches!(error, ControlStoreError::Suspended) {
+            return;
+        }
         self.state.metrics.store_failures.inc();
         if self.is_reached != Some(false) {
             log::warn!(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! headers on the wire are the business of a [`dialect::Dialect`]. Gateways share the store,
 //! and in large fleets the news from it.
 //!
+//! - [`awakening`]: what an entry does after its host was suspended
 //! - [`routing`]: the routing configuration
 //! - [`members`]: the upstreams that are known
 //! - [`peers`]: news between entries
@@ -22,6 +23,7 @@
 //! - `upstream`: connections to upstreams
 //! - `callers`: the interface to callers
 
+pub mod awakening;
 mod callers;
 pub mod control_store;
 mod decision_log;
--- a/crates/gateway/src/peers/feed_copies.rs
+++ b/crates/gateway/src/peers/feed_copies.rs
@@ -123,6 +123,19 @@
     changed: Notify,
 }
 
+/// A question about the next change of a feed waits at the store.
+#[derive(Debug)]
+pub(super) struct Waiting<'a> {
+    copies: &'a FeedCopies,
+    feed: Feed,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.copies.set_waiting(self.feed, false);
+    }
+}
+
 impl FeedCopies {
     /// The whole feed was read.
     pub fn replace(&self, now: MonoTime, feed: Feed, page: &FeedPage, origin: Origin) {
@@ -170,6 +183,12 @@
         }
     }
 
+    /// The same, until the guard is dropped.
+    pub(super) fn wait(&self, feed: Feed) -> Waiting<'_> {
+        self.set_waiting(feed, true);
+        Waiting { copies: self, feed }
+    }
+
     /// Another entry asks.
     pub fn asked(&self, now: MonoTime) {
         self.copies.lock().asked_at = Some(now);
--- a/crates/gateway/src/peers/relayed_store.rs
+++ b/crates/gateway/src/peers/relayed_store.rs
@@ -223,11 +223,12 @@
         feed: Feed,
         after: Option<StoreVersion>,
     ) -> Result<Arrived, PeerError> {
-        if route.connection.as_ref().is_none_or(|(connected, _)| *connected != addr) {
-            route.connection = Some((addr, connect(addr).await?));
-        }
-        let Some((_, connection)) = &mut route.connection else {
-            return Err(PeerError::Closed);
+        // Taken out while a question is under way: the answer to one that is not waited for any more
+        // must not be taken for that to the next one.
+        let known = route.connection.take().filter(|(connected, _)| *connected == addr);
+        let mut connection = match known {
+            Some((_, connection)) => connection,
+            None => connect(addr).await?,
         };
         let (wait, slack) = match after {
             Some(_) => (self.wait_for(feed), ANSWER_SLACK),
@@ -242,7 +243,8 @@
             held: self.held(feed),
             ..self.news_for(feed)
         };
-        let mut answer = exchange(connection, &ask, wait + slack).await?;
+        let mut answer = exchange(&mut connection, &ask, wait + slack).await?;
+        route.connection = Some((addr, connection));
         let travelled_bytes = answer.encoded_len();
         answer.unpack(feed, &self.state.copies).map_err(PeerError::Unpackable)?;
         take_sessions(&self.state, &answer.sessions);
@@ -356,9 +358,9 @@
         let wait = if is_proof { wait.min(FRESH_WAIT) } else { wait };
         let is_reached = self.state.copies.is_from_store(feed);
         let wait = if is_reached { wait } else { wait.min(FIRST_DIRECT_WAIT) };
-        self.state.copies.set_waiting(feed, true);
+        let waiting = self.state.copies.wait(feed);
         let page = self.store.follow(feed, after, wait).await;
-        self.state.copies.set_waiting(feed, false);
+        drop(waiting);
         let page = self.answered_by_store(feed, page).await?;
         self.keep_from_store(feed, &page, false);
         Ok(page)
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use stallhoist_coordination::ProcessClock;
 use stallhoist_http::HttpServer;
 use stallhoist_http::ServerSettings;
 use stallhoist_settings::GatewaySettings;
@@ -93,11 +94,24 @@
         settings: GatewaySettings,
         dialect: Arc<dyn Dialect>,
         store: Arc<S>,
+    ) -> Result<Self, GatewayError> {
+        Self::start_with_clock(settings, dialect, store, ProcessClock::start()).await
+    }
+
+    /// The same, with a clock whose suspensions may be played.
+    ///
+    /// # Errors
+    /// As [`start`](Self::start).
+    pub async fn start_with_clock<S: ControlStore>(
+        settings: GatewaySettings,
+        dialect: Arc<dyn Dialect>,
+        store: Arc<S>,
+        clock: ProcessClock,
     ) -> Result<Self, GatewayError> {
         let callers_addr = parse_addr(&settings.callers_addr)?;
         let readiness = server_settings(&settings.readiness_addr)?;
         let operators = server_settings(&settings.operators_addr)?;
-        let state = Arc::new(GatewayState::new(settings, dialect));
+        let state = Arc::new(GatewayState::new(settings, dialect, clock));
         let peers_addr = parse_addr(&state.settings.peers_addr)?;
         let peers = PeerServer::start(peers_addr, Arc::clone(&state))
             .await
@@ -272,6 +286,7 @@
 async fn expire(state: Arc<GatewayState>) {
     loop {
         tokio::time::sleep(EXPIRE_EVERY).await;
+        state.awakening.look();
         let known = state.upstreams.expire(state.now());
         state.metrics.upstreams.set(i64::try_from(known).unwrap_or(i64::MAX));
     }
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -108,6 +108,7 @@
         let end = loop {
             tokio::select! {
                 end = answered.as_mut() => break end.unwrap_or(AttemptEnd::TimedOut),
+                () = self.slept_over() => break AttemptEnd::TimedOut,
                 () = self.overdue(started), if !is_overdue => {
                     is_overdue = true;
                     self.observe(Observation::Overdue);
@@ -118,6 +119,16 @@
         end
     }
 
+    /// Waits until the host wakes up after the request's deadline: timers stand still meanwhile.
+    async fn slept_over(&self) {
+        loop {
+            self.state.awakening.woken().await;
+            if self.state.now() >= self.call.deadline {
+                return;
+            }
+        }
+    }
+
     /// Waits until an answer is slow, if a roll-out wants to know. The load may grow meanwhile.
     async fn overdue(&self, started: MonoTime) {
         let service = &self.call.service_name;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -20,6 +20,7 @@
 use stallhoist_settings::GatewaySettings;
 use tokio::sync::Notify;
 
+use crate::awakening::Awakening;
 use crate::control_store::Feed;
 use crate::control_store::ListedEntry;
 use crate::decision_log::DecisionLog;
@@ -60,6 +61,7 @@
     pub(crate) copies: FeedCopies,
     pub(crate) metrics: Metrics,
     pub(crate) decisions: DecisionLog,
+    pub(crate) awakening: Awakening,
     clock: ProcessClock,
     config: RwLock<Option<Arc<RoutingConfig>>>,
     has_members: AtomicBool,
@@ -74,7 +76,11 @@
 }
 
 impl GatewayState {
-    pub(crate) fn new(settings: GatewaySettings, dialect: Arc<dyn Dialect>) -> Self {
+    pub(crate) fn new(
+        settings: GatewaySettings,
+        dialect: Arc<dyn Dialect>,
+        clock: ProcessClock,
+    ) -> Self {
         let session_lifetime = settings.session.as_duration() + SESSION_MARGIN;
         let zone = settings.host.zone.clone();
         let retries = &settings.retries;
@@ -92,7 +98,8 @@
             copies: FeedCopies::default(),
             metrics: Metrics::default(),
             decisions: DecisionLog::default(),
-            clock: ProcessClock::start(),
+            awakening: Awakening::new(clock.clone()),
+            clock,
             config: RwLock::new(None),
             has_members: AtomicBool::new(false),
             has_rollouts: AtomicBool::new(false),
@@ -158,7 +165,13 @@
     pub(crate) fn is_informed(&self) -> bool {
         let has_lists = self.has_members.load(Ordering::SeqCst)
             && self.has_fatal_requests.load(Ordering::SeqCst);
-        has_lists && self.config.read().is_some()
+        has_lists && self.config.read().is_some() && !self.awakening.is_catching_up()
+    }
+
+    /// News of a feed came.
+    pub(crate) fn heard(&self, feed: Feed) {
+        self.awakening.heard(feed);
+        self.informed.notify_waiters();
     }
 
     /// Waits until enough is known, for `longest` at most. Says whether it is.
--- a/tests/all/gateway/mod.rs
+++ b/tests/all/gateway/mod.rs
@@ -17,5 +17,6 @@
 mod starts;
 mod stops;
 mod streams;
+mod suspension;
 mod template;
 pub(crate) mod world;
