The soak has upstreams that end, and callers that end them again and again

Six upstreams that end on some bodies 30 ms after they have begun to run them and are back after 0.3 s; series of 14 requests of one body, in turn at all gateways, beside kills, freezes, cuts, store outages. Checked from what upstreams saw: at most three sends by gateways that were well later than 3 s after the third end; fewer than 1 in 1,000 others held back; all kinds served at the end.

--- a/tests/all/soak/caller.rs
+++ b/tests/all/soak/caller.rs
@@ -37,17 +37,23 @@
     Once,
     Stream,
     OnceStream,
+    /// A stream of the upstreams that some requests end.
+    Fragile,
+    /// One that ends them.
+    Fatal,
 }
 
 impl Kind {
-    pub(super) const ALL: [Self; 4] = [Self::Safe, Self::Once, Self::Stream, Self::OnceStream];
+    /// Those that callers send at random.
+    pub(super) const ALL: [Self; 5] =
+        [Self::Safe, Self::Once, Self::Stream, Self::OnceStream, Self::Fragile];
 
     pub(super) fn is_repeatable(self) -> bool {
-        matches!(self, Self::Safe | Self::Stream)
+        matches!(self, Self::Safe | Self::Stream | Self::Fragile | Self::Fatal)
     }
 
     pub(super) fn is_stream(self) -> bool {
-        matches!(self, Self::Stream | Self::OnceStream)
+        !matches!(self, Self::Safe | Self::Once)
     }
 
     fn path(self) -> &'static str {
@@ -56,6 +62,7 @@
             Self::Once => "once",
             Self::Stream => "stream",
             Self::OnceStream => "once-stream",
+            Self::Fragile | Self::Fatal => "fragile",
         }
     }
 }
@@ -86,9 +93,25 @@
     kind: Kind,
     key: &str,
     id: String,
+) -> RequestRecord {
+    let body = if kind == Kind::Fragile { format!("prompt {id}") } else { "a prompt".to_owned() };
+    ask_with(http, gateway, kind, key, id, body).await
+}
+
+/// The same, with this body where the kind has one.
+pub(super) async fn ask_with(
+    http: &reqwest::Client,
+    gateway: &GatewayStatus,
+    kind: Kind,
+    key: &str,
+    id: String,
+    body: String,
 ) -> RequestRecord {
     let addrs = *gateway.addrs.lock();
-    let request = request(http, &addrs, kind, key, &id);
+    let mut request = request(http, &addrs, kind, key, &id);
+    if kind.is_stream() {
+        request = request.body(body);
+    }
     let sent = Instant::now();
     let answer = send(request).await;
     RequestRecord {
@@ -121,10 +144,9 @@
         return request;
     }
     request
-        .header("Model", if kind == Kind::Stream { "*" } else { "small" })
+        .header("Model", if kind == Kind::OnceStream { "small" } else { "*" })
         .header("Token-Usage", "100,20")
         .header("Prompt-Prefix", "a1:60,b2:40")
-        .body("a prompt")
 }
 
 /// Sends one request after another until told to stop; gives the record of each.
--- a/tests/all/soak/faults.rs
+++ b/tests/all/soak/faults.rs
@@ -10,6 +10,7 @@
 use tokio::time::sleep_until;
 
 use super::fleet::Fleet;
+use super::fragile;
 use super::period::Period;
 use super::plan::Fault;
 use super::plan::LinkFault;
@@ -59,6 +60,7 @@
             Fault::StartAgain { upstream } => self.start_again(upstream),
             Fault::AnotherWriter { upstream, lasts } => self.another_writer(upstream, lasts),
             Fault::Reconfigure => self.reconfigure(),
+            Fault::FatalSeries => self.begin_series(),
             Fault::Grow => {
                 self.config.grow();
                 self.reconfigure();
@@ -70,6 +72,13 @@
         }
     }
 
+    fn begin_series(&mut self) {
+        self.upstream_faults.push(Period::from_now(fragile::series_lasts()));
+        let series = fragile::send_series(self.gateways.clone(), self.series);
+        self.series_under_way.push(tokio::spawn(series));
+        self.series += 1;
+    }
+
     fn fail_store_link(&mut self, gateway: usize, kind: LinkFault, lasts: Duration) {
         self.store_faults.push(Period::from_now(lasts));
         let links = Arc::clone(&self.store_links);
--- a/tests/all/soak/fleet.rs
+++ b/tests/all/soak/fleet.rs
@@ -7,10 +7,13 @@
 use serde_json::json;
 use stallhoist_standins::FaultProxy;
 use stallhoist_standins::users_platform::StoreStandin;
+use stallhoist_standins::users_platform::UpstreamStandin;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
 use super::caller;
+use super::caller::RequestRecord;
+use super::fragile;
 use super::gateway_status::GatewayStatus;
 use super::gateway_status::poll_readiness;
 use super::operator_config::OperatorConfig;
@@ -29,6 +32,11 @@
     pub(super) gateways: Vec<Arc<GatewayStatus>>,
     /// All upstreams, also those that have left.
     pub(super) upstreams: Arc<Mutex<Vec<Upstream>>>,
+    /// Upstreams that some requests end.
+    pub(super) fragile: Vec<UpstreamStandin>,
+    /// How many callers have begun to send such a request, and those that still do.
+    pub(super) series: usize,
+    pub(super) series_under_way: Vec<JoinHandle<Vec<RequestRecord>>>,
     pub(super) config: OperatorConfig,
     /// When the store, or a gateway's connection to it, was faulty.
     pub(super) store_faults: Vec<Period>,
@@ -47,10 +55,14 @@
     pub(super) async fn start(violations: &Violations) -> Self {
         let store = Arc::new(StoreStandin::start().await.expect("the store starts"));
         let upstreams = upstream::start_all(&store).await;
+        let fragile = fragile::start_all(&store).await;
         let mut fleet = Self {
             store,
             gateways: Vec::new(),
             upstreams: Arc::new(Mutex::new(upstreams)),
+            fragile,
+            series: 0,
+            series_under_way: Vec::new(),
             config: OperatorConfig::default(),
             store_faults: Vec::new(),
             upstream_faults: Vec::new(),
@@ -98,6 +110,15 @@
         self.store.put("op", "config", self.config.next());
     }
 
+    /// Waits until no caller sends requests that end upstreams any more. Gives what they got.
+    pub(super) async fn end_series(&mut self) -> Vec<RequestRecord> {
+        let mut records = Vec::new();
+        for series in std::mem::take(&mut self.series_under_way) {
+            records.extend(series.await.expect("a caller does not panic"));
+        }
+        records
+    }
+
     /// Waits until all faults have ended and no process is stopping or frozen.
     pub(super) async fn settle(&mut self) {
         for recovery in std::mem::take(&mut self.recoveries) {
@@ -122,6 +143,7 @@
     fn drop(&mut self) {
         self.readiness_polls.iter().for_each(JoinHandle::abort);
         self.recoveries.iter().for_each(JoinHandle::abort);
+        self.series_under_way.iter().for_each(JoinHandle::abort);
         self.supervisors.iter().for_each(JoinHandle::abort);
     }
 }
--- a/tests/all/soak/invariants.rs
+++ b/tests/all/soak/invariants.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use stallhoist_standins::users_platform::UpstreamStandin;
+
 use super::caller::DEADLINE;
 use super::caller::Kind;
 use super::caller::RequestRecord;
@@ -23,6 +25,12 @@
 /// for a busy machine.
 const ANSWER_TIME: Duration = DEADLINE.saturating_add(Duration::from_secs(3));
 
+/// What a request is told that is held back.
+const HELD_BACK: &str = "upstreams have ended while they ran this request";
+
+/// Of other requests, fewer than one in so many may be held back.
+const OTHERS_FOR_ONE_HELD_BACK: usize = 1_000;
+
 /// Statuses that promise that a request has not run and never will.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
@@ -53,6 +61,10 @@
             violations.add(format!("{what}: {request:?} {seen:?}"));
         }
     }
+    let others = held_back(requests).count();
+    if others > 1 + requests.len() / OTHERS_FOR_ONE_HELD_BACK {
+        violations.add(format!("{others} requests were held back that end nothing"));
+    }
     check_unasked(&seen, requests, violations);
     check_leaving(fleet, violations);
 }
@@ -60,15 +72,27 @@
 fn seen(fleet: &Fleet) -> HashMap<String, Seen> {
     let mut seen: HashMap<String, Seen> = HashMap::new();
     for upstream in fleet.upstreams.lock().iter() {
-        for arrival in upstream.standin.arrivals() {
-            let of_request = seen.entry(arrival.header("request-id").to_owned()).or_default();
-            of_request.arrivals += 1;
-            of_request.runs += usize::from(arrival.is_run);
-        }
+        note(&upstream.standin, &mut seen);
     }
+    fleet.fragile.iter().for_each(|upstream| note(upstream, &mut seen));
     seen
 }
 
+fn note(upstream: &UpstreamStandin, seen: &mut HashMap<String, Seen>) {
+    for arrival in upstream.arrivals() {
+        let of_request = seen.entry(arrival.header("request-id").to_owned()).or_default();
+        of_request.arrivals += 1;
+        of_request.runs += usize::from(arrival.is_run);
+    }
+}
+
+/// Requests that end nothing and were refused as if they did.
+pub(super) fn held_back(requests: &[RequestRecord]) -> impl Iterator<Item = &RequestRecord> {
+    let is_held_back = |answer: &Answer| answer.status == 503 && answer.body.contains(HELD_BACK);
+    let others = requests.iter().filter(|request| request.kind != Kind::Fatal);
+    others.filter(move |request| request.answer.as_ref().is_some_and(is_held_back))
+}
+
 /// A request that may run once ran at most once, and not at all if it was refused.
 fn check_runs(request: &RequestRecord, seen: &Seen, broken: &mut Vec<&str>) {
     if request.kind.is_repeatable() {
--- a/tests/all/soak/mod.rs
+++ b/tests/all/soak/mod.rs
@@ -12,6 +12,7 @@
 mod caller;
 mod faults;
 mod fleet;
+mod fragile;
 mod gateway_status;
 mod invariants;
 mod operator_config;
@@ -70,10 +71,12 @@
     for caller in callers {
         requests.extend(caller.await.expect("a caller does not panic"));
     }
+    requests.extend(fleet.end_series().await);
     requests.extend(check_recovery(&fleet, seed, &violations).await);
     invariants::check(&fleet, &requests, &violations);
+    fragile::check(&fleet, &requests, &violations);
     check_service(&requests, &violations);
-    println!("{}", summary(seed, &requests, &violations));
+    println!("{}", summary(seed, &fleet, &requests, &violations));
     violations.all()
 }
 
@@ -100,7 +103,8 @@
 
 /// Whether each gateway is ready, has the newest configuration and lists all upstreams.
 async fn are_up_to_date(fleet: &Fleet) -> bool {
-    let listed = fleet.upstreams.lock().iter().filter(|u| u.left.is_none()).count();
+    let usual = fleet.upstreams.lock().iter().filter(|u| u.left.is_none()).count();
+    let listed = usual + fleet.fragile.len();
     for gateway in &fleet.gateways {
         let Some(dump) = state_dump(gateway).await else {
             return false;
@@ -148,8 +152,9 @@
 /// A run in which hardly anything is answered proves nothing.
 fn check_service(requests: &[RequestRecord], violations: &Violations) {
     let served = served(requests);
-    if served * 4 < requests.len() {
-        violations.add(format!("only {served} of {} were served", requests.len()));
+    let others = requests.iter().filter(|request| request.kind != Kind::Fatal).count();
+    if served * 4 < others {
+        violations.add(format!("only {served} of {others} were served"));
     }
 }
 
@@ -158,13 +163,22 @@
     requests.iter().filter(|request| request.answer.as_ref().is_some_and(is_served)).count()
 }
 
-fn summary(seed: u64, requests: &[RequestRecord], violations: &Violations) -> String {
+fn summary(
+    seed: u64,
+    fleet: &Fleet,
+    requests: &[RequestRecord],
+    violations: &Violations,
+) -> String {
     let broken = violations.all().len();
     let processes = requests.iter().map(|request| request.generation).max().unwrap_or(0);
     format!(
-        "seed {seed}: {} of {} served, up to {processes} processes of a gateway, {broken} broken",
+        "seed {seed}: {} of {} served, up to {processes} processes of a gateway, {broken} broken; \
+         {} fatal requests, {} ends, {} others held back",
         served(requests),
         requests.len(),
+        fleet.series,
+        fleet.fragile.iter().map(|upstream| upstream.ends().len()).sum::<usize>(),
+        invariants::held_back(requests).count(),
     )
 }
 
--- a/tests/all/soak/operator_config.rs
+++ b/tests/all/soak/operator_config.rs
@@ -3,6 +3,7 @@
 use serde_json::Value;
 use serde_json::json;
 
+use super::fragile;
 use crate::gateway::world::KEY;
 use crate::gateway::world::add_routes;
 use crate::gateway::world::config;
@@ -43,6 +44,7 @@
     pub(super) fn next(&mut self) -> Value {
         self.version += VERSION_STEP;
         let mut config = config(self.version);
+        fragile::add_to(&mut config);
         add_routes(&mut config, self.more_routes);
         let valid = self.keys[self.withdrawn_keys.len()..].iter();
         let keys: Vec<_> = std::iter::once(KEY).chain(valid.map(String::as_str)).collect();
--- a/tests/all/soak/plan.rs
+++ b/tests/all/soak/plan.rs
@@ -24,6 +24,10 @@
 const LIST_FAULT_EVERY_MS: Range<u64> = 500..2_000;
 const LISTS_SEED: u64 = 0xB042_0115;
 
+/// The same for requests that end upstreams.
+const FATAL_SERIES_EVERY_MS: Range<u64> = 1_200..4_000;
+const FATAL_SERIES_SEED: u64 = 0xFA7A_15E1;
+
 /// A fault of the connection between two processes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum LinkFault {
@@ -125,6 +129,8 @@
         lasts: Duration,
     },
     Reconfigure,
+    /// A caller begins to send a request that ends upstreams, again and again.
+    FatalSeries,
     /// The configuration grows by many routes.
     Grow,
     /// The oldest valid key is withdrawn, and a new one given.
@@ -145,6 +151,8 @@
         let transfers = seed ^ TRANSFERS_SEED;
         faults.extend(draw_all(transfers, TRANSFER_FAULT_EVERY_MS, lasts, draw_transfer));
         faults.extend(draw_all(seed ^ LISTS_SEED, LIST_FAULT_EVERY_MS, lasts, draw_list));
+        let series = seed ^ FATAL_SERIES_SEED;
+        faults.extend(draw_all(series, FATAL_SERIES_EVERY_MS, lasts, |_| Fault::FatalSeries));
         faults.sort_by_key(|(at, _)| *at);
         Self { faults }
     }
