--- a/crates/gateway/src/fatal/book.rs
+++ b/crates/gateway/src/fatal/book.rs
@@ -98,7 +98,7 @@
 
     /// Other entries tell of ends.
     pub(crate) fn told(&self, now: MonoTime, news: impl Iterator<Item = EndNews>) {
-        let new = self.change(|requests| news.filter(|news| requests.told(now, *news)).count());
+        let new = self.change(|requests| requests.told(now, news));
         if new > 0 {
             self.has_news.notify_one();
         }
--- a/crates/policy/src/fatal/mod.rs
+++ b/crates/policy/src/fatal/mod.rs
@@ -25,6 +25,7 @@
 mod record;
 mod standing;
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -109,7 +110,7 @@
         {
             record.standing = Standing::HeldBack(trying.held().proved(&self.config));
         }
-        self.learnt(now, EndNews { request, upstream, is_cleared: false })
+        self.told(now, [EndNews { request, upstream, is_cleared: false }]) > 0
     }
 
     /// A request was answered whole. Says whether anything was held against it.
@@ -122,39 +123,54 @@
         }
         let upstreams: Vec<_> = record.counted().collect();
         record.clear(now);
-        self.dismiss(now, request, &upstreams);
+        let mut concerned = Vec::new();
+        self.dismiss(request, &upstreams, &mut concerned);
+        self.judge_around(now, concerned);
         true
     }
 
-    /// Another entry tells of an end. Says whether that is new.
-    pub fn told(&mut self, now: MonoTime, news: EndNews) -> bool {
-        self.learnt(now, news)
+    /// Another entry tells of ends. Gives how many of them are new. All are judged together: in a time
+    /// of many ends, with twenty fatal requests, one by one took 0.6 ms for each pair.
+    pub fn told(&mut self, now: MonoTime, news: impl IntoIterator<Item = EndNews>) -> usize {
+        let mut concerned = Vec::new();
+        let mut new = 0;
+        for news in news {
+            new += usize::from(self.learnt(now, news, &mut concerned));
+        }
+        self.judge_around(now, concerned);
+        new
     }
 
-    fn learnt(&mut self, now: MonoTime, news: EndNews) -> bool {
+    /// Takes an end down, and adds the requests that it concerns. Says whether it is new.
+    fn learnt(
+        &mut self,
+        now: MonoTime,
+        news: EndNews,
+        concerned: &mut Vec<RequestFingerprint>,
+    ) -> bool {
         let EndNews { request, upstream, is_cleared } = news;
         if !self.has_room(&news) {
             return false;
         }
         let record = self.records.entry(request).or_insert_with(|| Record::new(now));
-        match record.ends.get(&upstream) {
+        match record.ends().get(&upstream) {
             Some(end) if !end.counts || !is_cleared => return false,
             _ => {}
         }
-        record.ends.insert(upstream, End { learnt: now, counts: !is_cleared });
+        record.set_end(upstream, End { learnt: now, counts: !is_cleared });
         record.changed = now;
         if is_cleared {
             if record.count() == 0 {
                 record.clear(now);
             }
-            self.dismiss(now, request, &[upstream]);
+            self.dismiss(request, &[upstream], concerned);
         } else {
             if record.standing.is_cleared() {
                 record.standing = Standing::Suspect(Suspect);
             }
             self.beside.entry(upstream).or_default().insert(request);
-            self.judge_around(now, &[request]);
         }
+        concerned.push(request);
         true
     }
 
@@ -166,8 +182,8 @@
             return false;
         }
         if let Some(record) = self.records.get(&news.request) {
-            let is_known = record.ends.contains_key(&news.upstream);
-            return is_known || record.ends.len() < self.config.max_ends;
+            let is_known = record.ends().contains_key(&news.upstream);
+            return is_known || record.ends().len() < self.config.max_ends;
         }
         if self.records.len() < self.config.max_requests {
             return true;
@@ -181,41 +197,49 @@
     }
 
     /// Ends of upstreams do not count for a request any more: what it explained is open again.
-    fn dismiss(&mut self, now: MonoTime, request: RequestFingerprint, upstreams: &[UpstreamKey]) {
-        let mut others = vec![request];
+    fn dismiss(
+        &mut self,
+        request: RequestFingerprint,
+        upstreams: &[UpstreamKey],
+        concerned: &mut Vec<RequestFingerprint>,
+    ) {
         for upstream in upstreams {
             let Some(beside) = self.beside.get_mut(upstream) else {
                 continue;
             };
             beside.remove(&request);
-            others.extend(beside.iter().copied());
+            concerned.extend(beside.iter().copied());
             if beside.is_empty() {
                 self.beside.remove(upstream);
             }
         }
-        self.judge_around(now, &others);
     }
 
     /// Judges requests and all that is concerned by what they are: those that ran beside them, those
     /// that ran beside these, and so on. So entries that hear of the same ends in another order
     /// come to the same.
     ///
-    /// Those with the most ends come first, as what they are explains the ends of the others.
-    fn judge_around(&mut self, now: MonoTime, requests: &[RequestFingerprint]) {
-        let mut concerned: BTreeSet<_> = requests.iter().copied().collect();
-        let mut open = requests.to_vec();
+    /// Only those with enough ends to be held back are concerned, as only what is held back explains
+    /// anything; the others are many, in a time of many ends. Those with the most ends come first, as
+    /// what they are explains the ends of the others.
+    fn judge_around(&mut self, now: MonoTime, mut open: Vec<RequestFingerprint>) {
+        let mut concerned: BTreeMap<_, _> = BTreeMap::new();
         while let Some(request) = open.pop() {
             let Some(record) = self.records.get(&request) else {
                 continue;
             };
+            let count = record.count();
+            let is_held = record.standing.held().is_some();
+            let is_concerned = is_held || count >= self.config.ends_until_held;
+            if !is_concerned || concerned.insert(request, count).is_some() {
+                continue;
+            }
             let beside = record.counted().filter_map(|upstream| self.beside.get(&upstream));
-            open.extend(beside.flatten().filter(|other| concerned.insert(**other)));
+            open.extend(beside.flatten().filter(|other| !concerned.contains_key(*other)));
         }
-        let count =
-            |request: &RequestFingerprint| self.records.get(request).map_or(0, Record::count);
         let mut concerned: Vec<_> = concerned.into_iter().collect();
-        concerned.sort_by_key(|request| std::cmp::Reverse(count(request)));
-        for request in concerned {
+        concerned.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
+        for (request, _) in concerned {
             self.judge(now, request);
         }
     }
@@ -298,9 +322,14 @@
         match record.standing {
             Standing::Cleared(_) => {}
             Standing::Trying(trying) if trying.held().tries() >= stored.tries => {}
-            _ => record.standing = Standing::HeldBack(HeldBack::stored(now, stored.tries)),
+            standing => {
+                // What was learnt at a try may be ahead of the row.
+                let known = standing.held().map_or(0, HeldBack::tries);
+                let tries = known.max(stored.tries);
+                record.standing = Standing::HeldBack(HeldBack::stored(now, tries));
+            }
         }
-        self.judge_around(now, &[request]);
+        self.judge_around(now, vec![request]);
     }
 
     /// The store has no row of a request any more: it was answered whole, or an operator removed it.
@@ -374,7 +403,7 @@
 
     fn all_news(&self) -> impl Iterator<Item = (End, EndNews)> {
         self.records.iter().flat_map(|(request, record)| {
-            record.ends.iter().map(|(upstream, end)| {
+            record.ends().iter().map(|(upstream, end)| {
                 let is_cleared = !end.counts;
                 (*end, EndNews { request: *request, upstream: *upstream, is_cleared })
             })
--- a/crates/policy/src/fatal/record.rs
+++ b/crates/policy/src/fatal/record.rs
@@ -31,7 +31,9 @@
 /// What is known of one request.
 #[derive(Debug)]
 pub(super) struct Record {
-    pub(super) ends: BTreeMap<UpstreamKey, End>,
+    ends: BTreeMap<UpstreamKey, End>,
+    /// How many of them count: asked for each request beside it, at each news.
+    count: usize,
     pub(super) standing: Standing,
     /// Its row in the store, if there is one.
     pub(super) row: Option<Row>,
@@ -41,7 +43,7 @@
 impl Record {
     pub(super) fn new(now: MonoTime) -> Self {
         let standing = Standing::Suspect(Suspect);
-        Self { ends: BTreeMap::new(), standing, row: None, changed: now }
+        Self { ends: BTreeMap::new(), count: 0, standing, row: None, changed: now }
     }
 
     /// The upstreams whose ends count.
@@ -50,11 +52,23 @@
     }
 
     pub(super) fn count(&self) -> usize {
-        self.counted().count()
+        self.count
+    }
+
+    /// All ends, also those that do not count.
+    pub(super) fn ends(&self) -> &BTreeMap<UpstreamKey, End> {
+        &self.ends
+    }
+
+    /// An end is so from now on.
+    pub(super) fn set_end(&mut self, upstream: UpstreamKey, end: End) {
+        let before = self.ends.insert(upstream, end);
+        self.count -= usize::from(before.is_some_and(|before| before.counts));
+        self.count += usize::from(end.counts);
     }
 
     pub(super) fn count_u32(&self) -> u32 {
-        u32::try_from(self.count()).unwrap_or(u32::MAX)
+        u32::try_from(self.count).unwrap_or(u32::MAX)
     }
 
     /// Its ends so far do not count any more.
@@ -62,6 +76,7 @@
         for end in self.ends.values_mut().filter(|end| end.counts) {
             *end = End { learnt: now, counts: false };
         }
+        self.count = 0;
         self.standing = Standing::Cleared(Cleared::at(now));
         self.changed = now;
     }
--- a/tests/all/decisions/fatal.rs
+++ b/tests/all/decisions/fatal.rs
@@ -99,7 +99,7 @@
     let mut requests = after(&[1, 2, 3].map(|upstream| (BYSTANDER, upstream)));
     assert!(is_held(&requests, BYSTANDER));
     for upstream in 1..=4 {
-        requests.told(at_ms(1), news(FATAL, upstream, false));
+        requests.told(at_ms(1), [news(FATAL, upstream, false)]);
     }
     assert!(is_held(&requests, FATAL));
     assert_eq!(verdict(&requests, BYSTANDER), Verdict::Suspect);
@@ -120,7 +120,7 @@
     assert!(requests.answered(at_ms(1), request(BYSTANDER)));
     assert_eq!(verdict(&requests, BYSTANDER), Verdict::Free);
     // Others still tell of the ends, which are no news.
-    assert!(!requests.told(at_ms(2), news(BYSTANDER, 3, false)));
+    assert_eq!(requests.told(at_ms(2), [news(BYSTANDER, 3, false)]), 0);
     assert_eq!(verdict(&requests, BYSTANDER), Verdict::Free);
     requests.ended(at_ms(3), request(BYSTANDER), UpstreamKey(4));
     assert_eq!(verdict(&requests, BYSTANDER), Verdict::Suspect);
@@ -130,7 +130,7 @@
 fn a_whole_answer_elsewhere_clears_a_request_here() {
     let mut requests = after(&[1, 2, 3].map(|upstream| (BYSTANDER, upstream)));
     for upstream in 1..=3 {
-        assert!(requests.told(at_ms(1), news(BYSTANDER, upstream, true)));
+        assert_eq!(requests.told(at_ms(1), [news(BYSTANDER, upstream, true)]), 1);
     }
     assert_eq!(verdict(&requests, BYSTANDER), Verdict::Free);
 }
@@ -178,6 +178,18 @@
     assert_eq!(tries, FatalConfig::default().max_tries);
 }
 
+// The row that counted the try is read after the try has ended an upstream.
+#[test]
+fn a_row_that_comes_late_does_not_allow_another_try() {
+    let mut requests = stored(0);
+    requests.begin_try(at_ms(5_000), request(FATAL)).expect("it is due");
+    requests.ended(at_ms(5_100), request(FATAL), UpstreamKey(4));
+    requests.end_try(at_ms(5_200), request(FATAL));
+    requests.stored(at_ms(5_300), request(FATAL), StoreVersion(8), record(1));
+    assert_eq!(requests.verdict(at_ms(500_000), request(FATAL)), Verdict::HeldBack { due: None });
+    assert_eq!(requests.changes(at_ms(5_400), Duration::ZERO).len(), 1);
+}
+
 #[test]
 fn a_whole_answer_at_a_try_removes_the_row() {
     let mut requests = stored(0);
@@ -266,7 +278,7 @@
         let told = |ends: &[(u32, u64, bool)]| {
             let mut requests = FatalRequests::default();
             for (n, upstream, is_cleared) in ends {
-                requests.told(at_ms(0), news(*n, *upstream, *is_cleared));
+                requests.told(at_ms(0), [news(*n, *upstream, *is_cleared)]);
             }
             (0..6).map(|n| verdict(&requests, n)).collect::<Vec<_>>()
         };
