Judgement and rows of fatal requests in files of their own; an end cleared elsewhere clears nothing that is known by its row alone

Found by reading: an entry that had read a row and was then told of an end that had been cleared before it counted nothing, and took the request for cleared. Tests: that one, and one request in other forms (chunks, order and case of headers) is the same one. Bench: what a fingerprint costs.

--- a/benches/ends.rs
+++ b/benches/ends.rs
@@ -8,6 +8,7 @@
 
 use std::collections::HashMap;
 use std::time::Duration;
+use std::time::Instant;
 
 use rand::RngExt;
 use rand::SeedableRng;
@@ -482,4 +483,22 @@
         row(&mut report, name, setting);
     }
     report.finish();
+    fingerprints();
+}
+
+/// What it costs to tell whether two requests are the same: the quickest of many runs, real time.
+fn fingerprints() {
+    const RUNS: usize = 200;
+    let mut report = Report::new("ends_fingerprint", &["body, bytes", "us"]);
+    for bytes in [0, 12_000, 1_000_000] {
+        let body = vec![b'x'; bytes];
+        let time = |_| {
+            let began = Instant::now();
+            std::hint::black_box(RequestFingerprint::of("POST", "/path", "workspace", &body));
+            began.elapsed()
+        };
+        let quickest = (0..RUNS).map(time).min().unwrap_or_default();
+        report.row([bytes.to_string(), format!("{:.1}", quickest.as_secs_f64() * 1e6)]);
+    }
+    report.finish();
 }
--- a/crates/policy/src/fatal/mod.rs
+++ b/crates/policy/src/fatal/mod.rs
@@ -22,13 +22,13 @@
 //! counted in the store, under the condition that the row has not changed.
 
 mod config;
+mod judgement;
 mod record;
 mod standing;
+mod stored;
 
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
-use std::time::Duration;
 
 use stallhoist_core::MonoTime;
 use stallhoist_core::RequestFingerprint;
@@ -157,10 +157,12 @@
             Some(end) if !end.counts || !is_cleared => return false,
             _ => {}
         }
+        // What is known by its row alone is not cleared by news of ends that were never known here.
+        let is_known_by_row = record.row.is_some() && !record.counts(upstream);
         record.set_end(upstream, End { learnt: now, counts: !is_cleared });
         record.changed = now;
         if is_cleared {
-            if record.count() == 0 {
+            if record.count() == 0 && !is_known_by_row {
                 record.clear(now);
             }
             self.dismiss(request, &[upstream], concerned);
@@ -215,76 +217,6 @@
         }
     }
 
-    /// Judges requests and all that is concerned by what they are: those that ran beside them, those
-    /// that ran beside these, and so on. So entries that hear of the same ends in another order
-    /// come to the same.
-    ///
-    /// Only those with enough ends to be held back are concerned, as only what is held back explains
-    /// anything; the others are many, in a time of many ends. Those with the most ends come first, as
-    /// what they are explains the ends of the others.
-    fn judge_around(&mut self, now: MonoTime, mut open: Vec<RequestFingerprint>) {
-        let mut concerned: BTreeMap<_, _> = BTreeMap::new();
-        while let Some(request) = open.pop() {
-            let Some(record) = self.records.get(&request) else {
-                continue;
-            };
-            let count = record.count();
-            let is_held = record.standing.held().is_some();
-            let is_concerned = is_held || count >= self.config.ends_until_held;
-            if !is_concerned || concerned.insert(request, count).is_some() {
-                continue;
-            }
-            let beside = record.counted().filter_map(|upstream| self.beside.get(&upstream));
-            open.extend(beside.flatten().filter(|other| !concerned.contains_key(*other)));
-        }
-        let mut concerned: Vec<_> = concerned.into_iter().collect();
-        concerned.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
-        for (request, _) in concerned {
-            self.judge(now, request);
-        }
-    }
-
-    fn judge(&mut self, now: MonoTime, request: RequestFingerprint) {
-        let is_fatal = self.is_fatal(request);
-        let Some(record) = self.records.get_mut(&request) else {
-            return;
-        };
-        match record.standing {
-            Standing::Suspect(suspect) if is_fatal => {
-                record.standing = Standing::HeldBack(suspect.hold(now));
-            }
-            // What is in the store was learnt by others as well, and is theirs to judge.
-            Standing::HeldBack(_) if !is_fatal && record.row.is_none() => {
-                record.standing = Standing::Suspect(Suspect);
-            }
-            _ => {}
-        }
-    }
-
-    /// Whether enough upstreams have ended under a request, not all of them by another.
-    ///
-    /// One end that nothing explains is enough then: a second fatal request that at first ran beside
-    /// the first one would have three more ends otherwise.
-    fn is_fatal(&self, request: RequestFingerprint) -> bool {
-        let Some(record) = self.records.get(&request) else {
-            return false;
-        };
-        let count = record.count();
-        let is_open = |upstream| !self.is_explained(request, count, upstream);
-        count >= self.config.ends_until_held && record.counted().any(is_open)
-    }
-
-    /// Whether another request is known to have ended an upstream: one that is held back, with
-    /// more ends than the one that is judged.
-    fn is_explained(&self, judged: RequestFingerprint, ends: usize, upstream: UpstreamKey) -> bool {
-        let others = self.beside.get(&upstream).into_iter().flatten();
-        let mut others = others.filter(|other| **other != judged);
-        others.any(|other| {
-            let record = self.records.get(other);
-            record.is_some_and(|record| record.standing.held().is_some() && record.count() > ends)
-        })
-    }
-
     /// A request is to be tried again by this entry. Gives what the store has to agree to; none when
     /// it is not to be tried now.
     pub fn begin_try(&mut self, now: MonoTime, request: RequestFingerprint) -> Option<FatalChange> {
@@ -351,45 +283,6 @@
         }
     }
 
-    /// All that the store should have otherwise. Those that are held back for less than `settled`
-    /// are left out: news that explain their ends may be on their way.
-    pub fn changes(
-        &self,
-        now: MonoTime,
-        settled: Duration,
-    ) -> Vec<(RequestFingerprint, FatalChange)> {
-        let change = |(request, record): (&RequestFingerprint, &Record)| {
-            let wanted = match record.standing {
-                Standing::HeldBack(held) => {
-                    if !self.is_storing_due(now, settled, record.row, held) {
-                        return None;
-                    }
-                    Some(FatalRecord { tries: held.tries(), ends: record.count_u32() })
-                }
-                Standing::Cleared(_) if record.row.is_some() => None,
-                Standing::Cleared(_) | Standing::Suspect(_) | Standing::Trying(_) => return None,
-            };
-            let expected = record.row.map(|row| row.version);
-            Some((*request, FatalChange { expected, record: wanted }))
-        };
-        self.records.iter().filter_map(change).collect()
-    }
-
-    /// Whether the store is to be told of a request that is held back: for the first time, or that
-    /// it is not to be tried any more.
-    fn is_storing_due(
-        &self,
-        now: MonoTime,
-        settled: Duration,
-        row: Option<Row>,
-        held: HeldBack,
-    ) -> bool {
-        match row {
-            None => now.since(held.since()) >= settled,
-            Some(row) => row.tries < held.tries() && held.due(&self.config).is_none(),
-        }
-    }
-
     /// What other entries should know that have listened lately.
     pub fn tellable(&self, now: MonoTime) -> impl Iterator<Item = EndNews> {
         let tell_for = self.config.tell_for;
--- a/crates/policy/src/fatal/record.rs
+++ b/crates/policy/src/fatal/record.rs
@@ -51,6 +51,11 @@
         self.ends.iter().filter(|(_, end)| end.counts).map(|(upstream, _)| *upstream)
     }
 
+    /// Whether it ran on an upstream that ended, and that counts.
+    pub(super) fn counts(&self, upstream: UpstreamKey) -> bool {
+        self.ends.get(&upstream).is_some_and(|end| end.counts)
+    }
+
     pub(super) fn count(&self) -> usize {
         self.count
     }
--- a/tests/all/decisions/fatal.rs
+++ b/tests/all/decisions/fatal.rs
@@ -135,6 +135,14 @@
     assert_eq!(verdict(&requests, BYSTANDER), Verdict::Free);
 }
 
+// An end that was cleared long ago is told to an entry that has just read the row.
+#[test]
+fn an_end_that_does_not_count_clears_nothing_that_is_known_by_its_row() {
+    let mut requests = stored(0);
+    assert_eq!(requests.told(at_ms(1), [news(FATAL, 1, true)]), 1);
+    assert!(matches!(requests.verdict(at_ms(2), request(FATAL)), Verdict::HeldBack { .. }));
+}
+
 #[test]
 fn it_is_tried_again_only_when_the_store_counts_it() {
     let later = at_ms(60_000);
--- a/tests/all/gateway/fatal_requests.rs
+++ b/tests/all/gateway/fatal_requests.rs
@@ -11,11 +11,14 @@
 //! The evidence: with upstreams that end on one body, that body reached upstreams 35 or 36 times after the
 //! third end, at one entry and at seven, and no other one stood under more than one end.
 
+use std::convert::Infallible;
 use std::time::Duration;
 use std::time::Instant;
 
 use futures_util::future::join;
 use futures_util::future::join_all;
+use futures_util::stream;
+use reqwest::Body;
 use reqwest::RequestBuilder;
 use serde_json::Value;
 use stallhoist_policy::fatal::FatalConfig;
@@ -223,6 +226,30 @@
     }
 });
 
+// Neither how the body comes nor the order, the case and the values of other headers make another request of it.
+case!(the_same_request_in_another_form_is_held_back_too, async {
+    let world = World::start(1, PLAIN).await;
+    let request = || world.request(0, "/once/x", FATAL);
+    let chunks = |size: usize| {
+        let chunks: Vec<_> = FATAL.as_bytes().chunks(size).map(<[u8]>::to_vec).collect();
+        Body::wrap_stream(stream::iter(chunks.into_iter().map(Ok::<_, Infallible>)))
+    };
+    let forms = [
+        request().header("X-Other", "1"),
+        request().body(chunks(1)),
+        request().header("x-other", "2").body(chunks(4)),
+    ];
+    for form in forms {
+        assert_eq!(form.send().await.expect("an answer").status(), 502);
+    }
+    assert_eq!(world.ask(0, "/once/x", FATAL).await, 503);
+    assert_eq!(world.ends(FATAL).len(), ENDS_UNTIL_KNOWN);
+    // Another path, and another body that begins alike, are other requests.
+    assert_eq!(world.ask(0, "/once/y", FATAL).await, 502);
+    assert_eq!(world.ask(0, "/once/x", "fatal too").await, 502);
+    assert_eq!(world.ask(0, "/once/x", "").await, 200);
+});
+
 // It ran beside fatal ones three times, or its upstreams ended by something else.
 case!(a_request_that_is_held_back_wrongly_is_served_after_a_try, async {
     let world = World::start(7, PLAIN).await;
