--- a/tests/all/gateway/peers.rs
+++ b/tests/all/gateway/peers.rs
@@ -309,6 +309,29 @@
     assert!(put.elapsed() < BOUND, "it took {:?}", put.elapsed());
 });
 
+// The entry that it asked first is gone, and stays listed. It told nobody then what it had in progress, nor
+// which upstreams had ended, for as long as that lasted.
+case!(an_entry_whose_relay_is_gone_tells_another_one, async {
+    let engine = UpstreamStandin::start("i-1", Behaviour::Hang).await.expect("it starts");
+    let mut fleet = Fleet::start().await;
+    fleet.store.put("servers", "i-1", engine.entry(ENGINE, "zone-1", "v1", "ready"));
+    fleet.wait_for_asking_the_store(3).await;
+    wait_until("all know the upstream", async || fleet.knows("i-1 ").await).await;
+    let dumps = fleet.dumps().await;
+    let source = |n: usize| dumps[n]["news_from"]["Operators"].as_str().unwrap_or_default();
+    let asking = (0..ENTRIES).find(|n| source(*n) != "store").expect("four ask others");
+    let relay = (0..ENTRIES).find(|n| fleet.peers_addr(*n) == source(asking));
+    let relay = relay.expect("it is one of them");
+    drop(fleet.entries.remove(relay));
+    let asking = if asking > relay { asking - 1 } else { asking };
+    let asked = fleet.ask_in_session(asking, "busy", 1);
+    let told = fleet.wait_for_told(ENTRIES - 2, 1);
+    tokio::select! {
+        status = asked => panic!("it was answered with {status}"),
+        () = told => {}
+    }
+});
+
 /// In a fleet of so many entries, the work that one of them has in progress is known to all
 /// others, and forgotten by them when it has ended.
 macro_rules! work_is_known_to_all {
