--- a/benches/support/ends_world.rs
+++ b/benches/support/ends_world.rs
@@ -1,5 +1,6 @@
 //! Entries, upstreams and callers of which some send fatal requests, in virtual time.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -254,7 +255,9 @@
     fn write(&mut self) {
         if self.setting.policy == Policy::Kept {
             for entry in 0..WRITERS.min(self.setting.entries) {
-                for (print, change) in self.books[entry].changes(self.now, SETTLED) {
+                let mut changes = self.books[entry].changes(self.now, SETTLED);
+                changes.sort_unstable_by_key(|(print, _)| *print);
+                for (print, change) in changes {
                     self.commit(print, change.expected, change.record);
                 }
             }
@@ -332,7 +335,8 @@
         self.add(self.setting.back_s, Event::Back(upstream));
         let there = |number: &usize| self.requests[*number].upstream == Some(upstream);
         let broken: Vec<_> = (0..self.requests.len()).filter(there).collect();
-        let mut news: HashMap<usize, Vec<EndNews>> = HashMap::new();
+        // In the order of entries, so that a run is the same every time.
+        let mut news: BTreeMap<usize, Vec<EndNews>> = BTreeMap::new();
         for number in broken {
             if let Some(end) = self.broke_off(number, key) {
                 news.entry(self.requests[number].entry).or_default().push(end);
