Homes of data: an upstream outside the regions of a route or a workspace is never used

Cause: allowed_regions of routes and workspaces was read nowhere. Change: the region of each availability zone comes with the settings (regions); a request goes only to zones whose region is among the homes of its route and of its workspace, where these have any. It holds for every attempt, also when nothing is left: then the request is refused at once, with the result of emptied zones. A zone whose region is not known is nobody's home. Bodies are not sent between entries, so there is nothing else to bind. Tests: gateway::homes, two regions and a zone without one; 7 of 9 seen failing with the rule off.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -40,6 +40,7 @@
 pub use names::InstanceId;
 pub use names::ModelName;
 pub use names::NameError;
+pub use names::RegionName;
 pub use names::RouteName;
 pub use names::ServiceName;
 pub use names::TaskName;
--- a/crates/core/src/names.rs
+++ b/crates/core/src/names.rs
@@ -88,6 +88,10 @@
     /// An availability zone.
     ZoneName
 );
+name_type!(
+    /// A region: availability zones that are near each other, and where data may be kept.
+    RegionName
+);
 name_type!(
     /// A workspace: the unit of permission, limits and billing.
     WorkspaceName
--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -14,6 +14,7 @@
 use stallhoist_core::WorkspaceName;
 
 use crate::dialect::CallHead;
+use crate::routing::Homes;
 use crate::routing::Route;
 use crate::routing::Service;
 use crate::sessions::SessionKey;
@@ -32,6 +33,8 @@
     /// What the configuration says of that service.
     pub(crate) service: Option<Arc<Service>>,
     pub(crate) workspace: Option<WorkspaceName>,
+    /// Where requests of the workspace may go, besides what the route says.
+    pub(crate) workspace_homes: Option<Homes>,
     pub(crate) priority: u8,
     pub(crate) arrived: MonoTime,
     /// When its final answer is due.
--- a/crates/gateway/src/routing/route.rs
+++ b/crates/gateway/src/routing/route.rs
@@ -6,6 +6,8 @@
 use stallhoist_core::RouteName;
 use stallhoist_core::ServiceName;
 
+use super::Homes;
+
 /// Whether a request may run more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Repeat {
@@ -53,6 +55,8 @@
     pub target_pause: Option<Duration>,
     /// How urgent requests are; 0 is the most urgent.
     pub priority: u8,
+    /// Where its requests may go; none where they may go anywhere.
+    pub homes: Option<Homes>,
     /// The models that the system may choose from, the smallest first; none when the
     /// caller's choice stands.
     pub models: Vec<ModelName>,
--- a/crates/gateway/src/routing/service.rs
+++ b/crates/gateway/src/routing/service.rs
@@ -7,6 +7,8 @@
 use stallhoist_core::WorkspaceName;
 use stallhoist_policy::cold::ColdService;
 
+use super::Homes;
+
 /// A service that routes lead to.
 #[derive(Debug, Clone)]
 pub struct Service {
@@ -39,4 +41,6 @@
     pub name: WorkspaceName,
     /// Its urgency, which goes before the route's.
     pub priority: Option<u8>,
+    /// Where its requests may go; none where they may go anywhere.
+    pub homes: Option<Homes>,
 }
--- a/crates/gateway/src/upstreams/choice.rs
+++ b/crates/gateway/src/upstreams/choice.rs
@@ -23,6 +23,7 @@
 use super::Placement;
 use crate::members::Member;
 use crate::rollouts::VersionFilter;
+use crate::routing::RegionsOfZones;
 
 /// The part of a shared prompt that the upstream it is steered to is taken to have read. Not
 /// all, so that one which has surely read it goes first. The first value tried.
@@ -54,6 +55,7 @@
 pub(super) struct Choice<'a> {
     pub(super) known: &'a Known,
     pub(super) own_zone: &'a ZoneName,
+    pub(super) regions: &'a RegionsOfZones,
     pub(super) config: &'a BalanceConfig,
     pub(super) has_fleet_homes: bool,
     pub(super) now: MonoTime,
@@ -105,7 +107,15 @@
     fn allowed(&self, with_leaving: bool) -> impl Iterator<Item = &Member> {
         let (directory, service) = (&self.known.directory, self.placement.service);
         let members = directory.of_service(self.now, service, with_leaving);
-        members.filter(|member| self.known.emptied_zones.allow(&member.zone))
+        members.filter(|member| {
+            self.known.emptied_zones.allow(&member.zone) && self.is_home(&member.zone)
+        })
+    }
+
+    /// Whether the request's data may go to a zone. This holds also when no upstream is left.
+    fn is_home(&self, zone: &ZoneName) -> bool {
+        let homes = &mut self.placement.homes.iter().flatten();
+        homes.all(|homes| homes.allow(self.regions.get(zone)))
     }
 
     fn is_usable(&self, filter: &VersionFilter, member: &Member) -> bool {
--- a/crates/gateway/src/upstreams/mod.rs
+++ b/crates/gateway/src/upstreams/mod.rs
@@ -53,6 +53,7 @@
 use crate::control_store::Change;
 use crate::members::Directory;
 use crate::members::Member;
+use crate::routing::RegionsOfZones;
 use crate::upstreams::choice::Choice;
 use crate::upstreams::emptied_zones::EmptiedZones;
 
@@ -121,6 +122,7 @@
 #[derive(Debug)]
 pub(crate) struct Upstreams {
     own_zone: ZoneName,
+    regions: RegionsOfZones,
     config: BalanceConfig,
     decisions: DecisionSettings,
     known: Mutex<Known>,
@@ -140,6 +142,7 @@
         });
         Self {
             own_zone: settings.host.zone.clone(),
+            regions: settings.regions.clone(),
             config,
             decisions,
             known: Mutex::new(Known::new(&settings.host.id, bound)),
@@ -221,7 +224,8 @@
     ) -> Choice<'a> {
         let has_fleet_homes = self.decisions.has_fleet_homes;
         let (own_zone, config) = (&self.own_zone, &self.config);
-        Choice { known, own_zone, config, has_fleet_homes, now, placement }
+        let regions = &self.regions;
+        Choice { known, own_zone, regions, config, has_fleet_homes, now, placement }
     }
 
     /// Work is sent to an upstream. It counts until the guard is dropped.
--- a/crates/gateway/src/upstreams/placement.rs
+++ b/crates/gateway/src/upstreams/placement.rs
@@ -12,6 +12,7 @@
 use stallhoist_policy::balance::WorkItem;
 
 use crate::rollouts::VersionRule;
+use crate::routing::Homes;
 
 /// What an upstream is chosen for.
 #[derive(Debug)]
@@ -28,6 +29,8 @@
     pub(crate) tie_seed: u64,
     /// For a request that may end its upstream: by which one it is sent to, the same at all entries.
     pub(crate) apart_seed: Option<u64>,
+    /// Where the request may go, by its route and by its workspace: both bind.
+    pub(crate) homes: [Option<&'a Homes>; 2],
     /// Upstreams that this request was sent to before.
     pub(crate) tried: &'a [StartId],
     /// The most connections that this entry keeps to one upstream.
--- a/crates/settings/src/gateway/whole.rs
+++ b/crates/settings/src/gateway/whole.rs
@@ -1,7 +1,11 @@
 //! All settings of a gateway.
 
+use std::collections::BTreeMap;
+
 use serde::Deserialize;
 use serde::Serialize;
+use stallhoist_core::RegionName;
+use stallhoist_core::ZoneName;
 
 use super::ColdUpstreamSettings;
 use super::DecisionSettings;
@@ -36,6 +40,9 @@
     pub seeds: Vec<String>,
     /// Where the platform's store is.
     pub store: StoreSettings,
+    /// The region of each availability zone. Data with homes goes only to zones that are named here.
+    #[serde(default)]
+    pub regions: BTreeMap<ZoneName, RegionName>,
     /// How upstreams are called.
     #[serde(default)]
     pub upstream: UpstreamCallSettings,
@@ -77,6 +84,7 @@
             peers_addr: "127.0.0.1:0".to_owned(),
             seeds: Vec::new(),
             store: StoreSettings::default(),
+            regions: BTreeMap::new(),
             upstream: UpstreamCallSettings::default(),
             step_up: StepUpSettings::default(),
             decisions: DecisionSettings::default(),
--- a/tests/all/gateway/mod.rs
+++ b/tests/all/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod going_away;
 mod headers;
+mod homes;
 mod members;
 mod peers;
 mod rollout_loads;
--- a/tests/all/gateway/template.rs
+++ b/tests/all/gateway/template.rs
@@ -24,7 +24,7 @@
     "{{#limits.link_mbps}}, \"link\": \"{{limits.link_mbps}} Mbit/s\"{{/limits.link_mbps}}";
 
 /// What a usual deployment gives. The addresses are the test's own.
-const GAPS: [(&str, &str); 18] = [
+const GAPS: [(&str, &str); 19] = [
     ("{{node|json}}", "\"front-a-1\""),
     ("{{zone|json}}", "\"a\""),
     (LINK_GAP, ", \"link\": \"10 Mbit/s\""),
@@ -37,6 +37,7 @@
     ("{{platform.address|json}}", "\"127.0.0.1:1\""),
     ("{{bounds.retry_budget_ratio|json}}", "0.9"),
     ("{{bounds.budget_slack|json}}", "52"),
+    ("{{zones|json}}", "{\"a\":\"r\"}"),
     ("{{#bounds.cold_overage}}", ""),
     ("{{bounds.cold_overage|json}}", "1.5"),
     ("{{bounds.cold_slack|json}}", "5"),
@@ -73,6 +74,10 @@
     let expected = (TimeSpan::from_secs(8), TimeSpan::from_secs(5));
     assert_eq!((settings.stop.grace, settings.session), expected);
     assert_eq!(settings.host.link, LinkRate::from_mbit_per_s(10));
+    let (zone, region) = settings.regions.first_key_value().expect("a zone");
+    assert_eq!((zone.as_str(), region.as_str()), ("a", "r"));
+    let cold = settings.cold_upstreams.expect("what may come to cold upstreams");
+    assert_eq!((cold.overage, cold.slack_per_s), (1.5, 5.0));
     assert_eq!(settings.peers_addr, "10.1.0.40:8229");
     assert_eq!(settings.store.addr, "127.0.0.1:1");
     assert_eq!(settings.seeds, ["10.2.0.29:8229", "10.3.0.19:8229"]);
