--- a/tests/all/settings.rs
+++ b/tests/all/settings.rs
@@ -179,14 +179,16 @@
     "\"overage\": 1.5",
     "\"overage\": -1.5",
     expect![[
-        r#"gateway.jsonc: line 21: key 'cold_upstreams.overage', value -1.5: must be 0 to 1000"#
+        r#"gateway.jsonc: line 21: key 'cold_upstreams.overage', value -1.5: must be from 0 to 1000"#
     ]]
 );
 gateway_refuses!(
     a_gateways_exposure_of_more_than_all,
     "\"max_exposure\": 0.15",
     "\"max_exposure\": 15",
-    expect![[r#"gateway.jsonc: line 20: key 'rollouts.max_exposure', value 15: must be 0 to 1"#]]
+    expect![[
+        r#"gateway.jsonc: line 20: key 'rollouts.max_exposure', value 15: must be from 0 to 1"#
+    ]]
 );
 gateway_refuses!(
     a_gateways_path_without_a_slash,
