--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -250,7 +250,7 @@
             && member.cold == ToldCold::Unreadable
         {
             let outcome = "it is taken to be cold after its start";
-            let problem = "cold_remaining_ms is no time";
+            let problem = "how much longer it is cold is no time";
             self.unreadable(member.start.instance.as_str(), problem, outcome);
         }
         log_change(&change);
--- a/crates/gateway/src/upstreams/mod.rs
+++ b/crates/gateway/src/upstreams/mod.rs
@@ -4,6 +4,7 @@
 mod cold;
 mod emptied_zones;
 mod placement;
+mod summary;
 mod work;
 
 use std::collections::BTreeMap;
@@ -28,7 +29,6 @@
 use stallhoist_policy::balance::HealthConfig;
 use stallhoist_policy::balance::PrefixCaches;
 use stallhoist_policy::balance::ReadingSpeeds;
-use stallhoist_policy::balance::ReadingTime;
 use stallhoist_policy::balance::ReportedLoad;
 use stallhoist_policy::balance::TellableStanding;
 use stallhoist_policy::balance::UpstreamHealth;
@@ -361,39 +361,4 @@
         };
         self.known.lock().speeds.observe(service, model, start_pace, first_part);
     }
-
-    /// One line for each model whose speed is known, for the state dump.
-    pub(crate) fn speeds_summary(&self) -> Vec<String> {
-        let known = self.known.lock();
-        let line = |(service, model, time): (_, _, ReadingTime)| {
-            let ReadingTime { base_ms, ms_per_token } = time;
-            format!("{service} {model} {base_ms:.1} ms and {ms_per_token:.5} ms a prompt token")
-        };
-        let mut lines: Vec<_> = known.speeds.iter().map(line).collect();
-        lines.sort_unstable();
-        lines
-    }
-
-    /// One line for each upstream, for the state dump.
-    pub(crate) fn summary(&self, now: MonoTime) -> Vec<String> {
-        let known = self.known.lock();
-        let line = |(member, presence): (&Member, _)| {
-            let start = &member.start;
-            let others = known.fleet_work.on(UpstreamKey::of(start));
-            format!(
-                "{start} {} {} {} {} {presence:?} in_progress={} told_by_others={} \
-                 failure_rate={:.2} fitness={:?} cold={:?}",
-                member.service,
-                member.version,
-                member.addr,
-                member.zone,
-                known.load.in_progress(now, start, 0),
-                others.requests,
-                known.health.failure_rate(now, start),
-                known.health.fitness(now, start),
-                known.cold_place(now, member),
-            )
-        };
-        known.directory.iter().map(line).collect()
-    }
 }
