A whole read of what operators write is decoded once

Found by reading the change again. Change: decoded once; how new a page is and the store's clock are noted by one function. Behaviour is otherwise the same; no test or check changed. Not measured.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -174,8 +174,10 @@
     /// All that operators have written. The zones come first: the configuration lets the entry
     /// serve. A copy that is older than what was known takes no zone back.
     fn take_operators(&mut self, page: FeedPage) {
-        if page.version >= self.newest {
-            let changes = self.decode(&page);
+        let is_newest = page.version >= self.newest;
+        self.note_page(&page);
+        let changes = self.decode(&page);
+        if is_newest {
             let emptied = changes.iter().filter_map(|change| match change {
                 Change::ZoneEmptied(zone) => Some(zone.clone()),
                 _ => None,
@@ -183,7 +185,7 @@
             let now = self.state.now();
             self.state.upstreams.emptied_zones_are(now, &emptied.collect());
         }
-        self.take_changes(page);
+        changes.into_iter().for_each(|change| self.take(change));
     }
 
     /// All requests that are held back: no other one is any more.
@@ -200,14 +202,19 @@
     }
 
     fn take_changes(&mut self, page: FeedPage) {
-        let now = self.state.now();
-        self.newest = self.newest.max(page.version);
-        self.state.rollouts.lock().store_clock(now, page.store_now_ms);
+        self.note_page(&page);
         for change in self.decode(&page) {
             self.take(change);
         }
     }
 
+    /// How new a page is, and what the store's clock says.
+    fn note_page(&mut self, page: &FeedPage) {
+        self.newest = self.newest.max(page.version);
+        let now = self.state.now();
+        self.state.rollouts.lock().store_clock(now, page.store_now_ms);
+    }
+
     /// What the rows of a page say. For one that cannot be read, what was known stays in
     /// force.
     fn decode(&mut self, page: &FeedPage) -> Vec<Change> {
--- a/crates/gateway/src/upstreams/choice.rs
+++ b/crates/gateway/src/upstreams/choice.rs
@@ -114,7 +114,7 @@
 
     /// Whether the request's data may go to a zone. This holds also when no upstream is left.
     fn is_home(&self, zone: &ZoneName) -> bool {
-        let homes = &mut self.placement.homes.iter().flatten();
+        let mut homes = self.placement.homes.iter().flatten();
         homes.all(|homes| homes.allow(self.regions.get(zone)))
     }
 
