Limits that upstreams name in their answers are read, logged and counted

What an upstream says of itself is one type (`Notice`), read in one place from every answer; `an upstream's limit has changed` and `limited_upstreams` tell of it. No decision changes.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -12,7 +12,8 @@
 use stallhoist_core::ModelName;
 use stallhoist_core::Prompt;
 use stallhoist_core::WorkspaceName;
-use stallhoist_policy::balance::ReportedLoad;
+
+use crate::notice::Notice;
 
 /// Which model a caller asks for.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -72,10 +73,8 @@
     pub is_sealed: bool,
     /// The model's own opinion of the answer, from 0 to 100.
     pub confidence: Option<u8>,
-    /// The upstream's load.
-    pub load: Option<ReportedLoad>,
-    /// How much longer the upstream is cold.
-    pub cold: Option<Duration>,
+    /// What the upstream says of itself.
+    pub notice: Notice,
 }
 
 /// the header {header} is {problem}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod log_limit;
 pub mod members;
 mod metrics;
+pub mod notice;
 mod operators;
 pub mod peers;
 pub mod planned_stop;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -107,6 +107,7 @@
     pub(crate) config_version: Gauge,
     pub(crate) upstreams: Gauge,
     pub(crate) cold_upstreams: Gauge,
+    pub(crate) limited_upstreams: Gauge,
     pub(crate) emptied_zones: Gauge,
     pub(crate) store_failures: Counter,
     pub(crate) unreadable_rows: Counter,
@@ -132,6 +133,7 @@
             config_version: Gauge::default(),
             upstreams: Gauge::default(),
             cold_upstreams: Gauge::default(),
+            limited_upstreams: Gauge::default(),
             emptied_zones: Gauge::default(),
             store_failures: Counter::default(),
             unreadable_rows: Counter::default(),
@@ -158,6 +160,8 @@
         r.register("upstreams", "Upstreams that are known", self.upstreams.clone());
         let help = "Upstreams that are cold, to which only some requests may be sent";
         r.register("cold_upstreams", help, self.cold_upstreams.clone());
+        let help = "Upstreams that name a limit of requests a second";
+        r.register("limited_upstreams", help, self.limited_upstreams.clone());
         let help = "Availability zones whose upstreams get nothing more";
         r.register("emptied_zones", help, self.emptied_zones.clone());
         r.register("store_failures", "Failed calls to the store", self.store_failures.clone());
--- /dev/null
+++ b/crates/gateway/src/notice.rs
@@ -0,0 +1,17 @@
+//! What an upstream says of itself in an answer.
+
+use std::time::Duration;
+
+use stallhoist_policy::balance::ReportedLoad;
+use stallhoist_policy::named_limits::NamedLimit;
+
+/// What an upstream says of itself in an answer, whatever it answers.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Notice {
+    /// Its load.
+    pub load: Option<ReportedLoad>,
+    /// How much longer it is cold.
+    pub cold: Option<Duration>,
+    /// How many requests it takes from all entries together.
+    pub limit: NamedLimit,
+}
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -202,12 +202,7 @@
             Err(SendError::Broken(error)) => return AttemptEnd::Broken(Break::connection(error)),
         };
         let head = self.state.dialect.read_reply(&reply.head);
-        if let Some(load) = head.load {
-            self.state.upstreams.reported(self.state.now(), &self.chosen.start, load);
-        }
-        if let Some(cold) = head.cold {
-            self.state.upstreams.told_cold(self.state.now(), &self.chosen.start, cold);
-        }
+        self.state.upstreams.heard(self.state.now(), &self.chosen.start, &head.notice);
         if head.is_not_run {
             return AttemptEnd::NotRun(reply.head.status);
         }
--- a/crates/gateway/src/upstreams/cold.rs
+++ b/crates/gateway/src/upstreams/cold.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
-use std::time::Duration;
 
 use stallhoist_core::HostId;
 use stallhoist_core::MonoTime;
@@ -11,7 +10,6 @@
 use stallhoist_core::StartId;
 use stallhoist_policy::cold::ColdService;
 use stallhoist_policy::cold::Place;
-use stallhoist_policy::cold::ToldCold;
 
 use super::Known;
 use super::Upstreams;
@@ -23,11 +21,6 @@
         self.known.lock().cold_services = services;
     }
 
-    /// An upstream has said in an answer how much longer it is cold.
-    pub(crate) fn told_cold(&self, now: MonoTime, start: &StartId, cold: Duration) {
-        self.known.lock().cold.told(now, start, ToldCold::For(cold));
-    }
-
     /// Another entry, or this one, is listed: cold upstreams' requests are divided among all.
     pub(crate) fn entry_listed(&self, host: HostId) {
         self.known.lock().cold.fleet_mut().listed(host);
--- a/crates/gateway/src/upstreams/mod.rs
+++ b/crates/gateway/src/upstreams/mod.rs
@@ -3,6 +3,7 @@
 mod choice;
 mod cold;
 mod emptied_zones;
+mod notices;
 mod placement;
 mod summary;
 mod work;
@@ -29,7 +30,6 @@
 use stallhoist_policy::balance::HealthConfig;
 use stallhoist_policy::balance::PrefixCaches;
 use stallhoist_policy::balance::ReadingSpeeds;
-use stallhoist_policy::balance::ReportedLoad;
 use stallhoist_policy::balance::TellableStanding;
 use stallhoist_policy::balance::UpstreamHealth;
 use stallhoist_policy::balance::UpstreamKey;
@@ -40,6 +40,7 @@
 use stallhoist_policy::cold::ColdBound;
 use stallhoist_policy::cold::ColdService;
 use stallhoist_policy::cold::ColdUpstreams;
+use stallhoist_policy::named_limits::NamedLimits;
 use stallhoist_settings::DecisionSettings;
 use stallhoist_settings::GatewaySettings;
 use tokio::sync::Notify;
@@ -71,6 +72,7 @@
     speeds: ReadingSpeeds,
     emptied_zones: EmptiedZones,
     cold: ColdUpstreams,
+    limits: NamedLimits,
     /// What upstreams of each service bear while they are cold.
     cold_services: HashMap<ServiceName, ColdService>,
     /// How many of each service were cold when it was looked at last.
@@ -96,6 +98,7 @@
             speeds: ReadingSpeeds::default(),
             emptied_zones: EmptiedZones::default(),
             cold: ColdUpstreams::new(own, bound),
+            limits: NamedLimits::default(),
             cold_services: HashMap::new(),
             cold_counts: BTreeMap::new(),
         }
@@ -183,12 +186,13 @@
     /// Forgets upstreams that have left. Gives how many are known.
     pub(crate) fn expire(&self, now: MonoTime) -> usize {
         let mut known = self.known.lock();
-        let Known { directory, load, health, prefix_caches, cold, .. } = &mut *known;
+        let Known { directory, load, health, prefix_caches, cold, limits, .. } = &mut *known;
         if directory.expire(now) {
             load.retain(|start| directory.is_known(start));
             health.retain(|start| directory.is_known(start));
             prefix_caches.retain(|start| directory.is_known(start));
             cold.retain(|start| directory.is_known(start));
+            limits.retain(|start| directory.is_known(start));
         }
         directory.len()
     }
@@ -282,10 +286,6 @@
         }
     }
 
-    pub(crate) fn reported(&self, now: MonoTime, start: &StartId, load: ReportedLoad) {
-        self.known.lock().load.reported(now, start, load);
-    }
-
     /// Requests in progress at an upstream, as far as it is known.
     pub(crate) fn in_progress(&self, now: MonoTime, start: &StartId) -> u32 {
         self.known.lock().work_on(now, start).in_progress
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod fatal;
 pub mod guard;
 pub mod limits;
+pub mod named_limits;
 pub mod placement;
 pub mod retry;
 pub mod rollout;
