--- a/crates/standins/src/users_platform/upstream.rs
+++ b/crates/standins/src/users_platform/upstream.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use http::HeaderMap;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -83,6 +84,8 @@
 #[derive(Debug)]
 struct State {
     usual: Behaviour,
+    /// What it says of itself in each answer.
+    says: HeaderMap,
     next: VecDeque<Behaviour>,
     arrivals: Vec<Arrival>,
     runs: usize,
@@ -120,6 +123,7 @@
     pub async fn start(instance: &str, usual: Behaviour) -> io::Result<Self> {
         let state = State {
             usual,
+            says: HeaderMap::new(),
             next: VecDeque::new(),
             arrivals: Vec::new(),
             runs: 0,
@@ -174,6 +178,20 @@
         self.process.state.lock().next.clear();
     }
 
+    /// From now on it says this of itself in each answer, whatever it answers.
+    ///
+    /// # Panics
+    /// Panics when `value` cannot stand in a header.
+    pub fn says(&self, name: &'static str, value: &str) {
+        let value = HeaderValue::from_str(value).expect("a header's value");
+        self.process.state.lock().says.insert(name, value);
+    }
+
+    /// From now on it does not say that any more.
+    pub fn says_no_more(&self, name: &'static str) {
+        self.process.state.lock().says.remove(name);
+    }
+
     /// The requests that reached it.
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.process.state.lock().arrivals.clone()
@@ -279,6 +297,13 @@
 
 async fn handle(process: Weak<Process>, request: Request<Incoming>) -> io::Result<Response<Body>> {
     let process = process.upgrade().ok_or_else(|| io::Error::other("the upstream has ended"))?;
+    let state = Arc::clone(&process.state);
+    let mut response = answer(process, request).await?;
+    response.headers_mut().extend(state.lock().says.clone());
+    Ok(response)
+}
+
+async fn answer(process: Arc<Process>, request: Request<Incoming>) -> io::Result<Response<Body>> {
     let state = Arc::clone(&process.state);
     let (head, body) = request.into_parts();
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
--- a/tests/all/gateway/mod.rs
+++ b/tests/all/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod headers;
 mod homes;
 mod members;
+mod named_limits;
 mod peers;
 mod rollout_loads;
 mod rollouts;
