The division of an upstream's requests among all entries has a module of its own

`policy::fleet_bound` holds the ranks of entries, what part a rank has, and when requests were sent; `policy::cold` is one user of it. No logic changes: the tests of cold upstreams pass with the same figures.

--- a/benches/support/cold_world.rs
+++ b/benches/support/cold_world.rs
@@ -12,8 +12,9 @@
 use stallhoist_policy::cold::ColdBound;
 use stallhoist_policy::cold::ColdService;
 use stallhoist_policy::cold::ColdUpstreams;
-use stallhoist_policy::cold::Place;
 use stallhoist_policy::cold::ToldCold;
+use stallhoist_policy::fleet_bound::Fleet;
+use stallhoist_policy::fleet_bound::Place;
 
 /// What an upstream bears in a second while it is cold, and the bound by the platform's page.
 pub(crate) const SERVICE: ColdService =
@@ -85,6 +86,7 @@
 
 struct Entry {
     cold: ColdUpstreams,
+    fleet: Fleet,
     weight: f64,
     /// When it takes part, and when it hears of the return.
     joined_s: f64,
@@ -128,17 +130,18 @@
             .collect();
         let mut entries = Vec::new();
         for (n, host) in hosts.iter().enumerate() {
-            let mut cold = ColdUpstreams::new(host, Some(bound));
+            let mut fleet = Fleet::new(host);
             // Those that were there first know each other.
-            hosts[joining..].iter().for_each(|other| cold.fleet_mut().listed(other.clone()));
+            hosts[joining..].iter().for_each(|other| fleet.listed(other.clone()));
             if n < joining {
-                cold.fleet_mut().announces_itself(at(joined_s[n]));
-                cold.fleet_mut().listed(host.clone());
+                fleet.announces_itself(at(joined_s[n]));
+                fleet.listed(host.clone());
             }
             let weight = if n % 3 == 0 { setting.uneven } else { 1.0 };
             let hears_s = RETURN_S + rng.random_range(0.0..=setting.news_s);
             let joined_s = joined_s[n];
-            entries.push(Entry { cold, weight, joined_s, hears_s, has_heard: false });
+            let cold = ColdUpstreams::new(Some(bound));
+            entries.push(Entry { cold, fleet, weight, joined_s, hears_s, has_heard: false });
         }
         let starts = (0..setting.cold).map(|n| format!("i-{seed}-{n}").parse().expect("a start"));
         let mut world = Self {
@@ -162,7 +165,7 @@
             for entry in &mut self.entries {
                 let heard_s = joined_s + self.rng.random_range(0.0..=self.setting.news_s);
                 if heard_s <= RETURN_S + COLD_S / 2.0 {
-                    entry.cold.fleet_mut().listed(newcomer.clone());
+                    entry.fleet.listed(newcomer.clone());
                 }
             }
         }
@@ -234,7 +237,7 @@
             Way::Free => true,
             Way::Among(_) => {
                 let start = &self.starts[upstream];
-                entry.cold.place(at(now_s), start, Some(&SERVICE)) == Place::Free
+                entry.cold.place(at(now_s), start, Some(&SERVICE), &entry.fleet) == Place::Free
             }
             Way::Oracle => {
                 let known = &mut self.known[upstream];
--- a/crates/gateway/src/upstreams/choice.rs
+++ b/crates/gateway/src/upstreams/choice.rs
@@ -14,7 +14,7 @@
 use stallhoist_policy::balance::other_ms;
 use stallhoist_policy::balance::other_zone_cost_ms;
 use stallhoist_policy::balance::own_reading_ms;
-use stallhoist_policy::cold::Place;
+use stallhoist_policy::fleet_bound::Place;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::Chosen;
@@ -248,7 +248,7 @@
 /// What a cold upstream without a place makes of a request, and when that ends.
 fn cold_lack(place: Place) -> Option<(MonoTime, Lack)> {
     match place {
-        Place::Warm | Place::Free => None,
+        Place::Unbounded | Place::Free => None,
         Place::FreeAt(at) => Some((at, Lack::Cold(at))),
         Place::OthersUntil(at) => Some((at, Lack::ColdForOthers(at))),
     }
--- a/crates/gateway/src/upstreams/cold.rs
+++ b/crates/gateway/src/upstreams/cold.rs
@@ -9,7 +9,7 @@
 use stallhoist_core::ServiceName;
 use stallhoist_core::StartId;
 use stallhoist_policy::cold::ColdService;
-use stallhoist_policy::cold::Place;
+use stallhoist_policy::fleet_bound::Place;
 
 use super::Known;
 use super::Upstreams;
@@ -23,12 +23,12 @@
 
     /// Another entry, or this one, is listed: cold upstreams' requests are divided among all.
     pub(crate) fn entry_listed(&self, host: HostId) {
-        self.known.lock().cold.fleet_mut().listed(host);
+        self.known.lock().fleet.listed(host);
     }
 
     /// This entry is about to list itself.
     pub(crate) fn announces_itself(&self, now: MonoTime) {
-        self.known.lock().cold.fleet_mut().announces_itself(now);
+        self.known.lock().fleet.announces_itself(now);
     }
 
     /// How many upstreams of each service are cold; logs where the first one is, or none any more.
@@ -53,7 +53,8 @@
 impl Known {
     /// Whether a request may be sent to an upstream now, as far as it is cold.
     pub(super) fn cold_place(&self, now: MonoTime, member: &Member) -> Place {
-        self.cold.place(now, &member.start, self.cold_services.get(&member.service))
+        let service = self.cold_services.get(&member.service);
+        self.cold.place(now, &member.start, service, &self.fleet)
     }
 
     /// Forgets that upstreams were cold which are not any more. One stays that is not listed yet, as
@@ -62,7 +63,7 @@
         let is_warm = |start: &&StartId| {
             self.directory.member(start).is_some_and(|member| {
                 self.cold_services.contains_key(&member.service)
-                    && self.cold_place(now, member) == Place::Warm
+                    && self.cold_place(now, member) == Place::Unbounded
             })
         };
         let warm: HashSet<StartId> = self.cold.starts().filter(is_warm).cloned().collect();
--- a/crates/gateway/src/upstreams/mod.rs
+++ b/crates/gateway/src/upstreams/mod.rs
@@ -40,6 +40,7 @@
 use stallhoist_policy::cold::ColdBound;
 use stallhoist_policy::cold::ColdService;
 use stallhoist_policy::cold::ColdUpstreams;
+use stallhoist_policy::fleet_bound::Fleet;
 use stallhoist_policy::named_limits::NamedLimits;
 use stallhoist_settings::DecisionSettings;
 use stallhoist_settings::GatewaySettings;
@@ -71,6 +72,8 @@
     prefix_caches: PrefixCaches,
     speeds: ReadingSpeeds,
     emptied_zones: EmptiedZones,
+    /// The entries among which what upstreams take is divided.
+    fleet: Fleet,
     cold: ColdUpstreams,
     limits: NamedLimits,
     /// What upstreams of each service bear while they are cold.
@@ -97,7 +100,8 @@
             prefix_caches: PrefixCaches::default(),
             speeds: ReadingSpeeds::default(),
             emptied_zones: EmptiedZones::default(),
-            cold: ColdUpstreams::new(own, bound),
+            fleet: Fleet::new(own),
+            cold: ColdUpstreams::new(bound),
             limits: NamedLimits::default(),
             cold_services: HashMap::new(),
             cold_counts: BTreeMap::new(),
--- a/crates/policy/src/cold/bound.rs
+++ b/crates/policy/src/cold/bound.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::fleet_bound::Rank;
+
 /// The part of the bound that is used. The rest is for entries whose lists differ for a moment, of
 /// which each adds one request a second, and for requests that are held up on their way and arrive
 /// together with later ones.
@@ -37,23 +39,8 @@
         (bound as u32).max(1)
     }
 
-    /// What one entry may send in a second, by its rank among all: those that come first have
-    /// the requests that are left over.
+    /// What one entry may send in a second, by its rank among all.
     pub fn share(&self, service: &ColdService, rank: Rank) -> u32 {
-        let fleet_per_s = self.fleet_per_s(service);
-        let owners = rank.entries.min(self.max_owners).clamp(1, fleet_per_s);
-        if rank.place >= owners {
-            return 0;
-        }
-        fleet_per_s / owners + u32::from(rank.place < fleet_per_s % owners)
+        rank.share(self.fleet_per_s(service), self.max_owners)
     }
 }
-
-/// Where an entry stands among all, for one upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Rank {
-    /// How many come before it.
-    pub place: u32,
-    /// How many there are.
-    pub entries: u32,
-}
--- a/crates/policy/src/cold/mod.rs
+++ b/crates/policy/src/cold/mod.rs
@@ -6,14 +6,10 @@
 //! out, from the list of entries alone, how many requests a second are its own part of it.
 
 mod bound;
-mod fleet;
 mod record;
 mod upstreams;
 
 pub use bound::ColdBound;
 pub use bound::ColdService;
-pub use bound::Rank;
-pub use fleet::Fleet;
 pub use record::ToldCold;
 pub use upstreams::ColdUpstreams;
-pub use upstreams::Place;
--- a/crates/policy/src/cold/record.rs
+++ b/crates/policy/src/cold/record.rs
@@ -1,13 +1,12 @@
 //! What is known of one upstream that may be cold.
 
-use std::cell::Cell;
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use stallhoist_core::MonoTime;
 
 use super::bound::ColdService;
-use super::bound::Rank;
+use crate::fleet_bound::RankCache;
+use crate::fleet_bound::SentTimes;
 
 /// Requests count together that were sent within this time. Longer than the second of the bound,
 /// as one may take longer on its way than the next.
@@ -36,9 +35,9 @@
     /// When the operators last took its availability zone back.
     back_in_use: Option<MonoTime>,
     /// When requests were sent to it, of the last [`WINDOW`].
-    sent: VecDeque<MonoTime>,
-    /// The entry's rank, and the generation of the fleet that it holds for.
-    rank: Cell<Option<(u64, Option<Rank>)>>,
+    pub(super) sent: SentTimes,
+    /// The entry's rank.
+    pub(super) rank: RankCache,
 }
 
 impl Record {
@@ -75,38 +74,6 @@
 
     /// A request is sent.
     pub(super) fn sent(&mut self, now: MonoTime) {
-        while self.sent.front().is_some_and(|first| now.since(*first) >= WINDOW) {
-            self.sent.pop_front();
-        }
-        self.sent.push_back(now);
-    }
-
-    /// When the next request may be sent, if there may be so many in a second; none if there may
-    /// be none at all.
-    pub(super) fn next_at(&self, now: MonoTime, share_per_s: u32) -> Option<MonoTime> {
-        let share = usize::try_from(share_per_s).unwrap_or(usize::MAX);
-        if share == 0 {
-            return None;
-        }
-        let Some(earlier) = self.sent.len().checked_sub(share) else {
-            return Some(now);
-        };
-        self.sent.get(earlier).map(|sent| sent.after(WINDOW).max(now))
-    }
-
-    /// The rank that was worked out for a generation of the fleet, or is by `rank`.
-    pub(super) fn rank(
-        &self,
-        generation: u64,
-        rank: impl FnOnce() -> Option<Rank>,
-    ) -> Option<Rank> {
-        match self.rank.get() {
-            Some((known, rank)) if known == generation => rank,
-            _ => {
-                let rank = rank();
-                self.rank.set(Some((generation, rank)));
-                rank
-            }
-        }
+        self.sent.sent(now, WINDOW);
     }
 }
--- a/crates/policy/src/cold/upstreams.rs
+++ b/crates/policy/src/cold/upstreams.rs
@@ -3,43 +3,22 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use stallhoist_core::HostId;
 use stallhoist_core::MonoTime;
 use stallhoist_core::StartId;
 
 use super::bound::ColdBound;
 use super::bound::ColdService;
-use super::fleet::Fleet;
 use super::record::Record;
 use super::record::ToldCold;
-use crate::balance::UpstreamKey;
-
-/// Whether a request may be sent to an upstream now.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Place {
-    /// It is not cold: any number may.
-    Warm,
-    /// It is cold, and this entry may send it one.
-    Free,
-    /// It is cold, and this entry may send it one from then on.
-    FreeAt(MonoTime),
-    /// It is cold, and other entries send it what it bears; it is warm from then on.
-    OthersUntil(MonoTime),
-}
-
-impl Place {
-    /// Whether a request may be sent now.
-    pub fn is_usable(self) -> bool {
-        matches!(self, Self::Warm | Self::Free)
-    }
-}
+use super::record::WINDOW;
+use crate::fleet_bound::Fleet;
+use crate::fleet_bound::Place;
 
 /// The upstreams that may be cold, as one entry knows them.
 #[derive(Debug)]
 pub struct ColdUpstreams {
     /// None where nothing bounds what comes to a cold upstream.
     bound: Option<ColdBound>,
-    fleet: Fleet,
     /// Those that are not known to be warm, few mostly: each choice looks for each upstream here. With a
     /// record of each, an entry before 3,000 upstreams used three times the processor.
     by_start: HashMap<StartId, Record>,
@@ -47,13 +26,8 @@
 
 impl ColdUpstreams {
     /// None is known yet.
-    pub fn new(own: &HostId, bound: Option<ColdBound>) -> Self {
-        Self { bound, fleet: Fleet::new(own), by_start: HashMap::new() }
-    }
-
-    /// The entries among which requests are divided.
-    pub fn fleet_mut(&mut self) -> &mut Fleet {
-        &mut self.fleet
+    pub fn new(bound: Option<ColdBound>) -> Self {
+        Self { bound, by_start: HashMap::new() }
     }
 
     /// An upstream has just said how long it is cold, in an answer or by a change of its entry in
@@ -85,26 +59,30 @@
         }
     }
 
-    /// Whether a request may be sent to an upstream of a service now.
-    pub fn place(&self, now: MonoTime, start: &StartId, service: Option<&ColdService>) -> Place {
+    /// Whether one of these entries may send a request to an upstream of a service now.
+    pub fn place(
+        &self,
+        now: MonoTime,
+        start: &StartId,
+        service: Option<&ColdService>,
+        fleet: &Fleet,
+    ) -> Place {
         if self.by_start.is_empty() {
-            return Place::Warm;
+            return Place::Unbounded;
         }
         let (Some(bound), Some(service)) = (&self.bound, service) else {
-            return Place::Warm;
+            return Place::Unbounded;
         };
         let Some(record) = self.by_start.get(start) else {
-            return Place::Warm;
+            return Place::Unbounded;
         };
         let until = record.until(service);
         if now >= until {
-            return Place::Warm;
+            return Place::Unbounded;
         }
-        let rank = || self.fleet.rank(UpstreamKey::of(start));
-        let rank = record.rank(self.fleet.generation(), rank);
-        let rank = rank.filter(|_| self.fleet.is_counted(now));
+        let rank = fleet.rank_for(now, start, &record.rank);
         let share = rank.map_or(0, |rank| bound.share(service, rank));
-        match record.next_at(now, share) {
+        match record.sent.next_at(now, share, WINDOW) {
             Some(at) if at <= now => Place::Free,
             Some(at) => Place::FreeAt(at.min(until)),
             None => Place::OthersUntil(until),
--- a/crates/policy/src/cold/fleet.rs
+++ b/crates/policy/src/fleet_bound/fleet.rs
@@ -1,21 +1,26 @@
-//! The entries among which a cold upstream's requests are divided.
+//! The entries among which an upstream's requests are divided.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use stallhoist_core::HostId;
 use stallhoist_core::MonoTime;
+use stallhoist_core::StartId;
 use xxhash_rust::xxh3::xxh3_64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::bound::Rank;
-use super::record::WINDOW;
+use super::rank::Rank;
+use super::rank::RankCache;
 use crate::balance::UpstreamKey;
 
 /// An entry that is new counts itself in only so long after it has listed itself: until then some
 /// of the others may still divide among themselves alone. News of the list take up to 2 s.
 const COUNTED_AFTER: Duration = Duration::from_secs(3);
 
+/// The longest that a request counts which an earlier process on this host may have sent just before
+/// the start of this one.
+const EARLIER_PROCESS_COUNTS: Duration = Duration::from_millis(1_100);
+
 /// The entries of the system, as one of them knows them.
 #[derive(Debug)]
 pub struct Fleet {
@@ -34,7 +39,7 @@
         Self {
             own: hash_of(own),
             entries: BTreeMap::new(),
-            counted_from: MonoTime::default().after(WINDOW),
+            counted_from: MonoTime::default().after(EARLIER_PROCESS_COUNTS),
             generation: 0,
         }
     }
@@ -55,18 +60,21 @@
         }
     }
 
-    pub(super) fn generation(&self) -> u64 {
-        self.generation
-    }
-
-    /// Whether the others count this entry.
-    pub(super) fn is_counted(&self, now: MonoTime) -> bool {
-        now >= self.counted_from
+    /// Where this entry stands among all for a start of an upstream; none while it is not listed, or
+    /// the others may not count it yet.
+    pub(crate) fn rank_for(
+        &self,
+        now: MonoTime,
+        start: &StartId,
+        cache: &RankCache,
+    ) -> Option<Rank> {
+        let rank = cache.get(self.generation, || self.rank(UpstreamKey::of(start)));
+        rank.filter(|_| now >= self.counted_from)
     }
 
     /// Where this entry stands among all for an upstream, by a hash; none while it is not listed.
     /// Each entry that comes or goes moves the others by one place at most.
-    pub(super) fn rank(&self, upstream: UpstreamKey) -> Option<Rank> {
+    fn rank(&self, upstream: UpstreamKey) -> Option<Rank> {
         let weight = |hash: u64| xxh3_64_with_seed(&hash.to_le_bytes(), upstream.0);
         let own = weight(self.own);
         let mut place = 0;
--- /dev/null
+++ b/crates/policy/src/fleet_bound/mod.rs
@@ -0,0 +1,15 @@
+//! Bounds on what all entries together send to one upstream, with nothing agreed between them.
+//!
+//! Each entry works out from the list of entries alone which part of the bound is its own: entries
+//! are ranked for each upstream by a hash of both, and those that come first share it.
+
+mod fleet;
+mod place;
+mod rank;
+mod sent;
+
+pub use fleet::Fleet;
+pub use place::Place;
+pub use rank::Rank;
+pub(crate) use rank::RankCache;
+pub(crate) use sent::SentTimes;
--- /dev/null
+++ b/crates/policy/src/fleet_bound/place.rs
@@ -0,0 +1,23 @@
+//! Whether a request may be sent to an upstream.
+
+use stallhoist_core::MonoTime;
+
+/// Whether a request may be sent to an upstream now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Place {
+    /// Nothing bounds what comes to it: any number may.
+    Unbounded,
+    /// There is a bound, and this entry may send it one.
+    Free,
+    /// There is a bound, and this entry may send it one from then on.
+    FreeAt(MonoTime),
+    /// Other entries send it what it takes; this one may do so from then on.
+    OthersUntil(MonoTime),
+}
+
+impl Place {
+    /// Whether a request may be sent now.
+    pub fn is_usable(self) -> bool {
+        matches!(self, Self::Unbounded | Self::Free)
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod cascade;
 pub mod cold;
 pub mod fatal;
+pub mod fleet_bound;
 pub mod guard;
 pub mod limits;
 pub mod named_limits;
--- a/tests/all/decisions/cold.rs
+++ b/tests/all/decisions/cold.rs
@@ -13,9 +13,10 @@
 use stallhoist_policy::cold::ColdBound;
 use stallhoist_policy::cold::ColdService;
 use stallhoist_policy::cold::ColdUpstreams;
-use stallhoist_policy::cold::Place;
-use stallhoist_policy::cold::Rank;
 use stallhoist_policy::cold::ToldCold;
+use stallhoist_policy::fleet_bound::Fleet;
+use stallhoist_policy::fleet_bound::Place;
+use stallhoist_policy::fleet_bound::Rank;
 
 use super::at_ms;
 
@@ -37,15 +38,32 @@
     name.parse().expect("a start")
 }
 
+/// What one entry knows.
+struct Entry {
+    cold: ColdUpstreams,
+    fleet: Fleet,
+}
+
+impl Entry {
+    /// One that knows so many entries.
+    fn knowing(number: usize, entries: usize) -> Self {
+        let mut fleet = Fleet::new(&host(number));
+        (0..entries).for_each(|other| fleet.listed(host(other)));
+        Self { cold: ColdUpstreams::new(Some(BOUND)), fleet }
+    }
+
+    fn place(&self, now: MonoTime, start: &StartId) -> Place {
+        self.cold.place(now, start, Some(&SERVICE), &self.fleet)
+    }
+}
+
 /// One of so many entries, all of which know each other.
-fn entry(number: usize, entries: usize) -> ColdUpstreams {
-    let mut cold = ColdUpstreams::new(&host(number), Some(BOUND));
-    (0..entries).for_each(|other| cold.fleet_mut().listed(host(other)));
-    cold
+fn entry(number: usize, entries: usize) -> Entry {
+    Entry::knowing(number, entries)
 }
 
-fn place(cold: &ColdUpstreams, ms: u64) -> Place {
-    cold.place(at(ms), &start("i-1"), Some(&SERVICE))
+fn place(entry: &Entry, ms: u64) -> Place {
+    entry.place(at(ms), &start("i-1"))
 }
 
 /// After an upstream said this at 1,000 ms, it is cold for just so long.
@@ -53,11 +71,11 @@
     ($name:ident, $told:expr, $for_ms:expr) => {
         #[test]
         fn $name() {
-            let mut cold = entry(0, 1);
-            cold.told(at(1_000), &start("i-1"), $told);
+            let mut entry = entry(0, 1);
+            entry.cold.told(at(1_000), &start("i-1"), $told);
             let last_cold = 1_000 + $for_ms - 1;
-            assert!($for_ms == 0 || place(&cold, last_cold) != Place::Warm);
-            assert_eq!(place(&cold, 1_000 + $for_ms), Place::Warm);
+            assert!($for_ms == 0 || place(&entry, last_cold) != Place::Unbounded);
+            assert_eq!(place(&entry, 1_000 + $for_ms), Place::Unbounded);
         }
     };
 }
@@ -88,76 +106,77 @@
 
 #[test]
 fn the_same_words_read_again_do_not_make_it_cold_once_more() {
-    let mut cold = entry(0, 1);
+    let mut entry = entry(0, 1);
     let told = ToldCold::For(Duration::from_millis(2_500));
-    cold.told(at(0), &start("i-1"), told);
-    cold.read(at(2_000), &start("i-1"), told);
-    assert_eq!(place(&cold, 2_500), Place::Warm);
-    cold.told(at(5_000), &start("i-1"), told);
-    assert_eq!(place(&cold, 5_000), Place::Free);
+    entry.cold.told(at(0), &start("i-1"), told);
+    entry.cold.read(at(2_000), &start("i-1"), told);
+    assert_eq!(place(&entry, 2_500), Place::Unbounded);
+    entry.cold.told(at(5_000), &start("i-1"), told);
+    assert_eq!(place(&entry, 5_000), Place::Free);
 }
 
 #[test]
 fn one_that_is_taken_back_into_use_may_have_turned_cold() {
-    let mut cold = entry(0, 1);
-    cold.told(at(0), &start("i-1"), ToldCold::For(Duration::ZERO));
-    cold.is_back_in_use(at(9_000), &start("i-1"));
-    assert_eq!(place(&cold, 11_999), Place::Free);
-    assert_eq!(place(&cold, 12_000), Place::Warm);
-    cold.is_back_in_use(at(20_000), &start("i-1"));
-    cold.told(at(20_100), &start("i-1"), ToldCold::For(Duration::ZERO));
-    assert_eq!(place(&cold, 20_100), Place::Warm);
+    let mut entry = entry(0, 1);
+    entry.cold.told(at(0), &start("i-1"), ToldCold::For(Duration::ZERO));
+    entry.cold.is_back_in_use(at(9_000), &start("i-1"));
+    assert_eq!(place(&entry, 11_999), Place::Free);
+    assert_eq!(place(&entry, 12_000), Place::Unbounded);
+    entry.cold.is_back_in_use(at(20_000), &start("i-1"));
+    entry.cold.told(at(20_100), &start("i-1"), ToldCold::For(Duration::ZERO));
+    assert_eq!(place(&entry, 20_100), Place::Unbounded);
 }
 
 #[test]
 fn without_a_bound_nothing_is_cold() {
-    let mut cold = ColdUpstreams::new(&host(0), None);
-    cold.told(at(0), &start("i-1"), ToldCold::Unsaid);
-    assert_eq!(place(&cold, 0), Place::Warm);
+    let mut entry = entry(0, 1);
+    entry.cold = ColdUpstreams::new(None);
+    entry.cold.told(at(0), &start("i-1"), ToldCold::Unsaid);
+    assert_eq!(place(&entry, 0), Place::Unbounded);
 }
 
 #[test]
 fn a_single_entry_sends_what_is_borne_and_then_waits() {
-    let mut cold = entry(0, 1);
-    cold.told(at(0), &start("i-1"), ToldCold::Unsaid);
+    let mut entry = entry(0, 1);
+    entry.cold.told(at(0), &start("i-1"), ToldCold::Unsaid);
     for _ in 0..28 {
-        assert_eq!(place(&cold, 100), Place::Free);
-        cold.sent(at(100), &start("i-1"));
+        assert_eq!(place(&entry, 100), Place::Free);
+        entry.cold.sent(at(100), &start("i-1"));
     }
-    assert_eq!(place(&cold, 100), Place::FreeAt(at(1_200)));
-    assert_eq!(place(&cold, 1_200), Place::Free);
+    assert_eq!(place(&entry, 100), Place::FreeAt(at(1_200)));
+    assert_eq!(place(&entry, 1_200), Place::Free);
 }
 
 /// Until the others count it, they divide all that there is among themselves.
 #[test]
 fn an_entry_that_is_new_sends_nothing_until_the_others_count_it() {
-    let mut cold = ColdUpstreams::new(&host(7), Some(BOUND));
-    cold.told(at(0), &start("i-1"), ToldCold::For(Duration::from_secs(20)));
+    let mut entry = Entry::knowing(7, 0);
+    entry.cold.told(at(0), &start("i-1"), ToldCold::For(Duration::from_secs(20)));
     let others = Place::OthersUntil(at(20_000));
-    assert_eq!(place(&cold, 100), others);
-    (0..3).for_each(|other| cold.fleet_mut().listed(host(other)));
-    assert_eq!(place(&cold, 100), others);
-    cold.fleet_mut().announces_itself(at(200));
-    cold.fleet_mut().listed(host(7));
-    assert_eq!(place(&cold, 3_199), others);
-    assert_eq!(place(&cold, 3_200), Place::Free);
+    assert_eq!(place(&entry, 100), others);
+    (0..3).for_each(|other| entry.fleet.listed(host(other)));
+    assert_eq!(place(&entry, 100), others);
+    entry.fleet.announces_itself(at(200));
+    entry.fleet.listed(host(7));
+    assert_eq!(place(&entry, 3_199), others);
+    assert_eq!(place(&entry, 3_200), Place::Free);
 }
 
 /// Its host was listed by an earlier process, and the others have counted it all the while.
 #[test]
 fn an_entry_that_starts_again_sends_at_once() {
-    let mut cold = entry(2, 3);
-    cold.fleet_mut().announces_itself(at(200));
-    cold.told(at(200), &start("i-1"), ToldCold::Unsaid);
-    assert_eq!(place(&cold, 200), Place::Free);
+    let mut entry = entry(2, 3);
+    entry.fleet.announces_itself(at(200));
+    entry.cold.told(at(200), &start("i-1"), ToldCold::Unsaid);
+    assert_eq!(place(&entry, 200), Place::Free);
 }
 
 /// The earlier process may have used the entry's part just before it ended.
 #[test]
 fn an_entry_that_has_just_started_sends_nothing_in_its_first_second() {
-    let mut cold = entry(2, 3);
-    cold.told(at_ms(0), &start("i-1"), ToldCold::Unsaid);
-    let place = |ms| cold.place(at_ms(ms), &start("i-1"), Some(&SERVICE));
+    let mut entry = entry(2, 3);
+    entry.cold.told(at_ms(0), &start("i-1"), ToldCold::Unsaid);
+    let place = |ms| entry.place(at_ms(ms), &start("i-1"));
     assert_eq!(place(1_099), Place::OthersUntil(at_ms(3_000)));
     assert_eq!(place(1_100), Place::Free);
 }
@@ -165,13 +184,12 @@
 /// What all of so many entries would send in a second to an upstream, each as much as it may.
 fn sent_in_a_second(entries: usize, known: impl Fn(usize) -> usize, upstream: &str) -> usize {
     let sent_by = |number: usize| {
-        let mut cold = ColdUpstreams::new(&host(number), Some(BOUND));
-        (0..known(number)).for_each(|other| cold.fleet_mut().listed(host(other)));
+        let mut entry = Entry::knowing(number, known(number));
         let start = start(upstream);
-        cold.told(at(0), &start, ToldCold::Unsaid);
+        entry.cold.told(at(0), &start, ToldCold::Unsaid);
         let mut sent = 0;
-        while cold.place(at(1), &start, Some(&SERVICE)) == Place::Free {
-            cold.sent(at(1), &start);
+        while entry.place(at(1), &start) == Place::Free {
+            entry.cold.sent(at(1), &start);
             sent += 1;
         }
         sent
@@ -225,14 +243,14 @@
     /// In no span of a second does one entry send more than its share, whenever it asks.
     #[test]
     fn no_second_has_more_than_the_share(gaps_ms in proptest::collection::vec(0_u64..200, 200)) {
-        let mut cold = entry(0, 3);
-        cold.told(at(0), &start("i-1"), ToldCold::For(Duration::from_secs(60)));
+        let mut entry = entry(0, 3);
+        entry.cold.told(at(0), &start("i-1"), ToldCold::For(Duration::from_secs(60)));
         let mut now_ms = 0;
         let mut sent: Vec<MonoTime> = Vec::new();
         for gap_ms in gaps_ms {
             now_ms += gap_ms;
-            if place(&cold, now_ms) == Place::Free {
-                cold.sent(at(now_ms), &start("i-1"));
+            if place(&entry, now_ms) == Place::Free {
+                entry.cold.sent(at(now_ms), &start("i-1"));
                 sent.push(at(now_ms));
             }
         }
