The stand-in's list of hosts does not go back when it begins to lag

Cause: the test switches a lag of 0.3 s on, and the stand-in then shows the list of 0.3 s ago, from before the hosts were listed where the fleet has started faster than that (0.31 s on this host). A platform's list lags, it does not go back. Not the machine's load: nothing ran beside it.

--- a/crates/standins/src/platform/server.rs
+++ b/crates/standins/src/platform/server.rs
@@ -37,12 +37,14 @@
 }
 
 impl Shared {
+    /// The list of hosts, late if it lags. It never goes back: what is older than a list that was
+    /// shown is dropped.
     pub(crate) fn hosts_as_shown(&self) -> HostList {
         let lag = Duration::from_millis(self.faults.lock().host_list_lag_ms);
-        let hosts = self.hosts.lock();
-        let is_old_enough = |(since, _): &&(Instant, HostList)| since.elapsed() >= lag;
-        let shown = hosts.iter().rev().find(is_old_enough).or(hosts.front());
-        shown.map(|(_, list)| list.clone()).unwrap_or_default()
+        let mut hosts = self.hosts.lock();
+        let shown = hosts.iter().rposition(|(since, _)| since.elapsed() >= lag).unwrap_or(0);
+        hosts.drain(..shown);
+        hosts.front().map(|(_, list)| list.clone()).unwrap_or_default()
     }
 
     pub(crate) fn set_hosts(&self, list: HostList) {
