A refusal that names no limit is no sign that the limit is over

Suspected, not seen: an upstream in need refuses what it has no room for, and what refuses may not know of the limit. The test failed without it (the limit was gone with the first refusal).

--- a/crates/policy/src/named_limits/named_limit.rs
+++ b/crates/policy/src/named_limits/named_limit.rs
@@ -8,8 +8,9 @@
     /// Nothing: there is none.
     #[default]
     Unsaid,
-    /// Something that cannot be read, which says nothing of whether there is one.
-    Unreadable,
+    /// Nothing that tells whether there is one: what stands there cannot be read, or the upstream refused
+    /// the request without naming one, which is no sign that it is out of need.
+    Unknown,
     /// So many a second.
     Of(RequestRate),
 }
--- a/tests/all/gateway/named_limits.rs
+++ b/tests/all/gateway/named_limits.rs
@@ -179,6 +179,14 @@
         wait_until("the others are told", async || self.is_limited(limit, entries).await).await;
     }
 
+    /// Waits until the first entry may use its part.
+    async fn entry_is_counted(&self) {
+        wait_until("the entry is counted", async || {
+            self.fleet.dumps().await[0]["upstreams"].to_string().contains("place=Free")
+        })
+        .await;
+    }
+
     /// Whether so many entries know of an upstream with this limit, at least.
     async fn is_limited(&self, limit: &str, entries: usize) -> bool {
         let word = format!("limit={limit}");
@@ -196,10 +204,7 @@
         let request = world.fleet.http.get(&url).header("Host", "test.example").bearer_auth(KEY);
         send(request.header("Request-Id", id)).await.expect("an answer")
     };
-    wait_until("the entry is counted", async || {
-        world.fleet.dumps().await[0]["upstreams"].to_string().contains("place=Free")
-    })
-    .await;
+    world.entry_is_counted().await;
     wait_until("its part is used", async || ask("0-1").await.status == 503).await;
     let asked = Instant::now();
     let refused = ask("0-2").await;
@@ -280,10 +285,12 @@
 case!(a_refusal_that_names_none_ends_no_limit, async {
     let world = World::start(1, 1).await;
     world.all_are_told(0, "100").await;
+    world.entry_is_counted().await;
     world.upstreams[0].says_no_more(SERVER_LIMIT);
-    world.upstreams[0].then([Behaviour::NotExecuted, Behaviour::NotExecuted]);
+    world.upstreams[0].then(vec![Behaviour::NotExecuted; 3]);
     let refused = world.ask_until(0, Instant::now() + Duration::from_millis(1)).await;
     assert_eq!(refused.statuses.keys().copied().collect::<Vec<_>>(), [503]);
+    assert_eq!(world.upstreams[0].arrivals().iter().filter(|arrival| !arrival.is_run).count(), 3);
     assert!(world.is_limited("100", 1).await);
     wait_until("an answer ends it", async || {
         world.ask_until(0, Instant::now() + WORK).await;
