--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -14,4 +14,8 @@
     pub cold: Option<Duration>,
     /// How many requests it takes from all entries together.
     pub limit: NamedLimit,
+    /// Whether it is about to end.
+    pub is_leaving: bool,
+    /// For how long it wants nothing from the entry that it answers.
+    pub rest: Option<Duration>,
 }
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -24,6 +24,7 @@
 use crate::event_frames::EventBuffer;
 use crate::event_frames::EventFrames;
 use crate::metrics::AttemptResult;
+use crate::notice::Notice;
 use crate::state::GatewayState;
 use crate::upstream::ConnectSettings;
 use crate::upstream::Connection;
@@ -207,6 +208,7 @@
         if self.is_from_chosen(&reply.head, &head) {
             let (upstreams, start) = (&self.state.upstreams, &self.chosen.start);
             upstreams.heard(self.state.now(), start, sent, &head.notice);
+            self.log_notice(&head.notice);
         }
         if head.is_not_run {
             return AttemptEnd::NotRun(reply.head.status);
@@ -232,6 +234,20 @@
         }
     }
 
+    /// What an upstream says of itself that bears on whether it may be used.
+    fn log_notice(&self, notice: &Notice) {
+        let is_worth_a_line = notice.is_leaving || notice.rest.is_some();
+        if is_worth_a_line && self.state.decisions.admits(self.state.now()) {
+            log::info!(
+                request = self.call.head.id,
+                instance:% = self.chosen.start,
+                is_leaving = notice.is_leaving,
+                rest:? = notice.rest;
+                "an upstream leaves, or asks for rest"
+            );
+        }
+    }
+
     /// Whether what an answer says of its upstream is said by the one that was chosen: another process
     /// at its address speaks for itself.
     fn is_from_chosen(&self, head: &response::Parts, reply: &ReplyHead) -> bool {
