--- /dev/null
+++ b/tests/all/gateway/callers_of_fleet.rs
@@ -0,0 +1,119 @@
+//! Several entries before upstreams of one plain service, and callers that note what they got.
+
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures_util::future::join_all;
+use reqwest::RequestBuilder;
+use reqwest::header::HeaderMap;
+use serde_json::Value;
+use stallhoist_standins::users_platform::Behaviour;
+use stallhoist_standins::users_platform::UpstreamStandin;
+
+use super::fleet::Fleet;
+use super::world::KEY;
+use super::world::PLAIN;
+use crate::harness::wait_until;
+
+/// What an upstream works on one request: a caller that asks again at once sends some 20 a second.
+pub(super) const WORK: Duration = Duration::from_millis(50);
+
+/// The upstream of an answer, as it says itself.
+const UPSTREAM: &str = "x-upstream";
+
+/// Entries, and upstreams of one plain service.
+pub(super) struct World {
+    pub(super) fleet: Fleet,
+    pub(super) upstreams: Vec<UpstreamStandin>,
+}
+
+/// An answer that a caller got.
+pub(super) struct Got {
+    pub(super) id: String,
+    pub(super) entry: usize,
+    pub(super) sent: Instant,
+    pub(super) at: Instant,
+    pub(super) status: u16,
+    headers: HeaderMap,
+}
+
+impl Got {
+    /// Whether an upstream says this in it.
+    pub(super) fn says(&self, upstream: usize, name: &str) -> bool {
+        let instance = self.headers.get(UPSTREAM).and_then(|value| value.to_str().ok());
+        instance == Some(&format!("i-{upstream}")) && self.headers.contains_key(name)
+    }
+}
+
+/// How many answers have each status.
+pub(super) fn statuses(got: &[Got]) -> HashMap<u16, usize> {
+    let mut counts = HashMap::new();
+    for got in got {
+        *counts.entry(got.status).or_default() += 1;
+    }
+    counts
+}
+
+/// The entry to which a caller sent a request.
+pub(super) fn entry_of(id: &str) -> usize {
+    let entry = id.split_once('-').and_then(|(entry, _)| entry.parse().ok());
+    entry.expect("an entry's number")
+}
+
+impl World {
+    pub(super) async fn start(entries: usize, upstreams: usize) -> Self {
+        let fleet = Fleet::of(entries).await;
+        let mut started = Vec::new();
+        for n in 0..upstreams {
+            let instance = format!("i-{n}");
+            let usual = Behaviour::Answer { body: instance.clone(), after: WORK };
+            let upstream = UpstreamStandin::start(&instance, usual).await;
+            let upstream = upstream.expect("the upstream starts");
+            upstream.says(UPSTREAM, &instance);
+            let entry = upstream.entry(PLAIN, "zone-1", "v1", "ready");
+            fleet.store.put("servers", &instance, entry);
+            started.push(upstream);
+        }
+        let world = Self { fleet, upstreams: started };
+        let last = format!("i-{}", upstreams - 1);
+        wait_until("all upstreams and entries are known", async || {
+            let dumps = world.fleet.dumps().await;
+            let knows_all = |dump: &Value| {
+                dump["upstreams"].to_string().contains(&last) && dump["entries"] == entries
+            };
+            dumps.iter().all(knows_all)
+        })
+        .await;
+        world
+    }
+
+    /// A request to an entry, whose id names it.
+    pub(super) fn request(&self, entry: usize) -> (String, RequestBuilder) {
+        let url = format!("http://{}/safe/x", self.fleet.entries[entry].callers_addr());
+        let request = self.fleet.http.get(url).header("Host", "test.example").bearer_auth(KEY);
+        let id = format!("{entry}-{:x}", rand::random::<u64>());
+        let request = request.header("Request-Id", &id);
+        (id, request)
+    }
+
+    /// A caller of one entry that asks again and again, until then.
+    pub(super) async fn ask_until(&self, entry: usize, end: Instant) -> Vec<Got> {
+        let mut got = Vec::new();
+        while Instant::now() < end {
+            let (id, request) = self.request(entry);
+            let sent = Instant::now();
+            let answer = request.send().await.expect("an answer");
+            let (status, headers) = (answer.status().as_u16(), answer.headers().clone());
+            got.push(Got { id, entry, sent, at: Instant::now(), status, headers });
+        }
+        got
+    }
+
+    /// So many callers of each entry.
+    pub(super) async fn ask_all_until(&self, callers: usize, end: Instant) -> Vec<Got> {
+        let entries = (0..self.fleet.entries.len()).flat_map(|n| std::iter::repeat_n(n, callers));
+        let got = join_all(entries.map(|entry| self.ask_until(entry, end))).await;
+        got.into_iter().flatten().collect()
+    }
+}
--- a/tests/all/gateway/mod.rs
+++ b/tests/all/gateway/mod.rs
@@ -3,6 +3,7 @@
 
 mod attempts;
 mod callers;
+mod callers_of_fleet;
 mod cold_upstreams;
 mod configuration;
 mod daemon;
@@ -23,4 +24,6 @@
 mod streams;
 mod suspension;
 mod template;
+mod upstreams_that_leave;
+mod upstreams_that_rest;
 pub(crate) mod world;
--- a/tests/all/gateway/named_limits.rs
+++ b/tests/all/gateway/named_limits.rs
@@ -18,9 +18,12 @@
 use serde_json::Value;
 use serde_json::json;
 use stallhoist_standins::users_platform::Behaviour;
-use stallhoist_standins::users_platform::UpstreamStandin;
 
-use super::fleet::Fleet;
+use super::callers_of_fleet::Got;
+use super::callers_of_fleet::WORK;
+use super::callers_of_fleet::World;
+use super::callers_of_fleet::entry_of;
+use super::callers_of_fleet::statuses;
 use super::world::KEY;
 use super::world::PLAIN;
 use super::world::readiness;
@@ -32,10 +35,6 @@
 
 const SERVER_LIMIT: &str = "server-limit";
 
-/// What an upstream works on one request: each entry has a caller that asks again at once, so
-/// some 20 requests a second.
-const WORK: Duration = Duration::from_millis(50);
-
 /// The bound of the platform's page: in four seconds one and a half times the limit, and five besides,
 /// from three seconds after it was first named, of entries that were told half a second before.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -47,74 +46,16 @@
 /// How long callers go on after the limit was named.
 const GO_ON_FOR: Duration = Duration::from_millis(7_500);
 
-/// Entries, and upstreams of one plain service.
-struct World {
-    fleet: Fleet,
-    upstreams: Vec<UpstreamStandin>,
-}
-
-/// What one entry's caller saw.
-#[derive(Default)]
-struct Seen {
-    /// When it first got an answer that names a limit, by upstream.
-    told: HashMap<String, Instant>,
-    statuses: HashMap<u16, usize>,
-}
-
 impl World {
-    async fn start(entries: usize, upstreams: usize) -> Self {
-        let fleet = Fleet::of(entries).await;
-        let mut started = Vec::new();
-        for n in 0..upstreams {
-            let instance = format!("i-{n}");
-            let usual = Behaviour::Answer { body: instance.clone(), after: WORK };
-            let upstream = UpstreamStandin::start(&instance, usual).await;
-            let upstream = upstream.expect("the upstream starts");
-            let entry = upstream.entry(PLAIN, "zone-1", "v1", "ready");
-            fleet.store.put("servers", &instance, entry);
-            started.push(upstream);
-        }
-        let world = Self { fleet, upstreams: started };
-        let last = format!("i-{}", upstreams - 1);
-        wait_until("all upstreams and entries are known", async || {
-            let dumps = world.fleet.dumps().await;
-            let knows_all = |dump: &Value| {
-                dump["upstreams"].to_string().contains(&last) && dump["entries"] == entries
-            };
-            dumps.iter().all(knows_all)
-        })
-        .await;
-        world
-    }
-
-    /// A caller of one entry that asks again and again, until then.
-    async fn ask_until(&self, entry: usize, end: Instant) -> Seen {
-        let mut seen = Seen::default();
-        let url = format!("http://{}/safe/x", self.fleet.entries[entry].callers_addr());
-        while Instant::now() < end {
-            let request = self.fleet.http.get(&url).header("Host", "test.example").bearer_auth(KEY);
-            let id = format!("{entry}-{:x}", rand::random::<u64>());
-            let answer = request.header("Request-Id", id).send().await.expect("an answer");
-            *seen.statuses.entry(answer.status().as_u16()).or_default() += 1;
-            if answer.headers().contains_key(SERVER_LIMIT) {
-                let upstream = answer.text().await.expect("a body");
-                seen.told.entry(upstream).or_insert_with(Instant::now);
-            }
-        }
-        seen
-    }
-
-    /// One caller of each entry.
-    async fn ask_all_until(&self, end: Instant) -> Vec<Seen> {
-        join_all((0..self.fleet.entries.len()).map(|entry| self.ask_until(entry, end))).await
-    }
-
     /// The most requests in a window that count against the bound.
-    fn most_in_window(&self, upstream: usize, named: Instant, seen: &[Seen]) -> usize {
-        let name = format!("i-{upstream}");
+    fn most_in_window(&self, upstream: usize, named: Instant, got: &[Got]) -> usize {
+        let mut told: HashMap<usize, Instant> = HashMap::new();
+        for got in got.iter().filter(|got| got.says(upstream, SERVER_LIMIT)) {
+            let first = told.entry(got.entry).or_insert(got.at);
+            *first = got.at.min(*first);
+        }
         let counts = |entry: usize, at: Instant| {
-            let told = seen[entry].told.get(&name);
-            told.is_some_and(|told| at >= *told + TOLD_BEFORE)
+            told.get(&entry).is_some_and(|told| at >= *told + TOLD_BEFORE)
         };
         let arrivals = self.upstreams[upstream].arrivals();
         let counted: Vec<Instant> = arrivals
@@ -130,12 +71,6 @@
     }
 }
 
-/// The entry to which a caller sent a request.
-fn entry_of(id: &str) -> usize {
-    let entry = id.split_once('-').and_then(|(entry, _)| entry.parse().ok());
-    entry.expect("an entry's number")
-}
-
 fn allowed(limit_per_s: f64) -> f64 {
     OVERAGE * limit_per_s * WINDOW.as_secs_f64() + SLACK
 }
@@ -150,9 +85,9 @@
             for upstream in limited.clone() {
                 world.upstreams[upstream].says(SERVER_LIMIT, &format!("{}", $limit_per_s));
             }
-            let seen = world.ask_all_until(named + GO_ON_FOR).await;
+            let got = world.ask_all_until(1, named + GO_ON_FOR).await;
             for upstream in limited {
-                let most = world.most_in_window(upstream, named, &seen);
+                let most = world.most_in_window(upstream, named, &got);
                 let bound = 1..=allowed($limit_per_s) as usize;
                 assert!(bound.contains(&most), "{most} in four seconds");
             }
@@ -199,22 +134,18 @@
 case!(with_all_limited_the_rest_is_refused_at_once_and_told_when_to_come_back, async {
     let world = World::start(1, 1).await;
     world.all_are_told(0, "0.5").await;
-    let url = format!("http://{}/safe/x", world.fleet.entries[0].callers_addr());
-    let ask = async |id: &str| {
-        let request = world.fleet.http.get(&url).header("Host", "test.example").bearer_auth(KEY);
-        send(request.header("Request-Id", id)).await.expect("an answer")
-    };
+    let ask = async || send(world.request(0).1).await.expect("an answer");
     world.entry_is_counted().await;
-    wait_until("its part is used", async || ask("0-1").await.status == 503).await;
+    wait_until("its part is used", async || ask().await.status == 503).await;
     let asked = Instant::now();
-    let refused = ask("0-2").await;
+    let refused = ask().await;
     assert!(asked.elapsed() < Duration::from_millis(300), "{:?}", asked.elapsed());
     assert_eq!(refused.status, 503);
     let retry_after: f64 = refused.header("retry-after").parse().expect("a time to come back");
     // The time comes true: the next one is served then, whatever else is asked.
     let due = Instant::now() + Duration::from_secs_f64(retry_after);
     wait_until("that time is over", async || Instant::now() >= due).await;
-    assert_eq!(ask("0-3").await.status, 200);
+    assert_eq!(ask().await.status, 200);
 });
 
 case!(an_entry_that_sends_nothing_hears_from_the_others_that_it_is_over, async {
@@ -225,8 +156,8 @@
     world.ask_all_until_unlimited(end).await;
     let world = &world;
     let asked = (0..4).map(|entry| async move {
-        let seen = world.ask_until(entry, Instant::now() + Duration::from_millis(500)).await;
-        seen.statuses.keys().copied().collect::<Vec<_>>()
+        let got = world.ask_until(entry, Instant::now() + Duration::from_millis(500)).await;
+        statuses(&got).keys().copied().collect::<Vec<_>>()
     });
     assert_eq!(join_all(asked).await, vec![vec![200]; 4]);
 });
@@ -236,7 +167,7 @@
     async fn ask_all_until_unlimited(&self, end: Instant) {
         while !self.is_limited("none", self.fleet.entries.len()).await {
             assert!(Instant::now() < end, "a limit is still known");
-            self.ask_all_until(Instant::now() + WORK).await;
+            self.ask_all_until(1, Instant::now() + WORK).await;
         }
     }
 }
@@ -289,7 +220,7 @@
     world.upstreams[0].says_no_more(SERVER_LIMIT);
     world.upstreams[0].then(vec![Behaviour::NotExecuted; 3]);
     let refused = world.ask_until(0, Instant::now() + Duration::from_millis(1)).await;
-    assert_eq!(refused.statuses.keys().copied().collect::<Vec<_>>(), [503]);
+    assert_eq!(statuses(&refused).keys().copied().collect::<Vec<_>>(), [503]);
     assert_eq!(world.upstreams[0].arrivals().iter().filter(|arrival| !arrival.is_run).count(), 3);
     assert!(world.is_limited("100", 1).await);
     wait_until("an answer ends it", async || {
@@ -323,8 +254,8 @@
         case!($name, async {
             let world = World::start(1, 1).await;
             world.upstreams[0].says(SERVER_LIMIT, $said);
-            let seen = world.ask_until(0, Instant::now() + Duration::from_millis(500)).await;
-            assert_eq!(seen.statuses.keys().copied().collect::<Vec<_>>(), [200]);
+            let got = world.ask_until(0, Instant::now() + Duration::from_millis(500)).await;
+            assert_eq!(statuses(&got).keys().copied().collect::<Vec<_>>(), [200]);
         });
     };
 }
