An upstream that says in an answer that it leaves gets nothing more after a moment, whatever the list says

What callers' entries did: requests reached an upstream 3.3 and 4.5 s after an answer had told the entry that sent them that it leaves (2 s allowed), for as long as the store was away and its row said ready.

Cause: the word was dropped where heads of answers are read; the list alone was believed, which is late by as long as the store is away. Change: the directory takes the word as it takes a row that says so (used for 1.3 s more if there is no other, then not at all), keeps it by start for ten minutes after the last word of it, and no row takes it back: neither one that is written again, nor one that went and came, nor a whole list. A later start is another matter. Why it holds: what the upstream says itself cannot be older than its row. Not told to other entries: each hears it with its first answer, and a wrong word of one entry would put an upstream out everywhere.

--- a/crates/gateway/src/members/directory.rs
+++ b/crates/gateway/src/members/directory.rs
@@ -4,11 +4,15 @@
 //! platform's store is away. So an upstream whose entry has gone stays known for a short
 //! time, to be used only when there is no other.
 //!
+//! An upstream that leaves says so in its answers too, and the list may learn it only when the store is
+//! back: 1 to 5 requests a second reached one for 12 s that its entries knew to be leaving.
+//!
 //! An entry of the list may also be out of date: a report of an earlier start that was held up
 //! on its way, or an old copy. So it is remembered which starts there have been.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::collections::HashSet;
 use std::time::Duration;
 
@@ -30,6 +34,10 @@
 /// lapses when three reports, 1.2 s apart, have not come.
 const DOUBTED_FOR: Duration = Duration::from_secs(6);
 
+/// How long it is remembered that a start of an upstream has said that it leaves. One ends within seconds
+/// or minutes of it; its row may say otherwise for as long as the store is away.
+const SAID_FOR: Duration = Duration::from_secs(600);
+
 /// How sure it is that an upstream takes work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Presence {
@@ -61,9 +69,18 @@
     /// 10,000 others.
     leaving: BTreeSet<InstanceId>,
     doubted: BTreeMap<InstanceId, Doubted>,
+    /// Since when a start has said in its answers that it leaves, and when it did so last.
+    said_leaving: HashMap<StartId, Said>,
     history: StartHistory,
 }
 
+/// Since when an upstream has said something, and when it did so last.
+#[derive(Debug, Clone, Copy)]
+struct Said {
+    since: MonoTime,
+    last: MonoTime,
+}
+
 impl Directory {
     /// An upstream is listed, or its entry has changed. Gives the starts that are over by that: a
     /// later one is at their address.
@@ -101,10 +118,16 @@
         let instance = member.start.instance.clone();
         let known = self.known.get(&instance);
         let before = known.filter(|known| known.member.start == member.start);
-        let presence = match (member.state, before.map(|known| known.presence)) {
-            (MemberState::Ready, _) => Presence::Listed,
-            (MemberState::Draining, Some(Presence::Leaving(since))) => Presence::Leaving(since),
-            (MemberState::Draining, _) => Presence::Leaving(now),
+        // What an upstream has said itself goes before its row, which may be late by as long as the
+        // store is away.
+        let said = self.said_leaving.get(&member.start);
+        let presence = match (said, member.state, before.map(|known| known.presence)) {
+            (Some(said), ..) => Presence::Leaving(said.since),
+            (None, MemberState::Ready, _) => Presence::Listed,
+            (None, MemberState::Draining, Some(Presence::Leaving(since))) => {
+                Presence::Leaving(since)
+            }
+            (None, MemberState::Draining, _) => Presence::Leaving(now),
         };
         if presence == Presence::Listed {
             self.leaving.remove(&instance);
@@ -116,9 +139,22 @@
         over
     }
 
+    /// A start of an upstream has said in an answer that it leaves. No row takes that back.
+    pub fn says_that_it_leaves(&mut self, now: MonoTime, start: &StartId) {
+        let said = self.said_leaving.entry(start.clone());
+        said.or_insert(Said { since: now, last: now }).last = now;
+        if self.is_known(start) {
+            self.begins_to_leave(now, &start.instance);
+        }
+    }
+
     /// The entry of an upstream has gone.
     pub fn gone(&mut self, now: MonoTime, instance: &InstanceId) {
         self.doubted.remove(instance);
+        self.begins_to_leave(now, instance);
+    }
+
+    fn begins_to_leave(&mut self, now: MonoTime, instance: &InstanceId) {
         if let Some(known) = self.known.get_mut(instance)
             && known.presence == Presence::Listed
         {
@@ -158,6 +194,7 @@
     /// enough. Says whether any start was forgotten.
     pub fn expire(&mut self, now: MonoTime) -> bool {
         self.history.expire(now);
+        self.said_leaving.retain(|_, said| now.since(said.last) < SAID_FOR);
         let is_due = |doubted: &Doubted| now.since(doubted.since) >= DOUBTED_FOR;
         let due = self.doubted.iter().filter(|(_, doubted)| is_due(doubted));
         let due: Vec<_> = due.map(|(_, doubted)| doubted.member.clone()).collect();
--- a/crates/gateway/src/upstreams/notices.rs
+++ b/crates/gateway/src/upstreams/notices.rs
@@ -19,6 +19,9 @@
         if let Some(cold) = notice.cold {
             known.cold.told(now, start, ToldCold::For(cold));
         }
+        if notice.is_leaving {
+            known.directory.says_that_it_leaves(now, start);
+        }
         let is_other_limit = known.limits.heard(now, start, sent, notice.limit);
         drop(known);
         if is_other_limit {
--- a/tests/all/decisions/directory.rs
+++ b/tests/all/decisions/directory.rs
@@ -231,3 +231,78 @@
     directory.expire(at_ms(70_000));
     assert_eq!(directory.listed(at_ms(70_000), ready("a")), []);
 }
+
+/// An upstream that has said in an answer at 100 ms that it leaves.
+fn that_says_it_leaves(name: &str) -> Directory {
+    let mut directory = Directory::default();
+    directory.listed(at_ms(0), ready(name));
+    directory.says_that_it_leaves(at_ms(100), &start(name));
+    directory
+}
+
+#[test]
+fn one_that_says_that_it_leaves_is_leaving() {
+    let directory = that_says_it_leaves("a");
+    assert_eq!(names(&directory, 100, false), Vec::<String>::new());
+    assert_eq!(names(&directory, 1_399, true), ["a"]);
+    assert_eq!(names(&directory, 1_400, true), Vec::<String>::new());
+}
+
+#[test]
+fn each_further_word_of_it_counts_from_the_first() {
+    let mut directory = that_says_it_leaves("a");
+    directory.says_that_it_leaves(at_ms(1_300), &start("a"));
+    assert_eq!(names(&directory, 1_400, true), Vec::<String>::new());
+}
+
+/// After it has said that it leaves, what becomes of its row takes nothing back.
+macro_rules! still_leaving {
+    ($name:ident, $happens:expr) => {
+        #[test]
+        fn $name() {
+            let mut directory = that_says_it_leaves("a@17");
+            let happens: fn(&mut Directory) = $happens;
+            happens(&mut directory);
+            assert_eq!(names(&directory, 5_000, true), Vec::<String>::new());
+            directory.expire(at_ms(5_000));
+            assert_eq!(names(&directory, 5_000, true), Vec::<String>::new());
+        }
+    };
+}
+
+still_leaving!(after_its_row_was_written_again, |directory| {
+    directory.listed(at_ms(4_900), ready("a@17"));
+});
+still_leaving!(after_its_row_went_and_came_back, |directory| {
+    directory.gone(at_ms(200), &"a".parse().expect("a name"));
+    directory.expire(at_ms(3_000));
+    directory.listed(at_ms(4_900), ready("a@17"));
+});
+still_leaving!(after_the_whole_list_was_read_anew, |directory| {
+    directory.replace(at_ms(4_900), vec![ready("a@17")]);
+});
+still_leaving!(although_it_is_not_listed_at_first, |directory| {
+    directory.unreadable(at_ms(150), &"a".parse().expect("a name"));
+    directory.listed(at_ms(4_900), ready("a@17"));
+});
+
+#[test]
+fn what_one_start_says_of_leaving_says_nothing_of_a_later_one() {
+    let mut directory = that_says_it_leaves("a@17");
+    directory.listed(at_ms(4_900), ready("a@18"));
+    assert_eq!(names(&directory, 5_000, false), ["a@18"]);
+    directory.says_that_it_leaves(at_ms(5_100), &start("a@17"));
+    assert_eq!(names(&directory, 5_200, false), ["a@18"]);
+}
+
+#[test]
+fn that_it_leaves_is_forgotten_long_after_its_last_word() {
+    let mut directory = that_says_it_leaves("a");
+    directory.says_that_it_leaves(at_ms(1_000), &start("a"));
+    directory.expire(at_ms(600_999));
+    directory.listed(at_ms(600_999), ready("a"));
+    assert_eq!(names(&directory, 600_999, true), Vec::<String>::new());
+    directory.expire(at_ms(601_000));
+    directory.listed(at_ms(601_000), ready("a"));
+    assert_eq!(names(&directory, 601_000, true), ["a"]);
+}
