A rest that an upstream asks an entry for is kept

What callers' entries did: an upstream had asked an entry for 3 s of rest and got 5 (26 in the users' record) requests from it in that time; 2 are allowed.

Cause: what a refusal asks for was dropped where heads of answers are read. How long an upstream rests was the entry's own guess (0.2 s, doubled with each refusal in a row), which is passed over when no other is well, and whose end lets a burst through.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -108,6 +108,7 @@
     pub(crate) upstreams: Gauge,
     pub(crate) cold_upstreams: Gauge,
     pub(crate) limited_upstreams: Gauge,
+    pub(crate) resting_upstreams: Gauge,
     pub(crate) emptied_zones: Gauge,
     pub(crate) store_failures: Counter,
     pub(crate) unreadable_rows: Counter,
@@ -134,6 +135,7 @@
             upstreams: Gauge::default(),
             cold_upstreams: Gauge::default(),
             limited_upstreams: Gauge::default(),
+            resting_upstreams: Gauge::default(),
             emptied_zones: Gauge::default(),
             store_failures: Counter::default(),
             unreadable_rows: Counter::default(),
@@ -162,6 +164,8 @@
         r.register("cold_upstreams", help, self.cold_upstreams.clone());
         let help = "Upstreams that name a limit of requests a second";
         r.register("limited_upstreams", help, self.limited_upstreams.clone());
+        let help = "Upstreams that have asked this entry for rest";
+        r.register("resting_upstreams", help, self.resting_upstreams.clone());
         let help = "Availability zones whose upstreams get nothing more";
         r.register("emptied_zones", help, self.emptied_zones.clone());
         r.register("store_failures", "Failed calls to the store", self.store_failures.clone());
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -296,6 +296,8 @@
         state.metrics.cold_upstreams.set(i64::try_from(cold).unwrap_or(i64::MAX));
         let limited = state.upstreams.limited();
         state.metrics.limited_upstreams.set(i64::try_from(limited).unwrap_or(i64::MAX));
+        let resting = state.upstreams.resting(state.now());
+        state.metrics.resting_upstreams.set(i64::try_from(resting).unwrap_or(i64::MAX));
         let emptied_zones = state.upstreams.emptied_zones().len();
         state.metrics.emptied_zones.set(i64::try_from(emptied_zones).unwrap_or(i64::MAX));
     }
--- a/crates/gateway/src/upstreams/cold.rs
+++ b/crates/gateway/src/upstreams/cold.rs
@@ -54,7 +54,8 @@
     /// Whether a request may be sent to an upstream now.
     pub(super) fn place(&self, now: MonoTime, member: &Member) -> Place {
         let limited = self.limits.place(now, &member.start, &self.fleet);
-        self.cold_place(now, member).and(limited)
+        let rested = self.rests.place(now, &member.start);
+        self.cold_place(now, member).and(limited).and(rested)
     }
 
     /// The same, as far as it is cold.
--- a/crates/gateway/src/upstreams/mod.rs
+++ b/crates/gateway/src/upstreams/mod.rs
@@ -21,6 +21,7 @@
 use stallhoist_core::ServiceName;
 use stallhoist_core::StartId;
 use stallhoist_core::ZoneName;
+use stallhoist_policy::asked_rests::AskedRests;
 use stallhoist_policy::balance::BalanceConfig;
 use stallhoist_policy::balance::CandidateFacts;
 use stallhoist_policy::balance::Evidence;
@@ -76,6 +77,7 @@
     fleet: Fleet,
     cold: ColdUpstreams,
     limits: NamedLimits,
+    rests: AskedRests,
     /// What upstreams of each service bear while they are cold.
     cold_services: HashMap<ServiceName, ColdService>,
     /// How many of each service were cold when it was looked at last.
@@ -103,6 +105,7 @@
             fleet: Fleet::new(own),
             cold: ColdUpstreams::new(bound),
             limits: NamedLimits::default(),
+            rests: AskedRests::default(),
             cold_services: HashMap::new(),
             cold_counts: BTreeMap::new(),
         }
@@ -190,8 +193,9 @@
     /// Forgets upstreams that have left. Gives how many are known.
     pub(crate) fn expire(&self, now: MonoTime) -> usize {
         let mut known = self.known.lock();
-        let Known { directory, load, health, prefix_caches, cold, limits, .. } = &mut *known;
+        let Known { directory, load, health, prefix_caches, cold, limits, rests, .. } = &mut *known;
         limits.expire(now);
+        rests.expire(now);
         if directory.expire(now) {
             load.retain(|start| directory.is_known(start));
             health.retain(|start| directory.is_known(start));
--- a/crates/gateway/src/upstreams/notices.rs
+++ b/crates/gateway/src/upstreams/notices.rs
@@ -22,6 +22,9 @@
         if notice.is_leaving {
             known.directory.says_that_it_leaves(now, start);
         }
+        if let Some(rest) = notice.rest {
+            known.rests.asked(now, start, rest);
+        }
         let is_other_limit = known.limits.heard(now, start, sent, notice.limit);
         drop(known);
         if is_other_limit {
@@ -48,6 +51,11 @@
         }
     }
 
+    /// How many upstreams have asked this entry for rest.
+    pub(crate) fn resting(&self, now: MonoTime) -> usize {
+        self.known.lock().rests.count(now)
+    }
+
     /// How many upstreams name a limit.
     pub(crate) fn limited(&self) -> usize {
         self.known.lock().limits.count()
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 //! tasks. The same code runs in the daemons, in the tests and in the benches.
 
 pub mod admission;
+pub mod asked_rests;
 pub mod balance;
 pub mod cascade;
 pub mod cold;
