--- a/tests/days/make_days.py
+++ b/tests/days/make_days.py
@@ -229,6 +229,13 @@
     ("zone-emptied", "zone-emptied-warm", 1.0),
 ]
 
+# Name: the class of requests that end upstreams, of one site or another.
+DEADLY_CLASSES = {
+    "deadly": "diff-review",
+    "deadly-file-review": "file-review",
+    "deadly-dispute-brief": "dispute-brief",
+}
+
 
 def entry(name, at, engine):
     section, fields = (TROUBLES | ZONE_TROUBLES | GROWTH)[name]
@@ -324,6 +331,15 @@
         yield f"{first}+{second}", [(first, 4.0), (second, 4.0 + gap)]
 
 
+def deadly_days():
+    """Requests that end the upstreams that run them. A class is a site's own; a day whose class a
+    site does not have is left out there."""
+    fields = "at = 5.0, kind = 'poison', how = 'deadly', share = 0.03, for_s = 20.0"
+    for name, kind in DEADLY_CLASSES.items():
+        line = f"  {{ {fields}, class = '{kind}' }},".replace("'", '"')
+        yield name, f'name = "{name}"\nfaults = [\n{line}\n]\n'
+
+
 def write_deploy_days():
     target = pathlib.Path(__file__).resolve().parents[2] / "deploy" / "days"
     target.mkdir(parents=True, exist_ok=True)
@@ -331,6 +347,8 @@
         old.unlink()
     for seed, (name, parts) in zip(itertools.count(1), deploy_days()):
         (target / f"{name}.toml").write_text(day(name, parts, "@s0", seed))
+    for name, text in deadly_days():
+        (target / f"{name}.toml").write_text(text)
 
 
 def main():
