A request whose upstreams end behind an address that goes on listening is never held back: a test that fails

The entry asks once, when the answer breaks off, whether the host refuses a connection; it does not, and a connection that was cut proves nothing.

--- a/crates/standins/src/users_platform/end_rule.rs
+++ b/crates/standins/src/users_platform/end_rule.rs
@@ -16,6 +16,11 @@
     pub after: Duration,
     /// How long after its end the upstream starts again, at its address and under its id.
     pub back_after: Duration,
+    /// How long after that its new start is listed.
+    pub listed_after: Duration,
+    /// Whether its address takes connections all the while, as with a supervisor that holds it: the
+    /// request's own connection alone breaks then.
+    pub keeps_listening: bool,
 }
 
 impl EndRule {
@@ -26,6 +31,19 @@
             chance: 1.0,
             after: Duration::ZERO,
             back_after: Duration::from_millis(300),
+            listed_after: Duration::ZERO,
+            keeps_listening: false,
+        }
+    }
+
+    /// The same, but its address takes connections all the while: that it has ended shows only when
+    /// its new start is listed, so long afterwards.
+    pub fn shown_later(body_prefix: &str, listed_after: Duration) -> Self {
+        Self {
+            back_after: Duration::ZERO,
+            listed_after,
+            keeps_listening: true,
+            ..Self::of(body_prefix)
         }
     }
 }
--- a/crates/standins/src/users_platform/upstream.rs
+++ b/crates/standins/src/users_platform/upstream.rs
@@ -244,19 +244,24 @@
     fn end_by(self: Arc<Self>, rule: EndRule, body: Bytes) -> BoxFuture<'static, ()> {
         Box::pin(async move {
             tokio::time::sleep(rule.after).await;
-            let Some(server) = self.server.lock().take() else {
-                return;
-            };
-            self.state.lock().ends.push(End { body, at: Instant::now() });
-            server.end().await;
+            if rule.keeps_listening {
+                self.state.lock().ends.push(End { body, at: Instant::now() });
+            } else {
+                let Some(server) = self.server.lock().take() else {
+                    return;
+                };
+                self.state.lock().ends.push(End { body, at: Instant::now() });
+                server.end().await;
+            }
             tokio::time::sleep(rule.back_after).await;
             if let Some(ending) = &mut self.state.lock().ending {
                 ending.born_ms += BORN_STEP_MS;
             }
             // Its address may be in use for a moment, by a connection that is being closed.
-            while self.start().await.is_err() {
+            while !rule.keeps_listening && self.start().await.is_err() {
                 tokio::time::sleep(Duration::from_millis(5)).await;
             }
+            tokio::time::sleep(rule.listed_after).await;
             self.list_start();
         })
     }
@@ -314,8 +319,11 @@
     let behaviour = take_next(&state, &mut arrival, &process.instance);
     let mut running = Running::new(state);
     if let Some(rule) = process.end_rule(&arrival.body).filter(|_| arrival.is_run) {
-        let is_at_once = rule.after.is_zero();
+        let (is_at_once, keeps_listening) = (rule.after.is_zero(), rule.keeps_listening);
         tokio::spawn(Arc::clone(&process).end_by(rule, arrival.body.clone()));
+        if keeps_listening {
+            return Err(io::Error::other("the process has ended"));
+        }
         if is_at_once {
             return pending().await;
         }
--- a/tests/all/gateway/fatal_requests.rs
+++ b/tests/all/gateway/fatal_requests.rs
@@ -190,6 +190,25 @@
     is_held_back("/once/x", PLAIN, 7)
 });
 
+/// The same at upstreams whose addresses take connections all the while, so that their ends show only when
+/// the list has their next starts, so long afterwards. The request is sent to a few more until then.
+async fn is_held_back_when_ends_show_later(path: &str, entries: usize, listed_after: Duration) {
+    let world = World::start(entries, PLAIN).await;
+    for upstream in &world.upstreams {
+        let rule = EndRule::shown_later(FATAL, listed_after);
+        upstream.ends_on(rule, world.fleet.store.writer(), PLAIN);
+    }
+    let last = world.go_on(path, FATAL).await;
+    let known = world.known_at(FATAL).expect("it has ended three upstreams");
+    let sends = world.sends_after(FATAL, known + listed_after + NEWS_WITHIN);
+    assert!(sends <= SENDS_AFTER, "sent {sends} times after it was known");
+    assert_eq!(last, 503);
+}
+
+case!(ends_that_show_by_the_list_are_laid_at_its_door, {
+    is_held_back_when_ends_show_later("/once/x", 7, Duration::ZERO)
+});
+
 // Callers at seven entries send it at the same moment, before anybody has heard of it: each entry's first
 // one may end an engine. What they send on meets at one engine.
 case!(one_that_comes_to_all_entries_at_once_ends_few_engines_more, async {
