An end of an upstream that shows only later is laid to what broke off there

What callers' entries did: a request whose upstreams end behind an address that takes connections all the while (a supervisor that holds the socket, a quick restart) was never held back: 298 to 380 sends after its third end was listed, 3 allowed.

Cause: whether the upstream had ended was asked once, when the answer broke off; what showed a moment later, by the list, was laid to nobody. Change: `policy::fatal` remembers for 6 s what broke off at which start, and joins it with what is learnt of that start then, however: a later start under its id or at its address, a 421, a host that refuses, another entry that says it is over. Not where the start had said that it leaves, where its host fell silent (a cut), nor while this entry's host was suspended. Why it holds: every entry follows the list, so each joins its own breaks; what is proved is told as before.

Since: at most 3 sends, with 7 entries and with one, listed at once and 0.3 s later. With the mechanism for planned ends off a request that was cut by them was held back (seen failing). The list's property that a listing ends one start at most is now: one at its address, and one earlier start of the same upstream; the former check was of addresses alone.

--- a/crates/gateway/src/fatal/book.rs
+++ b/crates/gateway/src/fatal/book.rs
@@ -40,6 +40,7 @@
     requests: Mutex<FatalRequests>,
     /// Whether anything is known: without, requests need no fingerprint.
     is_used: AtomicBool,
+    has_open_breaks: AtomicBool,
     /// Something is known that other entries should know at once.
     has_news: Notify,
     /// For the lines on ends that cannot be read, which others can cause at will.
@@ -55,6 +56,7 @@
         Self {
             requests: Mutex::new(FatalRequests::new(FatalConfig::default())),
             is_used: AtomicBool::new(false),
+            has_open_breaks: AtomicBool::new(false),
             has_news: Notify::new(),
             unreadable: Mutex::default(),
             claims,
@@ -69,6 +71,11 @@
         self.is_used.load(Ordering::Relaxed)
     }
 
+    /// Whether it is still open of any answer that broke off why it did.
+    pub(super) fn has_open_breaks(&self) -> bool {
+        self.has_open_breaks.load(Ordering::Relaxed)
+    }
+
     /// What may be done with a request now.
     pub(crate) fn verdict(&self, now: MonoTime, request: RequestFingerprint) -> Verdict {
         self.requests.lock().verdict(now, request)
@@ -89,6 +96,23 @@
         }
     }
 
+    /// The answer of a request broke off, and it does not show yet whether its upstream has ended.
+    pub(crate) fn broke(&self, now: MonoTime, request: RequestFingerprint, start: &StartId) {
+        self.change(|requests| requests.broke(now, request, UpstreamKey::of(start)));
+    }
+
+    /// It shows that a start of an upstream has ended, which had not said that it leaves.
+    pub(crate) fn upstream_ended(&self, now: MonoTime, start: &StartId) {
+        if !self.has_open_breaks() {
+            return;
+        }
+        let broken = self.change(|requests| requests.upstream_ended(now, UpstreamKey::of(start)));
+        for request in broken {
+            log::info!(fingerprint:% = request, instance:% = start; "its answer broke off as the upstream ended");
+            self.has_news.notify_one();
+        }
+    }
+
     /// A request was answered whole.
     pub(crate) fn answered(&self, now: MonoTime, request: RequestFingerprint) {
         if self.change(|requests| requests.answered(now, request)) {
@@ -146,6 +170,7 @@
         let mut requests = self.requests.lock();
         let result = change(&mut requests);
         self.is_used.store(!requests.is_empty(), Ordering::Relaxed);
+        self.has_open_breaks.store(requests.has_open_breaks(), Ordering::Relaxed);
         result
     }
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -167,7 +167,9 @@
             store_version:% = page.version;
             "list of upstreams read"
         );
-        self.state.upstreams.replace(self.state.now(), members);
+        for start in self.state.upstreams.replace(self.state.now(), members) {
+            self.state.shown_ended(&start);
+        }
         self.state.set_has_members();
     }
 
@@ -267,7 +269,9 @@
             Change::RolloutOrdered(order) => state.rollouts.lock().ordered(order),
             Change::Rollout(stored) => state.rollouts.lock().stored(stored),
             Change::MemberListed(_) | Change::MemberGone(_) | Change::MemberUnreadable(_) => {
-                state.upstreams.apply(state.now(), change);
+                for start in state.upstreams.apply(state.now(), change) {
+                    state.shown_ended(&start);
+                }
             }
             Change::ZoneEmptied(zone) => state.upstreams.zone_emptied(zone),
             Change::ZoneTakenBack(zone) => {
--- a/crates/gateway/src/members/directory.rs
+++ b/crates/gateway/src/members/directory.rs
@@ -24,6 +24,7 @@
 use super::Member;
 use super::MemberState;
 use super::start_history::StartHistory;
+use super::start_history::Superseded;
 
 /// How long an upstream stays known after its entry has gone or says that it is leaving.
 /// The platform allows 2 s; the rest is for a request on its way.
@@ -83,13 +84,13 @@
 
 impl Directory {
     /// An upstream is listed, or its entry has changed. Gives the starts that are over by that: a
-    /// later one is at their address.
-    pub fn listed(&mut self, now: MonoTime, member: Member) -> Vec<StartId> {
+    /// later one is at their address, or of the same upstream.
+    pub fn listed(&mut self, now: MonoTime, member: Member) -> Vec<Superseded> {
         self.history.next_batch();
         self.take(now, member)
     }
 
-    fn take(&mut self, now: MonoTime, member: Member) -> Vec<StartId> {
+    fn take(&mut self, now: MonoTime, member: Member) -> Vec<Superseded> {
         let instance = &member.start.instance;
         let latest = self.history.latest(instance);
         if latest.is_some_and(|latest| latest.is_later_than(&member.start)) {
@@ -113,7 +114,7 @@
         self.doubted.insert(instance, Doubted { member, since });
     }
 
-    fn believe(&mut self, now: MonoTime, member: Member) -> Vec<StartId> {
+    fn believe(&mut self, now: MonoTime, member: Member) -> Vec<Superseded> {
         let over = self.history.listed(&member);
         let instance = member.start.instance.clone();
         let known = self.known.get(&instance);
@@ -143,6 +144,7 @@
     pub fn says_that_it_leaves(&mut self, now: MonoTime, start: &StartId) {
         let said = self.said_leaving.entry(start.clone());
         said.or_insert(Said { since: now, last: now }).last = now;
+        self.history.announces(start);
         if self.is_known(start) {
             self.begins_to_leave(now, &start.instance);
         }
@@ -178,7 +180,7 @@
 
     /// The whole list was read: those not in it have gone. Gives the starts that are over by
     /// that, as [`listed`](Self::listed) does.
-    pub fn replace(&mut self, now: MonoTime, members: Vec<Member>) -> Vec<StartId> {
+    pub fn replace(&mut self, now: MonoTime, members: Vec<Member>) -> Vec<Superseded> {
         let listed: HashSet<_> = members.iter().map(|member| &member.start.instance).collect();
         let known = self.known.keys().chain(self.doubted.keys());
         let missing: Vec<_> = known.filter(|id| !listed.contains(id)).cloned().collect();
@@ -237,6 +239,11 @@
         self.member(start).is_some()
     }
 
+    /// Whether a start of an upstream has said that it leaves, in its row or in an answer.
+    pub fn has_announced(&self, start: &StartId) -> bool {
+        self.history.has_announced(start)
+    }
+
     /// What is known of a start of an upstream.
     pub fn member(&self, start: &StartId) -> Option<&Member> {
         let known = self.known.get(&start.instance).map(|known| &known.member);
--- a/crates/gateway/src/members/mod.rs
+++ b/crates/gateway/src/members/mod.rs
@@ -8,3 +8,4 @@
 pub use directory::Presence;
 pub use member::Member;
 pub use member::MemberState;
+pub use start_history::Superseded;
--- a/crates/gateway/src/members/start_history.rs
+++ b/crates/gateway/src/members/start_history.rs
@@ -11,6 +11,7 @@
 use stallhoist_core::StartId;
 
 use super::Member;
+use super::MemberState;
 
 /// How long a start is remembered after it was known last. A report of it may be held up while
 /// its host is cut off; those that were seen came within 10 s.
@@ -25,9 +26,15 @@
     batch: u64,
     /// Since when it is no longer known.
     left: Option<MonoTime>,
+    /// Whether it has said that it leaves.
+    has_announced: bool,
 }
 
 impl Seen {
+    fn superseded(&self) -> Superseded {
+        Superseded { start: self.start.clone(), is_planned: self.has_announced }
+    }
+
     /// Which one started later, as far as it can be said: by what they say if both do, else by
     /// which was listed first later. One that is listed again, since a report of it was held up,
     /// keeps its place.
@@ -39,6 +46,15 @@
     }
 }
 
+/// A start of an upstream in whose place a later one is listed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Superseded {
+    /// The start.
+    pub start: StartId,
+    /// Whether it had said that it leaves.
+    pub is_planned: bool,
+}
+
 /// Which starts of upstreams there have been, and which one has which address.
 ///
 /// An address is that of one process. Where two starts are listed at one, the earlier is over:
@@ -60,23 +76,41 @@
         self.batch += 1;
     }
 
+    /// A start has said that it leaves.
+    pub(super) fn announces(&mut self, start: &StartId) {
+        let seen = self.latest.get_mut(&start.instance).filter(|seen| seen.start == *start);
+        if let Some(seen) = seen {
+            seen.has_announced = true;
+        }
+    }
+
+    /// Whether a start has said that it leaves, before it ended.
+    pub(super) fn has_announced(&self, start: &StartId) -> bool {
+        let seen = self.latest.get(&start.instance).filter(|seen| seen.start == *start);
+        seen.is_some_and(|seen| seen.has_announced)
+    }
+
     /// The latest start of an upstream that was listed.
     pub(super) fn latest(&self, instance: &InstanceId) -> Option<&StartId> {
         self.latest.get(instance).map(|seen| &seen.start)
     }
 
     /// A start is listed. Gives those that are over by that: it itself, if a later one is known
-    /// at its address, or the one that had the address before.
-    pub(super) fn listed(&mut self, member: &Member) -> Vec<StartId> {
+    /// at its address, or the one that had the address before, and an earlier start of the same upstream.
+    pub(super) fn listed(&mut self, member: &Member) -> Vec<Superseded> {
         let seen = self.seen(member);
         let instance = member.start.instance.clone();
         let holder = self.holder(member.addr).filter(|holder| holder.start.instance != instance);
         let order = holder.map(|holder| seen.by_time(holder));
-        let over = match (order, holder) {
-            (Some(Ordering::Less), _) => vec![seen.start.clone()],
-            (Some(Ordering::Greater), Some(holder)) => vec![holder.start.clone()],
-            _ => Vec::new(),
+        let by_address = match (order, holder) {
+            (Some(Ordering::Less), _) => Some(&seen),
+            (Some(Ordering::Greater), Some(holder)) => Some(holder),
+            _ => None,
         };
+        let earlier = self.latest.get(&instance).filter(|earlier| {
+            seen.start.is_later_than(&earlier.start) && earlier.start.started.is_some()
+        });
+        let over: Vec<_> = by_address.into_iter().chain(earlier).map(Seen::superseded).collect();
         self.latest.insert(instance.clone(), seen);
         if order != Some(Ordering::Less) {
             self.holders.insert(member.addr, instance);
@@ -95,7 +129,9 @@
         let known = self.latest.get(&start.instance);
         let known = known.filter(|seen| seen.start == *start && seen.addr == *addr);
         let batch = known.map_or(self.batch, |seen| seen.batch);
-        Seen { start: start.clone(), addr: *addr, batch, left: None }
+        let has_announced =
+            member.state == MemberState::Draining || known.is_some_and(|seen| seen.has_announced);
+        Seen { start: start.clone(), addr: *addr, batch, left: None, has_announced }
     }
 
     /// An upstream is no longer known.
--- a/crates/gateway/src/peers/standings.rs
+++ b/crates/gateway/src/peers/standings.rs
@@ -42,5 +42,7 @@
         (UpstreamKey(news.upstream), told)
     };
     let told: HashMap<_, _> = told.iter().take(MAX_TOLD).map(standing).collect();
-    state.upstreams.told_standings(state.now(), &told);
+    for start in state.upstreams.told_standings(state.now(), &told) {
+        state.shown_ended(&start);
+    }
 }
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -98,6 +98,9 @@
             Err(error) => {
                 let now = self.state.now();
                 self.state.upstreams.observe(now, &self.chosen.start, Evidence::Unreachable);
+                if error.is_by_host() {
+                    self.state.shown_ended(&self.chosen.start);
+                }
                 self.state.metrics.attempt_ended(AttemptResult::NotSent);
                 return AttemptEnd::NotSent(error.to_string());
             }
@@ -202,7 +205,7 @@
         let reply = match send(connection, outgoing).await {
             Ok(reply) => reply,
             Err(error @ SendError::NotSent) => return AttemptEnd::NotSent(error.to_string()),
-            Err(SendError::Broken(error)) => return AttemptEnd::Broken(Break::connection(error)),
+            Err(SendError::Broken(error)) => return AttemptEnd::Broken(Break::connection(&error)),
         };
         let head = self.state.dialect.read_reply(&reply.head);
         if self.is_from_chosen(&reply.head, &head) {
@@ -320,7 +323,9 @@
             let service = &self.call.service_name;
             upstreams.first_part(service, model, start_pace, self.chosen, took);
         }
-        upstreams.observe(now, &self.chosen.start, evidence);
+        if upstreams.observe(now, &self.chosen.start, evidence) {
+            self.state.shown_ended(&self.chosen.start);
+        }
         if let Some(observation) = observation {
             self.observe(observation);
         }
--- a/crates/gateway/src/request/broken.rs
+++ b/crates/gateway/src/request/broken.rs
@@ -1,5 +1,6 @@
 //! How an answer breaks off, and what that shows of the upstream.
 
+use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -18,6 +19,8 @@
 pub(crate) enum Break {
     /// the connection broke: {0}
     Connection(String),
+    /// the upstream's host says nothing any more: {0}
+    HostSilent(String),
     /// the stream ended inside an event
     Torn,
     /// the answer is too long
@@ -31,12 +34,25 @@
 }
 
 impl Break {
-    pub(crate) fn connection(error: impl std::fmt::Display) -> Self {
-        Self::Connection(error.to_string())
+    /// The connection broke, or its other end's host has said nothing for too long.
+    pub(crate) fn connection(error: &(dyn Error + 'static)) -> Self {
+        let mut causes = std::iter::successors(Some(error), |error| (*error).source());
+        let is_silence = |error: &(dyn Error + 'static)| {
+            let io = error.downcast_ref::<io::Error>();
+            io.is_some_and(|error| error.kind() == io::ErrorKind::TimedOut)
+        };
+        let text = error.to_string();
+        if causes.any(is_silence) { Self::HostSilent(text) } else { Self::Connection(text) }
     }
 
     /// Whether it may come of the end of the upstream's process, which closes its connections.
     fn may_be_an_end(&self) -> bool {
+        matches!(self, Self::Connection(_) | Self::HostSilent(_) | Self::Torn)
+    }
+
+    /// Whether it may come of such an end although the host takes connections. A host that says nothing is
+    /// cut off, most likely, and what has started behind the cut did so for another reason.
+    pub(crate) fn may_show_later(&self) -> bool {
         matches!(self, Self::Connection(_) | Self::Torn)
     }
 
@@ -66,7 +82,7 @@
 impl From<StreamError> for Break {
     fn from(error: StreamError) -> Self {
         match error {
-            StreamError::Broken(error) => Self::connection(error),
+            StreamError::Broken(error) => Self::connection(&error),
             StreamError::Torn => Self::Torn,
         }
     }
@@ -74,6 +90,10 @@
 
 impl From<ReadError> for Break {
     fn from(error: ReadError) -> Self {
-        if error.is::<LengthLimitError>() { Self::TooLong } else { Self::connection(error) }
+        if error.is::<LengthLimitError>() {
+            Self::TooLong
+        } else {
+            Self::connection(error.as_ref())
+        }
     }
 }
--- a/crates/gateway/src/request/execution/break_off.rs
+++ b/crates/gateway/src/request/execution/break_off.rs
@@ -33,6 +33,9 @@
             state.metrics.upstream_ends.inc();
             state.upstreams.observe(now, start, Evidence::Ended);
             state.fatal.ended(now, self.call.fingerprint(), start);
+            state.shown_ended(start);
+        } else if cause.may_show_later() && !state.awakening.is_catching_up() {
+            state.fatal.broke(state.now(), self.call.fingerprint(), start);
         }
         self.log_break(start, has_ended);
         if has_ended && state.peers.lock().count() > 1 {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,6 +14,7 @@
 use parking_lot::RwLock;
 use stallhoist_coordination::ProcessClock;
 use stallhoist_core::MonoTime;
+use stallhoist_core::StartId;
 use stallhoist_policy::cascade::StepUpConfig;
 use stallhoist_policy::retry::RetryBudget;
 use stallhoist_policy::rollout::RolloutConfig;
@@ -254,6 +255,14 @@
         self.retries.lock().set_burst(self.settings.retries.burst_of(entries));
     }
 
+    /// It shows that a start of an upstream has ended. What broke off there lately did so by its end, unless
+    /// it had said that it leaves: then it ended as planned.
+    pub(crate) fn shown_ended(&self, start: &StartId) {
+        if !self.upstreams.has_announced(start) {
+            self.fatal.upstream_ended(self.now(), start);
+        }
+    }
+
     /// Requests in progress.
     pub(crate) fn in_progress(&self) -> usize {
         self.in_progress.load(Ordering::SeqCst)
--- a/crates/gateway/src/upstream/error.rs
+++ b/crates/gateway/src/upstream/error.rs
@@ -15,6 +15,13 @@
     Handshake(hyper::Error),
 }
 
+impl ConnectError {
+    /// Whether the host itself refused: it is there, and no process takes connections.
+    pub(crate) fn is_by_host(&self) -> bool {
+        matches!(self, Self::Refused(error) if error.kind() == io::ErrorKind::ConnectionRefused)
+    }
+}
+
 /// Why a request that was sent, or was about to be, has no reply.
 #[derive(Debug, Display, thiserror::Error)]
 pub(crate) enum SendError {
--- a/crates/gateway/src/upstreams/mod.rs
+++ b/crates/gateway/src/upstreams/mod.rs
@@ -56,6 +56,7 @@
 use crate::control_store::Change;
 use crate::members::Directory;
 use crate::members::Member;
+use crate::members::Superseded;
 use crate::routing::RegionsOfZones;
 use crate::upstreams::choice::Choice;
 use crate::upstreams::emptied_zones::EmptiedZones;
@@ -111,12 +112,15 @@
         }
     }
 
-    /// These starts have ended: later ones are listed at their addresses.
-    fn are_over(&mut self, now: MonoTime, starts: &[StartId]) {
-        for start in starts {
-            log::info!(start:% = start; "a later start is listed at the address of this one");
+    /// These starts have ended: later ones are listed in their places. Gives those that had not said
+    /// that they leave.
+    fn are_over(&mut self, now: MonoTime, superseded: Vec<Superseded>) -> Vec<StartId> {
+        for Superseded { start, is_planned } in &superseded {
+            log::info!(start:% = start, is_planned; "a later start is listed in place of this one");
             self.health.observe(now, start, Evidence::AddressTaken);
         }
+        let unplanned = superseded.into_iter().filter(|superseded| !superseded.is_planned);
+        unplanned.map(|superseded| superseded.start).collect()
     }
 
     fn work_on(&self, now: MonoTime, start: &StartId) -> KnownWork {
@@ -161,33 +165,37 @@
         }
     }
 
-    /// The whole list was read.
-    pub(crate) fn replace(&self, now: MonoTime, members: Vec<Member>) {
+    /// The whole list was read. Gives the starts that have ended by that without saying that they leave.
+    pub(crate) fn replace(&self, now: MonoTime, members: Vec<Member>) -> Vec<StartId> {
         let mut known = self.known.lock();
         for member in &members {
             known.cold.read(now, &member.start, member.cold);
         }
-        let over = known.directory.replace(now, members);
-        known.are_over(now, &over);
+        let superseded = known.directory.replace(now, members);
+        let ended = known.are_over(now, superseded);
         drop(known);
         self.changed.notify_waiters();
+        ended
     }
 
-    /// One entry of the list has changed. Other changes do not concern upstreams.
-    pub(crate) fn apply(&self, now: MonoTime, change: Change) {
+    /// One entry of the list has changed. Other changes do not concern upstreams. Gives the starts that
+    /// have ended by that without saying that they leave.
+    pub(crate) fn apply(&self, now: MonoTime, change: Change) -> Vec<StartId> {
+        let mut ended = Vec::new();
         let mut known = self.known.lock();
         match change {
             Change::MemberListed(member) => {
                 known.cold.told(now, &member.start, member.cold);
-                let over = known.directory.listed(now, member);
-                known.are_over(now, &over);
+                let superseded = known.directory.listed(now, member);
+                ended = known.are_over(now, superseded);
             }
             Change::MemberGone(instance) => known.directory.gone(now, &instance),
             Change::MemberUnreadable(row) => known.directory.unreadable(now, &row.instance),
-            _ => return,
+            _ => return ended,
         }
         drop(known);
         self.changed.notify_waiters();
+        ended
     }
 
     /// Forgets upstreams that have left. Gives how many are known.
@@ -248,17 +256,24 @@
         WorkGuard { upstreams: Arc::clone(self), start, unread: chosen.work }
     }
 
-    /// Something has shown how a start of an upstream is.
-    pub(crate) fn observe(&self, now: MonoTime, start: &StartId, evidence: Evidence) {
+    /// Something has shown how a start of an upstream is. Says whether it is known to be over since.
+    pub(crate) fn observe(&self, now: MonoTime, start: &StartId, evidence: Evidence) -> bool {
         let mut known = self.known.lock();
         let before = known.health.fitness(now, start);
         known.health.observe(now, start, evidence);
         let after = known.health.fitness(now, start);
         drop(known);
-        if before < Fitness::Over && after == Fitness::Over {
+        let is_found_over = before < Fitness::Over && after == Fitness::Over;
+        if is_found_over {
             log::info!(start:% = start, evidence:? = evidence; "this start of an upstream is over");
             self.found_over.notify_one();
         }
+        is_found_over
+    }
+
+    /// Whether a start has said that it leaves.
+    pub(crate) fn has_announced(&self, start: &StartId) -> bool {
+        self.known.lock().directory.has_announced(start)
     }
 
     /// Whether a start is known to be over.
@@ -278,21 +293,29 @@
         tellable.map(|(start, told)| (UpstreamKey::of(start), told)).collect()
     }
 
-    /// Another entry tells what it knows of upstreams that are not well.
+    /// Another entry tells what it knows of upstreams that are not well. Gives those that are known to be
+    /// over since.
     pub(crate) fn told_standings(
         &self,
         now: MonoTime,
         told: &HashMap<UpstreamKey, TellableStanding>,
-    ) {
+    ) -> Vec<StartId> {
+        let mut found_over = Vec::new();
         if told.is_empty() {
-            return;
+            return found_over;
         }
         let Known { directory, health, .. } = &mut *self.known.lock();
         for (member, _) in directory.iter() {
-            if let Some(told) = told.get(&UpstreamKey::of(&member.start)) {
-                health.told(now, &member.start, *told);
+            let start = &member.start;
+            if let Some(told) = told.get(&UpstreamKey::of(start)) {
+                let before = health.fitness(now, start);
+                health.told(now, start, *told);
+                if before < Fitness::Over && health.fitness(now, start) == Fitness::Over {
+                    found_over.push(start.clone());
+                }
             }
         }
+        found_over
     }
 
     /// Requests in progress at an upstream, as far as it is known.
--- a/crates/policy/src/fatal/mod.rs
+++ b/crates/policy/src/fatal/mod.rs
@@ -6,6 +6,7 @@
 //! | evidence | proves | the request is | for how long |
 //! | --- | --- | --- | --- |
 //! | its answer broke off, the upstream is there | nothing: connections are cut | what it was | |
+//! | the same, and within 6 s it shows that this start has ended, without having said before that it leaves | as if it had shown at once | suspect | as below |
 //! | an upstream has ended while it ran it | one of those that ran there did it | suspect | until a whole answer; a day |
 //! | another one that ran there is held back, with more ends | the other one did it | not to blame for this end | as long as the other is held back |
 //! | three ends, not all of them explained by another | it did it, or ran beside such requests each time | held back | until it is tried again |
@@ -21,6 +22,7 @@
 //! twice or in any order comes to the same. How often one is tried again must be agreed: that is
 //! counted in the store, under the condition that the row has not changed.
 
+mod breaks;
 mod config;
 mod judgement;
 mod record;
@@ -34,6 +36,7 @@
 use stallhoist_core::RequestFingerprint;
 use stallhoist_core::StoreVersion;
 
+use breaks::Breaks;
 pub use config::FatalConfig;
 use record::End;
 use record::Record;
@@ -65,6 +68,8 @@
     records: HashMap<RequestFingerprint, Record>,
     /// The requests that ran on each upstream that has ended, as far as these ends count.
     beside: HashMap<UpstreamKey, BTreeSet<RequestFingerprint>>,
+    /// Answers that broke off here, until it shows why.
+    breaks: Breaks,
 }
 
 impl FatalRequests {
@@ -78,6 +83,11 @@
         self.records.is_empty()
     }
 
+    /// Whether it is still open of any answer that broke off why it did.
+    pub fn has_open_breaks(&self) -> bool {
+        !self.breaks.is_empty()
+    }
+
     /// What may be done with a request now.
     pub fn verdict(&self, now: MonoTime, request: RequestFingerprint) -> Verdict {
         let Some(record) = self.records.get(&request) else {
@@ -113,6 +123,22 @@
         self.told(now, [EndNews { request, upstream, is_cleared: false }]) > 0
     }
 
+    /// The answer of a request broke off, and its upstream may have ended.
+    pub fn broke(&mut self, now: MonoTime, request: RequestFingerprint, upstream: UpstreamKey) {
+        self.breaks.broke(now, request, upstream);
+    }
+
+    /// It shows that an upstream has ended, however that is learnt: what broke off there lately did so
+    /// by its end. Gives the requests for which that is new.
+    pub fn upstream_ended(
+        &mut self,
+        now: MonoTime,
+        upstream: UpstreamKey,
+    ) -> Vec<RequestFingerprint> {
+        let broken = self.breaks.ended(now, upstream);
+        broken.filter(|request| self.ended(now, *request, upstream)).collect()
+    }
+
     /// A request was answered whole. Says whether anything was held against it.
     pub fn answered(&mut self, now: MonoTime, request: RequestFingerprint) -> bool {
         let Some(record) = self.records.get_mut(&request) else {
@@ -309,6 +335,7 @@
 
     /// Forgets what is of no use any more.
     pub fn expire(&mut self, now: MonoTime) {
+        self.breaks.expire(now);
         let is_over = |record: &Record| record.is_over(now, &self.config);
         let over = self.records.iter().filter(|(_, record)| is_over(record));
         let over: Vec<_> = over.map(|(request, _)| *request).collect();
--- a/tests/all/decisions/directory.rs
+++ b/tests/all/decisions/directory.rs
@@ -7,6 +7,7 @@
 use stallhoist_gateway::members::Directory;
 use stallhoist_gateway::members::Member;
 use stallhoist_gateway::members::MemberState;
+use stallhoist_gateway::members::Superseded;
 use stallhoist_policy::cold::ToldCold;
 
 use super::at_ms;
@@ -173,6 +174,11 @@
     assert_eq!(names(&directory, 200, true), ["a", "b"], "it can be read again");
 }
 
+/// One that had not said that it leaves.
+fn unplanned(name: &str) -> Superseded {
+    Superseded { start: start(name), is_planned: false }
+}
+
 fn start(name: &str) -> StartId {
     name.parse().expect("a start")
 }
@@ -191,8 +197,8 @@
     assert_eq!(directory.listed(at_ms(0), ready("a")), []);
     directory.gone(at_ms(100), &"a".parse().expect("a name"));
     directory.expire(at_ms(2_000));
-    assert_eq!(directory.listed(at_ms(2_000), in_place_of("a", "b")), [start("a")]);
-    assert_eq!(directory.listed(at_ms(4_000), ready("a")), [start("a")], "not the later one");
+    assert_eq!(directory.listed(at_ms(2_000), in_place_of("a", "b")), [unplanned("a")]);
+    assert_eq!(directory.listed(at_ms(4_000), ready("a")), [unplanned("a")], "not the later one");
     assert_eq!(directory.listed(at_ms(5_000), in_place_of("a", "b")), []);
 }
 
@@ -200,15 +206,15 @@
 fn a_later_one_at_an_address_ends_the_one_that_had_it() {
     let mut directory = Directory::default();
     directory.listed(at_ms(0), ready("a"));
-    assert_eq!(directory.listed(at_ms(100), in_place_of("a", "b")), [start("a")]);
-    assert_eq!(directory.listed(at_ms(200), in_place_of("a", "c")), [start("b")]);
+    assert_eq!(directory.listed(at_ms(100), in_place_of("a", "b")), [unplanned("a")]);
+    assert_eq!(directory.listed(at_ms(200), in_place_of("a", "c")), [unplanned("b")]);
 }
 
 #[test]
 fn what_they_say_of_their_starts_goes_before_the_order_in_which_they_came() {
     let mut directory = Directory::default();
     directory.listed(at_ms(0), in_place_of("a", "b@2000"));
-    assert_eq!(directory.listed(at_ms(100), ready("a@1000")), [start("a@1000")]);
+    assert_eq!(directory.listed(at_ms(100), ready("a@1000")), [unplanned("a@1000")]);
 }
 
 #[test]
@@ -216,7 +222,7 @@
     let mut directory = Directory::default();
     assert_eq!(directory.replace(at_ms(0), vec![ready("a"), in_place_of("a", "b")]), []);
     let with_times = vec![ready("c@2000"), in_place_of("c", "d@1000")];
-    assert_eq!(directory.replace(at_ms(0), with_times), [start("d@1000")]);
+    assert_eq!(directory.replace(at_ms(0), with_times), [unplanned("d@1000")]);
 }
 
 #[test]
@@ -306,3 +312,45 @@
     directory.listed(at_ms(601_000), ready("a"));
     assert_eq!(names(&directory, 601_000, true), ["a"]);
 }
+
+/// A start that has said that it leaves, or not, and then a later one in its place.
+macro_rules! superseded {
+    ($name:ident, $happens:expr, $later:expr, $is_planned:expr) => {
+        #[test]
+        fn $name() {
+            let mut directory = Directory::default();
+            directory.listed(at_ms(0), ready("a@17"));
+            let happens: fn(&mut Directory) = $happens;
+            happens(&mut directory);
+            let expected = Superseded { start: start("a@17"), is_planned: $is_planned };
+            assert_eq!(directory.listed(at_ms(9_000), $later), [expected]);
+        }
+    };
+}
+
+superseded!(by_a_later_start_of_its_own, |_| {}, ready("a@18"), false);
+superseded!(by_another_one_at_its_address, |_| {}, in_place_of("a", "b@18"), false);
+superseded!(
+    as_planned_after_its_row_said_so,
+    |directory| {
+        directory.listed(at_ms(100), member("a@17", MemberState::Draining));
+        directory.expire(at_ms(8_000));
+    },
+    ready("a@18"),
+    true
+);
+superseded!(
+    as_planned_after_it_said_so_itself,
+    |directory| directory.says_that_it_leaves(at_ms(100), &start("a@17")),
+    in_place_of("a", "b@18"),
+    true
+);
+superseded!(
+    without_a_plan_after_its_row_went,
+    |directory| {
+        directory.gone(at_ms(100), &"a".parse().expect("a name"));
+        directory.expire(at_ms(8_000));
+    },
+    ready("a@18"),
+    false
+);
--- a/tests/all/decisions/list_properties.rs
+++ b/tests/all/decisions/list_properties.rs
@@ -76,8 +76,12 @@
     match *event {
         Event::Listed { instance, born, place, is_ready } => {
             let listed = member(instance, born, place, is_ready);
-            let over = directory.listed(now, listed);
-            assert!(over.len() <= 1, "an address is that of one: {over:?}");
+            let over = directory.listed(now, listed.clone());
+            let (earlier, at_address): (Vec<_>, Vec<_>) = over.iter().partition(|over| {
+                over.start.instance == listed.start.instance && over.start != listed.start
+            });
+            assert!(at_address.len() <= 1, "an address is that of one: {over:?}");
+            assert!(earlier.len() <= 1, "one start came just before: {over:?}");
             None
         }
         Event::Gone { instance } => {
--- a/tests/all/gateway/fatal_requests.rs
+++ b/tests/all/gateway/fatal_requests.rs
@@ -21,6 +21,7 @@
 use reqwest::Body;
 use reqwest::RequestBuilder;
 use serde_json::Value;
+use serde_json::json;
 use stallhoist_policy::fatal::FatalConfig;
 use stallhoist_standins::users_platform::Behaviour;
 use stallhoist_standins::users_platform::End;
@@ -209,6 +210,43 @@
     is_held_back_when_ends_show_later("/once/x", 7, Duration::ZERO)
 });
 
+case!(ends_that_show_by_the_list_are_laid_at_its_door_by_one_entry, {
+    is_held_back_when_ends_show_later("/safe/x", 1, Duration::ZERO)
+});
+
+case!(ends_that_show_by_the_list_a_while_later, {
+    is_held_back_when_ends_show_later("/safe/x", 7, Duration::from_millis(300))
+});
+
+// Upstreams that say that they leave cut what is left at their end; their next starts are listed at once.
+case!(a_request_that_is_cut_by_planned_ends_is_served_again, async {
+    let world = World::start(1, PLAIN).await;
+    let list = world.fleet.store.writer();
+    for upstream in &world.upstreams {
+        upstream.then([Behaviour::CutBeforeReply]);
+    }
+    let asked = (0..6).map(|_| world.ask(0, "/once/x", "a request"));
+    assert_eq!(join_all(asked).await, [502; 6]);
+    for upstream in &world.upstreams {
+        let mut row = upstream.entry(PLAIN, "zone-1", "v1", "draining");
+        row["born"] = json!(1_760_000_000_000_u64);
+        list.put("servers", upstream.instance(), row);
+    }
+    let all_leave = async || {
+        let dumps = world.fleet.dumps().await;
+        !dumps[0]["upstreams"].to_string().contains("Listed")
+    };
+    wait_until("all say that they leave", all_leave).await;
+    for upstream in &world.upstreams {
+        let mut row = upstream.entry(PLAIN, "zone-1", "v1", "ready");
+        row["born"] = json!(1_760_000_009_000_u64);
+        list.put("servers", upstream.instance(), row);
+    }
+    wait_until("the next starts are listed", async || !all_leave().await).await;
+    wait_until("it is served", async || world.ask(0, "/once/x", "a request").await == 200).await;
+    assert!(world.rows().is_empty());
+});
+
 // Callers at seven entries send it at the same moment, before anybody has heard of it: each entry's first
 // one may end an engine. What they send on meets at one engine.
 case!(one_that_comes_to_all_entries_at_once_ends_few_engines_more, async {
