The soak's upstreams say that they leave, want rest or take only so much

Checked from what callers and upstreams have seen, by the process of a gateway that was told. Drawn apart, so the other faults of a seed stay what they were.

--- a/crates/standins/src/users_platform/upstream.rs
+++ b/crates/standins/src/users_platform/upstream.rs
@@ -18,6 +18,7 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::header::RETRY_AFTER;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
@@ -52,6 +53,8 @@
     pub at: Instant,
     /// Whether the upstream ran it.
     pub is_run: bool,
+    /// Whether it was refused with a time to come back.
+    pub asked_for_rest: bool,
 }
 
 impl Arrival {
@@ -315,7 +318,8 @@
     let path = head.uri.path_and_query().map(ToString::to_string).unwrap_or_default();
     let line = format!("{} {path}", head.method);
     let at = Instant::now();
-    let mut arrival = Arrival { line, headers: head.headers, body, at, is_run: false };
+    let mut arrival =
+        Arrival { line, headers: head.headers, body, at, is_run: false, asked_for_rest: false };
     let behaviour = take_next(&state, &mut arrival, &process.instance);
     let mut running = Running::new(state);
     if let Some(rule) = process.end_rule(&arrival.body).filter(|_| arrival.is_run) {
@@ -375,6 +379,8 @@
         state.next.pop_front().unwrap_or_else(|| state.usual.clone())
     };
     arrival.is_run = !matches!(behaviour, Behaviour::NotExecuted | Behaviour::Misdirected);
+    arrival.asked_for_rest =
+        behaviour == Behaviour::NotExecuted && state.says.contains_key(RETRY_AFTER);
     state.runs += usize::from(arrival.is_run);
     state.arrivals.push(arrival.clone());
     behaviour
--- a/tests/all/soak/faults.rs
+++ b/tests/all/soak/faults.rs
@@ -62,6 +62,7 @@
             Fault::Reconfigure => self.reconfigure(),
             Fault::EmptyZone { lasts } => self.empty_zone(lasts),
             Fault::TurnCold { upstream, lasts } => self.turn_cold(upstream, lasts),
+            Fault::Says { upstream, word, lasts } => self.say(upstream, word, lasts).await,
             Fault::FatalSeries => self.begin_series(),
             Fault::Grow => {
                 self.config.grow();
@@ -108,7 +109,8 @@
     fn start_again(&mut self, number: usize) {
         self.upstream_faults.push(Period::from_now(LATE_REPORT + NEXT_REPORT));
         let mut upstreams = self.upstreams.lock();
-        if upstreams[number].left.is_some() {
+        // What it says belongs to its present start.
+        if upstreams[number].left.is_some() || upstreams[number].said.is_bound() {
             return;
         }
         upstreams[number].start_again(&self.store);
@@ -181,7 +183,7 @@
     async fn leave(&mut self, number: usize, is_announced: bool) {
         let (service, next) = {
             let upstreams = self.upstreams.lock();
-            if upstreams[number].left.is_some() {
+            if upstreams[number].left.is_some() || upstreams[number].said.is_bound() {
                 return;
             }
             (upstreams[number].service, upstreams.len())
--- a/tests/all/soak/mod.rs
+++ b/tests/all/soak/mod.rs
@@ -21,6 +21,7 @@
 mod supervisor;
 mod upstream;
 mod violations;
+mod words;
 mod zones;
 
 use std::sync::Arc;
@@ -77,6 +78,7 @@
     invariants::check(&fleet, &requests, &violations);
     fragile::check(&fleet, &requests, &violations);
     zones::check(&fleet, &requests, &violations);
+    words::check(&fleet, &requests, &violations);
     check_service(&requests, &violations);
     println!("{}", summary(seed, &fleet, &requests, &violations));
     violations.all()
--- a/tests/all/soak/plan.rs
+++ b/tests/all/soak/plan.rs
@@ -8,6 +8,8 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use super::words::Word;
+
 /// Gateways of a run, and upstreams of each service.
 pub(super) const GATEWAYS: usize = 4;
 pub(super) const UPSTREAMS: usize = 4;
@@ -34,6 +36,12 @@
 const ZONE_FAULT_LASTS_MS: Range<u64> = 4_500..7_000;
 const ZONES_SEED: u64 = 0xC01D_2043;
 
+/// The same for what upstreams say of themselves, for longer than it takes until a limit is in force.
+const WORD_EVERY_MS: Range<u64> = 700..2_000;
+const WORD_LASTS_MS: Range<u64> = 4_500..8_000;
+const LIMITS_IN_TEN_S: Range<u32> = 3..60;
+const WORDS_SEED: u64 = 0x5A15_0046;
+
 /// A fault of the connection between two processes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum LinkFault {
@@ -144,6 +152,12 @@
         upstream: usize,
         lasts: Duration,
     },
+    /// An upstream says something of itself in its answers.
+    Says {
+        upstream: usize,
+        word: Word,
+        lasts: Duration,
+    },
     /// A caller begins to send a request that ends upstreams, again and again.
     FatalSeries,
     /// The configuration grows by many routes.
@@ -169,6 +183,7 @@
         let series = seed ^ FATAL_SERIES_SEED;
         faults.extend(draw_all(series, FATAL_SERIES_EVERY_MS, lasts, |_| Fault::FatalSeries));
         faults.extend(draw_all(seed ^ ZONES_SEED, ZONE_FAULT_EVERY_MS, lasts, draw_zone));
+        faults.extend(draw_all(seed ^ WORDS_SEED, WORD_EVERY_MS, lasts, draw_word));
         faults.sort_by_key(|(at, _)| *at);
         Self { faults }
     }
@@ -227,6 +242,18 @@
     }
 }
 
+/// What an upstream says of itself.
+fn draw_word(rng: &mut StdRng) -> Fault {
+    let upstream = rng.random_range(0..2 * UPSTREAMS);
+    let lasts = Duration::from_millis(rng.random_range(WORD_LASTS_MS));
+    let word = match rng.random_range(0..4) {
+        0 => Word::Leaving,
+        1 => Word::Rest,
+        _ => Word::Limit(rng.random_range(LIMITS_IN_TEN_S)),
+    };
+    Fault::Says { upstream, word, lasts }
+}
+
 fn draw(rng: &mut StdRng) -> Fault {
     let gateway = rng.random_range(0..GATEWAYS);
     let upstream = rng.random_range(0..2 * UPSTREAMS);
--- a/tests/all/soak/upstream.rs
+++ b/tests/all/soak/upstream.rs
@@ -13,6 +13,8 @@
 use super::period::Period;
 use super::plan::UPSTREAMS;
 use super::plan::UpstreamFault;
+use super::words::Said;
+use super::words::UPSTREAM;
 use crate::gateway::world::ENGINE;
 use crate::gateway::world::PLAIN;
 
@@ -34,6 +36,8 @@
     /// When its present start was, by its own clock.
     born_ms: u64,
     pub(super) left: Option<Instant>,
+    /// What it has said of itself.
+    pub(super) said: Said,
 }
 
 /// When the first start of each upstream was, and the time between two.
@@ -46,9 +50,11 @@
         let standin = UpstreamStandin::start(&format!("i-{number}"), usual).await;
         let standin = standin.expect("an upstream starts");
         let proxy = FaultProxy::start(standin.addr()).await.expect("a proxy starts");
+        standin.says(UPSTREAM, standin.instance());
         let zone = format!("zone-{}", number % 2);
         let cold = Vec::new();
-        Self { standin, proxy, service, zone, cold, born_ms: FIRST_BORN_MS, left: None }
+        let said = Said::default();
+        Self { standin, proxy, service, zone, cold, born_ms: FIRST_BORN_MS, left: None, said }
     }
 
     /// It starts again under its id: what is in progress there is cut.
