--- /dev/null
+++ b/benches/limits.rs
@@ -0,0 +1,98 @@
+//! Upstreams that name a limit, in virtual time: `cargo bench --bench limits`.
+//!
+//! Entries get requests, of which each goes to a limited upstream if the entry may send it one. Entries
+//! judge by the gateway's own `policy::named_limits`, and hear of the limit up to half a second late.
+//! Beside it: each entry keeps to the whole limit by itself, each has the whole of it in its turn, and
+//! one that knows all that was sent.
+
+#[path = "support/limits_world.rs"]
+mod limits_world;
+
+use std::thread;
+
+use stallhoist_measure::Report;
+
+use crate::limits_world::Figures;
+use crate::limits_world::Setting;
+use crate::limits_world::USUAL;
+use crate::limits_world::Way;
+use crate::limits_world::run;
+
+const WAYS: [Way; 4] = [Way::Alone, Way::Parts, Way::Turns, Way::Oracle];
+
+/// Of each setting and way; fewer where each of many entries has to know all others.
+fn seeds(setting: &Setting) -> u64 {
+    match setting.entries {
+        0..=103 => 200,
+        104..=300 => 50,
+        _ => 5,
+    }
+}
+
+/// Plays all seeds, on a few threads.
+fn play(setting: &Setting, way: Way) -> Vec<Figures> {
+    const THREADS: u64 = 4;
+    let seeds = seeds(setting);
+    let of_thread = |n: u64| {
+        move || {
+            let own = (0..seeds).filter(move |seed| seed % THREADS == n);
+            own.map(|seed| run(setting, way, seed)).collect::<Vec<_>>()
+        }
+    };
+    thread::scope(|scope| {
+        let threads: Vec<_> = (0..THREADS).map(|n| scope.spawn(of_thread(n))).collect();
+        threads.into_iter().flat_map(|t| t.join().expect("a run ends")).collect()
+    })
+}
+
+fn rows(report: &mut Report, name: &str, setting: &Setting) {
+    let sum = |all: &[Figures], of: fn(&Figures) -> usize| all.iter().map(of).sum::<usize>() as f64;
+    let oracle = sum(&play(setting, Way::Oracle), |figures| figures.at_limited);
+    for way in WAYS {
+        let all = play(setting, way);
+        let most = all.iter().map(|figures| figures.most).max().unwrap_or(0);
+        let broken = all.iter().filter(|figures| figures.most as f64 > setting.bound()).count();
+        let refused = sum(&all, |figures| figures.refused);
+        eprintln!("{name}: {way:?}");
+        report.row([
+            name.to_owned(),
+            format!("{way:?}"),
+            format!("{most} of {:.1}", setting.bound()),
+            format!("{broken} of {}", all.len()),
+            format!("{:.2}", sum(&all, |figures| figures.at_limited) / oracle),
+            format!("{:.1}", 100.0 * refused / sum(&all, |figures| figures.requests)),
+        ]);
+    }
+}
+
+fn main() {
+    let headings = [
+        "setting",
+        "way",
+        "most in 4 s",
+        "runs over it",
+        "work there, of the oracle's",
+        "refused, %",
+    ];
+    let mut report = Report::new("limits", &headings);
+    let large = Setting { per_s: 2_900.0, ..USUAL };
+    for (name, setting) in [
+        ("21 entries, 4 of 40 name 2.2", USUAL),
+        ("1 entry", Setting { entries: 1, ..USUAL }),
+        ("3 entries", Setting { entries: 3, ..USUAL }),
+        ("103 entries", Setting { entries: 103, ..USUAL }),
+        ("300 entries", Setting { entries: 300, ..USUAL }),
+        ("300 entries, 2,900 a second", Setting { entries: 300, ..large }),
+        ("1,000 entries, 2,900 a second", Setting { entries: 1_000, ..large }),
+        ("0.3 a second", Setting { limit_per_s: 0.3, ..USUAL }),
+        ("0.3 a second, 300 entries", Setting { limit_per_s: 0.3, entries: 300, ..USUAL }),
+        ("20 a second", Setting { limit_per_s: 20.0, ..USUAL }),
+        ("20 a second, 300 entries", Setting { limit_per_s: 20.0, entries: 300, ..USUAL }),
+        ("100 a second, 300 entries", Setting { limit_per_s: 100.0, entries: 300, ..large }),
+        ("all of 6 name 2.2", Setting { limited: 6, upstreams: 6, ..USUAL }),
+        ("uneven, 4 to 1", Setting { uneven: 4.0, ..USUAL }),
+    ] {
+        rows(&mut report, name, &setting);
+    }
+    report.finish();
+}
