--- a/crates/gateway/src/peers/limits.rs
+++ b/crates/gateway/src/peers/limits.rs
@@ -79,7 +79,11 @@
             Ok(limit) => {
                 let age = Duration::from_millis(u64::from(news.age_ms));
                 let told = TellableLimit { limit, age };
-                state.upstreams.told_limit(state.now(), UpstreamKey(news.upstream), told);
+                let upstream = UpstreamKey(news.upstream);
+                let is_other = state.upstreams.told_limit(state.now(), upstream, told);
+                if is_other && state.decisions.admits(state.now()) {
+                    log::info!(upstream = upstream.0, limit:? = limit; "told of an upstream's limit");
+                }
             }
             Err(error) => log::warn!(per_s:? = news.per_s, error:% = error; "a limit ignored"),
         }
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -210,8 +210,8 @@
         let head = self.state.dialect.read_reply(&reply.head);
         if self.is_from_chosen(&reply.head, &head) {
             let (upstreams, start) = (&self.state.upstreams, &self.chosen.start);
-            upstreams.heard(self.state.now(), start, sent, &head.notice);
-            self.log_notice(&head.notice);
+            let is_other_limit = upstreams.heard(self.state.now(), start, sent, &head.notice);
+            self.log_notice(&head.notice, is_other_limit);
         }
         if head.is_not_run {
             return AttemptEnd::NotRun(reply.head.status);
@@ -238,17 +238,25 @@
     }
 
     /// What an upstream says of itself that bears on whether it may be used.
-    fn log_notice(&self, notice: &Notice) {
-        let is_worth_a_line = notice.is_leaving || notice.rest.is_some();
-        if is_worth_a_line && self.state.decisions.admits(self.state.now()) {
+    fn log_notice(&self, notice: &Notice, is_other_limit: bool) {
+        let asks_for_less = notice.is_leaving || notice.rest.is_some();
+        if !(asks_for_less || is_other_limit) || !self.state.decisions.admits(self.state.now()) {
+            return;
+        }
+        let start = &self.chosen.start;
+        if asks_for_less {
             log::info!(
                 request = self.call.head.id,
-                instance:% = self.chosen.start,
+                instance:% = start,
                 is_leaving = notice.is_leaving,
                 rest:? = notice.rest;
                 "an upstream leaves, or asks for rest"
             );
         }
+        if is_other_limit {
+            let limit = notice.limit;
+            log::info!(instance:% = start, limit:? = limit; "an upstream's limit has changed");
+        }
     }
 
     /// Whether what an answer says of its upstream is said by the one that was chosen: another process
--- a/crates/gateway/src/upstreams/cold.rs
+++ b/crates/gateway/src/upstreams/cold.rs
@@ -51,14 +51,7 @@
 }
 
 impl Known {
-    /// Whether a request may be sent to an upstream now.
-    pub(super) fn place(&self, now: MonoTime, member: &Member) -> Place {
-        let limited = self.limits.place(now, &member.start, &self.fleet);
-        let rested = self.rests.place(now, &member.start);
-        self.cold_place(now, member).and(limited).and(rested)
-    }
-
-    /// The same, as far as it is cold.
+    /// Whether a request may be sent to an upstream now, as far as it is cold.
     pub(super) fn cold_place(&self, now: MonoTime, member: &Member) -> Place {
         let service = self.cold_services.get(&member.service);
         self.cold.place(now, &member.start, service, &self.fleet)
--- a/crates/gateway/src/upstreams/notices.rs
+++ b/crates/gateway/src/upstreams/notices.rs
@@ -10,8 +10,15 @@
 use crate::notice::Notice;
 
 impl Upstreams {
-    /// An upstream has said something of itself, in an answer to a request that was sent then.
-    pub(crate) fn heard(&self, now: MonoTime, start: &StartId, sent: MonoTime, notice: &Notice) {
+    /// An upstream has said something of itself, in an answer to a request that was sent then. Says whether
+    /// it names another limit than before.
+    pub(crate) fn heard(
+        &self,
+        now: MonoTime,
+        start: &StartId,
+        sent: MonoTime,
+        notice: &Notice,
+    ) -> bool {
         let mut known = self.known.lock();
         if let Some(load) = notice.load {
             known.load.reported(now, start, load);
@@ -28,9 +35,9 @@
         let is_other_limit = known.limits.heard(now, start, sent, notice.limit);
         drop(known);
         if is_other_limit {
-            log::info!(start:% = start, limit:? = notice.limit; "an upstream's limit has changed");
             self.changed.notify_waiters();
         }
+        is_other_limit
     }
 
     /// What other entries should know of limits.
@@ -43,12 +50,14 @@
         self.known.lock().limits.tellable_at_start(now).collect()
     }
 
-    /// Another entry tells what it knows of a limit.
-    pub(crate) fn told_limit(&self, now: MonoTime, upstream: UpstreamKey, told: TellableLimit) {
-        if self.known.lock().limits.told(now, upstream, told) {
-            let limit = told.limit;
-            log::info!(upstream = upstream.0, limit:? = limit; "told of an upstream's limit");
-        }
+    /// Another entry tells what it knows of a limit. Says whether that is another one than before.
+    pub(crate) fn told_limit(
+        &self,
+        now: MonoTime,
+        upstream: UpstreamKey,
+        told: TellableLimit,
+    ) -> bool {
+        self.known.lock().limits.told(now, upstream, told)
     }
 
     /// How many upstreams have asked this entry for rest.
