The soak's upstreams do not start again while a rest that they asked for lasts

Cause: it started again under its id meanwhile; the new start is another one for the gateways, which has asked for nothing, but the stand-in went on refusing for it. No fault of the gateways.

--- a/tests/all/soak/words.rs
+++ b/tests/all/soak/words.rs
@@ -58,6 +58,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Said {
     leaving: bool,
+    /// When it wanted rest, until the last rest is over.
+    rests: Vec<Period>,
     limits: Vec<(Period, f64)>,
 }
 
@@ -65,7 +67,8 @@
     /// Whether it says something now that belongs to its present start.
     pub(super) fn is_bound(&self) -> bool {
         let now = Instant::now();
-        self.leaving || self.limits.iter().any(|(period, _)| period.overlaps(now, now))
+        let limited = self.limits.iter().map(|(period, _)| period);
+        self.leaving || limited.chain(&self.rests).any(|period| period.overlaps(now, now))
     }
 }
 
@@ -108,10 +111,11 @@
     fn ask_for_rest(&mut self, number: usize, lasts: Duration) {
         self.upstream_faults.push(Period::from_now(lasts));
         let rest = REST.as_secs_f64().to_string();
-        let (mut resting, upstreams) = (Vec::new(), self.upstreams.lock());
+        let (mut resting, mut upstreams) = (Vec::new(), self.upstreams.lock());
         let service = upstreams[number].service;
-        for (number, upstream) in upstreams.iter().enumerate() {
+        for (number, upstream) in upstreams.iter_mut().enumerate() {
             if upstream.service == service {
+                upstream.said.rests.push(Period::from_now(lasts + REST));
                 upstream.standin.says(RETRY_AFTER, &rest);
                 upstream.standin.then(vec![Behaviour::NotExecuted; REFUSED]);
                 resting.push(number);
