An end that shows later is noted as one that shows at once

Cause: it had a path of its own beside that of an end that shows at once, and lacked the warning `request held back: it ends upstreams` that OPERATIONS sends readers to; and each request that broke off at a start was judged by itself, where what is told by others is judged together, once. Change: one function takes ends down, for one request or several, and one notes that an end is new. OPERATIONS names the line on a later start as it is written since that line also covers an upstream's own next start.

--- a/crates/gateway/src/fatal/book.rs
+++ b/crates/gateway/src/fatal/book.rs
@@ -83,15 +83,15 @@
 
     /// An upstream has ended while it ran a request.
     pub(crate) fn ended(&self, now: MonoTime, request: RequestFingerprint, start: &StartId) {
-        let (is_new, verdict) = self.change(|requests| {
-            let is_new = requests.ended(now, request, UpstreamKey::of(start));
-            (is_new, requests.verdict(now, request))
-        });
-        if !is_new {
-            return;
+        if self.change(|requests| requests.ended(now, request, UpstreamKey::of(start))) {
+            self.note_new(now, request, start);
         }
+    }
+
+    /// An end under a request was not known before.
+    fn note_new(&self, now: MonoTime, request: RequestFingerprint, start: &StartId) {
         self.has_news.notify_one();
-        if matches!(verdict, Verdict::HeldBack { .. }) {
+        if matches!(self.verdict(now, request), Verdict::HeldBack { .. }) {
             log::warn!(fingerprint:% = request, instance:% = start; "request held back: it ends upstreams");
         }
     }
@@ -109,7 +109,7 @@
         let broken = self.change(|requests| requests.upstream_ended(now, UpstreamKey::of(start)));
         for request in broken {
             log::info!(fingerprint:% = request, instance:% = start; "its answer broke off as the upstream ended");
-            self.has_news.notify_one();
+            self.note_new(now, request, start);
         }
     }
 
--- a/crates/policy/src/fatal/mod.rs
+++ b/crates/policy/src/fatal/mod.rs
@@ -115,12 +115,32 @@
         request: RequestFingerprint,
         upstream: UpstreamKey,
     ) -> bool {
-        if let Some(record) = self.records.get_mut(&request)
-            && let Standing::Trying(trying) = record.standing
-        {
-            record.standing = Standing::HeldBack(trying.held().proved(&self.config));
+        !self.all_ended(now, [request], upstream).is_empty()
+    }
+
+    /// The same of several requests that ran there, which are judged together, once. Gives those for
+    /// which it is new.
+    fn all_ended(
+        &mut self,
+        now: MonoTime,
+        requests: impl IntoIterator<Item = RequestFingerprint>,
+        upstream: UpstreamKey,
+    ) -> Vec<RequestFingerprint> {
+        let mut concerned = Vec::new();
+        let mut new = Vec::new();
+        for request in requests {
+            if let Some(record) = self.records.get_mut(&request)
+                && let Standing::Trying(trying) = record.standing
+            {
+                record.standing = Standing::HeldBack(trying.held().proved(&self.config));
+            }
+            let end = EndNews { request, upstream, is_cleared: false };
+            if self.learnt(now, end, &mut concerned) {
+                new.push(request);
+            }
         }
-        self.told(now, [EndNews { request, upstream, is_cleared: false }]) > 0
+        self.judge_around(now, concerned);
+        new
     }
 
     /// The answer of a request broke off, and its upstream may have ended.
@@ -136,7 +156,7 @@
         upstream: UpstreamKey,
     ) -> Vec<RequestFingerprint> {
         let broken = self.breaks.ended(now, upstream);
-        broken.filter(|request| self.ended(now, *request, upstream)).collect()
+        self.all_ended(now, broken, upstream)
     }
 
     /// A request was answered whole. Says whether anything was held against it.
