That an upstream has said that it leaves is kept in one place

Cause: the directory kept it by start for ten minutes, and the history of starts kept a copy of it, which was lost with a start that was not the latest listed at its address, or after a minute. Change: the directory alone keeps what was said in answers, the history what rows said; whether an end was planned asks both. The presence of an upstream is worked out in a function of its own.

--- a/crates/gateway/src/members/directory.rs
+++ b/crates/gateway/src/members/directory.rs
@@ -115,21 +115,12 @@
     }
 
     fn believe(&mut self, now: MonoTime, member: Member) -> Vec<Superseded> {
-        let over = self.history.listed(&member);
+        let mut over = self.history.listed(&member);
+        for superseded in &mut over {
+            superseded.is_planned |= self.said_leaving.contains_key(&superseded.start);
+        }
         let instance = member.start.instance.clone();
-        let known = self.known.get(&instance);
-        let before = known.filter(|known| known.member.start == member.start);
-        // What an upstream has said itself goes before its row, which may be late by as long as the
-        // store is away.
-        let said = self.said_leaving.get(&member.start);
-        let presence = match (said, member.state, before.map(|known| known.presence)) {
-            (Some(said), ..) => Presence::Leaving(said.since),
-            (None, MemberState::Ready, _) => Presence::Listed,
-            (None, MemberState::Draining, Some(Presence::Leaving(since))) => {
-                Presence::Leaving(since)
-            }
-            (None, MemberState::Draining, _) => Presence::Leaving(now),
-        };
+        let presence = self.presence(now, &member);
         if presence == Presence::Listed {
             self.leaving.remove(&instance);
         } else {
@@ -140,11 +131,26 @@
         over
     }
 
+    /// How sure it is that an upstream takes work whose entry is believed now.
+    fn presence(&self, now: MonoTime, member: &Member) -> Presence {
+        // What it has said itself goes before its row, which may be late by as long as the store
+        // is away.
+        if let Some(said) = self.said_leaving.get(&member.start) {
+            return Presence::Leaving(said.since);
+        }
+        let known = self.known.get(&member.start.instance);
+        let before = known.filter(|known| known.member.start == member.start);
+        match (member.state, before.map(|known| known.presence)) {
+            (MemberState::Ready, _) => Presence::Listed,
+            (MemberState::Draining, Some(Presence::Leaving(since))) => Presence::Leaving(since),
+            (MemberState::Draining, _) => Presence::Leaving(now),
+        }
+    }
+
     /// A start of an upstream has said in an answer that it leaves. No row takes that back.
     pub fn says_that_it_leaves(&mut self, now: MonoTime, start: &StartId) {
         let said = self.said_leaving.entry(start.clone());
         said.or_insert(Said { since: now, last: now }).last = now;
-        self.history.announces(start);
         if self.is_known(start) {
             self.begins_to_leave(now, &start.instance);
         }
@@ -241,7 +247,7 @@
 
     /// Whether a start of an upstream has said that it leaves, in its row or in an answer.
     pub fn has_announced(&self, start: &StartId) -> bool {
-        self.history.has_announced(start)
+        self.said_leaving.contains_key(start) || self.history.has_announced(start)
     }
 
     /// What is known of a start of an upstream.
--- a/crates/gateway/src/members/start_history.rs
+++ b/crates/gateway/src/members/start_history.rs
@@ -26,7 +26,7 @@
     batch: u64,
     /// Since when it is no longer known.
     left: Option<MonoTime>,
-    /// Whether it has said that it leaves.
+    /// Whether its row has said that it leaves.
     has_announced: bool,
 }
 
@@ -76,15 +76,7 @@
         self.batch += 1;
     }
 
-    /// A start has said that it leaves.
-    pub(super) fn announces(&mut self, start: &StartId) {
-        let seen = self.latest.get_mut(&start.instance).filter(|seen| seen.start == *start);
-        if let Some(seen) = seen {
-            seen.has_announced = true;
-        }
-    }
-
-    /// Whether a start has said that it leaves, before it ended.
+    /// Whether the row of a start has said that it leaves.
     pub(super) fn has_announced(&self, start: &StartId) -> bool {
         let seen = self.latest.get(&start.instance).filter(|seen| seen.start == *start);
         seen.is_some_and(|seen| seen.has_announced)
--- a/crates/gateway/src/request/execution/choice.rs
+++ b/crates/gateway/src/request/execution/choice.rs
@@ -54,10 +54,9 @@
                 Lack::NoneUsable => {}
                 Lack::NoneAllowed => return Err(self.not_allowed()),
                 Lack::NoPlace(at) if at > until => return Err(self.refused_until(at)),
-                Lack::NoPlace(at) => pause = pause.min(at.since(now)),
                 // The caller is sent to another entry, which may be one of those.
                 Lack::PlacesOfOthers(at) if at > until => return Err(self.give_up()),
-                Lack::PlacesOfOthers(at) => pause = pause.min(at.since(now)),
+                Lack::NoPlace(at) | Lack::PlacesOfOthers(at) => pause = pause.min(at.since(now)),
             }
             let changed = self.state.upstreams.changed();
             let _ = tokio::time::timeout(pause, changed).await;
--- a/crates/policy/src/named_limits/record.rs
+++ b/crates/policy/src/named_limits/record.rs
@@ -52,7 +52,7 @@
 
 impl Record {
     /// An answer names a limit. One that may be older than the last word must not raise it.
-    pub(super) fn is(&mut self, now: MonoTime, sent: MonoTime, named: RequestRate) -> bool {
+    pub(super) fn named(&mut self, now: MonoTime, sent: MonoTime, named: RequestRate) -> bool {
         let is_raised = self.limit.is_some_and(|known| named > known);
         if is_raised && sent < self.as_of {
             return false;
@@ -61,7 +61,7 @@
     }
 
     /// An answer names none.
-    pub(super) fn is_over(&mut self, now: MonoTime, sent: MonoTime) -> bool {
+    pub(super) fn named_none(&mut self, now: MonoTime, sent: MonoTime) -> bool {
         sent >= self.as_of && self.learn(now, sent, None)
     }
 
--- a/crates/policy/src/named_limits/upstreams.rs
+++ b/crates/policy/src/named_limits/upstreams.rs
@@ -49,15 +49,16 @@
         sent: MonoTime,
         named: NamedLimit,
     ) -> bool {
+        let upstream = UpstreamKey::of(start);
         let limit = match named {
             NamedLimit::Unknown => return false,
             NamedLimit::Of(limit) if limit.per_s() < BOUNDS_NOTHING_PER_S => limit,
             NamedLimit::Of(_) | NamedLimit::Unsaid => {
-                let record = self.by_upstream.get_mut(&UpstreamKey::of(start));
-                return record.is_some_and(|record| record.is_over(now, sent));
+                let record = self.by_upstream.get_mut(&upstream);
+                return record.is_some_and(|record| record.named_none(now, sent));
             }
         };
-        self.by_upstream.entry(UpstreamKey::of(start)).or_default().is(now, sent, limit)
+        self.by_upstream.entry(upstream).or_default().named(now, sent, limit)
     }
 
     /// Another entry tells what it knows of an upstream, which may not be listed here yet. Says whether
