Upstreams are counted for metrics in one go; what entries tell of them has a file of its own

Ten times a second five figures were read under five locks, one of them by copying the names of the emptied availability zones, and each was turned into a gauge's number by a line of its own. They are one `UpstreamCounts` under one lock now, set by one function. No decision changes.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -12,6 +12,7 @@
 use stallhoist_telemetry::MetricsPage;
 
 use crate::peers::Origin;
+use crate::upstreams::UpstreamCounts;
 
 /// How a request ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
@@ -181,6 +182,18 @@
         r.register("rollout_load", help, self.rollout_load.clone());
     }
 
+    /// How many upstreams are what now.
+    pub(crate) fn upstreams_are(&self, counts: &UpstreamCounts) {
+        let set = |gauge: &Gauge, count| {
+            gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+        };
+        set(&self.upstreams, counts.known);
+        set(&self.cold_upstreams, counts.cold);
+        set(&self.limited_upstreams, counts.limited);
+        set(&self.resting_upstreams, counts.resting);
+        set(&self.emptied_zones, counts.emptied_zones);
+    }
+
     pub(crate) fn news_received(&self, origin: Origin, bytes: usize) {
         self.news_bytes.get_or_create(&NewsLabels { origin }).inc_by(bytes as u64);
     }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -290,16 +290,10 @@
     loop {
         tokio::time::sleep(EXPIRE_EVERY).await;
         state.awakening.look();
-        let known = state.upstreams.expire(state.now());
-        state.metrics.upstreams.set(i64::try_from(known).unwrap_or(i64::MAX));
-        let cold = state.upstreams.look_at_cold(state.now());
-        state.metrics.cold_upstreams.set(i64::try_from(cold).unwrap_or(i64::MAX));
-        let limited = state.upstreams.limited();
-        state.metrics.limited_upstreams.set(i64::try_from(limited).unwrap_or(i64::MAX));
-        let resting = state.upstreams.resting(state.now());
-        state.metrics.resting_upstreams.set(i64::try_from(resting).unwrap_or(i64::MAX));
-        let emptied_zones = state.upstreams.emptied_zones().len();
-        state.metrics.emptied_zones.set(i64::try_from(emptied_zones).unwrap_or(i64::MAX));
+        let now = state.now();
+        state.upstreams.expire(now);
+        state.upstreams.look_at_cold(now);
+        state.metrics.upstreams_are(&state.upstreams.counts(now));
     }
 }
 
--- a/crates/gateway/src/upstreams/cold.rs
+++ b/crates/gateway/src/upstreams/cold.rs
@@ -31,8 +31,8 @@
         self.known.lock().fleet.announces_itself(now);
     }
 
-    /// How many upstreams of each service are cold; logs where the first one is, or none any more.
-    pub(crate) fn look_at_cold(&self, now: MonoTime) -> usize {
+    /// Counts the upstreams of each service that are cold; logs where the first one is, or none any more.
+    pub(crate) fn look_at_cold(&self, now: MonoTime) {
         let mut known = self.known.lock();
         known.forget_warm(now);
         let cold = known.count_cold();
@@ -46,7 +46,6 @@
         for service in before.keys().filter(|service| !cold.contains_key(*service)) {
             log::info!(service:% = service; "upstreams are warm");
         }
-        cold.values().sum()
     }
 }
 
--- a/crates/gateway/src/upstreams/emptied_zones.rs
+++ b/crates/gateway/src/upstreams/emptied_zones.rs
@@ -18,6 +18,11 @@
     pub(super) fn allow(&self, zone: &ZoneName) -> bool {
         !self.0.contains(zone)
     }
+
+    /// How many there are.
+    pub(super) fn count(&self) -> usize {
+        self.0.len()
+    }
 }
 
 impl Upstreams {
@@ -50,7 +55,7 @@
         self.changed.notify_waiters();
     }
 
-    /// The zones that are emptied, for the state dump and metrics.
+    /// The zones that are emptied, for the state dump.
     pub(crate) fn emptied_zones(&self) -> Vec<String> {
         self.known.lock().emptied_zones.0.iter().map(ToString::to_string).collect()
     }
--- a/crates/gateway/src/upstreams/mod.rs
+++ b/crates/gateway/src/upstreams/mod.rs
@@ -2,7 +2,9 @@
 
 mod choice;
 mod cold;
+mod counts;
 mod emptied_zones;
+mod news;
 mod notices;
 mod placement;
 mod summary;
@@ -31,12 +33,9 @@
 use stallhoist_policy::balance::HealthConfig;
 use stallhoist_policy::balance::PrefixCaches;
 use stallhoist_policy::balance::ReadingSpeeds;
-use stallhoist_policy::balance::TellableStanding;
 use stallhoist_policy::balance::UpstreamHealth;
 use stallhoist_policy::balance::UpstreamKey;
 use stallhoist_policy::balance::UpstreamLoad;
-use stallhoist_policy::balance::WorkByUpstream;
-use stallhoist_policy::balance::WorkInProgress;
 use stallhoist_policy::balance::other_ms;
 use stallhoist_policy::cold::ColdBound;
 use stallhoist_policy::cold::ColdService;
@@ -49,6 +48,7 @@
 use tokio::sync::Notify;
 use tokio::sync::futures::Notified;
 
+pub(crate) use counts::UpstreamCounts;
 pub(crate) use placement::Chosen;
 pub(crate) use placement::Lack;
 pub(crate) use placement::Placement;
@@ -207,8 +207,8 @@
         ended
     }
 
-    /// Forgets upstreams that have left. Gives how many are known.
-    pub(crate) fn expire(&self, now: MonoTime) -> usize {
+    /// Forgets upstreams that have left, and what is over.
+    pub(crate) fn expire(&self, now: MonoTime) {
         let mut known = self.known.lock();
         let Known { directory, load, health, prefix_caches, cold, limits, rests, .. } = &mut *known;
         limits.expire(now);
@@ -219,7 +219,6 @@
             prefix_caches.retain(|start| directory.is_known(start));
             cold.retain(|start| directory.is_known(start));
         }
-        directory.len()
     }
 
     /// Waits until the list changes after this call: to be called before the list is read.
@@ -295,38 +294,6 @@
         self.found_over.notified()
     }
 
-    /// What other entries should know of upstreams that are not well.
-    pub(crate) fn standings(&self, now: MonoTime) -> Vec<(UpstreamKey, TellableStanding)> {
-        let known = self.known.lock();
-        let tellable = known.health.tellable(now);
-        tellable.map(|(start, told)| (UpstreamKey::of(start), told)).collect()
-    }
-
-    /// Another entry tells what it knows of upstreams that are not well. Gives those that are known to be
-    /// over since.
-    pub(crate) fn told_standings(
-        &self,
-        now: MonoTime,
-        told: &HashMap<UpstreamKey, TellableStanding>,
-    ) -> Vec<StartId> {
-        let mut found_over = Vec::new();
-        if told.is_empty() {
-            return found_over;
-        }
-        let Known { directory, health, .. } = &mut *self.known.lock();
-        for (member, _) in directory.iter() {
-            let start = &member.start;
-            if let Some(told) = told.get(&UpstreamKey::of(start)) {
-                let before = health.fitness(now, start);
-                health.told(now, start, *told);
-                if before < Fitness::Over && health.fitness(now, start) == Fitness::Over {
-                    found_over.push(start.clone());
-                }
-            }
-        }
-        found_over
-    }
-
     /// Requests in progress at an upstream, as far as it is known.
     pub(crate) fn in_progress(&self, now: MonoTime, start: &StartId) -> u32 {
         self.known.lock().work_on(now, start).in_progress
@@ -356,33 +323,6 @@
         self.known.lock().prefix_caches.read(now, start, model, prompt.shared_parts());
     }
 
-    /// This entry's work in progress, and what the entries that are `included` told of theirs:
-    /// what it tells others.
-    pub(crate) fn work(&self, included: impl Fn(&HostId) -> bool) -> WorkByUpstream {
-        if !self.decisions.tells_work {
-            return WorkByUpstream::new();
-        }
-        let known = self.known.lock();
-        let mut work = known.load.own_work().collect();
-        known.fleet_work.add_to(&mut work, included);
-        work
-    }
-
-    /// Another entry told its work in progress.
-    pub(crate) fn told_fleet_work(
-        &self,
-        now: MonoTime,
-        host: HostId,
-        work: impl IntoIterator<Item = (UpstreamKey, WorkInProgress)>,
-    ) {
-        self.known.lock().fleet_work.told(now, host, work);
-    }
-
-    /// Drops what other entries told too long ago.
-    pub(crate) fn expire_fleet_work(&self, now: MonoTime) {
-        self.known.lock().fleet_work.expire(now);
-    }
-
     /// The first part of an answer came from the chosen upstream.
     pub(crate) fn first_part(
         &self,
--- /dev/null
+++ b/crates/gateway/src/upstreams/news.rs
@@ -0,0 +1,97 @@
+//! What entries tell each other of upstreams.
+
+use std::collections::HashMap;
+
+use stallhoist_core::HostId;
+use stallhoist_core::MonoTime;
+use stallhoist_core::StartId;
+use stallhoist_policy::balance::Fitness;
+use stallhoist_policy::balance::TellableStanding;
+use stallhoist_policy::balance::UpstreamKey;
+use stallhoist_policy::balance::WorkByUpstream;
+use stallhoist_policy::balance::WorkInProgress;
+use stallhoist_policy::named_limits::TellableLimit;
+
+use super::Known;
+use super::Upstreams;
+
+impl Upstreams {
+    /// What other entries should know of upstreams that are not well.
+    pub(crate) fn standings(&self, now: MonoTime) -> Vec<(UpstreamKey, TellableStanding)> {
+        let known = self.known.lock();
+        let tellable = known.health.tellable(now);
+        tellable.map(|(start, told)| (UpstreamKey::of(start), told)).collect()
+    }
+
+    /// Another entry tells what it knows of upstreams that are not well. Gives those that are known to be
+    /// over since.
+    pub(crate) fn told_standings(
+        &self,
+        now: MonoTime,
+        told: &HashMap<UpstreamKey, TellableStanding>,
+    ) -> Vec<StartId> {
+        let mut found_over = Vec::new();
+        if told.is_empty() {
+            return found_over;
+        }
+        let Known { directory, health, .. } = &mut *self.known.lock();
+        for (member, _) in directory.iter() {
+            let start = &member.start;
+            if let Some(told) = told.get(&UpstreamKey::of(start)) {
+                let before = health.fitness(now, start);
+                health.told(now, start, *told);
+                if before < Fitness::Over && health.fitness(now, start) == Fitness::Over {
+                    found_over.push(start.clone());
+                }
+            }
+        }
+        found_over
+    }
+
+    /// What other entries should know of limits.
+    pub(crate) fn named_limits(&self, now: MonoTime) -> Vec<(UpstreamKey, TellableLimit)> {
+        self.known.lock().limits.tellable(now).collect()
+    }
+
+    /// The same for one that starts.
+    pub(crate) fn all_named_limits(&self, now: MonoTime) -> Vec<(UpstreamKey, TellableLimit)> {
+        self.known.lock().limits.tellable_at_start(now).collect()
+    }
+
+    /// Another entry tells what it knows of a limit. Says whether that is another one than before.
+    pub(crate) fn told_limit(
+        &self,
+        now: MonoTime,
+        upstream: UpstreamKey,
+        told: TellableLimit,
+    ) -> bool {
+        self.known.lock().limits.told(now, upstream, told)
+    }
+
+    /// This entry's work in progress, and what the entries that are `included` told of theirs:
+    /// what it tells others.
+    pub(crate) fn work(&self, included: impl Fn(&HostId) -> bool) -> WorkByUpstream {
+        if !self.decisions.tells_work {
+            return WorkByUpstream::new();
+        }
+        let known = self.known.lock();
+        let mut work = known.load.own_work().collect();
+        known.fleet_work.add_to(&mut work, included);
+        work
+    }
+
+    /// Another entry told its work in progress.
+    pub(crate) fn told_fleet_work(
+        &self,
+        now: MonoTime,
+        host: HostId,
+        work: impl IntoIterator<Item = (UpstreamKey, WorkInProgress)>,
+    ) {
+        self.known.lock().fleet_work.told(now, host, work);
+    }
+
+    /// Drops what other entries told too long ago.
+    pub(crate) fn expire_fleet_work(&self, now: MonoTime) {
+        self.known.lock().fleet_work.expire(now);
+    }
+}
--- a/crates/gateway/src/upstreams/notices.rs
+++ b/crates/gateway/src/upstreams/notices.rs
@@ -2,9 +2,7 @@
 
 use stallhoist_core::MonoTime;
 use stallhoist_core::StartId;
-use stallhoist_policy::balance::UpstreamKey;
 use stallhoist_policy::cold::ToldCold;
-use stallhoist_policy::named_limits::TellableLimit;
 
 use super::Upstreams;
 use crate::notice::Notice;
@@ -39,34 +37,4 @@
         }
         is_other_limit
     }
-
-    /// What other entries should know of limits.
-    pub(crate) fn named_limits(&self, now: MonoTime) -> Vec<(UpstreamKey, TellableLimit)> {
-        self.known.lock().limits.tellable(now).collect()
-    }
-
-    /// The same for one that starts.
-    pub(crate) fn all_named_limits(&self, now: MonoTime) -> Vec<(UpstreamKey, TellableLimit)> {
-        self.known.lock().limits.tellable_at_start(now).collect()
-    }
-
-    /// Another entry tells what it knows of a limit. Says whether that is another one than before.
-    pub(crate) fn told_limit(
-        &self,
-        now: MonoTime,
-        upstream: UpstreamKey,
-        told: TellableLimit,
-    ) -> bool {
-        self.known.lock().limits.told(now, upstream, told)
-    }
-
-    /// How many upstreams have asked this entry for rest.
-    pub(crate) fn resting(&self, now: MonoTime) -> usize {
-        self.known.lock().rests.count(now)
-    }
-
-    /// How many upstreams name a limit.
-    pub(crate) fn limited(&self) -> usize {
-        self.known.lock().limits.count()
-    }
 }
