Seeds are read from the settings in one place, and asked once by one function

Three places made addresses of the settings' texts, and two connected to a seed, asked and read one answer. `seeds::seeds` and `connection::ask_once` serve all.

--- a/crates/gateway/src/peers/asked.rs
+++ b/crates/gateway/src/peers/asked.rs
@@ -6,6 +6,7 @@
 use stallhoist_core::MonoTime;
 
 use super::list::RELAYS;
+use super::seeds;
 use crate::state::GatewayState;
 
 /// How long after its start an entry asks the seeds while it knows too few others. By then all
@@ -30,7 +31,7 @@
     }
     let own_place = peers.own_place();
     drop(peers);
-    if is_starting(state) { seeds(state, own_place) } else { Vec::new() }
+    if is_starting(state) { other_seeds(state, own_place) } else { Vec::new() }
 }
 
 /// Whether this entry follows the store itself.
@@ -39,12 +40,12 @@
 }
 
 /// The seeds, beginning with another one at each entry; nobody if this entry is one of them.
-fn seeds(state: &GatewayState, own_place: usize) -> Vec<SocketAddr> {
+fn other_seeds(state: &GatewayState, own_place: usize) -> Vec<SocketAddr> {
     let settings = &state.settings;
     if settings.seeds.contains(&settings.peers_addr) {
         return Vec::new();
     }
-    let mut seeds: Vec<_> = settings.seeds.iter().filter_map(|seed| seed.parse().ok()).collect();
+    let mut seeds: Vec<_> = seeds::seeds(settings).collect();
     let begin = own_place % seeds.len().max(1);
     seeds.rotate_left(begin);
     seeds
--- a/crates/gateway/src/peers/connection.rs
+++ b/crates/gateway/src/peers/connection.rs
@@ -96,6 +96,15 @@
     receiving.await.map_err(|_| PeerError::TimedOut)?
 }
 
+/// Asks an entry once, on a connection of its own.
+pub(super) async fn ask_once(
+    addr: SocketAddr,
+    ask: &Ask,
+    begins_within: Duration,
+) -> Result<Answer, PeerError> {
+    exchange(&mut connect(addr).await?, ask, begins_within).await
+}
+
 /// Receives an answer as long as more of it comes.
 async fn receive(
     connection: &mut Connection,
--- a/crates/gateway/src/peers/limits.rs
+++ b/crates/gateway/src/peers/limits.rs
@@ -13,10 +13,10 @@
 use stallhoist_policy::named_limits::TellableLimit;
 use tokio::time::timeout;
 
-use super::connection::connect;
-use super::connection::exchange;
+use super::connection::ask_once;
 use super::messages::Ask;
 use super::messages::LimitNews;
+use super::seeds::seeds;
 use crate::state::GatewayState;
 
 /// The most limits that are told or believed at once: 24 bytes each.
@@ -51,9 +51,9 @@
 /// An upstream with nothing to do is the best choice of an entry that does not know its limit: of 30
 /// requests in its first moment 10 went to one that took one.
 pub(crate) async fn learn_limits(state: Arc<GatewayState>) {
-    let settings = &state.settings;
-    let others = settings.seeds.iter().filter(|seed| **seed != settings.peers_addr);
-    let asked = others.filter_map(|seed| seed.parse().ok()).map(|seed| ask_seed(&state, seed));
+    let own = state.settings.peers_addr.parse().ok();
+    let others = seeds(&state.settings).filter(|seed| Some(*seed) != own);
+    let asked = others.map(|seed| ask_seed(&state, seed));
     if timeout(LEARN_WITHIN, join_all(asked)).await.is_err() {
         log::info!("not all seeds have told which limits hold");
     }
@@ -62,11 +62,7 @@
 
 async fn ask_seed(state: &GatewayState, addr: SocketAddr) {
     let ask = Ask { is_starting: true, ..Ask::default() };
-    let answer = match connect(addr).await {
-        Ok(mut connection) => exchange(&mut connection, &ask, LEARN_WITHIN).await,
-        Err(error) => Err(error),
-    };
-    match answer {
+    match ask_once(addr, &ask, LEARN_WITHIN).await {
         Ok(answer) => take_limits(state, &answer.limits),
         Err(error) => log::debug!(addr:% = addr, error:% = error; "a seed did not answer"),
     }
--- a/crates/gateway/src/peers/seeds.rs
+++ b/crates/gateway/src/peers/seeds.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use prost::Message;
+use stallhoist_settings::GatewaySettings;
 
 use super::answer::Answer;
 use super::connection::PeerError;
-use super::connection::connect;
-use super::connection::exchange;
+use super::connection::ask_once;
 use super::feed_copies::Origin;
 use super::messages::Ask;
 use super::messages::feed_number;
@@ -19,13 +19,17 @@
 /// How long a seed may take to begin its answer.
 const BEGINS_WITHIN: Duration = Duration::from_millis(400);
 
+/// The seeds of the settings, as far as they are addresses.
+pub(super) fn seeds(settings: &GatewaySettings) -> impl Iterator<Item = SocketAddr> {
+    settings.seeds.iter().filter_map(|seed| seed.parse().ok())
+}
+
 /// What the seeds knew last of a feed that was never read here; none when no seed knows.
 pub(super) async fn ask_seeds(state: &GatewayState, feed: Feed) -> Option<FeedPage> {
     if state.copies.has(feed) {
         return None;
     }
-    let seeds = state.settings.seeds.iter();
-    for addr in seeds.filter_map(|seed| seed.parse().ok()) {
+    for addr in seeds(&state.settings) {
         match ask_seed(state, addr, feed).await {
             Ok(answer) if answer.has_copy => {
                 log::info!(feed:? = feed, addr:% = addr; "the store is away, a seed answered");
@@ -44,7 +48,7 @@
 async fn ask_seed(state: &GatewayState, addr: SocketAddr, feed: Feed) -> Result<Answer, PeerError> {
     let ask =
         Ask { feed: feed_number(feed), is_any_age: true, is_unpacking: true, ..Ask::default() };
-    let mut answer = exchange(&mut connect(addr).await?, &ask, BEGINS_WITHIN).await?;
+    let mut answer = ask_once(addr, &ask, BEGINS_WITHIN).await?;
     state.metrics.news_received(Origin::OtherEntry, answer.encoded_len());
     answer.unpack(feed, &state.copies).map_err(PeerError::Unpackable)?;
     Ok(answer)
