Tests of words of upstreams share what they repeated

When an entry was first told, which statuses there are among answers, and how another upstream takes the place of one that leaves stood two to five times. Assertions stay as they were.

--- a/tests/all/gateway/callers_of_fleet.rs
+++ b/tests/all/gateway/callers_of_fleet.rs
@@ -1,5 +1,6 @@
 //! Several entries before upstreams of one plain service, and callers that note what they got.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
@@ -40,19 +41,26 @@
 
 impl Got {
     /// Whether an upstream says this in it.
-    pub(super) fn says(&self, upstream: usize, name: &str) -> bool {
+    fn says(&self, upstream: usize, name: &str) -> bool {
         let instance = self.headers.get(UPSTREAM).and_then(|value| value.to_str().ok());
         instance == Some(&format!("i-{upstream}")) && self.headers.contains_key(name)
     }
 }
 
-/// How many answers have each status.
-pub(super) fn statuses(got: &[Got]) -> HashMap<u16, usize> {
-    let mut counts = HashMap::new();
-    for got in got {
-        *counts.entry(got.status).or_default() += 1;
+/// The statuses that there are among answers, in order.
+pub(super) fn statuses(got: &[Got]) -> Vec<u16> {
+    let statuses: BTreeSet<u16> = got.iter().map(|got| got.status).collect();
+    statuses.into_iter().collect()
+}
+
+/// When each entry first passed on an answer in which an upstream says this.
+pub(super) fn first_told(got: &[Got], upstream: usize, name: &str) -> HashMap<usize, Instant> {
+    let mut told = HashMap::new();
+    for got in got.iter().filter(|got| got.says(upstream, name)) {
+        let first = told.entry(got.entry).or_insert(got.at);
+        *first = got.at.min(*first);
     }
-    counts
+    told
 }
 
 /// The entry to which a caller sent a request.
--- a/tests/all/gateway/named_limits.rs
+++ b/tests/all/gateway/named_limits.rs
@@ -10,7 +10,6 @@
 //! seconds from four entries that it had told (18 allowed). Had each entry kept to the limit by itself, twelve
 //! would still have sent up to twelve times as much: the limit is the fleet's.
 
-use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -23,6 +22,7 @@
 use super::callers_of_fleet::WORK;
 use super::callers_of_fleet::World;
 use super::callers_of_fleet::entry_of;
+use super::callers_of_fleet::first_told;
 use super::callers_of_fleet::statuses;
 use super::world::KEY;
 use super::world::PLAIN;
@@ -49,11 +49,7 @@
 impl World {
     /// The most requests in a window that count against the bound.
     fn most_in_window(&self, upstream: usize, named: Instant, got: &[Got]) -> usize {
-        let mut told: HashMap<usize, Instant> = HashMap::new();
-        for got in got.iter().filter(|got| got.says(upstream, SERVER_LIMIT)) {
-            let first = told.entry(got.entry).or_insert(got.at);
-            *first = got.at.min(*first);
-        }
+        let told = first_told(got, upstream, SERVER_LIMIT);
         let counts = |entry: usize, at: Instant| {
             told.get(&entry).is_some_and(|told| at >= *told + TOLD_BEFORE)
         };
@@ -157,7 +153,7 @@
     let world = &world;
     let asked = (0..4).map(|entry| async move {
         let got = world.ask_until(entry, Instant::now() + Duration::from_millis(500)).await;
-        statuses(&got).keys().copied().collect::<Vec<_>>()
+        statuses(&got)
     });
     assert_eq!(join_all(asked).await, vec![vec![200]; 4]);
 });
@@ -220,7 +216,7 @@
     world.upstreams[0].says_no_more(SERVER_LIMIT);
     world.upstreams[0].then(vec![Behaviour::NotExecuted; 3]);
     let refused = world.ask_until(0, Instant::now() + Duration::from_millis(1)).await;
-    assert_eq!(statuses(&refused).keys().copied().collect::<Vec<_>>(), [503]);
+    assert_eq!(statuses(&refused), [503]);
     assert_eq!(world.upstreams[0].arrivals().iter().filter(|arrival| !arrival.is_run).count(), 3);
     assert!(world.is_limited("100", 1).await);
     wait_until("an answer ends it", async || {
@@ -255,7 +251,7 @@
             let world = World::start(1, 1).await;
             world.upstreams[0].says(SERVER_LIMIT, $said);
             let got = world.ask_until(0, Instant::now() + Duration::from_millis(500)).await;
-            assert_eq!(statuses(&got).keys().copied().collect::<Vec<_>>(), [200]);
+            assert_eq!(statuses(&got), [200]);
         });
     };
 }
--- a/tests/all/gateway/upstreams_that_leave.rs
+++ b/tests/all/gateway/upstreams_that_leave.rs
@@ -9,7 +9,6 @@
 //! The evidence: with one of three upstreams saying so in its answers and a row that says ready, 44 to 51
 //! requests of four entries reached it too late (none is allowed).
 
-use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -20,6 +19,7 @@
 use super::callers_of_fleet::Got;
 use super::callers_of_fleet::WORK;
 use super::callers_of_fleet::World;
+use super::callers_of_fleet::first_told;
 use super::callers_of_fleet::statuses;
 use super::world::PLAIN;
 use crate::case::case;
@@ -37,11 +37,7 @@
 impl World {
     /// How many requests reached an upstream too late.
     fn too_late(&self, upstream: usize, got: &[Got]) -> usize {
-        let mut told: HashMap<usize, Instant> = HashMap::new();
-        for got in got.iter().filter(|got| got.says(upstream, SERVER_LEAVING)) {
-            let first = told.entry(got.entry).or_insert(got.at);
-            *first = got.at.min(*first);
-        }
+        let told = first_told(got, upstream, SERVER_LEAVING);
         let is_late =
             |got: &&Got| told.get(&got.entry).is_some_and(|told| got.sent > *told + TAKES_FOR);
         let late: Vec<&str> = got.iter().filter(is_late).map(|got| got.id.as_str()).collect();
@@ -90,7 +86,7 @@
     .await;
     let runs: usize = world.upstreams.iter().map(UpstreamStandin::runs).sum();
     let refused = world.ask_until(0, Instant::now() + WORK).await;
-    assert_eq!(statuses(&refused).keys().copied().collect::<Vec<_>>(), [503]);
+    assert_eq!(statuses(&refused), [503]);
     assert_eq!(world.upstreams.iter().map(UpstreamStandin::runs).sum::<usize>(), runs);
     let next = UpstreamStandin::start("i-9", answers()).await.expect("the upstream starts");
     world.fleet.store.put("servers", "i-9", next.entry(PLAIN, "zone-1", "v1", "ready"));
@@ -124,7 +120,7 @@
             let world = World::start(1, 1).await;
             world.upstreams[0].says(SERVER_LEAVING, $said);
             let got = world.ask_until(0, Instant::now() + GO_ON_FOR / 2).await;
-            assert_eq!(statuses(&got).keys().copied().collect::<Vec<_>>(), [200]);
+            assert_eq!(statuses(&got), [200]);
         });
     };
 }
--- a/tests/all/soak/faults.rs
+++ b/tests/all/soak/faults.rs
@@ -183,17 +183,10 @@
 
     /// An upstream leaves for good; another one of its service comes first.
     async fn leave(&mut self, number: usize, is_announced: bool) {
-        let (service, next) = {
-            let upstreams = self.upstreams.lock();
-            if upstreams[number].left.is_some() || upstreams[number].said.is_bound() {
-                return;
-            }
-            (upstreams[number].service, upstreams.len())
-        };
-        let replacement = Upstream::start(next, service).await;
-        replacement.list(&self.store, "ready");
+        if !self.replace(number).await {
+            return;
+        }
         let mut upstreams = self.upstreams.lock();
-        upstreams.push(replacement);
         let leaving = &mut upstreams[number];
         leaving.left = Some(Instant::now());
         let instance = leaving.standin.instance().to_owned();
@@ -207,6 +200,22 @@
         self.recover_after(ANNOUNCED, async move { store.remove("servers", &instance) });
     }
 
+    /// Another upstream of its service comes, unless it has left or says something that it has to
+    /// go on saying. Says whether it came.
+    pub(super) async fn replace(&self, number: usize) -> bool {
+        let (service, next) = {
+            let upstreams = self.upstreams.lock();
+            if upstreams[number].left.is_some() || upstreams[number].said.is_bound() {
+                return false;
+            }
+            (upstreams[number].service, upstreams.len())
+        };
+        let replacement = Upstream::start(next, service).await;
+        replacement.list(&self.store, "ready");
+        self.upstreams.lock().push(replacement);
+        true
+    }
+
     pub(super) fn recover_after(
         &mut self,
         lasts: Duration,
--- a/tests/all/soak/words.rs
+++ b/tests/all/soak/words.rs
@@ -11,7 +11,6 @@
 use super::caller::RequestRecord;
 use super::fleet::Fleet;
 use super::period::Period;
-use super::upstream::Upstream;
 use super::violations::Violations;
 
 /// The upstream of an answer, as it says itself.
@@ -85,17 +84,10 @@
     /// It leaves for good, and another one of its service comes first. By the list it is there until
     /// it has gone.
     async fn say_leaving(&mut self, number: usize, lasts: Duration) {
-        let (service, next) = {
-            let upstreams = self.upstreams.lock();
-            if upstreams[number].left.is_some() || upstreams[number].said.is_bound() {
-                return;
-            }
-            (upstreams[number].service, upstreams.len())
-        };
-        let replacement = Upstream::start(next, service).await;
-        replacement.list(&self.store, "ready");
+        if !self.replace(number).await {
+            return;
+        }
         let mut upstreams = self.upstreams.lock();
-        upstreams.push(replacement);
         upstreams[number].said.leaving = true;
         upstreams[number].standin.says(SERVER_LEAVING, "1");
         drop(upstreams);
