Benches in virtual time share how runs are spread over threads and how requests are drawn

Cause: `cold` and `limits` had two copies of the same: seeds over threads, the next arrival, a draw by weight. Change: `benches/support/seeded_runs.rs` has them once.

--- a/benches/limits.rs
+++ b/benches/limits.rs
@@ -7,8 +7,8 @@
 
 #[path = "support/limits_world.rs"]
 mod limits_world;
-
-use std::thread;
+#[path = "support/seeded_runs.rs"]
+mod seeded_runs;
 
 use stallhoist_measure::Report;
 
@@ -29,20 +29,9 @@
     }
 }
 
-/// Plays all seeds, on a few threads.
+/// Plays all seeds.
 fn play(setting: &Setting, way: Way) -> Vec<Figures> {
-    const THREADS: u64 = 4;
-    let seeds = seeds(setting);
-    let of_thread = |n: u64| {
-        move || {
-            let own = (0..seeds).filter(move |seed| seed % THREADS == n);
-            own.map(|seed| run(setting, way, seed)).collect::<Vec<_>>()
-        }
-    };
-    thread::scope(|scope| {
-        let threads: Vec<_> = (0..THREADS).map(|n| scope.spawn(of_thread(n))).collect();
-        threads.into_iter().flat_map(|t| t.join().expect("a run ends")).collect()
-    })
+    seeded_runs::play(seeds(setting), |seed| run(setting, way, seed))
 }
 
 fn rows(report: &mut Report, name: &str, setting: &Setting) {
--- a/benches/support/cold_world.rs
+++ b/benches/support/cold_world.rs
@@ -16,6 +16,9 @@
 use stallhoist_policy::fleet_bound::Fleet;
 use stallhoist_policy::fleet_bound::Place;
 
+use crate::seeded_runs::draw_weighted;
+use crate::seeded_runs::next_arrival_s;
+
 /// What an upstream bears in a second while it is cold, and the bound by the platform's page.
 pub(crate) const SERVICE: ColdService =
     ColdService { after_start: Duration::from_secs(3), per_s: 18.0 };
@@ -172,22 +175,17 @@
     }
 
     fn run(mut self) -> Figures {
-        let total: f64 = self.entries.iter().map(|entry| entry.weight).sum();
+        let weights: Vec<f64> = self.entries.iter().map(|entry| entry.weight).collect();
         let mut now_s = RETURN_S;
         loop {
             let is_burst = now_s < RETURN_S + 1.0;
             let per_s = self.setting.per_s * if is_burst { self.setting.burst } else { 1.0 };
-            let unit: f64 = self.rng.random_range(f64::MIN_POSITIVE..1.0);
-            now_s -= unit.ln() / per_s;
+            now_s = next_arrival_s(&mut self.rng, now_s, per_s);
             if now_s >= RETURN_S + COLD_S {
                 break;
             }
-            let mut left = self.rng.random_range(0.0..total);
-            let entry = self.entries.iter().position(|entry| {
-                left -= entry.weight;
-                left < 0.0
-            });
-            self.request(now_s, entry.unwrap_or_default());
+            let entry = draw_weighted(&mut self.rng, &weights);
+            self.request(now_s, entry);
         }
         self.figures.busiest = self.came.iter().map(|came| busiest_second(came)).max().unwrap_or(0);
         self.figures.at_cold = self.came.iter().map(Vec::len).sum();
--- a/benches/support/limits_world.rs
+++ b/benches/support/limits_world.rs
@@ -14,6 +14,9 @@
 use stallhoist_policy::named_limits::NamedLimit;
 use stallhoist_policy::named_limits::NamedLimits;
 
+use crate::seeded_runs::draw_weighted;
+use crate::seeded_runs::next_arrival_s;
+
 /// The bound by the platform's page: what may come in a window.
 const WINDOW_S: f64 = 4.0;
 const OVERAGE: f64 = 1.5;
@@ -142,20 +145,15 @@
     }
 
     fn run(mut self) -> Figures {
-        let total: f64 = self.entries.iter().map(|entry| entry.weight).sum();
+        let weights: Vec<f64> = self.entries.iter().map(|entry| entry.weight).collect();
         let mut now_s = NAMED_S;
         loop {
-            let unit: f64 = self.rng.random_range(f64::MIN_POSITIVE..1.0);
-            now_s -= unit.ln() / self.setting.per_s;
+            now_s = next_arrival_s(&mut self.rng, now_s, self.setting.per_s);
             if now_s >= NAMED_S + LASTS_S {
                 break;
             }
-            let mut left = self.rng.random_range(0.0..total);
-            let entry = self.entries.iter().position(|entry| {
-                left -= entry.weight;
-                left < 0.0
-            });
-            self.request(now_s, entry.unwrap_or_default());
+            let entry = draw_weighted(&mut self.rng, &weights);
+            self.request(now_s, entry);
         }
         self.figures.most =
             self.came.iter_mut().map(|came| most_in_window(came)).max().unwrap_or(0);
