Bench of ends: ends that show only later, at which time, and three ways to join them

Change: a share of ends shows late (their upstreams listen again after 20 ms); each entry learns of one at some time until 0.3, 2 or 5 s later. Ways: forgotten; remembered by the entry; told by the first entry that learns of it.

--- a/benches/ends.rs
+++ b/benches/ends.rs
@@ -4,7 +4,8 @@
 //! it, and all streams that run there break off. Entries judge by the gateway's own
 //! `policy::fatal`, hear of each other late, and share a store that counts tries. Beside it: nothing is
 //! kept (as before); each entry by itself; workspaces in place of requests; and one that knows a body after its
-//! first end.
+//! first end. Some ends show only later; then an answer that broke off there is forgotten, remembered by
+//! its entry, or remembered until any entry learns of the end.
 
 #[path = "support/ends_setting.rs"]
 mod ends_setting;
@@ -17,8 +18,10 @@
 use stallhoist_measure::Report;
 
 use crate::ends_setting::Figures;
+use crate::ends_setting::Joining;
 use crate::ends_setting::Policy;
 use crate::ends_setting::Setting;
+use crate::ends_setting::Showing;
 use crate::ends_setting::USUAL;
 use crate::ends_world::World;
 
@@ -78,6 +81,24 @@
     ] {
         row(&mut report, name, setting);
     }
+    for (joining, late, within_s) in [
+        (Joining::Never, 0.5, 0.3),
+        (Joining::Never, 1.0, 0.3),
+        (Joining::Here, 0.5, 0.3),
+        (Joining::Here, 0.5, 2.0),
+        (Joining::Here, 1.0, 0.3),
+        (Joining::Here, 1.0, 2.0),
+        (Joining::Here, 1.0, 5.0),
+        (Joining::Among, 0.5, 0.3),
+        (Joining::Among, 0.5, 2.0),
+        (Joining::Among, 1.0, 0.3),
+        (Joining::Among, 1.0, 2.0),
+        (Joining::Among, 1.0, 5.0),
+    ] {
+        let name = format!("{late} shown within {within_s} s, {joining:?}");
+        let showing = Showing { late, within_s, joining };
+        row(&mut report, &name, Setting { showing, ..USUAL });
+    }
     report.finish();
     fingerprints();
 }
--- a/benches/support/ends_world.rs
+++ b/benches/support/ends_world.rs
@@ -18,6 +18,7 @@
 use stallhoist_policy::fatal::Verdict;
 
 use crate::ends_setting::Figures;
+use crate::ends_setting::Joining;
 use crate::ends_setting::Policy;
 use crate::ends_setting::Setting;
 
@@ -41,6 +42,8 @@
 const WRITERS: usize = 3;
 const SETTLED: Duration = Duration::from_millis(500);
 const NEWS_BYTES: u64 = 30;
+/// An upstream whose end does not show at once takes requests again after so long.
+const UNSEEN_BACK_S: f64 = 0.02;
 
 #[derive(Debug, Clone)]
 enum Event {
@@ -52,6 +55,8 @@
     RanOut(usize, u32),
     /// An upstream starts again.
     Back(usize),
+    /// An entry learns that an upstream has ended some time ago.
+    Shown(usize, UpstreamKey),
     /// What an entry tells another one in one message.
     Told(usize, Vec<EndNews>),
     Stored(usize, RequestFingerprint, Option<(StoreVersion, FatalRecord)>),
@@ -177,6 +182,11 @@
                 self.upstreams[upstream].start += 1;
                 self.upstreams[upstream].is_up = true;
             }
+            Event::Shown(entry, upstream) => {
+                let requests = self.books[entry].upstream_ended(self.now, upstream);
+                let news = |request| EndNews { request, upstream, is_cleared: false };
+                self.tell(entry, &requests.into_iter().map(news).collect::<Vec<_>>());
+            }
             Event::Told(entry, news) => {
                 self.books[entry].told(self.now, news);
             }
@@ -332,28 +342,60 @@
         if let Some(body) = body {
             self.ends[body].push(self.now);
         }
-        self.add(self.setting.back_s, Event::Back(upstream));
+        let late = self.setting.showing.late;
+        let is_late = late > 0.0 && self.rng.random_bool(late);
+        let back_s = if is_late { UNSEEN_BACK_S } else { self.setting.back_s };
+        self.add(back_s, Event::Back(upstream));
+        if is_late {
+            self.shows_later(key);
+        }
         let there = |number: &usize| self.requests[*number].upstream == Some(upstream);
         let broken: Vec<_> = (0..self.requests.len()).filter(there).collect();
         // In the order of entries, so that a run is the same every time.
         let mut news: BTreeMap<usize, Vec<EndNews>> = BTreeMap::new();
         for number in broken {
-            if let Some(end) = self.broke_off(number, key) {
+            if let Some(end) = self.broke_off(number, key, is_late) {
                 news.entry(self.requests[number].entry).or_default().push(end);
             }
         }
         news.into_iter().for_each(|(entry, news)| self.tell(entry, &news));
     }
 
+    /// Entries learn only a while later that an upstream has ended.
+    fn shows_later(&mut self, upstream: UpstreamKey) {
+        let showing = self.setting.showing;
+        if showing.joining == Joining::Never {
+            return;
+        }
+        let entries = 0..self.setting.entries;
+        let drawn = entries.map(|_| self.rng.random_range(0.0..=showing.within_s));
+        let own_s: Vec<f64> = drawn.collect();
+        let first_s = own_s.iter().copied().fold(f64::INFINITY, f64::min);
+        for (entry, own_s) in own_s.into_iter().enumerate() {
+            let told_s = first_s + self.setting.news_s;
+            let is_told = showing.joining == Joining::Among;
+            let after_s = if is_told { own_s.min(told_s) } else { own_s };
+            self.add(after_s, Event::Shown(entry, upstream));
+        }
+    }
+
     /// Gives what the request's entry has to tell of it.
-    fn broke_off(&mut self, number: usize, upstream: UpstreamKey) -> Option<EndNews> {
+    fn broke_off(
+        &mut self,
+        number: usize,
+        upstream: UpstreamKey,
+        is_late: bool,
+    ) -> Option<EndNews> {
         let request = &mut self.requests[number];
         request.upstream = None;
         request.ends += 1;
         let Request { entry, print, body, attempts, ends, is_trying, .. } = *request;
         let keeps = matches!(self.setting.policy, Policy::Kept | Policy::Alone);
-        let is_new = keeps && self.books[entry].ended(self.now, print, upstream);
-        let uncounted = if keeps { ends.min(UNCOUNTED_ENDS) } else { 0 };
+        if is_late {
+            self.books[entry].broke(self.now, print, upstream);
+        }
+        let is_new = keeps && !is_late && self.books[entry].ended(self.now, print, upstream);
+        let uncounted = if keeps && !is_late { ends.min(UNCOUNTED_ENDS) } else { 0 };
         if attempts - uncounted < ATTEMPTS && !is_trying {
             self.add(PAUSE_S, Event::Go(number));
         } else if body.is_none() {
