A configuration written after the store has come back from a copy is heeded: versions carry the store's era

What callers saw: nothing yet; the users' page announces it. Played against our stand-in, which comes back from a copy now (versions given out again, 410 for a version that it does not have, `Store-Era` one higher), on the code as it was: a configuration written after the return was never in force, at one entry and at seven, in 20 s; an upstream that had come since the copy was given up 1.3 s after the return, its callers refused, 0.5 s before its row was written again.

Cause: a version was a number. Followers asked for what came after the number that they knew, which by then had been given to another write, or held a relay's newer copy for older than their own. And the copy was taken for the truth at once.

Change: `StoreVersion` is the era and the number, in that order; a feed of another era is read anew, at the store and through relays, whose questions and answers tell the era (an entry of a former version tells none and is taken to know the same). A whole read of a later era replaces what is known only after 5 s (upstreams: 2 s, by the page), within which what is written again is taken as it comes; configurations, which have versions of their own, and zones to be emptied are taken at once. An answer of an earlier era is late and changes nothing, for 10 s. A line at each new era, and the metric `store_era`.

Why it holds: no number is compared with one of another era, and until operators and upstreams had time to write again nothing that is known goes. Ruled out: packing the era into the number (a relay of a former version would take it for a newer one and say nothing for ever).

--- a/benches/support/ends_world.rs
+++ b/benches/support/ends_world.rs
@@ -251,7 +251,7 @@
             return false;
         }
         self.version += 1;
-        let row = record.map(|record| (StoreVersion(self.version), record));
+        let row = record.map(|record| (StoreVersion::of(self.version), record));
         match row {
             Some(row) => self.rows.insert(print, row),
             None => self.rows.remove(&print),
--- a/crates/core/src/numbers.rs
+++ b/crates/core/src/numbers.rs
@@ -67,8 +67,9 @@
     ConfigVersion
 );
 number_type!(
-    /// The version of the platform's store at some moment. It grows with each write.
-    StoreVersion
+    /// How often the platform's store has come back from a copy. What it had acknowledged since that
+    /// copy is gone, and its versions are given out again.
+    StoreEra
 );
 number_type!(
     /// When an upstream started, in Unix milliseconds of its own clock, which may jump.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -5,6 +5,7 @@
 
 use backon::BackoffBuilder;
 use backon::ExponentialBuilder;
+use stallhoist_core::MonoTime;
 use stallhoist_core::StoreVersion;
 use stallhoist_policy::cold::ToldCold;
 
@@ -37,6 +38,16 @@
 /// each call has a price.
 const FATAL_WAIT: Duration = Duration::from_secs(15);
 
+/// How long after the store came back from a copy what is known goes before what the copy has: operators
+/// and upstreams write again what they had written since.
+const WRITTEN_AGAIN_WITHIN: Duration = Duration::from_millis(5_000);
+
+/// The same for the list of upstreams: by the platform's page, what is missing after two seconds is gone.
+const LISTED_AGAIN_WITHIN: Duration = Duration::from_millis(2_000);
+
+/// How long answers of an earlier era than what is known are taken for late ones.
+const LATE_FOR: Duration = Duration::from_secs(10);
+
 /// How often it is checked whether a roll-out has begun, whose records must be followed.
 const ROLLOUT_CHECK: Duration = Duration::from_millis(50);
 
@@ -47,12 +58,18 @@
         store,
         feed,
         is_reached: None,
-        newest: StoreVersion::default(),
+        newest: None,
+        unsettled_until: None,
+        late_since: None,
         unreadable_rows: LogLimit::default(),
     };
     loop {
-        let version = follower.read_until_read().await;
-        follower.follow_until_gone(version).await;
+        let page = follower.read_until_read().await;
+        follower.note_era(page.version);
+        match follower.unsettled_for() {
+            Some(left) => follower.take_new_and_follow(page, left).await,
+            None => follower.take_and_follow(page).await,
+        }
     }
 }
 
@@ -62,23 +79,26 @@
     feed: Feed,
     /// Whether the last call was answered; none before the first.
     is_reached: Option<bool>,
-    /// The newest version of the store that was taken in.
-    newest: StoreVersion,
+    /// The newest version of the store that was heard of; none before the first.
+    newest: Option<StoreVersion>,
+    /// The store has come back from a copy: until then what is missing there may be written again.
+    unsettled_until: Option<MonoTime>,
+    /// Since when only answers of an earlier era have come.
+    late_since: Option<MonoTime>,
     unreadable_rows: LogLimit,
 }
 
 impl<S: ControlStore> Follower<S> {
     /// Reads the whole feed, again and again until it was read.
-    async fn read_until_read(&mut self) -> StoreVersion {
+    async fn read_until_read(&mut self) -> FeedPage {
         let mut pauses = pauses();
         loop {
             let reading = self.store.read(self.feed);
             match self.state.awakening.uninterrupted(reading).await {
+                Ok(page) if self.is_late(page.version) => {}
                 Ok(page) => {
                     self.reached();
-                    let version = page.version;
-                    self.take_whole(page);
-                    return version;
+                    return page;
                 }
                 Err(error) => self.failed(&error),
             }
@@ -86,6 +106,83 @@
         }
     }
 
+    /// Whether an answer is of an earlier era than what is known: a copy that another entry held, or one that
+    /// was long on its way. If no other ones come any more, they are believed.
+    fn is_late(&mut self, version: StoreVersion) -> bool {
+        let Some(newest) = self.newest.filter(|newest| version.era < newest.era) else {
+            self.late_since = None;
+            return false;
+        };
+        let now = self.state.now();
+        let since = *self.late_since.get_or_insert(now);
+        let is_late = now.since(since) < LATE_FOR;
+        if !is_late {
+            self.newest = None;
+        }
+        log::warn!(
+            feed:? = self.feed,
+            version:% = version,
+            newest:% = newest,
+            is_ignored = is_late;
+            "the store's era is an earlier one than what is known"
+        );
+        is_late
+    }
+
+    /// A whole feed was read. The store may have come back from a copy since it was heard of last.
+    fn note_era(&mut self, version: StoreVersion) {
+        self.state.store_is_in(version.era);
+        let before = self.newest;
+        self.newest = before.max(Some(version));
+        let Some(before) = before.filter(|before| before.era < version.era) else {
+            return;
+        };
+        log::warn!(
+            feed:? = self.feed,
+            before:% = before,
+            now:% = version;
+            "the store has come back from a copy"
+        );
+        match self.feed {
+            Feed::Operators => self.unsettled_for_a_while(WRITTEN_AGAIN_WITHIN),
+            Feed::Members => self.unsettled_for_a_while(LISTED_AGAIN_WITHIN),
+            Feed::Entries | Feed::Rollouts | Feed::FatalRequests => {}
+        }
+    }
+
+    fn unsettled_for_a_while(&mut self, time: Duration) {
+        self.unsettled_until = Some(self.state.now().after(time));
+    }
+
+    /// For how much longer what is known goes before what the store has; none if it does not.
+    fn unsettled_for(&self) -> Option<Duration> {
+        let left = self.unsettled_until?.since(self.state.now());
+        (!left.is_zero()).then_some(left)
+    }
+
+    /// Takes in what surely is new and what is written again, for a while. What is known and was not
+    /// written again goes afterwards, when the whole feed is read.
+    async fn take_new_and_follow(&mut self, page: FeedPage, time: Duration) {
+        if self.feed == Feed::Operators {
+            let mut changes = self.decode(&page);
+            changes.retain(|change| self.is_surely_new(change));
+            changes.into_iter().for_each(|change| self.take(change));
+        }
+        let _ = tokio::time::timeout(time, self.follow_until_gone(page.version)).await;
+    }
+
+    /// Whether what operators have written need not wait for what they write again: a configuration, which is
+    /// older than the one in force or newer, and a zone to be emptied, for safety.
+    fn is_surely_new(&self, change: &Change) -> bool {
+        matches!(change, Change::Config(_) | Change::ZoneEmptied(_))
+    }
+
+    async fn take_and_follow(&mut self, page: FeedPage) {
+        let version = page.version;
+        self.take_whole(page);
+        self.follow_until_gone(version).await;
+    }
+
     /// Follows changes until the store no longer has those that would come next.
     async fn follow_until_gone(&mut self, mut after: StoreVersion) {
         let mut failures = pauses();
@@ -97,6 +194,7 @@
                     self.reached();
                     failures = pauses();
                     after = page.version;
+                    self.newest = self.newest.max(Some(after));
                     let has_changes = !page.rows.is_empty();
                     self.take_changes(page);
                     if has_changes {
@@ -176,8 +274,8 @@
     /// All that operators have written. The zones come first: the configuration lets the entry
     /// serve. A copy that is older than what was known takes no zone back.
     fn take_operators(&mut self, page: FeedPage) {
-        let is_newest = page.version >= self.newest;
-        self.note_page(&page);
+        let is_newest = self.newest.is_none_or(|newest| page.version >= newest);
+        self.note_clock(&page);
         let changes = self.decode(&page);
         if is_newest {
             let emptied = changes.iter().filter_map(|change| match change {
@@ -204,15 +302,14 @@
     }
 
     fn take_changes(&mut self, page: FeedPage) {
-        self.note_page(&page);
+        self.note_clock(&page);
         for change in self.decode(&page) {
             self.take(change);
         }
     }
 
-    /// How new a page is, and what the store's clock says.
-    fn note_page(&mut self, page: &FeedPage) {
-        self.newest = self.newest.max(page.version);
+    /// What the store's clock says.
+    fn note_clock(&self, page: &FeedPage) {
         let now = self.state.now();
         self.state.rollouts.lock().store_clock(now, page.store_now_ms);
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -106,6 +106,7 @@
     pub(crate) upstream_ends: Counter,
     pub(crate) in_progress: Gauge,
     pub(crate) config_version: Gauge,
+    pub(crate) store_era: Gauge,
     pub(crate) upstreams: Gauge,
     pub(crate) cold_upstreams: Gauge,
     pub(crate) limited_upstreams: Gauge,
@@ -133,6 +134,7 @@
             upstream_ends: Counter::default(),
             in_progress: Gauge::default(),
             config_version: Gauge::default(),
+            store_era: Gauge::default(),
             upstreams: Gauge::default(),
             cold_upstreams: Gauge::default(),
             limited_upstreams: Gauge::default(),
@@ -160,6 +162,11 @@
         r.register("upstream_ends", help, self.upstream_ends.clone());
         r.register("in_progress", "Requests in progress", self.in_progress.clone());
         r.register("config_version", "Configuration in force", self.config_version.clone());
+        r.register(
+            "store_era",
+            "How often the store came back from a copy",
+            self.store_era.clone(),
+        );
         r.register("upstreams", "Upstreams that are known", self.upstreams.clone());
         let help = "Upstreams that are cold, to which only some requests may be sent";
         r.register("cold_upstreams", help, self.cold_upstreams.clone());
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -121,7 +121,7 @@
             .map(|(service, record, row_version)| RolloutDump {
                 service: service.to_string(),
                 record,
-                row_version: row_version.0,
+                row_version: row_version.number,
             })
             .collect(),
     })
--- a/crates/gateway/src/peers/answer.rs
+++ b/crates/gateway/src/peers/answer.rs
@@ -4,11 +4,13 @@
 
 use bytes::Bytes;
 use prost::Message;
+use stallhoist_core::StoreEra;
 use stallhoist_core::StoreVersion;
 
 use super::feed_copies::FeedCopies;
 use super::messages::Ask;
 use super::messages::EndOf;
+use super::messages::HeldRow;
 use super::messages::LimitNews;
 use super::messages::Session;
 use super::messages::StandingNews;
@@ -66,6 +68,9 @@
     /// Limits that upstreams have named, if no feed was asked for.
     #[prost(message, repeated, tag = "13")]
     pub(super) limits: Vec<LimitNews>,
+    /// The store's era that the versions are of; 0 where that was not told.
+    #[prost(uint64, tag = "14")]
+    pub(super) store_era: u64,
 }
 
 /// Rows of a feed.
@@ -109,23 +114,17 @@
         let row = |row: FeedRow| Row {
             key: row.key,
             value: row.value,
-            version: row.version.0,
+            version: row.version.number,
             packed: None,
         };
         Self {
             has_copy: true,
             is_history_gone: false,
             rows: page.rows.into_iter().map(row).collect(),
-            version: page.version.0,
+            version: page.version.number,
             store_now_ms: page.store_now_ms,
-            sessions: Vec::new(),
-            work: None,
-            verdicts: Vec::new(),
-            times: Vec::new(),
-            packed_rows: None,
-            standings: Vec::new(),
-            ends: Vec::new(),
-            limits: Vec::new(),
+            store_era: page.version.era.0,
+            ..Self::default()
         }
     }
 
@@ -136,14 +135,19 @@
         if !ask.is_unpacking {
             return;
         }
+        let era = StoreEra(self.store_era);
+        // The same number stands for another value in another era.
+        let is_same_era = ask.store_era == self.store_era;
+        let held: &[HeldRow] = if is_same_era { &ask.held } else { &[] };
         for row in &mut self.rows {
-            let held = ask.held.iter().find(|held| held.key == row.key);
-            let held = held.map(|held| StoreVersion(held.version));
-            let pack = copies.pack_for(feed, &row.key, StoreVersion(row.version), held);
+            let held = held.iter().find(|held| held.key == row.key);
+            let held = held.map(|held| StoreVersion { era, number: held.version });
+            let version = StoreVersion { era, number: row.version };
+            let pack = copies.pack_for(feed, &row.key, version, held);
             let Some((pack, bytes)) = pack.and_then(|pack| pack.packed().map(|b| (pack, b))) else {
                 continue;
             };
-            let base_version = pack.base_version.map(|version| version.0);
+            let base_version = pack.base_version.map(|version| version.number);
             row.packed = Some(PackedValue { bytes, base_version });
             row.value = None;
         }
@@ -152,8 +156,8 @@
             return;
         }
         let rows = Rows { rows: std::mem::take(&mut self.rows) };
-        let is_whole = ask.after.is_none() && ask.held.is_empty();
-        let version = StoreVersion(self.version);
+        let is_whole = ask.after.is_none() && held.is_empty();
+        let version = StoreVersion { era, number: self.version };
         let pack_rows = || pack(&rows.encode_to_vec(), None);
         let packed =
             if is_whole { copies.packed_whole(feed, version, pack_rows) } else { pack_rows() };
@@ -175,11 +179,12 @@
             let rows = Rows::decode(unpack(&packed, None)?);
             self.rows = rows.map_err(io::Error::other)?.rows;
         }
+        let era = self.era(copies.era(feed));
         for row in &mut self.rows {
             let Some(packed) = row.packed.take() else {
                 continue;
             };
-            let held = |version| copies.value(feed, &row.key, StoreVersion(version));
+            let held = |number| copies.value(feed, &row.key, StoreVersion { era, number });
             let base = packed.base_version.map(|version| {
                 held(version).ok_or_else(|| io::Error::other("its base is not held"))
             });
@@ -188,22 +193,29 @@
         Ok(())
     }
 
-    /// The page that the answer carries.
+    /// The store's era that the versions are of: one that is not told is the one that is known.
+    fn era(&self, known: StoreEra) -> StoreEra {
+        if self.store_era == 0 { known } else { StoreEra(self.store_era) }
+    }
+
+    /// The page that the answer carries. An entry of a former version tells no era: it is taken for that
+    /// by which the feed is known.
     ///
     /// # Errors
     /// [`ControlStoreError::HistoryGone`] when changes after the version are not known.
-    pub(super) fn into_page(self) -> Result<FeedPage, ControlStoreError> {
+    pub(super) fn into_page(self, known: StoreEra) -> Result<FeedPage, ControlStoreError> {
         if self.is_history_gone {
             return Err(ControlStoreError::HistoryGone);
         }
+        let era = self.era(known);
         let row = |row: Row| FeedRow {
             key: row.key,
             value: row.value,
-            version: StoreVersion(row.version),
+            version: StoreVersion { era, number: row.version },
         };
         Ok(FeedPage {
             rows: self.rows.into_iter().map(row).collect(),
-            version: StoreVersion(self.version),
+            version: StoreVersion { era, number: self.version },
             store_now_ms: self.store_now_ms,
         })
     }
--- a/crates/gateway/src/peers/feed_copies.rs
+++ b/crates/gateway/src/peers/feed_copies.rs
@@ -11,6 +11,7 @@
 use parking_lot::Mutex;
 use prometheus_client::encoding::EncodeLabelValue;
 use stallhoist_core::MonoTime;
+use stallhoist_core::StoreEra;
 use stallhoist_core::StoreVersion;
 use tokio::sync::Notify;
 use tokio::sync::futures::Notified;
@@ -162,6 +163,12 @@
         self.changed.notify_waiters();
     }
 
+    /// The store's era that the copy of a feed is of; 0 where there is none.
+    pub(super) fn era(&self, feed: Feed) -> StoreEra {
+        let copies = self.copies.lock();
+        copies.by_feed.get(&feed).map_or_else(StoreEra::default, |copy| copy.version.era)
+    }
+
     /// Whether there is a copy of a feed, fresh or not.
     pub fn has(&self, feed: Feed) -> bool {
         self.copies.lock().by_feed.contains_key(&feed)
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -67,6 +67,9 @@
     /// Whether it has just started, and wants all limits that hold.
     #[prost(bool, tag = "16")]
     pub(super) is_starting: bool,
+    /// The store's era by which it knows the feed; 0 where that was not told.
+    #[prost(uint64, tag = "17")]
+    pub(super) store_era: u64,
 }
 
 /// What is known of a limit that an upstream has named.
@@ -250,7 +253,7 @@
     pub(super) fn of(service: &ServiceName, order: StoreVersion, totals: EvidenceTotals) -> Self {
         Self {
             service: service.to_string(),
-            order_version: order.0,
+            order_version: order.number,
             old_answers: totals.old.answers,
             old_failures: totals.old.failures,
             old_first_parts: totals.old.first_parts.timed,
--- a/crates/gateway/src/peers/relayed_store.rs
+++ b/crates/gateway/src/peers/relayed_store.rs
@@ -189,7 +189,7 @@
         match self.ask_peer(route, addr, feed, after).await {
             Ok(arrived) if !arrived.answer.has_copy => None,
             Ok(Arrived { answer, travelled_bytes }) => {
-                let page = answer.into_page();
+                let page = answer.into_page(self.state.copies.era(feed));
                 let bytes = page.as_ref().map_or(0, FeedPage::value_bytes);
                 self.received(feed, Origin::OtherEntry, bytes, travelled_bytes);
                 Some(page)
@@ -236,7 +236,8 @@
         };
         let ask = Ask {
             feed: feed_number(feed),
-            after: after.map(|after| after.0),
+            after: after.map(|after| after.number),
+            store_era: after.map_or_else(|| self.state.copies.era(feed), |after| after.era).0,
             wait_ms: wait.as_millis() as u64,
             host: self.state.settings.host.id.to_string(),
             is_unpacking: true,
@@ -308,7 +309,7 @@
     /// The large rows that are held of a feed.
     fn held(&self, feed: Feed) -> Vec<HeldRow> {
         let held = self.state.copies.held(feed).into_iter();
-        held.map(|(key, version)| HeldRow { key, version: version.0 }).collect()
+        held.map(|(key, version)| HeldRow { key, version: version.number }).collect()
     }
 
     /// What the entry that is asked is told with the question.
--- a/crates/gateway/src/peers/seeds.rs
+++ b/crates/gateway/src/peers/seeds.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use prost::Message;
+use stallhoist_core::StoreEra;
 use stallhoist_settings::GatewaySettings;
 
 use super::answer::Answer;
@@ -34,7 +35,7 @@
             Ok(answer) if answer.has_copy => {
                 log::info!(feed:? = feed, addr:% = addr; "the store is away, a seed answered");
                 state.news_from.lock().insert(feed, Some(addr));
-                return answer.into_page().ok();
+                return answer.into_page(StoreEra::default()).ok();
             }
             Ok(_) => log::debug!(feed:? = feed, addr:% = addr; "a seed knows nothing either"),
             Err(error) => {
--- a/crates/gateway/src/peers/server.rs
+++ b/crates/gateway/src/peers/server.rs
@@ -9,6 +9,7 @@
 use prost::Message;
 use stallhoist_core::HostId;
 use stallhoist_core::MonoTime;
+use stallhoist_core::StoreEra;
 use stallhoist_core::StoreVersion;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -143,7 +144,8 @@
     }
     state.copies.asked(now);
     let until = now.after(Duration::from_millis(ask.wait_ms).min(MAX_WAIT));
-    let mut answer = page(state, feed, ask.after.map(StoreVersion), until).await;
+    let after = ask.after.map(|number| StoreVersion { era: era_of(state, feed, &ask), number });
+    let mut answer = page(state, feed, after, until).await;
     answer.pack(feed, &ask, &state.copies);
     match feed {
         Feed::Rollouts => {
@@ -154,6 +156,12 @@
     }
 }
 
+/// The store's era by which the one that asks knows a feed. One of a former version tells none, and is
+/// taken to know the same as this entry.
+fn era_of(state: &GatewayState, feed: Feed, ask: &Ask) -> StoreEra {
+    if ask.store_era == 0 { state.copies.era(feed) } else { StoreEra(ask.store_era) }
+}
+
 /// Waits until there is something to say.
 async fn page(
     state: &GatewayState,
@@ -224,6 +232,6 @@
         log::warn!(host, service = evidence.service; "evidence of no host or service ignored");
         return;
     };
-    let order = StoreVersion(evidence.order_version);
+    let order = StoreVersion::of(evidence.order_version);
     state.rollouts.lock().peer_evidence(host, &service, order, evidence.totals());
 }
--- a/crates/gateway/src/peers/usual_times.rs
+++ b/crates/gateway/src/peers/usual_times.rs
@@ -39,7 +39,7 @@
 fn news_of(time: ToldTime) -> TimeNews {
     TimeNews {
         service: time.service.to_string(),
-        order_version: time.order_version.0,
+        order_version: time.order_version.number,
         route: time.kind.route.map(|route| route.to_string()),
         model: time.kind.model.map(|model| model.to_string()),
         is_pause: time.kind.part == TimedPart::Pause,
@@ -56,7 +56,7 @@
     };
     Ok(ToldTime {
         service: news.service.parse()?,
-        order_version: StoreVersion(news.order_version),
+        order_version: StoreVersion::of(news.order_version),
         kind,
         known: KnownTime { load: news.load, usual_ms: news.usual_ms },
     })
--- a/crates/gateway/src/peers/verdicts.rs
+++ b/crates/gateway/src/peers/verdicts.rs
@@ -12,7 +12,7 @@
     let verdicts = state.rollouts.lock().verdicts();
     let message = |verdict: &Verdict| VerdictNews {
         service: verdict.service.to_string(),
-        order_version: verdict.order_version.0,
+        order_version: verdict.order_version.number,
         is_completed: verdict.ending == Ending::Completed,
     };
     verdicts.iter().map(message).collect()
@@ -23,7 +23,7 @@
     for news in told {
         match news.service.parse() {
             Ok(service) => {
-                let order_version = StoreVersion(news.order_version);
+                let order_version = StoreVersion::of(news.order_version);
                 let ending = if news.is_completed { Ending::Completed } else { Ending::Bad };
                 state.rollouts.lock().told(&Verdict { service, order_version, ending });
             }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -15,6 +16,7 @@
 use stallhoist_coordination::ProcessClock;
 use stallhoist_core::MonoTime;
 use stallhoist_core::StartId;
+use stallhoist_core::StoreEra;
 use stallhoist_policy::cascade::StepUpConfig;
 use stallhoist_policy::retry::RetryBudget;
 use stallhoist_policy::rollout::RolloutConfig;
@@ -65,6 +67,7 @@
     pub(crate) awakening: Awakening,
     clock: ProcessClock,
     config: RwLock<Option<Arc<RoutingConfig>>>,
+    store_era: AtomicU64,
     has_members: AtomicBool,
     has_rollouts: AtomicBool,
     has_fatal_requests: AtomicBool,
@@ -104,6 +107,7 @@
             awakening: Awakening::new(clock.clone()),
             clock,
             config: RwLock::new(None),
+            store_era: AtomicU64::new(0),
             has_members: AtomicBool::new(false),
             has_rollouts: AtomicBool::new(false),
             has_fatal_requests: AtomicBool::new(false),
@@ -152,6 +156,12 @@
         self.informed.notify_waiters();
     }
 
+    /// The store was heard of in an era.
+    pub(crate) fn store_is_in(&self, era: StoreEra) {
+        let before = self.store_era.fetch_max(era.0, Ordering::SeqCst);
+        self.metrics.store_era.set(i64::try_from(before.max(era.0)).unwrap_or(i64::MAX));
+    }
+
     /// The records of roll-outs have been read.
     pub(crate) fn set_has_rollouts(&self) {
         self.has_rollouts.store(true, Ordering::SeqCst);
--- a/crates/standins/src/users_platform/mod.rs
+++ b/crates/standins/src/users_platform/mod.rs
@@ -11,6 +11,8 @@
 pub use end_rule::EndRule;
 pub use store::StoreStandin;
 pub use store::StoreWriter;
+pub use store_state::LostWrites;
+pub use store_state::StoreCopy;
 pub use store_state::StoreFault;
 pub use upstream::Arrival;
 pub use upstream::End;
--- a/crates/standins/src/users_platform/store.rs
+++ b/crates/standins/src/users_platform/store.rs
@@ -9,6 +9,8 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use http::HeaderName;
+use http::HeaderValue;
 use http::Method;
 use http::Request;
 use http::Response;
@@ -24,9 +26,14 @@
 
 use super::server::Body;
 use super::server::Server;
+use super::store_state::LostWrites;
+use super::store_state::StoreCopy;
 use super::store_state::StoreFault;
 use super::store_state::StoreState;
 
+/// How often the store has come back from a copy.
+const STORE_ERA: HeaderName = HeaderName::from_static("store-era");
+
 #[derive(Debug)]
 struct Shared {
     state: Mutex<StoreState>,
@@ -128,6 +135,31 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// What it holds now.
+    pub fn copy(&self) -> StoreCopy {
+        self.shared.state.lock().copy()
+    }
+
+    /// Comes back from a copy: all that was written since is gone. Calls that wait are cut off. Gives
+    /// what operators and upstreams have lost.
+    pub fn come_back_from(&self, copy: StoreCopy) -> LostWrites {
+        let lost = self.shared.state.lock().come_back_from(copy);
+        self.shared.changed.notify_waiters();
+        lost
+    }
+
+    /// Tells another era than it is in, or again that one.
+    pub fn tell_era(&self, era: Option<u64>) {
+        self.shared.state.lock().told_era = era;
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Operators and upstreams write again what was lost.
+    pub fn write_again(&self, lost: LostWrites) {
+        self.shared.state.lock().write_again(lost);
+        self.shared.changed.notify_waiters();
+    }
+
     /// The paths and queries of all calls so far.
     pub fn calls(&self) -> Vec<String> {
         self.shared.state.lock().calls.clone()
@@ -135,13 +167,24 @@
 }
 
 async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> io::Result<Response<Body>> {
+    let era = shared.state.lock().era();
+    let mut answer = answer_to(&shared, request).await?;
+    if shared.state.lock().era() != era {
+        return Err(went_away());
+    }
+    let era = shared.state.lock().told_era.unwrap_or(era);
+    answer.headers_mut().insert(STORE_ERA, HeaderValue::from(era));
+    Ok(answer)
+}
+
+async fn answer_to(shared: &Shared, request: Request<Incoming>) -> io::Result<Response<Body>> {
     let (head, body) = request.into_parts();
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
     let query = query_of(&head.uri);
     let called = head.uri.path_and_query().map(ToString::to_string).unwrap_or_default();
     shared.state.lock().calls.push(called);
     let table = query.get("table").cloned().unwrap_or_default();
-    if let Some(answer) = fault(&shared, &table, &body).await {
+    if let Some(answer) = fault(shared, &table, &body).await {
         return answer;
     }
     match (head.method, head.uri.path()) {
@@ -152,12 +195,12 @@
             let mut rows = state.read(&table, &from);
             let has_more = rows.len() > limit;
             rows.truncate(limit);
-            let mut reply = page(&shared, &state, rows);
+            let mut reply = page(shared, &state, rows);
             reply["more"] = json!(has_more);
             Ok(answer(StatusCode::OK, reply))
         }
-        (Method::GET, "/api/rows-feed") => feed(&shared, &table, &query).await,
-        (Method::POST, "/api/rows-tx") => transact(&shared, &body),
+        (Method::GET, "/api/rows-feed") => feed(shared, &table, &query).await,
+        (Method::POST, "/api/rows-tx") => transact(shared, &body),
         _ => Ok(answer(StatusCode::NOT_FOUND, Value::Null)),
     }
 }
@@ -190,6 +233,7 @@
     let number = |name: &str| query.get(name).and_then(|v| v.parse::<u64>().ok()).unwrap_or(0);
     let after = number("after");
     let until = tokio::time::Instant::now() + Duration::from_millis(number("wait_ms"));
+    let era = shared.state.lock().era();
     loop {
         let changed = shared.changed.notified();
         {
@@ -202,12 +246,17 @@
             }
         }
         let _ = tokio::time::timeout_at(until, changed).await;
-        if shared.state.lock().fault.is_some() {
-            return Err(io::Error::other("the store went away"));
+        let state = shared.state.lock();
+        if state.fault.is_some() || state.era() != era {
+            return Err(went_away());
         }
     }
 }
 
+fn went_away() -> io::Error {
+    io::Error::other("the store went away")
+}
+
 fn transact(shared: &Shared, body: &Bytes) -> io::Result<Response<Body>> {
     let transaction: Value = serde_json::from_slice(body)?;
     let mut state = shared.state.lock();
--- a/crates/standins/src/users_platform/store_state.rs
+++ b/crates/standins/src/users_platform/store_state.rs
@@ -29,12 +29,38 @@
     version: u64,
 }
 
+/// What the store holds at some moment.
+#[derive(Debug, Clone)]
+pub struct StoreCopy {
+    rows: BTreeMap<(String, String), Stored>,
+    version: u64,
+    outside_writes: usize,
+}
+
+/// Rows that operators and upstreams had written, and that were lost.
+#[derive(Debug, Clone, Default)]
+pub struct LostWrites(Vec<OutsideWrite>);
+
+/// A row that an operator or an upstream has written or removed.
+#[derive(Debug, Clone)]
+struct OutsideWrite {
+    key: (String, String),
+    value: Option<Value>,
+    raw: Option<String>,
+}
+
 /// The rows of the store: of those that were removed the last version is kept.
 #[derive(Debug, Default)]
 pub(super) struct StoreState {
     rows: BTreeMap<(String, String), Stored>,
     version: u64,
+    /// How often it has come back from a copy.
+    era: u64,
+    /// What operators and upstreams have written, in order.
+    outside_writes: Vec<OutsideWrite>,
     history_from: u64,
+    /// What it tells in place of its era.
+    pub(super) told_era: Option<u64>,
     pub(super) fault: Option<StoreFault>,
     pub(super) calls: Vec<String>,
     /// Rows that calls cannot change: they are answered, and nothing is written.
@@ -46,22 +72,51 @@
         self.version
     }
 
+    pub(super) fn era(&self) -> u64 {
+        self.era
+    }
+
+    pub(super) fn copy(&self) -> StoreCopy {
+        let outside_writes = self.outside_writes.len();
+        StoreCopy { rows: self.rows.clone(), version: self.version, outside_writes }
+    }
+
+    /// Comes back from a copy: what was written since is gone, and versions are given out again.
+    pub(super) fn come_back_from(&mut self, copy: StoreCopy) -> LostWrites {
+        self.rows = copy.rows;
+        self.version = copy.version;
+        self.era += 1;
+        let kept = copy.outside_writes.min(self.outside_writes.len());
+        LostWrites(self.outside_writes.split_off(kept))
+    }
+
+    /// Operators and upstreams write again what was lost, the last write of each row.
+    pub(super) fn write_again(&mut self, lost: LostWrites) {
+        let last: BTreeMap<_, _> = lost.0.into_iter().map(|w| (w.key.clone(), w)).collect();
+        last.into_values().for_each(|write| self.write(write));
+    }
+
     pub(super) fn put(&mut self, table: &str, key: &str, value: Value) {
-        self.version += 1;
-        self.set(table, key, Some(value));
+        let key = (table.to_owned(), key.to_owned());
+        self.write(OutsideWrite { key, value: Some(value), raw: None });
     }
 
     /// Writes a row as another writer may: its value goes out as it stands.
     pub(super) fn put_raw(&mut self, table: &str, key: &str, raw: &str) {
-        self.put(table, key, Value::Null);
-        if let Some(row) = self.rows.get_mut(&(table.to_owned(), key.to_owned())) {
-            row.raw = Some(raw.to_owned());
-        }
+        let key = (table.to_owned(), key.to_owned());
+        self.write(OutsideWrite { key, value: Some(Value::Null), raw: Some(raw.to_owned()) });
     }
 
     pub(super) fn remove(&mut self, table: &str, key: &str) {
+        let key = (table.to_owned(), key.to_owned());
+        self.write(OutsideWrite { key, value: None, raw: None });
+    }
+
+    fn write(&mut self, write: OutsideWrite) {
         self.version += 1;
-        self.set(table, key, None);
+        let OutsideWrite { key, value, raw } = write.clone();
+        self.rows.insert(key, Stored { value, raw, version: self.version });
+        self.outside_writes.push(write);
     }
 
     pub(super) fn get(&self, table: &str, key: &str) -> Option<Value> {
@@ -86,9 +141,9 @@
         of_table.filter(|(_, row)| row.value.is_some()).map(|(key, row)| wire(key, row)).collect()
     }
 
-    /// The changes of a table after a version; none when the history is gone.
+    /// The changes of a table after a version; none when the history is gone, or there is no such version.
     pub(super) fn changes(&self, table: &str, after: u64) -> Option<Vec<Value>> {
-        if after + 1 < self.history_from {
+        if after + 1 < self.history_from || after > self.version {
             return None;
         }
         let mut changed: Vec<_> =
--- a/tests/all/decisions/fatal.rs
+++ b/tests/all/decisions/fatal.rs
@@ -51,7 +51,7 @@
 /// A request that the store says is held back, after so many tries.
 fn stored(tries: u32) -> FatalRequests {
     let mut requests = FatalRequests::default();
-    requests.stored(at_ms(0), request(FATAL), StoreVersion(7), record(tries));
+    requests.stored(at_ms(0), request(FATAL), StoreVersion::of(7), record(tries));
     requests
 }
 
@@ -146,10 +146,10 @@
     let mut requests = after(&[1, 2, 3].map(|upstream| (FATAL, upstream)));
     assert!(matches!(requests.verdict(later, request(FATAL)), Verdict::HeldBack { .. }));
     assert!(requests.begin_try(later, request(FATAL)).is_none());
-    requests.stored(later, request(FATAL), StoreVersion(7), record(0));
+    requests.stored(later, request(FATAL), StoreVersion::of(7), record(0));
     assert!(requests.begin_try(later, request(FATAL)).is_none(), "it was stored just now");
     let change = requests.begin_try(at_ms(65_000), request(FATAL)).expect("it is due");
-    assert_eq!(change.expected, Some(StoreVersion(7)));
+    assert_eq!(change.expected, Some(StoreVersion::of(7)));
     assert_eq!(change.record.map(|record| record.tries), Some(1));
 }
 
@@ -190,7 +190,7 @@
     requests.begin_try(at_ms(5_000), request(FATAL)).expect("it is due");
     requests.ended(at_ms(5_100), request(FATAL), UpstreamKey(4));
     requests.end_try(at_ms(5_200), request(FATAL));
-    requests.stored(at_ms(5_300), request(FATAL), StoreVersion(8), record(1));
+    requests.stored(at_ms(5_300), request(FATAL), StoreVersion::of(8), record(1));
     assert_eq!(requests.verdict(at_ms(500_000), request(FATAL)), Verdict::HeldBack { due: None });
     assert_eq!(requests.changes(at_ms(5_400), Duration::ZERO).len(), 1);
 }
@@ -199,13 +199,13 @@
 fn a_whole_answer_at_a_try_removes_the_row() {
     let mut requests = stored(0);
     requests.begin_try(at_ms(5_000), request(FATAL)).expect("it is due");
-    requests.stored(at_ms(5_010), request(FATAL), StoreVersion(8), record(1));
+    requests.stored(at_ms(5_010), request(FATAL), StoreVersion::of(8), record(1));
     assert!(requests.answered(at_ms(5_100), request(FATAL)));
     let changes = requests.changes(at_ms(5_200), Duration::ZERO);
-    assert_eq!(changes[0].1.expected, Some(StoreVersion(8)));
+    assert_eq!(changes[0].1.expected, Some(StoreVersion::of(8)));
     assert_eq!(changes[0].1.record, None);
     // The row's last change, read again late, holds nothing back.
-    requests.stored(at_ms(5_300), request(FATAL), StoreVersion(8), record(1));
+    requests.stored(at_ms(5_300), request(FATAL), StoreVersion::of(8), record(1));
     assert_eq!(requests.verdict(at_ms(5_301), request(FATAL)), Verdict::Free);
 }
 
--- a/tests/all/decisions/list_properties.rs
+++ b/tests/all/decisions/list_properties.rs
@@ -186,7 +186,7 @@
     LazyLock::new(|| PlatformStore::new(&StoreSettings::default()).expect("the client starts"));
 
 fn decode(value: Bytes) -> Change {
-    let row = FeedRow { key: "i-1".to_owned(), value: Some(value), version: StoreVersion(1) };
+    let row = FeedRow { key: "i-1".to_owned(), value: Some(value), version: StoreVersion::of(1) };
     let change = STORE.decode(Feed::Members, &row).expect("its key is a name");
     change.expect("it concerns the gateway")
 }
--- a/tests/all/decisions/peers.rs
+++ b/tests/all/decisions/peers.rs
@@ -4,6 +4,7 @@
 
 use stallhoist_core::HostId;
 use stallhoist_core::LinkRate;
+use stallhoist_core::StoreEra;
 use stallhoist_core::StoreVersion;
 use stallhoist_core::ZoneName;
 use stallhoist_gateway::control_store::ControlStoreError;
@@ -185,11 +186,11 @@
 
 fn row(key: &str, version: u64, is_there: bool) -> FeedRow {
     let value = is_there.then(|| key.to_owned().into());
-    FeedRow { key: key.to_owned(), value, version: StoreVersion(version) }
+    FeedRow { key: key.to_owned(), value, version: StoreVersion::of(version) }
 }
 
 fn page(rows: Vec<FeedRow>, version: u64) -> FeedPage {
-    FeedPage { rows, version: StoreVersion(version), store_now_ms: 5_000 }
+    FeedPage { rows, version: StoreVersion::of(version), store_now_ms: 5_000 }
 }
 
 /// A copy read at version 10 with rows a and b; at 12 a was removed.
@@ -210,26 +211,47 @@
     let page = copies().page(at_ms(200), Feed::Members, None).expect("it is fresh").expect("rows");
     assert_eq!(
         (keys(&page), page.version, page.store_now_ms),
-        (vec!["b"], StoreVersion(12), 5_100)
+        (vec!["b"], StoreVersion::of(12), 5_100)
     );
 }
 
 #[test]
 fn changes_tell_what_was_removed() {
     let copies = copies();
-    let after = |version| copies.page(at_ms(200), Feed::Members, Some(StoreVersion(version)));
+    let after = |version| copies.page(at_ms(200), Feed::Members, Some(StoreVersion::of(version)));
     assert_eq!(keys(&after(10).expect("fresh").expect("rows")), ["a"]);
     assert!(after(12).expect("fresh").expect("rows").rows.is_empty());
     let ahead = after(15).expect("fresh").expect("rows");
-    assert_eq!((ahead.rows.len(), ahead.version), (0, StoreVersion(15)), "never back");
+    assert_eq!((ahead.rows.len(), ahead.version), (0, StoreVersion::of(15)), "never back");
 }
 
 #[test]
 fn changes_from_before_the_copy_are_gone() {
-    let answer = copies().page(at_ms(200), Feed::Members, Some(StoreVersion(9)));
+    let answer = copies().page(at_ms(200), Feed::Members, Some(StoreVersion::of(9)));
     assert!(matches!(answer, Some(Err(ControlStoreError::HistoryGone))));
 }
 
+/// A version that the store gave out after it had come back from a copy.
+fn later(number: u64) -> StoreVersion {
+    StoreVersion { era: StoreEra(1), number }
+}
+
+#[test]
+fn changes_since_an_earlier_era_are_gone() {
+    let copies = FeedCopies::default();
+    let whole = FeedPage { version: later(5), ..page(vec![row("a", 4, true)], 0) };
+    copies.replace(at_ms(0), Feed::Members, &whole, Origin::Store);
+    let answer = copies.page(at_ms(1), Feed::Members, Some(StoreVersion::of(100)));
+    assert!(matches!(answer, Some(Err(ControlStoreError::HistoryGone))));
+}
+
+#[test]
+fn one_that_knows_a_later_era_hears_of_nothing() {
+    let page = copies().page(at_ms(200), Feed::Members, Some(later(2)));
+    let page = page.expect("it is fresh").expect("rows");
+    assert_eq!((page.rows.len(), page.version), (0, later(2)));
+}
+
 // An entry that is cut off from the store must not keep others from it.
 #[test]
 fn a_copy_that_is_not_fresh_is_none() {
@@ -297,7 +319,7 @@
     copies.replace(at_ms(0), Feed::Members, &whole, Origin::OtherEntry);
     assert!(copies.page(at_ms(1), Feed::Members, None).is_none());
     let known = copies.last_known(at_ms(60_000), Feed::Members).expect("it is known");
-    assert_eq!((keys(&known), known.version), (vec!["a", "b"], StoreVersion(10)));
+    assert_eq!((keys(&known), known.version), (vec!["a", "b"], StoreVersion::of(10)));
     copies.extend(at_ms(61_000), Feed::Members, &page(Vec::new(), 11), Origin::Store);
     assert!(copies.page(at_ms(61_000), Feed::Members, None).is_some());
 }
--- a/tests/all/decisions/rollout_rules.rs
+++ b/tests/all/decisions/rollout_rules.rs
@@ -38,14 +38,14 @@
         service: service(),
         target: version("v2"),
         duration: Duration::from_secs(20),
-        row_version: StoreVersion(row_version),
+        row_version: StoreVersion::of(row_version),
     }
 }
 
 fn stored(phase: RolloutPhase, row_version: u64) -> StoredRollout {
     let record =
         RolloutRecord { target: version("v2"), started_ms: 1_000, duration_ms: 20_000, phase };
-    StoredRollout { service: service(), record, row_version: StoreVersion(row_version) }
+    StoredRollout { service: service(), record, row_version: StoreVersion::of(row_version) }
 }
 
 /// An order at row version 10 and its record at 11, at 13 s of the store's clock.
@@ -165,7 +165,7 @@
     rollouts.ordered(order(20));
     let due = rollouts.due(at_ms(13_000));
     assert_eq!(due.len(), 1);
-    assert_eq!(due[0].expected, Some(StoreVersion(11)));
+    assert_eq!(due[0].expected, Some(StoreVersion::of(11)));
     assert_eq!((due[0].record.phase, due[0].record.started_ms), (RolloutPhase::Canary, 13_000));
 }
 
@@ -206,7 +206,7 @@
 
 fn tell(rollouts: &mut Rollouts, entry: &str, order_version: u64, totals: EvidenceTotals) {
     let host = entry.parse().expect("a name");
-    rollouts.peer_evidence(host, &service(), StoreVersion(order_version), totals);
+    rollouts.peer_evidence(host, &service(), StoreVersion::of(order_version), totals);
 }
 
 // In a large fleet no entry alone sees enough of the new version.
@@ -259,7 +259,7 @@
 }
 
 fn verdict(order_version: u64, ending: Ending) -> Verdict {
-    Verdict { service: service(), order_version: StoreVersion(order_version), ending }
+    Verdict { service: service(), order_version: StoreVersion::of(order_version), ending }
 }
 
 // Three entries had found a version bad while the store was away; one that had started since
--- a/tests/all/gateway/members.rs
+++ b/tests/all/gateway/members.rs
@@ -123,6 +123,6 @@
     let client = PlatformStore::new(&settings).expect("a client can be made");
     let page = client.read(Feed::Members).await.expect("the list is read");
     let read: Vec<_> = page.rows.into_iter().map(|row| row.key).collect();
-    assert_eq!((read, page.version), (keys, StoreVersion(ROWS)));
+    assert_eq!((read, page.version), (keys, StoreVersion::of(ROWS)));
     assert_eq!(store.calls().len(), 3, "500 rows, 500 and the rest");
 });
--- a/tests/all/gateway/mod.rs
+++ b/tests/all/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod slow_links;
 mod starts;
 mod stops;
+mod store_returns;
 mod streams;
 mod suspension;
 mod template;
--- /dev/null
+++ b/tests/all/gateway/store_returns.rs
@@ -0,0 +1,184 @@
+//! A store that comes back from a copy some seconds old.
+//!
+//! What it had acknowledged since is gone, its versions go back and are given out again, to other rows.
+//! Operators and upstreams write again what they had written; what the system itself had written is
+//! known to its entries alone.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use reqwest::Method;
+use serde_json::json;
+use stallhoist_standins::users_platform::Behaviour;
+use stallhoist_standins::users_platform::StoreCopy;
+use stallhoist_standins::users_platform::StoreStandin;
+
+use super::fleet::Fleet;
+use super::world::PLAIN;
+use super::world::World;
+use super::world::config;
+use super::world::send;
+use crate::case::case;
+use crate::harness::wait_until;
+
+/// Upstreams and operators have written again by then what they had written.
+const WRITTEN_AGAIN_AFTER: Duration = Duration::from_millis(1_800);
+
+/// Until then nothing that is gone from the store is given up, and a while longer.
+const SETTLED_AFTER: Duration = Duration::from_millis(5_000);
+
+/// More writes than the versions have gone back.
+const MANY: usize = 60;
+
+/// Others write rows that say nothing to entries.
+fn others_write(store: &StoreStandin) {
+    for n in 0..MANY {
+        store.put("op", &format!("other/{n}"), json!({}));
+    }
+}
+
+/// The configurations in force at the entries.
+async fn versions(fleet: &Fleet) -> Vec<u64> {
+    let dumps = fleet.dumps().await;
+    dumps.iter().filter_map(|dump| dump["config_version"].as_u64()).collect()
+}
+
+/// What was written before the return goes on being in force, and what is written after it comes into
+/// force, although its version is one that entries have seen before.
+async fn configurations_come_into_force(entries: usize) {
+    let fleet = Fleet::of(entries).await;
+    wait_until("entries are listed", async || fleet.listed() == entries).await;
+    let copy = fleet.store.copy();
+    others_write(&fleet.store);
+    fleet.store.put("op", "config", config(2));
+    fleet.wait_for_version(2).await;
+    fleet.store.come_back_from(copy);
+    fleet.store.put("op", "config", config(3));
+    for _ in 0..3 {
+        others_write(&fleet.store);
+    }
+    wait_until("the newest configuration is in force", async || {
+        let versions = versions(&fleet).await;
+        assert!(versions.iter().all(|version| *version >= 2), "{versions:?}");
+        versions.iter().all(|version| *version == 3)
+    })
+    .await;
+}
+
+case!(configurations_come_into_force_at_one_entry, configurations_come_into_force(1));
+case!(configurations_come_into_force_at_seven, configurations_come_into_force(7));
+
+// Twice in a row, before all have noticed the first time.
+case!(a_store_that_comes_back_twice, async {
+    let fleet = Fleet::of(7).await;
+    wait_until("entries are listed", async || fleet.listed() == 7).await;
+    let first = fleet.store.copy();
+    others_write(&fleet.store);
+    fleet.store.put("op", "config", config(2));
+    fleet.wait_for_version(2).await;
+    fleet.store.come_back_from(first);
+    let second = fleet.store.copy();
+    others_write(&fleet.store);
+    fleet.store.put("op", "config", config(3));
+    fleet.store.come_back_from(second);
+    fleet.store.put("op", "config", config(4));
+    others_write(&fleet.store);
+    fleet.wait_for_version(4).await;
+});
+
+// An answer that was long on its way, or comes by another entry that has not noticed.
+case!(an_answer_of_an_earlier_era_changes_nothing, async {
+    let fleet = Fleet::of(3).await;
+    fleet.store.come_back_from(fleet.store.copy());
+    fleet.store.put("op", "config", config(2));
+    fleet.wait_for_version(2).await;
+    fleet.store.tell_era(Some(0));
+    fleet.store.put("op", "config", config(3));
+    let calls = fleet.store.calls().len();
+    wait_until("all have asked often", async || {
+        assert_eq!(versions(&fleet).await, [2, 2, 2]);
+        fleet.store.calls().len() > calls + MANY
+    })
+    .await;
+    fleet.store.tell_era(None);
+    fleet.wait_for_version(3).await;
+});
+
+/// The store comes back. Operators and upstreams write again only after a while, until which callers ask,
+/// and a while after it.
+async fn come_back(
+    world: &World,
+    copy: StoreCopy,
+    write_again: impl Fn(&StoreStandin),
+    ask: impl AsyncFn(usize),
+) {
+    world.store.come_back_from(copy);
+    let began = Instant::now();
+    let mut is_written = false;
+    for n in 0.. {
+        if !is_written && began.elapsed() >= WRITTEN_AGAIN_AFTER {
+            write_again(&world.store);
+            is_written = true;
+        }
+        if began.elapsed() >= SETTLED_AFTER {
+            return;
+        }
+        ask(n).await;
+    }
+}
+
+async fn ask_plain(world: &World, n: usize) {
+    let request = world.request(Method::GET, "/safe/x", &format!("after-{n}"));
+    let answer = send(request).await.expect("an answer");
+    assert_eq!((n, answer.status), (n, 200));
+}
+
+// One that came since the copy is used all the while, though its row is gone for two seconds.
+case!(an_upstream_that_came_since_is_not_given_up, async {
+    let world = World::start(PLAIN, &[Behaviour::answer("done")]).await;
+    world.store.remove("servers", "i-0");
+    let copy = world.store.copy();
+    let upstream = &world.upstreams[0];
+    let entry = upstream.entry(PLAIN, "zone-1", "v1", "ready");
+    world.store.put("servers", "i-0", entry.clone());
+    wait_until("it is known", async || {
+        world.dump().await["upstreams"].to_string().contains("Listed")
+    })
+    .await;
+    let write_again = |store: &StoreStandin| store.put("servers", "i-0", entry.clone());
+    come_back(&world, copy, write_again, async |n| ask_plain(&world, n).await).await;
+});
+
+// One that has gone is given up, once it had time to be listed again.
+case!(an_upstream_that_is_not_listed_again_is_given_up, async {
+    let world = World::start(PLAIN, &[Behaviour::answer("done")]).await;
+    world.store.remove("servers", "i-0");
+    let copy = world.store.copy();
+    let entry = world.upstreams[0].entry(PLAIN, "zone-1", "v1", "ready");
+    world.store.put("servers", "i-0", entry);
+    wait_until("it is known", async || {
+        world.dump().await["upstreams"].to_string().contains("Listed")
+    })
+    .await;
+    world.store.come_back_from(copy);
+    wait_until("it is given up", async || {
+        !world.dump().await["upstreams"].to_string().contains("i-0")
+    })
+    .await;
+});
+
+case!(a_zone_emptied_since_stays_emptied, async {
+    let world = World::start(PLAIN, &vec![Behaviour::answer("done"); 2]).await;
+    let other_zone = world.upstreams[1].entry(PLAIN, "zone-2", "v1", "ready");
+    world.store.put("servers", "i-1", other_zone);
+    let copy = world.store.copy();
+    let empty = |store: &StoreStandin| store.put("op", "evacuate/zone-1", json!({}));
+    empty(&world.store);
+    wait_until("the zone is emptied", async || {
+        world.dump().await["emptied_zones"].to_string().contains("zone-1")
+    })
+    .await;
+    let before = world.upstreams[0].arrivals().len();
+    come_back(&world, copy, empty, async |n| ask_plain(&world, n).await).await;
+    assert_eq!(world.upstreams[0].arrivals().len(), before);
+});
