An entry that knows the store's first era is told what came in later ones

One of seven entries kept configuration 2 for as long as was waited, and asked the entry that it relays from all the while.

Cause: in messages between entries an era of 0 stood for one that was not told. An entry that knew the store's first era, 0, was taken to know the relay's, and heard that its number was newer than all there was.

Change: the era is absent where it is not told. Ruled out: a store that is read between two eras (the entries that ask it were up to date in each failing run), a late answer (none was logged).

--- a/crates/gateway/src/peers/answer.rs
+++ b/crates/gateway/src/peers/answer.rs
@@ -68,9 +68,9 @@
     /// Limits that upstreams have named, if no feed was asked for.
     #[prost(message, repeated, tag = "13")]
     pub(super) limits: Vec<LimitNews>,
-    /// The store's era that the versions are of; 0 where that was not told.
-    #[prost(uint64, tag = "14")]
-    pub(super) store_era: u64,
+    /// The store's era that the versions are of. An entry of a former version tells none.
+    #[prost(uint64, optional, tag = "14")]
+    pub(super) store_era: Option<u64>,
 }
 
 /// Rows of a feed.
@@ -123,7 +123,7 @@
             rows: page.rows.into_iter().map(row).collect(),
             version: page.version.number,
             store_now_ms: page.store_now_ms,
-            store_era: page.version.era.0,
+            store_era: Some(page.version.era.0),
             ..Self::default()
         }
     }
@@ -135,7 +135,7 @@
         if !ask.is_unpacking {
             return;
         }
-        let era = StoreEra(self.store_era);
+        let era = self.era(StoreEra::default());
         // The same number stands for another value in another era.
         let is_same_era = ask.store_era == self.store_era;
         let held: &[HeldRow] = if is_same_era { &ask.held } else { &[] };
@@ -195,7 +195,7 @@
 
     /// The store's era that the versions are of: one that is not told is the one that is known.
     fn era(&self, known: StoreEra) -> StoreEra {
-        if self.store_era == 0 { known } else { StoreEra(self.store_era) }
+        self.store_era.map_or(known, StoreEra)
     }
 
     /// The page that the answer carries. An entry of a former version tells no era: it is taken for that
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -67,9 +67,9 @@
     /// Whether it has just started, and wants all limits that hold.
     #[prost(bool, tag = "16")]
     pub(super) is_starting: bool,
-    /// The store's era by which it knows the feed; 0 where that was not told.
-    #[prost(uint64, tag = "17")]
-    pub(super) store_era: u64,
+    /// The store's era by which it knows the feed. One of a former version tells none.
+    #[prost(uint64, optional, tag = "17")]
+    pub(super) store_era: Option<u64>,
 }
 
 /// What is known of a limit that an upstream has named.
--- a/crates/gateway/src/peers/relayed_store.rs
+++ b/crates/gateway/src/peers/relayed_store.rs
@@ -10,6 +10,7 @@
 use prost::Message;
 use stallhoist_core::MonoTime;
 use stallhoist_core::RequestFingerprint;
+use stallhoist_core::StoreEra;
 use stallhoist_core::StoreVersion;
 use stallhoist_policy::fatal::FatalChange;
 use tokio::sync::Mutex;
@@ -237,7 +238,7 @@
         let ask = Ask {
             feed: feed_number(feed),
             after: after.map(|after| after.number),
-            store_era: after.map_or_else(|| self.state.copies.era(feed), |after| after.era).0,
+            store_era: Some(self.era(feed, after).0),
             wait_ms: wait.as_millis() as u64,
             host: self.state.settings.host.id.to_string(),
             is_unpacking: true,
@@ -306,6 +307,11 @@
         self.keep(feed, page, is_whole, Origin::Store);
     }
 
+    /// The store's era by which a feed is known.
+    fn era(&self, feed: Feed, after: Option<StoreVersion>) -> StoreEra {
+        after.map_or_else(|| self.state.copies.era(feed), |after| after.era)
+    }
+
     /// The large rows that are held of a feed.
     fn held(&self, feed: Feed) -> Vec<HeldRow> {
         let held = self.state.copies.held(feed).into_iter();
--- a/crates/gateway/src/peers/server.rs
+++ b/crates/gateway/src/peers/server.rs
@@ -159,7 +159,7 @@
 /// The store's era by which the one that asks knows a feed. One of a former version tells none, and is
 /// taken to know the same as this entry.
 fn era_of(state: &GatewayState, feed: Feed, ask: &Ask) -> StoreEra {
-    if ask.store_era == 0 { state.copies.era(feed) } else { StoreEra(ask.store_era) }
+    ask.store_era.map_or_else(|| state.copies.era(feed), StoreEra)
 }
 
 /// Waits until there is something to say.
