A roll-out that is over is not begun anew when the store has come back without its end

What was seen (our stand-in, code as it was): operators were never told again that a roll-out was completed or rolled back, its record was gone for good, and an order of another duration after the return was never followed, in 20,000 requests.

Cause: an order's identity and whether a record answers it were read off row versions, which begin anew; a record that the store has lost was nobody's to write again, and once a roll-out had ended no entry looked.

Change: an order that is read again from a row of a later era, with the same target and duration, is the one that is known. What is known of a record goes before what the store came back with if it is further on, settled, or younger; it is stored again in the place of what is there, under its condition, so that one of several entries does it. Records are read once in each new era, also when no roll-out is under way. A record answers only an order of its duration: one that was written again may be later than an order that it does not answer. Between entries an order goes by its number alone.

Why it holds: nothing that was settled is taken back by a row of a later era, and two entries that know different states settle on the one further on. Not covered: an entry that starts before the record is stored again, half a second, begins anew; those that know the end put it in its place.

--- a/crates/gateway/src/control_store.rs
+++ b/crates/gateway/src/control_store.rs
@@ -61,6 +61,26 @@
     pub row_version: StoreVersion,
 }
 
+impl RolloutOrder {
+    /// The time it should be done in, in milliseconds.
+    pub fn duration_ms(&self) -> u64 {
+        u64::try_from(self.duration.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Whether a record may be of this order: a record that was written again after the store came back
+    /// from a copy may be later than an order that it does not answer.
+    pub fn asks_for(&self, record: &RolloutRecord) -> bool {
+        self.target == record.target && self.duration_ms() == record.duration_ms
+    }
+
+    /// Whether this is an earlier order that was read again, after the store came back from a copy.
+    pub fn repeats(&self, earlier: &Self) -> bool {
+        earlier.row_version.era < self.row_version.era
+            && earlier.target == self.target
+            && earlier.duration == self.duration
+    }
+}
+
 /// A record of a roll-out, with the version that a change of it must name.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StoredRollout {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,5 +1,6 @@
 //! The tasks that follow the platform's store.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -146,6 +147,7 @@
         match self.feed {
             Feed::Operators => self.unsettled_for_a_while(WRITTEN_AGAIN_WITHIN),
             Feed::Members => self.unsettled_for_a_while(LISTED_AGAIN_WITHIN),
+            // What the system writes, nobody writes again but the entries.
             Feed::Entries | Feed::Rollouts | Feed::FatalRequests => {}
         }
     }
@@ -172,9 +174,13 @@
     }
 
     /// Whether what operators have written need not wait for what they write again: a configuration, which is
-    /// older than the one in force or newer, and a zone to be emptied, for safety.
+    /// older than the one in force or newer, a zone to be emptied, for safety, and the only order known.
     fn is_surely_new(&self, change: &Change) -> bool {
-        matches!(change, Change::Config(_) | Change::ZoneEmptied(_))
+        match change {
+            Change::Config(_) | Change::ZoneEmptied(_) => true,
+            Change::RolloutOrdered(order) => !self.state.rollouts.lock().has_order(&order.service),
+            _ => false,
+        }
     }
 
     async fn take_and_follow(&mut self, page: FeedPage) {
@@ -234,24 +240,41 @@
 
     /// Records of roll-outs are followed only while there is one: each call has a price.
     async fn wait_until_needed(&self) {
-        while self.feed == Feed::Rollouts && !self.state.rollouts.lock().is_active() {
+        while self.feed == Feed::Rollouts && !self.are_rollouts_needed() {
             tokio::time::sleep(ROLLOUT_CHECK).await;
         }
     }
 
+    /// The store may have come back without them.
+    fn are_rollouts_needed(&self) -> bool {
+        let known = self.newest.map(|newest| newest.era);
+        self.state.rollouts.lock().is_active() || known < Some(self.state.store_era())
+    }
+
     fn take_whole(&mut self, page: FeedPage) {
         match self.feed {
             Feed::Members => self.take_members(page),
             Feed::Operators => self.take_operators(page),
             Feed::Entries => self.take_changes(page),
             Feed::FatalRequests => self.take_fatal_requests(page),
-            Feed::Rollouts => {
-                self.take_changes(page);
-                self.state.set_has_rollouts();
-            }
+            Feed::Rollouts => self.take_rollouts(page),
         }
     }
 
+    /// All records of roll-outs: those of others are gone.
+    fn take_rollouts(&mut self, page: FeedPage) {
+        let version = page.version;
+        let changes = self.decode(&page);
+        let recorded = changes.iter().filter_map(|change| match change {
+            Change::Rollout(stored) => Some(stored.service.clone()),
+            _ => None,
+        });
+        let recorded: BTreeSet<_> = recorded.collect();
+        self.state.rollouts.lock().retain_recorded(version, &recorded);
+        self.take_changes(page);
+        self.state.set_has_rollouts();
+    }
+
     fn take_members(&mut self, page: FeedPage) {
         let mut members: Vec<Member> = Vec::new();
         for change in self.decode(&page) {
--- a/crates/gateway/src/rollouts/service_rollout.rs
+++ b/crates/gateway/src/rollouts/service_rollout.rs
@@ -27,11 +27,19 @@
 use crate::control_store::RolloutOrder;
 use crate::control_store::StoredRollout;
 
+/// The version of a row in the store; none if there is none.
+#[derive(Debug, Clone, Copy)]
+struct RowInStore(Option<StoreVersion>);
+
 /// What an entry knows of the roll-out of one service.
 #[derive(Debug, Default)]
 pub(super) struct ServiceRollout {
     pub(super) order: Option<RolloutOrder>,
+    /// The store's version when the order was read first: a record that answers it is later.
+    ordered_at: StoreVersion,
     pub(super) stored: Option<StoredRollout>,
+    /// Where the store has come back from a copy without the record: what it has in its place.
+    in_its_place: Option<RowInStore>,
     pub(super) evidence: RolloutEvidence,
     /// What other entries had counted when they last told.
     pub(super) peers: HashMap<HostId, EvidenceTotals>,
@@ -50,7 +58,8 @@
     pub(super) fn current(&self) -> Option<&StoredRollout> {
         let stored = self.stored.as_ref()?;
         let answers = |order: &RolloutOrder| {
-            order.target == stored.record.target && order.row_version < stored.row_version
+            let is_later = self.ordered_at < stored.row_version;
+            is_later && order.asks_for(&stored.record)
         };
         let is_answer = self.order.as_ref().is_none_or(answers);
         is_answer.then_some(stored)
@@ -124,9 +133,15 @@
         );
     }
 
-    /// An operator's order was read.
+    /// An operator's order was read. After the store has come back from a copy, the one that is known may
+    /// be read again, from another row.
     pub(super) fn ordered(&mut self, order: RolloutOrder) {
-        if self.order_version() != Some(order.row_version) {
+        if self.order.as_ref().is_some_and(|known| order.repeats(known)) {
+            if self.current().is_none() {
+                self.ordered_at = order.row_version;
+            }
+        } else if self.order_version() != Some(order.row_version) {
+            self.ordered_at = order.row_version;
             self.forget_new_version();
             self.peers.clear();
             self.is_found_bad = false;
@@ -138,9 +153,39 @@
 
     /// A record was read. Older ones than what is known change nothing.
     pub(super) fn stored(&mut self, stored: StoredRollout) {
-        if self.stored.as_ref().is_none_or(|known| known.row_version < stored.row_version) {
+        let Some(known) = &self.stored else {
             self.stored = Some(stored);
+            return;
+        };
+        if stored.row_version <= known.row_version {
+            return;
+        }
+        let is_restored = known.row_version.era < stored.row_version.era;
+        let is_same = known.record == stored.record;
+        if is_restored && !is_same && known.record.outlives(&stored.record) {
+            self.in_its_place = Some(RowInStore(Some(stored.row_version)));
+            return;
+        }
+        if is_restored && is_same && self.current().is_none() {
+            // It answers the order no more than before.
+            self.ordered_at = self.ordered_at.max(stored.row_version);
         }
+        self.in_its_place = None;
+        self.stored = Some(stored);
+    }
+
+    /// The store was read whole at a version, and has no record.
+    pub(super) fn not_recorded(&mut self, version: StoreVersion) {
+        let known = self.stored.as_ref().map(|stored| stored.row_version);
+        if known.is_some_and(|known| known.era < version.era) {
+            self.in_its_place = Some(RowInStore(None));
+        }
+    }
+
+    /// Whether another entry tells of the same order. It tells the number alone: the same order has another
+    /// one once it is written again.
+    fn is_of_order(&self, told: StoreVersion) -> bool {
+        self.order_version().is_some_and(|own| own.number == told.number)
     }
 
     fn order_version(&self) -> Option<StoreVersion> {
@@ -205,7 +250,7 @@
         order_version: StoreVersion,
         totals: EvidenceTotals,
     ) {
-        if self.order_version() != Some(order_version) {
+        if !self.is_of_order(order_version) {
             return;
         }
         let earlier = self.peers.insert(host, totals).unwrap_or_default();
@@ -234,7 +279,7 @@
 
     /// Another entry tells a usual time.
     pub(super) fn told_time(&mut self, time: ToldTime) {
-        if self.order_version() == Some(time.order_version) {
+        if self.is_of_order(time.order_version) {
             self.has_told_times = true;
             self.evidence.told_time(time.kind, time.known);
         }
@@ -256,7 +301,7 @@
 
     /// Another entry knows how the roll-out ends.
     pub(super) fn told(&mut self, verdict: &Verdict) {
-        if self.order_version() != Some(verdict.order_version) {
+        if !self.is_of_order(verdict.order_version) {
             return;
         }
         match verdict.ending {
@@ -276,17 +321,23 @@
     pub(super) fn due(&self, config: &RolloutConfig, now_ms: u64) -> Option<RolloutChange> {
         let order = self.order.as_ref()?;
         let service = order.service.clone();
-        let expected = self.stored.as_ref().map(|stored| stored.row_version);
+        let expected = match self.in_its_place {
+            Some(RowInStore(version)) => version,
+            None => self.stored.as_ref().map(|stored| stored.row_version),
+        };
         let Some(stored) = self.current() else {
-            let duration_ms = u64::try_from(order.duration.as_millis()).unwrap_or(u64::MAX);
             let record = RolloutRecord {
                 target: order.target.clone(),
                 started_ms: now_ms,
-                duration_ms,
+                duration_ms: order.duration_ms(),
                 phase: RolloutPhase::Canary,
             };
             return Some(RolloutChange { service, expected, record });
         };
+        if self.in_its_place.is_some() {
+            // Nobody but the entries knows of it.
+            return Some(RolloutChange { service, expected, record: stored.record.clone() });
+        }
         if self.is_completed() {
             return None;
         }
--- a/crates/gateway/src/rollouts/state.rs
+++ b/crates/gateway/src/rollouts/state.rs
@@ -1,6 +1,7 @@
 //! What an entry knows of roll-outs, without input or output.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use stallhoist_core::HostId;
@@ -54,6 +55,17 @@
         self.services.entry(stored.service.clone()).or_default().stored(stored);
     }
 
+    /// The store was read whole at a version, and has records of these services only.
+    pub fn retain_recorded(&mut self, version: StoreVersion, recorded: &BTreeSet<ServiceName>) {
+        let others = self.services.iter_mut().filter(|(service, _)| !recorded.contains(service));
+        others.for_each(|(_, rollout)| rollout.not_recorded(version));
+    }
+
+    /// Whether an order for a service is known.
+    pub fn has_order(&self, service: &ServiceName) -> bool {
+        self.services.get(service).is_some_and(|rollout| rollout.order.is_some())
+    }
+
     /// Whether a roll-out is under way.
     pub fn is_active(&self) -> bool {
         self.services.values().any(|rollout| {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -162,6 +162,11 @@
         self.metrics.store_era.set(i64::try_from(before.max(era.0)).unwrap_or(i64::MAX));
     }
 
+    /// The latest era that the store was heard of in.
+    pub(crate) fn store_era(&self) -> StoreEra {
+        StoreEra(self.store_era.load(Ordering::SeqCst))
+    }
+
     /// The records of roll-outs have been read.
     pub(crate) fn set_has_rollouts(&self) {
         self.has_rollouts.store(true, Ordering::SeqCst);
--- a/crates/policy/src/rollout/record.rs
+++ b/crates/policy/src/rollout/record.rs
@@ -21,6 +21,17 @@
     RolledBack,
 }
 
+impl RolloutPhase {
+    /// Its place in the order.
+    fn rank(self) -> u8 {
+        match self {
+            Self::Canary => 0,
+            Self::Shifting { .. } => 1,
+            Self::Completed | Self::RolledBack => 2,
+        }
+    }
+}
+
 /// The stored state of a roll-out.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RolloutRecord {
@@ -35,6 +46,16 @@
 }
 
 impl RolloutRecord {
+    /// Whether this, which is known, goes before what a store has that has come back from a copy. That is
+    /// an earlier state of it or of another roll-out, or was begun by one that did not know of it.
+    pub fn outlives(&self, restored: &Self) -> bool {
+        let is_same = self.target == restored.target && self.started_ms == restored.started_ms;
+        if is_same {
+            return self.phase.rank() >= restored.phase.rank();
+        }
+        self.is_settled() || self.started_ms > restored.started_ms
+    }
+
     /// Whether nothing more will change.
     pub fn is_settled(&self) -> bool {
         matches!(self.phase, RolloutPhase::Completed | RolloutPhase::RolledBack)
--- a/tests/all/gateway/rollouts.rs
+++ b/tests/all/gateway/rollouts.rs
@@ -20,7 +20,7 @@
 const RECORDS: &str = "stallhoist-rollouts";
 
 /// Two upstreams of the old version and one of the new.
-async fn world(new: Behaviour) -> World {
+pub(super) async fn world(new: Behaviour) -> World {
     let old = Behaviour::stream(2);
     let world = World::start(ENGINE, &[old.clone(), old, new]).await;
     let entry = world.upstreams[2].entry(ENGINE, "zone-1", "v2", "ready");
@@ -52,7 +52,7 @@
 }
 
 /// Asks until operators are told this state. Gives how many requests there were.
-async fn ask_until(world: &World, state: &str) -> usize {
+pub(super) async fn ask_until(world: &World, state: &str) -> usize {
     for n in 0..20_000 {
         if status(world).as_deref() == Some(state) {
             return n;
--- a/tests/all/gateway/store_returns.rs
+++ b/tests/all/gateway/store_returns.rs
@@ -14,6 +14,13 @@
 use stallhoist_standins::users_platform::StoreStandin;
 
 use super::fleet::Fleet;
+use super::rollouts::ask_until;
+use super::rollouts::order;
+use super::rollouts::status;
+use super::rollouts::wait_for_record;
+use super::rollouts::wait_for_status;
+use super::rollouts::world as rollout_world;
+use super::world::ENGINE;
 use super::world::PLAIN;
 use super::world::World;
 use super::world::config;
@@ -182,3 +189,82 @@
     come_back(&world, copy, empty, async |n| ask_plain(&world, n).await).await;
     assert_eq!(world.upstreams[0].arrivals().len(), before);
 });
+
+/// A stream of a session of its own, which is served.
+async fn ask_stream(world: &World, n: usize) {
+    let request = world.stream(&format!("after-{n}")).header("Session", format!("after-{n}"));
+    assert_eq!(send(request).await.expect("an answer").status, 200);
+}
+
+fn is_back(world: &World, state: &str) -> bool {
+    status(world).as_deref() == Some(state)
+}
+
+/// A roll-out ends, and the store comes back from a copy that knows of its order and not of its end, or of
+/// neither. Nothing goes to the version that lost, and operators are told the end again.
+async fn an_end_stays(new: Behaviour, end: &str, loser: usize, is_order_in_copy: bool) {
+    let world = rollout_world(new).await;
+    let duration_s = if end == "completed" { 3.0 } else { 600.0 };
+    let before = world.store.copy();
+    order(&world, duration_s);
+    let ordered = world.store.copy();
+    wait_for_status(&world, "running").await;
+    ask_until(&world, end).await;
+    wait_until("the gateway has read it", async || {
+        let rollouts = world.dump().await["rollouts"].to_string();
+        rollouts.contains(if end == "completed" { "completed" } else { "rolled-back" })
+    })
+    .await;
+    let lost = world.upstreams[loser].runs();
+    let copy = if is_order_in_copy { ordered } else { before };
+    let write_again = |_: &StoreStandin| {
+        if !is_order_in_copy {
+            order(&world, duration_s);
+        }
+    };
+    come_back(&world, copy, write_again, async |n| ask_stream(&world, n).await).await;
+    assert_eq!(world.upstreams[loser].runs(), lost);
+    wait_until("operators are told the end again", async || is_back(&world, end)).await;
+}
+
+case!(a_completed_rollout_is_not_begun_anew, {
+    an_end_stays(Behaviour::stream(2), "completed", 0, true)
+});
+
+case!(a_completed_rollout_whose_order_is_written_again_is_not_begun_anew, {
+    an_end_stays(Behaviour::stream(2), "completed", 0, false)
+});
+
+case!(a_version_that_was_rolled_back_stays_out, {
+    an_end_stays(Behaviour::Fail, "rolled_back", 2, true)
+});
+
+case!(a_version_that_was_rolled_back_stays_out_when_its_order_is_written_again, {
+    an_end_stays(Behaviour::Fail, "rolled_back", 2, false)
+});
+
+// A new order is one, in whatever era.
+case!(a_new_order_after_the_return_is_followed, async {
+    let world = rollout_world(Behaviour::stream(2)).await;
+    let copy = world.store.copy();
+    order(&world, 600.0);
+    wait_for_status(&world, "running").await;
+    wait_for_record(&world).await;
+    world.store.come_back_from(copy);
+    order(&world, 3.0);
+    ask_until(&world, "completed").await;
+});
+
+// An operator's order that was under way goes on where it was.
+case!(a_rollout_under_way_goes_on, async {
+    let world = rollout_world(Behaviour::stream(2)).await;
+    let before = world.store.copy();
+    order(&world, 600.0);
+    wait_for_status(&world, "running").await;
+    wait_for_record(&world).await;
+    let record = || world.store.get("stallhoist-rollouts", ENGINE);
+    let known = record();
+    let write_again = |_: &StoreStandin| order(&world, 600.0);
+    come_back(&world, before, write_again, async |n| ask_stream(&world, n).await).await;
+    wait_until("the record is back", async || record() == known).await;
+});
