A request that is held back stays so when the store has come back without its row

What was seen (our stand-in, code as it was): a request that had ended three upstreams was sent on after the store's return, to three more.

Cause: a row that is missing in a whole read was taken for one that was removed, by an operator or by an entry that saw the request answered; so the request was cleared.

Change: where the store's era is a later one than the row's, the row was lost: the request is held back as before, with its tries, and its row is written again. In the same era a missing row clears it as before.

Tests: a case at a real gateway, seen failing; two of the decision.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -319,7 +319,8 @@
             _ => None,
         });
         let (state, listed) = (&self.state, listed.collect());
-        state.fatal.change(|requests| requests.retain_stored(state.now(), &listed));
+        let version = page.version;
+        state.fatal.change(|requests| requests.retain_stored(state.now(), version, &listed));
         changes.into_iter().for_each(|change| self.take(change));
         self.state.set_has_fatal_requests();
     }
--- a/crates/policy/src/fatal/mod.rs
+++ b/crates/policy/src/fatal/mod.rs
@@ -323,12 +323,26 @@
         }
     }
 
-    /// The store was read anew, and has rows of these requests only.
-    pub fn retain_stored(&mut self, now: MonoTime, stored: &BTreeSet<RequestFingerprint>) {
-        let has_row = |record: &Record| record.row.is_some();
-        let known = self.records.iter().filter(|(_, record)| has_row(record));
-        let gone = known.map(|(request, _)| *request).filter(|request| !stored.contains(request));
-        for request in gone.collect::<Vec<_>>() {
+    /// The store was read anew at a version, and has rows of these requests only. Where it has come back
+    /// from a copy meanwhile, the others are held back as before, and are to be stored again.
+    pub fn retain_stored(
+        &mut self,
+        now: MonoTime,
+        version: StoreVersion,
+        stored: &BTreeSet<RequestFingerprint>,
+    ) {
+        let mut unstored = Vec::new();
+        for (request, record) in &mut self.records {
+            let Some(row) = record.row.filter(|_| !stored.contains(request)) else {
+                continue;
+            };
+            if row.version.era < version.era {
+                record.row = None;
+            } else {
+                unstored.push(*request);
+            }
+        }
+        for request in unstored {
             self.unstored(now, request);
         }
     }
--- a/tests/all/decisions/fatal.rs
+++ b/tests/all/decisions/fatal.rs
@@ -1,5 +1,6 @@
 //! Whose fault the end of an upstream was.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use proptest::collection::vec;
@@ -8,6 +9,7 @@
 use proptest::test_runner::Config;
 use proptest::test_runner::RngSeed;
 use stallhoist_core::RequestFingerprint;
+use stallhoist_core::StoreEra;
 use stallhoist_core::StoreVersion;
 use stallhoist_policy::balance::UpstreamKey;
 use stallhoist_policy::fatal::EndNews;
@@ -66,6 +68,26 @@
     assert!(is_held(&after(&[(FATAL, 1), (FATAL, 2), (FATAL, 3)]), FATAL));
 }
 
+// What the store had acknowledged is gone; nobody else knows that the request is held back.
+#[test]
+fn a_request_is_stored_again_when_the_store_has_come_back_without_it() {
+    let mut requests = stored(1);
+    let returned = StoreVersion { era: StoreEra(1), number: 3 };
+    requests.retain_stored(at_ms(10), returned, &BTreeSet::new());
+    assert!(is_held(&requests, FATAL));
+    let changes = requests.changes(at_ms(1_000), Duration::from_millis(500));
+    let (of, change) = changes[0];
+    assert_eq!((of, change.expected), (request(FATAL), None));
+    assert_eq!(change.record.map(|record| record.tries), Some(1));
+}
+
+#[test]
+fn a_request_whose_row_was_removed_is_not_held_back_any_more() {
+    let mut requests = stored(1);
+    requests.retain_stored(at_ms(10), StoreVersion::of(9), &BTreeSet::new());
+    assert!(!is_held(&requests, FATAL));
+}
+
 #[test]
 fn the_same_end_counts_once() {
     let requests = after(&[(FATAL, 1), (FATAL, 1), (FATAL, 1), (FATAL, 2)]);
--- a/tests/all/gateway/store_returns.rs
+++ b/tests/all/gateway/store_returns.rs
@@ -8,8 +8,10 @@
 use std::time::Instant;
 
 use reqwest::Method;
+use serde_json::Value;
 use serde_json::json;
 use stallhoist_standins::users_platform::Behaviour;
+use stallhoist_standins::users_platform::EndRule;
 use stallhoist_standins::users_platform::StoreCopy;
 use stallhoist_standins::users_platform::StoreStandin;
 
@@ -37,6 +39,8 @@
 /// More writes than the versions have gone back.
 const MANY: usize = 60;
 
+const FATAL: &str = "fatal";
+
 /// Others write rows that say nothing to entries.
 fn others_write(store: &StoreStandin) {
     for n in 0..MANY {
@@ -268,3 +272,33 @@
     come_back(&world, before, write_again, async |n| ask_stream(&world, n).await).await;
     wait_until("the record is back", async || record() == known).await;
 });
+
+case!(a_request_held_back_since_stays_so, async {
+    let world = World::start(PLAIN, &vec![Behaviour::answer("done"); 6]).await;
+    for upstream in &world.upstreams {
+        upstream.ends_on(EndRule::of(FATAL), world.store.writer(), PLAIN);
+    }
+    wait_until("their starts are known", async || {
+        world.dump().await["upstreams"].to_string().matches("Listed").count() == 6
+    })
+    .await;
+    let copy = world.store.copy();
+    let ask = async |n: usize| {
+        let request = world.request(Method::POST, "/once/x", &format!("fatal-{n}")).body(FATAL);
+        send(request).await.map_or(0, |answer| answer.status)
+    };
+    let rows = || -> Vec<Value> { world.store.table("stallhoist-fatal-requests") };
+    for n in 0..3 {
+        assert_eq!(ask(n).await, 502);
+    }
+    wait_until("the store has it", async || rows().len() == 1).await;
+    world.store.come_back_from(copy);
+    wait_until("the store has it again", async || {
+        let status = ask(rand::random_range(10..1_000_000)).await;
+        assert!(status == 503 || status == 502, "{status}");
+        rows().len() == 1
+    })
+    .await;
+    let ends: usize = world.upstreams.iter().map(|upstream| upstream.ends().len()).sum();
+    assert!(ends <= 4, "{ends} upstreams have ended");
+});
