An entry whose own row the store has lost lists itself again

What was seen (our stand-in, code as it was): entries that had listed themselves since the copy were never in the list again. Entries that start later would know neither of them nor of news by them, and would divide what upstreams take among fewer than there are.

Cause: whether an entry is listed was read off what it knew of the list, from which nothing goes. Change: in a new era its own row counts as gone until it is read. Test: a case with three entries, seen failing.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -147,8 +147,10 @@
         match self.feed {
             Feed::Operators => self.unsettled_for_a_while(WRITTEN_AGAIN_WITHIN),
             Feed::Members => self.unsettled_for_a_while(LISTED_AGAIN_WITHIN),
+            // It is listed again by what was read if its row is there, else by itself.
+            Feed::Entries => self.state.peers.lock().own_row_is_gone(),
             // What the system writes, nobody writes again but the entries.
-            Feed::Entries | Feed::Rollouts | Feed::FatalRequests => {}
+            Feed::Rollouts | Feed::FatalRequests => {}
         }
     }
 
--- a/crates/gateway/src/peers/list.rs
+++ b/crates/gateway/src/peers/list.rs
@@ -58,6 +58,11 @@
         self.entries.insert(place, (rank, entry));
     }
 
+    /// The entry's own row is not in the list.
+    pub fn own_row_is_gone(&mut self) {
+        self.entries.retain(|(_, known)| known.host != self.own);
+    }
+
     /// How many entries are listed, also such as have gone since.
     pub fn count(&self) -> usize {
         self.entries.len()
--- a/tests/all/gateway/store_returns.rs
+++ b/tests/all/gateway/store_returns.rs
@@ -115,6 +115,18 @@
     fleet.wait_for_version(3).await;
 });
 
+// Entries write their own rows, which are lost with the rest.
+case!(entries_list_themselves_again, async {
+    let store = StoreStandin::start().await.expect("the store starts");
+    let before = store.copy();
+    drop(store);
+    let fleet = Fleet::of(3).await;
+    wait_until("entries are listed", async || fleet.listed() == 3).await;
+    fleet.store.come_back_from(before);
+    fleet.store.put("op", "config", config(2));
+    wait_until("they are listed again", async || fleet.listed() == 3).await;
+});
+
 /// The store comes back. Operators and upstreams write again only after a while, until which callers ask,
 /// and a while after it.
 async fn come_back(
