Which era of the store a feed is known from is decided without input or output

Change: `era_watch::EraWatch` decides, `follow` reads and logs; the lines on changes have a file of their own (`follow/change_log.rs`). Tests: 9 of the decision.

--- /dev/null
+++ b/crates/gateway/src/era_watch.rs
@@ -0,0 +1,82 @@
+//! Which era of the store a feed is known from, without input or output.
+
+use std::time::Duration;
+
+use stallhoist_core::MonoTime;
+use stallhoist_core::StoreVersion;
+
+/// How long answers of an earlier era than what is known are taken for late ones.
+const LATE_FOR: Duration = Duration::from_secs(10);
+
+/// What an answer of a version is, by its era.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EraOfAnswer {
+    /// That which is known, or the first.
+    Known,
+    /// A later one: the store has come back from a copy since this version.
+    Later(StoreVersion),
+    /// An earlier one than that of this version: a copy that another entry held, or an answer that was
+    /// long on its way.
+    Late(StoreVersion),
+    /// An earlier one, and no other ones have come for long: it is to be believed.
+    Back(StoreVersion),
+}
+
+/// Which era of the store a feed is known from.
+#[derive(Debug, Default)]
+pub struct EraWatch {
+    /// The newest version that was heard of; none before the first.
+    newest: Option<StoreVersion>,
+    /// The store has come back from a copy: until then what is missing there may be written again.
+    unsettled_until: Option<MonoTime>,
+    /// Since when only answers of an earlier era have come.
+    late_since: Option<MonoTime>,
+}
+
+impl EraWatch {
+    /// A whole feed was read at a version.
+    pub fn read(&mut self, now: MonoTime, version: StoreVersion) -> EraOfAnswer {
+        let Some(newest) = self.newest.replace(version) else {
+            return EraOfAnswer::Known;
+        };
+        if version.era >= newest.era {
+            self.newest = Some(newest.max(version));
+            self.late_since = None;
+            let is_later = version.era > newest.era;
+            return if is_later { EraOfAnswer::Later(newest) } else { EraOfAnswer::Known };
+        }
+        let since = *self.late_since.get_or_insert(now);
+        if now.since(since) >= LATE_FOR {
+            self.late_since = None;
+            return EraOfAnswer::Back(newest);
+        }
+        self.newest = Some(newest);
+        EraOfAnswer::Late(newest)
+    }
+
+    /// Changes came, up to a version.
+    pub fn followed(&mut self, version: StoreVersion) {
+        self.newest = self.newest.max(Some(version));
+    }
+
+    /// Whether nothing newer is known than a version.
+    pub fn is_newest(&self, version: StoreVersion) -> bool {
+        self.newest.is_none_or(|newest| version >= newest)
+    }
+
+    /// The newest version that was heard of.
+    pub fn newest(&self) -> Option<StoreVersion> {
+        self.newest
+    }
+
+    /// For so long what is known goes before what the store has.
+    pub fn unsettled_for(&mut self, now: MonoTime, time: Duration) {
+        self.unsettled_until = Some(now.after(time));
+    }
+
+    /// For how much longer that is so; none if it is not.
+    pub fn unsettled_left(&self, now: MonoTime) -> Option<Duration> {
+        let left = self.unsettled_until?.since(now);
+        (!left.is_zero()).then_some(left)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/follow/change_log.rs
@@ -0,0 +1,51 @@
+//! What is logged of changes in the store.
+
+use crate::control_store::Change;
+
+/// One line for each change; a configuration has its own when it comes into force.
+pub(super) fn log_change(change: &Change) {
+    match change {
+        Change::Config(_) | Change::MemberUnreadable(_) => {}
+        Change::RolloutOrdered(order) => log::info!(
+            service:% = order.service,
+            target:% = order.target,
+            row_version:% = order.row_version;
+            "roll-out ordered"
+        ),
+        Change::Rollout(stored) => log::info!(
+            service:% = stored.service,
+            target:% = stored.record.target,
+            phase:? = stored.record.phase,
+            row_version:% = stored.row_version;
+            "roll-out record read"
+        ),
+        Change::MemberListed(member) => log::info!(
+            start:% = member.start,
+            service:% = member.service,
+            version:% = member.version,
+            state:? = member.state,
+            cold:? = member.cold;
+            "upstream listed"
+        ),
+        Change::MemberGone(instance) => {
+            log::info!(instance:% = instance; "upstream's entry has gone");
+        }
+        Change::FatalRequest(stored) => log::info!(
+            fingerprint:% = stored.request,
+            record:? = stored.record;
+            "request is held back"
+        ),
+        Change::FatalRequestGone(request) => {
+            log::info!(fingerprint:% = request; "request is held back no more");
+        }
+        Change::ZoneEmptied(zone) => {
+            log::info!(zone:% = zone; "availability zone is emptied: nothing more is sent there");
+        }
+        Change::ZoneTakenBack(zone) => {
+            log::info!(zone:% = zone; "availability zone is taken back");
+        }
+        Change::EntryListed(entry) => {
+            log::info!(host:% = entry.host, peers_addr:% = entry.peers_addr; "entry listed");
+        }
+    }
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -1,20 +1,24 @@
 //! The tasks that follow the platform's store.
 
+mod change_log;
+
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use backon::BackoffBuilder;
 use backon::ExponentialBuilder;
-use stallhoist_core::MonoTime;
 use stallhoist_core::StoreVersion;
 use stallhoist_policy::cold::ToldCold;
 
+use self::change_log::log_change;
 use crate::control_store::Change;
 use crate::control_store::ControlStore;
 use crate::control_store::ControlStoreError;
 use crate::control_store::Feed;
 use crate::control_store::FeedPage;
+use crate::era_watch::EraOfAnswer;
+use crate::era_watch::EraWatch;
 use crate::log_limit::LogLimit;
 use crate::members::Member;
 use crate::state::GatewayState;
@@ -46,9 +50,6 @@
 /// The same for the list of upstreams: by the platform's page, what is missing after two seconds is gone.
 const LISTED_AGAIN_WITHIN: Duration = Duration::from_millis(2_000);
 
-/// How long answers of an earlier era than what is known are taken for late ones.
-const LATE_FOR: Duration = Duration::from_secs(10);
-
 /// How often it is checked whether a roll-out has begun, whose records must be followed.
 const ROLLOUT_CHECK: Duration = Duration::from_millis(50);
 
@@ -59,15 +60,12 @@
         store,
         feed,
         is_reached: None,
-        newest: None,
-        unsettled_until: None,
-        late_since: None,
+        eras: EraWatch::default(),
         unreadable_rows: LogLimit::default(),
     };
     loop {
         let page = follower.read_until_read().await;
-        follower.note_era(page.version);
-        match follower.unsettled_for() {
+        match follower.eras.unsettled_left(follower.state.now()) {
             Some(left) => follower.take_new_and_follow(page, left).await,
             None => follower.take_and_follow(page).await,
         }
@@ -80,12 +78,7 @@
     feed: Feed,
     /// Whether the last call was answered; none before the first.
     is_reached: Option<bool>,
-    /// The newest version of the store that was heard of; none before the first.
-    newest: Option<StoreVersion>,
-    /// The store has come back from a copy: until then what is missing there may be written again.
-    unsettled_until: Option<MonoTime>,
-    /// Since when only answers of an earlier era have come.
-    late_since: Option<MonoTime>,
+    eras: EraWatch,
     unreadable_rows: LogLimit,
 }
 
@@ -96,57 +89,52 @@
         loop {
             let reading = self.store.read(self.feed);
             match self.state.awakening.uninterrupted(reading).await {
-                Ok(page) if self.is_late(page.version) => {}
-                Ok(page) => {
+                Ok(page) if self.is_believed(page.version) => {
                     self.reached();
                     return page;
                 }
+                Ok(_) => {}
                 Err(error) => self.failed(&error),
             }
             tokio::time::sleep(pauses.next().unwrap_or(MAX_PAUSE)).await;
         }
     }
 
-    /// Whether an answer is of an earlier era than what is known: a copy that another entry held, or one that
-    /// was long on its way. If no other ones come any more, they are believed.
-    fn is_late(&mut self, version: StoreVersion) -> bool {
-        let Some(newest) = self.newest.filter(|newest| version.era < newest.era) else {
-            self.late_since = None;
-            return false;
-        };
-        let now = self.state.now();
-        let since = *self.late_since.get_or_insert(now);
-        let is_late = now.since(since) < LATE_FOR;
+    /// Whether an answer is taken in, by its era. The store may have come back from a copy.
+    fn is_believed(&mut self, version: StoreVersion) -> bool {
+        let of_answer = self.eras.read(self.state.now(), version);
+        match of_answer {
+            EraOfAnswer::Known => {}
+            EraOfAnswer::Later(before) => {
+                log::warn!(
+                    feed:? = self.feed,
+                    before:% = before,
+                    now:% = version;
+                    "the store has come back from a copy"
+                );
+                self.came_back();
+            }
+            EraOfAnswer::Late(newest) | EraOfAnswer::Back(newest) => log::warn!(
+                feed:? = self.feed,
+                version:% = version,
+                newest:% = newest,
+                is_ignored = matches!(of_answer, EraOfAnswer::Late(_));
+                "the store's era is an earlier one than what is known"
+            ),
+        }
+        let is_late = matches!(of_answer, EraOfAnswer::Late(_));
         if !is_late {
-            self.newest = None;
+            self.state.store_is_in(version.era);
         }
-        log::warn!(
-            feed:? = self.feed,
-            version:% = version,
-            newest:% = newest,
-            is_ignored = is_late;
-            "the store's era is an earlier one than what is known"
-        );
-        is_late
+        !is_late
     }
 
-    /// A whole feed was read. The store may have come back from a copy since it was heard of last.
-    fn note_era(&mut self, version: StoreVersion) {
-        self.state.store_is_in(version.era);
-        let before = self.newest;
-        self.newest = before.max(Some(version));
-        let Some(before) = before.filter(|before| before.era < version.era) else {
-            return;
-        };
-        log::warn!(
-            feed:? = self.feed,
-            before:% = before,
-            now:% = version;
-            "the store has come back from a copy"
-        );
+    /// The store has come back from a copy.
+    fn came_back(&mut self) {
+        let now = self.state.now();
         match self.feed {
-            Feed::Operators => self.unsettled_for_a_while(WRITTEN_AGAIN_WITHIN),
-            Feed::Members => self.unsettled_for_a_while(LISTED_AGAIN_WITHIN),
+            Feed::Operators => self.eras.unsettled_for(now, WRITTEN_AGAIN_WITHIN),
+            Feed::Members => self.eras.unsettled_for(now, LISTED_AGAIN_WITHIN),
             // It is listed again by what was read if its row is there, else by itself.
             Feed::Entries => self.state.peers.lock().own_row_is_gone(),
             // What the system writes, nobody writes again but the entries.
@@ -154,16 +142,6 @@
         }
     }
 
-    fn unsettled_for_a_while(&mut self, time: Duration) {
-        self.unsettled_until = Some(self.state.now().after(time));
-    }
-
-    /// For how much longer what is known goes before what the store has; none if it does not.
-    fn unsettled_for(&self) -> Option<Duration> {
-        let left = self.unsettled_until?.since(self.state.now());
-        (!left.is_zero()).then_some(left)
-    }
-
     /// Takes in what surely is new and what is written again, for a while. What is known and was not
     /// written again goes afterwards, when the whole feed is read.
     async fn take_new_and_follow(&mut self, page: FeedPage, time: Duration) {
@@ -202,7 +180,7 @@
                     self.reached();
                     failures = pauses();
                     after = page.version;
-                    self.newest = self.newest.max(Some(after));
+                    self.eras.followed(after);
                     let has_changes = !page.rows.is_empty();
                     self.take_changes(page);
                     if has_changes {
@@ -249,7 +227,7 @@
 
     /// The store may have come back without them.
     fn are_rollouts_needed(&self) -> bool {
-        let known = self.newest.map(|newest| newest.era);
+        let known = self.eras.newest().map(|newest| newest.era);
         self.state.rollouts.lock().is_active() || known < Some(self.state.store_era())
     }
 
@@ -299,7 +277,7 @@
     /// All that operators have written. The zones come first: the configuration lets the entry
     /// serve. A copy that is older than what was known takes no zone back.
     fn take_operators(&mut self, page: FeedPage) {
-        let is_newest = self.newest.is_none_or(|newest| page.version >= newest);
+        let is_newest = self.eras.is_newest(page.version);
         self.note_clock(&page);
         let changes = self.decode(&page);
         if is_newest {
@@ -435,54 +413,6 @@
     }
 }
 
-/// One line for each change; a configuration has its own when it comes into force.
-fn log_change(change: &Change) {
-    match change {
-        Change::Config(_) | Change::MemberUnreadable(_) => {}
-        Change::RolloutOrdered(order) => log::info!(
-            service:% = order.service,
-            target:% = order.target,
-            row_version:% = order.row_version;
-            "roll-out ordered"
-        ),
-        Change::Rollout(stored) => log::info!(
-            service:% = stored.service,
-            target:% = stored.record.target,
-            phase:? = stored.record.phase,
-            row_version:% = stored.row_version;
-            "roll-out record read"
-        ),
-        Change::MemberListed(member) => log::info!(
-            start:% = member.start,
-            service:% = member.service,
-            version:% = member.version,
-            state:? = member.state,
-            cold:? = member.cold;
-            "upstream listed"
-        ),
-        Change::MemberGone(instance) => {
-            log::info!(instance:% = instance; "upstream's entry has gone");
-        }
-        Change::FatalRequest(stored) => log::info!(
-            fingerprint:% = stored.request,
-            record:? = stored.record;
-            "request is held back"
-        ),
-        Change::FatalRequestGone(request) => {
-            log::info!(fingerprint:% = request; "request is held back no more");
-        }
-        Change::ZoneEmptied(zone) => {
-            log::info!(zone:% = zone; "availability zone is emptied: nothing more is sent there");
-        }
-        Change::ZoneTakenBack(zone) => {
-            log::info!(zone:% = zone; "availability zone is taken back");
-        }
-        Change::EntryListed(entry) => {
-            log::info!(host:% = entry.host, peers_addr:% = entry.peers_addr; "entry listed");
-        }
-    }
-}
-
 fn pauses() -> impl Iterator<Item = Duration> {
     ExponentialBuilder::default()
         .with_min_delay(FIRST_PAUSE)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`peers`]: news between entries
 //! - [`rollouts`]: moving a service to a new version
 //! - [`sessions`]: which version each session was answered by
+//! - [`era_watch`]: which era of the store what is known is from
 //! - [`planned_stop`]: what is still taken after a stop was asked for
 //! - [`log_limit`]: keeping lines that others can cause at will out of the log
 //! - `fatal`: requests that end the upstreams that run them
@@ -28,6 +29,7 @@
 pub mod control_store;
 mod decision_log;
 pub mod dialect;
+pub mod era_watch;
 mod error;
 pub mod event_frames;
 mod fatal;
--- /dev/null
+++ b/tests/all/decisions/era_watch.rs
@@ -0,0 +1,70 @@
+//! Which era of the store a feed is known from.
+
+use std::time::Duration;
+
+use stallhoist_core::StoreEra;
+use stallhoist_core::StoreVersion;
+use stallhoist_gateway::era_watch::EraOfAnswer;
+use stallhoist_gateway::era_watch::EraWatch;
+
+use super::at_ms;
+
+fn version(era: u64, number: u64) -> StoreVersion {
+    StoreVersion { era: StoreEra(era), number }
+}
+
+/// After these whole reads, one each second, the last of them is so.
+macro_rules! last_is {
+    ($name:ident, $reads:expr, $expected:expr) => {
+        #[test]
+        fn $name() {
+            let mut watch = EraWatch::default();
+            let reads: &[StoreVersion] = &$reads;
+            let answers = (0..).zip(reads).map(|(s, read)| watch.read(at_ms(1_000 * s), *read));
+            assert_eq!(answers.last(), Some($expected));
+        }
+    };
+}
+
+last_is!(the_first_is_the_known_one, [version(7, 3)], EraOfAnswer::Known);
+last_is!(an_older_one_of_the_same_era, [version(7, 3), version(7, 2)], EraOfAnswer::Known);
+last_is!(
+    the_store_has_come_back,
+    [version(7, 9), version(8, 2)],
+    EraOfAnswer::Later(version(7, 9))
+);
+last_is!(it_has_come_back_twice, [version(0, 9), version(2, 1)], EraOfAnswer::Later(version(0, 9)));
+last_is!(once_it_is_known, [version(7, 9), version(8, 2), version(8, 1)], EraOfAnswer::Known);
+last_is!(
+    a_late_one,
+    [version(7, 9), version(8, 2), version(7, 10)],
+    EraOfAnswer::Late(version(8, 2))
+);
+
+#[test]
+fn one_that_comes_for_long_is_believed() {
+    let mut watch = EraWatch::default();
+    watch.read(at_ms(0), version(8, 2));
+    assert_eq!(watch.read(at_ms(1_000), version(0, 5)), EraOfAnswer::Late(version(8, 2)));
+    assert_eq!(watch.read(at_ms(10_999), version(0, 5)), EraOfAnswer::Late(version(8, 2)));
+    assert_eq!(watch.read(at_ms(11_000), version(0, 5)), EraOfAnswer::Back(version(8, 2)));
+    assert_eq!(watch.read(at_ms(11_001), version(0, 6)), EraOfAnswer::Known);
+}
+
+#[test]
+fn a_late_one_before_one_that_is_not_does_not_count_for_the_next() {
+    let mut watch = EraWatch::default();
+    watch.read(at_ms(0), version(8, 2));
+    watch.read(at_ms(1_000), version(7, 5));
+    watch.read(at_ms(2_000), version(8, 3));
+    assert_eq!(watch.read(at_ms(12_000), version(7, 5)), EraOfAnswer::Late(version(8, 3)));
+}
+
+#[test]
+fn what_is_known_goes_first_for_so_long() {
+    let mut watch = EraWatch::default();
+    assert_eq!(watch.unsettled_left(at_ms(0)), None);
+    watch.unsettled_for(at_ms(0), Duration::from_secs(5));
+    assert_eq!(watch.unsettled_left(at_ms(4_000)), Some(Duration::from_secs(1)));
+    assert_eq!(watch.unsettled_left(at_ms(5_000)), None);
+}
--- a/tests/all/decisions/mod.rs
+++ b/tests/all/decisions/mod.rs
@@ -3,6 +3,7 @@
 mod balance;
 mod cold;
 mod directory;
+mod era_watch;
 mod event_frames;
 mod fatal;
 mod fleet_work;
