--- a/tests/all/soak/faults.rs
+++ b/tests/all/soak/faults.rs
@@ -50,6 +50,7 @@
             }
             Fault::StoreLink { gateway, kind, lasts } => self.fail_store_link(gateway, kind, lasts),
             Fault::Store { kind, lasts } => self.fail_store(kind, lasts),
+            Fault::StoreReturn { lasts } => self.return_store(lasts),
             Fault::UpstreamLink { upstream, kind, lasts } => {
                 self.fail_upstream_link(upstream, kind, lasts);
             }
@@ -165,6 +166,18 @@
         self.recover_after(lasts, async move { store.set_fault(None) });
     }
 
+    /// The store comes back from a copy that is so old. What operators and upstreams had written since is
+    /// there again at once: of what is late, entries that start then cannot know.
+    fn return_store(&mut self, lasts: Duration) {
+        self.store_faults.push(Period::from_now(lasts + LISTED_AFTER));
+        let copy = self.store.copy();
+        let store = Arc::clone(&self.store);
+        self.recover_after(lasts, async move {
+            let lost = store.come_back_from(copy);
+            store.write_again(lost);
+        });
+    }
+
     /// The store is away, and meanwhile all entries of upstreams lapse.
     fn lapse(&mut self, lasts: Duration) {
         self.store_faults.push(Period::from_now(lasts + LISTED_AFTER));
--- a/tests/all/soak/plan.rs
+++ b/tests/all/soak/plan.rs
@@ -42,6 +42,10 @@
 const LIMITS_IN_TEN_S: Range<u32> = 3..60;
 const WORDS_SEED: u64 = 0x5A15_0046;
 
+/// When the store next comes back from a copy.
+const RETURN_EVERY_MS: Range<u64> = 2_500..6_000;
+const RETURNS_SEED: u64 = 0xE4A5_0037;
+
 /// A fault of the connection between two processes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum LinkFault {
@@ -117,6 +121,10 @@
         kind: StoreFaultKind,
         lasts: Duration,
     },
+    /// The store comes back from a copy, so old.
+    StoreReturn {
+        lasts: Duration,
+    },
     UpstreamLink {
         upstream: usize,
         kind: LinkFault,
@@ -184,6 +192,7 @@
         faults.extend(draw_all(series, FATAL_SERIES_EVERY_MS, lasts, |_| Fault::FatalSeries));
         faults.extend(draw_all(seed ^ ZONES_SEED, ZONE_FAULT_EVERY_MS, lasts, draw_zone));
         faults.extend(draw_all(seed ^ WORDS_SEED, WORD_EVERY_MS, lasts, draw_word));
+        faults.extend(draw_all(seed ^ RETURNS_SEED, RETURN_EVERY_MS, lasts, draw_return));
         faults.sort_by_key(|(at, _)| *at);
         Self { faults }
     }
@@ -242,6 +251,11 @@
     }
 }
 
+/// A store that comes back from a copy.
+fn draw_return(rng: &mut StdRng) -> Fault {
+    Fault::StoreReturn { lasts: Duration::from_millis(rng.random_range(FAULT_LASTS_MS)) }
+}
+
 /// What an upstream says of itself.
 fn draw_word(rng: &mut StdRng) -> Fault {
     let upstream = rng.random_range(0..2 * UPSTREAMS);
