What a record is to its order is remembered across eras: a model of the store's return finds four ways to begin anew

An entry that knew no record put the order after a record that the other had written before the order was there again, and began anew. 2. One that had read the record before it read any order took it for one that did not answer. 3. An order read in a later era than the records, whose condition still held, replaced an end that the store had kept. 4. A record stored before its order was written again looked older than it to entries that started later.

Cause: row versions of two eras were compared after all, by the number at which an order was read first. Change: `rollouts::order_and_record` remembers whether the record is later than the order; a step of the same roll-out keeps that. Nothing is written before the records were read in the order's era. A record whose order was written again after it is stored again. Ruled out: that the condition of a write holds by chance for another row of the same number, which nothing of ours can tell; the model leaves it out.

The unit test of an order that is read again says now that its record is stored again.

--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -1,6 +1,7 @@
 //! Roll-outs: which version a request goes to, and the task that takes the next step.
 
 mod driver;
+mod order_and_record;
 mod service_rollout;
 mod state;
 mod told_time;
--- a/crates/gateway/src/rollouts/service_rollout.rs
+++ b/crates/gateway/src/rollouts/service_rollout.rs
@@ -4,6 +4,7 @@
 
 use stallhoist_core::HostId;
 use stallhoist_core::ServiceName;
+use stallhoist_core::StoreEra;
 use stallhoist_core::StoreVersion;
 use stallhoist_core::VersionName;
 use stallhoist_policy::rollout::EvidenceTotals;
@@ -23,23 +24,15 @@
 use super::ToldTime;
 use super::Verdict;
 use super::VersionRule;
+use super::order_and_record::OrderAndRecord;
 use crate::control_store::RolloutChange;
 use crate::control_store::RolloutOrder;
 use crate::control_store::StoredRollout;
 
-/// The version of a row in the store; none if there is none.
-#[derive(Debug, Clone, Copy)]
-struct RowInStore(Option<StoreVersion>);
-
 /// What an entry knows of the roll-out of one service.
 #[derive(Debug, Default)]
 pub(super) struct ServiceRollout {
-    pub(super) order: Option<RolloutOrder>,
-    /// The store's version when the order was read first: a record that answers it is later.
-    ordered_at: StoreVersion,
-    pub(super) stored: Option<StoredRollout>,
-    /// Where the store has come back from a copy without the record: what it has in its place.
-    in_its_place: Option<RowInStore>,
+    pub(super) known: OrderAndRecord,
     pub(super) evidence: RolloutEvidence,
     /// What other entries had counted when they last told.
     pub(super) peers: HashMap<HostId, EvidenceTotals>,
@@ -56,13 +49,7 @@
 impl ServiceRollout {
     /// The record, if it answers the newest order.
     pub(super) fn current(&self) -> Option<&StoredRollout> {
-        let stored = self.stored.as_ref()?;
-        let answers = |order: &RolloutOrder| {
-            let is_later = self.ordered_at < stored.row_version;
-            is_later && order.asks_for(&stored.record)
-        };
-        let is_answer = self.order.as_ref().is_none_or(answers);
-        is_answer.then_some(stored)
+        self.known.current()
     }
 
     pub(super) fn is_running(&self) -> bool {
@@ -76,9 +63,9 @@
 
     /// A new order: what is known of the version in force is kept, also from before the order.
     /// The new version is compared with it at once, at whatever load it was seen.
-    fn forget_new_version(&mut self) {
+    fn forget_new_version(&mut self, was_completed: bool) {
         let evidence = std::mem::take(&mut self.evidence);
-        if !self.is_completed() || self.has_adopted_target {
+        if !was_completed || self.has_adopted_target {
             self.evidence = evidence.of_next_order();
         }
         self.has_adopted_target = false;
@@ -93,7 +80,7 @@
         load: u32,
         observation: Observation,
     ) {
-        let is_target = self.order.as_ref().is_some_and(|order| order.target == *version);
+        let is_target = self.known.order().is_some_and(|order| order.target == *version);
         match (is_target, self.is_completed()) {
             (true, false) => self.evidence.new_version(kind, load, observation),
             (false, false) => self.evidence.old_version(kind, load, observation),
@@ -136,60 +123,30 @@
     /// An operator's order was read. After the store has come back from a copy, the one that is known may
     /// be read again, from another row.
     pub(super) fn ordered(&mut self, order: RolloutOrder) {
-        if self.order.as_ref().is_some_and(|known| order.repeats(known)) {
-            if self.current().is_none() {
-                self.ordered_at = order.row_version;
-            }
-        } else if self.order_version() != Some(order.row_version) {
-            self.ordered_at = order.row_version;
-            self.forget_new_version();
+        let is_completed = self.is_completed();
+        if self.known.order_is(order) {
+            self.forget_new_version(is_completed);
             self.peers.clear();
             self.is_found_bad = false;
             self.has_told_times = false;
             self.is_told_completed = false;
         }
-        self.order = Some(order);
     }
 
     /// A record was read. Older ones than what is known change nothing.
     pub(super) fn stored(&mut self, stored: StoredRollout) {
-        let Some(known) = &self.stored else {
-            self.stored = Some(stored);
-            return;
-        };
-        if stored.row_version <= known.row_version {
-            return;
-        }
-        let is_restored = known.row_version.era < stored.row_version.era;
-        let is_same = known.record == stored.record;
-        if is_restored && !is_same && known.record.outlives(&stored.record) {
-            self.in_its_place = Some(RowInStore(Some(stored.row_version)));
-            return;
-        }
-        if is_restored && is_same && self.current().is_none() {
-            // It answers the order no more than before.
-            self.ordered_at = self.ordered_at.max(stored.row_version);
-        }
-        self.in_its_place = None;
-        self.stored = Some(stored);
+        self.known.record_is(stored);
     }
 
-    /// The store was read whole at a version, and has no record.
+    /// All records were read at a version, and this one is not there.
     pub(super) fn not_recorded(&mut self, version: StoreVersion) {
-        let known = self.stored.as_ref().map(|stored| stored.row_version);
-        if known.is_some_and(|known| known.era < version.era) {
-            self.in_its_place = Some(RowInStore(None));
-        }
+        self.known.no_record_is_there(version);
     }
 
     /// Whether another entry tells of the same order. It tells the number alone: the same order has another
     /// one once it is written again.
     fn is_of_order(&self, told: StoreVersion) -> bool {
-        self.order_version().is_some_and(|own| own.number == told.number)
-    }
-
-    fn order_version(&self) -> Option<StoreVersion> {
-        self.order.as_ref().map(|order| order.row_version)
+        self.known.order_version().is_some_and(|own| own.number == told.number)
     }
 
     /// Which versions a request goes to. `now_ms` is the store's clock.
@@ -203,7 +160,7 @@
         let Some(stored) = self.current() else {
             // An order whose record is not known: the new version gets work only when it is
             // all there is, as after a roll-out that was completed before this process began.
-            return match &self.order {
+            return match self.known.order() {
                 Some(order) => VersionRule::first_except(&order.target),
                 None => VersionRule::any(),
             };
@@ -265,7 +222,7 @@
 
     /// The old version's usual times, while a roll-out is under way.
     pub(super) fn known_times(&self) -> Vec<ToldTime> {
-        let Some(order) = self.order.as_ref().filter(|_| self.is_running()) else {
+        let Some(order) = self.known.order().filter(|_| self.is_running()) else {
             return Vec::new();
         };
         let told = |(kind, known): (&RequestKind, KnownTime)| ToldTime {
@@ -287,7 +244,7 @@
 
     /// What is known of the end of the roll-out.
     pub(super) fn verdict(&self) -> Option<Verdict> {
-        let order = self.order.as_ref()?;
+        let order = self.known.order()?;
         let ending = if self.is_completed() {
             Ending::Completed
         } else if self.is_found_bad && self.is_running() {
@@ -317,14 +274,20 @@
         }
     }
 
-    /// The change to be stored now. `now_ms` is the store's clock.
-    pub(super) fn due(&self, config: &RolloutConfig, now_ms: u64) -> Option<RolloutChange> {
-        let order = self.order.as_ref()?;
+    /// The change to be stored now. `now_ms` is the store's clock; the records were read last in an era:
+    /// where the order is known from a later one, it is not known what the store has.
+    pub(super) fn due(
+        &self,
+        config: &RolloutConfig,
+        now_ms: u64,
+        records_era: StoreEra,
+    ) -> Option<RolloutChange> {
+        let order = self.known.order()?;
         let service = order.service.clone();
-        let expected = match self.in_its_place {
-            Some(RowInStore(version)) => version,
-            None => self.stored.as_ref().map(|stored| stored.row_version),
-        };
+        if records_era < order.row_version.era {
+            return None;
+        }
+        let expected = self.known.expected();
         let Some(stored) = self.current() else {
             let record = RolloutRecord {
                 target: order.target.clone(),
@@ -334,8 +297,7 @@
             };
             return Some(RolloutChange { service, expected, record });
         };
-        if self.in_its_place.is_some() {
-            // Nobody but the entries knows of it.
+        if self.known.is_to_be_stored_again() {
             return Some(RolloutChange { service, expected, record: stored.record.clone() });
         }
         if self.is_completed() {
--- a/crates/gateway/src/rollouts/state.rs
+++ b/crates/gateway/src/rollouts/state.rs
@@ -7,6 +7,7 @@
 use stallhoist_core::HostId;
 use stallhoist_core::MonoTime;
 use stallhoist_core::ServiceName;
+use stallhoist_core::StoreEra;
 use stallhoist_core::StoreVersion;
 use stallhoist_core::VersionName;
 use stallhoist_policy::rollout::EvidenceStanding;
@@ -30,6 +31,8 @@
 pub struct Rollouts {
     config: RolloutConfig,
     services: BTreeMap<ServiceName, ServiceRollout>,
+    /// The era of the store in which the records were read last.
+    records_era: StoreEra,
     /// The store's clock less this process's, as last seen, both in milliseconds.
     clock_offset_ms: Option<i64>,
 }
@@ -52,24 +55,27 @@
 
     /// A record was read. Older ones than what is known change nothing.
     pub fn stored(&mut self, stored: StoredRollout) {
+        self.records_era = self.records_era.max(stored.row_version.era);
         self.services.entry(stored.service.clone()).or_default().stored(stored);
     }
 
     /// The store was read whole at a version, and has records of these services only.
     pub fn retain_recorded(&mut self, version: StoreVersion, recorded: &BTreeSet<ServiceName>) {
+        self.records_era = self.records_era.max(version.era);
         let others = self.services.iter_mut().filter(|(service, _)| !recorded.contains(service));
         others.for_each(|(_, rollout)| rollout.not_recorded(version));
     }
 
     /// Whether an order for a service is known.
     pub fn has_order(&self, service: &ServiceName) -> bool {
-        self.services.get(service).is_some_and(|rollout| rollout.order.is_some())
+        self.services.get(service).is_some_and(|rollout| rollout.known.order().is_some())
     }
 
     /// Whether a roll-out is under way.
     pub fn is_active(&self) -> bool {
         self.services.values().any(|rollout| {
-            rollout.order.is_some() && rollout.current().is_none_or(|s| !s.record.is_settled())
+            rollout.known.order().is_some()
+                && rollout.current().is_none_or(|s| !s.record.is_settled())
         })
     }
 
@@ -118,7 +124,7 @@
         let running = self.services.values().filter(|rollout| rollout.is_running());
         running
             .filter_map(|rollout| {
-                let order = rollout.order.as_ref()?;
+                let order = rollout.known.order()?;
                 Some((order.service.clone(), order.row_version, rollout.evidence.own()))
             })
             .collect()
@@ -199,7 +205,8 @@
             return Vec::new();
         }
         let now_ms = self.store_now_ms(now);
-        self.services.values().filter_map(|rollout| rollout.due(&self.config, now_ms)).collect()
+        let due = |rollout: &ServiceRollout| rollout.due(&self.config, now_ms, self.records_era);
+        self.services.values().filter_map(due).collect()
     }
 
     fn store_now_ms(&self, now: MonoTime) -> u64 {
@@ -208,7 +215,7 @@
 
     /// The state of each roll-out, for the state dump: service, target and phase.
     pub fn summary(&self) -> Vec<(ServiceName, RolloutRecord, StoreVersion)> {
-        let stored = self.services.values().filter_map(|rollout| rollout.stored.clone());
+        let stored = self.services.values().filter_map(|rollout| rollout.known.stored().cloned());
         stored.map(|stored| (stored.service, stored.record, stored.row_version)).collect()
     }
 }
--- a/crates/policy/src/rollout/record.rs
+++ b/crates/policy/src/rollout/record.rs
@@ -49,13 +49,17 @@
     /// Whether this, which is known, goes before what a store has that has come back from a copy. That is
     /// an earlier state of it or of another roll-out, or was begun by one that did not know of it.
     pub fn outlives(&self, restored: &Self) -> bool {
-        let is_same = self.target == restored.target && self.started_ms == restored.started_ms;
-        if is_same {
+        if self.is_same_rollout(restored) {
             return self.phase.rank() >= restored.phase.rank();
         }
         self.is_settled() || self.started_ms > restored.started_ms
     }
 
+    /// Whether another record is of the same roll-out, in whichever phase.
+    pub fn is_same_rollout(&self, other: &Self) -> bool {
+        self.target == other.target && self.started_ms == other.started_ms
+    }
+
     /// Whether nothing more will change.
     pub fn is_settled(&self) -> bool {
         matches!(self.phase, RolloutPhase::Completed | RolloutPhase::RolledBack)
--- a/tests/all/decisions/mod.rs
+++ b/tests/all/decisions/mod.rs
@@ -23,6 +23,7 @@
 mod routing;
 mod sessions;
 mod step_up;
+mod store_return_model;
 
 use std::time::Duration;
 
--- a/tests/all/decisions/rollout_rules.rs
+++ b/tests/all/decisions/rollout_rules.rs
@@ -390,6 +390,9 @@
     let mut rollouts = rollouts(RolloutPhase::Completed);
     rollouts.ordered(RolloutOrder { row_version: later(30), ..order(0) });
     rollouts.stored(restored(RolloutPhase::Completed, 11));
+    // An entry that starts would take the order for a new one, as it is later than the record.
+    assert_eq!(due(&rollouts), Some((RolloutPhase::Completed, Some(later(11)))));
+    rollouts.stored(restored(RolloutPhase::Completed, 31));
     assert_eq!(due(&rollouts), None);
     assert_eq!(rule(&rollouts, 0.99, Some("v1")).wanted, new());
 }
--- /dev/null
+++ b/tests/all/decisions/store_return_model.rs
@@ -0,0 +1,296 @@
+//! The record of a roll-out at a store that comes back from copies: a model, played at random.
+//!
+//! Two entries, one order, which operators may replace, one record. Entries read when they like, their
+//! writes are conditional and the answers to them are lost; one of them starts again and again. What the
+//! other knows of the end stays, and the newest order is followed.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use proptest::collection::vec;
+use proptest::prelude::Strategy;
+use proptest::prop_oneof;
+use proptest::proptest;
+use proptest::strategy::Just;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngSeed;
+use stallhoist_core::MonoTime;
+use stallhoist_core::ServiceName;
+use stallhoist_core::StoreEra;
+use stallhoist_core::StoreVersion;
+use stallhoist_core::VersionName;
+use stallhoist_gateway::control_store::RolloutOrder;
+use stallhoist_gateway::control_store::StoredRollout;
+use stallhoist_gateway::rollouts::Ending;
+use stallhoist_gateway::rollouts::Rollouts;
+use stallhoist_gateway::rollouts::Verdict;
+use stallhoist_gateway::rollouts::VersionFilter;
+use stallhoist_policy::rollout::RolloutConfig;
+use stallhoist_policy::rollout::RolloutPhase;
+use stallhoist_policy::rollout::RolloutRecord;
+
+use super::at_ms;
+
+/// Between two steps: the order's time, 20 s, is over after some of them.
+const STEP_MS: u64 = 1_500;
+
+/// The entry that never starts again.
+const LASTING: usize = 0;
+
+/// The one that does.
+const RESTARTING: usize = 1;
+
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    /// Operators order it, for the first time or for another duration.
+    Order,
+    ReadOrder(usize),
+    ReadRecord(usize),
+    Write(usize),
+    FindBad(usize),
+    Restart,
+    Copy,
+    Return,
+    /// Operators write again what the store has lost of theirs.
+    WriteOrderAgain,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        1 => Just(Step::Order),
+        6 => (0..2_usize).prop_map(Step::ReadOrder),
+        6 => (0..2_usize).prop_map(Step::ReadRecord),
+        6 => (0..2_usize).prop_map(Step::Write),
+        1 => (0..2_usize).prop_map(Step::FindBad),
+        1 => Just(Step::Restart),
+        2 => Just(Step::Copy),
+        2 => Just(Step::Return),
+        2 => Just(Step::WriteOrderAgain),
+    ]
+}
+
+/// The rows of the store, with the numbers of their last changes.
+#[derive(Debug, Clone, Default)]
+struct Rows {
+    number: u64,
+    /// With the order's duration in seconds.
+    order: Option<(u64, u64)>,
+    record: Option<Row>,
+}
+
+#[derive(Debug, Clone)]
+struct Row {
+    number: u64,
+    /// The era in which it was written.
+    era: u64,
+    record: RolloutRecord,
+}
+
+impl Row {
+    /// Whether the condition of a write holds. That a row has by chance the number of one that was lost
+    /// is left out: a condition cannot tell them apart.
+    fn is(&self, expected: StoreVersion) -> bool {
+        self.number == expected.number && self.era <= expected.era.0
+    }
+}
+
+struct Model {
+    now_ms: u64,
+    era: u64,
+    rows: Rows,
+    copy: Rows,
+    /// The duration in seconds of what operators have ordered, whatever the store has of that.
+    ordered_s: Option<u64>,
+    entries: [Rollouts; 2],
+    /// The end that the lasting entry knows.
+    end: Option<RolloutPhase>,
+}
+
+fn service() -> ServiceName {
+    "s".parse().expect("a name")
+}
+
+fn target() -> VersionName {
+    "v2".parse().expect("a name")
+}
+
+fn new_entry() -> Rollouts {
+    let mut rollouts = Rollouts::new(RolloutConfig::default());
+    rollouts.store_clock(at_ms(0), 0);
+    rollouts
+}
+
+impl Model {
+    fn new() -> Self {
+        Self {
+            now_ms: 0,
+            era: 0,
+            rows: Rows::default(),
+            copy: Rows::default(),
+            ordered_s: None,
+            entries: [new_entry(), new_entry()],
+            end: None,
+        }
+    }
+
+    fn now(&self) -> MonoTime {
+        at_ms(self.now_ms)
+    }
+
+    fn version(&self, number: u64) -> StoreVersion {
+        StoreVersion { era: StoreEra(self.era), number }
+    }
+
+    fn order(&self, number: u64, duration_s: u64) -> RolloutOrder {
+        RolloutOrder {
+            service: service(),
+            target: target(),
+            duration: Duration::from_secs(duration_s),
+            row_version: self.version(number),
+        }
+    }
+
+    fn play(&mut self, step: Step) {
+        self.now_ms += STEP_MS;
+        match step {
+            Step::Order => {
+                self.ordered_s = Some(self.ordered_s.map_or(20, |before| before + 1));
+                self.end = None;
+                self.write_order();
+            }
+            Step::WriteOrderAgain => self.write_order(),
+            Step::ReadOrder(entry) => self.read_order(entry),
+            Step::ReadRecord(entry) => self.read_record(entry),
+            Step::Write(entry) => self.write(entry),
+            Step::FindBad(entry) => self.find_bad(entry),
+            Step::Restart => self.entries[RESTARTING] = new_entry(),
+            Step::Copy => self.copy = self.rows.clone(),
+            Step::Return => {
+                self.era += 1;
+                self.rows = self.copy.clone();
+            }
+        }
+        self.check();
+    }
+
+    /// Operators write what they have ordered, where it is not there.
+    fn write_order(&mut self) {
+        let is_there = self.rows.order.map(|(_, duration_s)| duration_s) == self.ordered_s;
+        if let Some(duration_s) = self.ordered_s.filter(|_| !is_there) {
+            self.rows.number += 1;
+            self.rows.order = Some((self.rows.number, duration_s));
+        }
+    }
+
+    /// An entry that knows an order waits until operators have written again.
+    fn read_order(&mut self, entry: usize) {
+        let Some((number, duration_s)) = self.rows.order else {
+            return;
+        };
+        let is_newest = Some(duration_s) == self.ordered_s;
+        if is_newest || !self.entries[entry].has_order(&service()) {
+            let order = self.order(number, duration_s);
+            self.entries[entry].ordered(order);
+        }
+    }
+
+    fn read_record(&mut self, entry: usize) {
+        let recorded = self.rows.record.iter().map(|_| service()).collect::<BTreeSet<_>>();
+        let version = self.version(self.rows.number);
+        self.entries[entry].retain_recorded(version, &recorded);
+        if let Some(Row { number, record, .. }) = self.rows.record.clone() {
+            let row_version = self.version(number);
+            self.entries[entry].stored(StoredRollout { service: service(), record, row_version });
+        }
+    }
+
+    /// The entry writes what is due. The answer is lost: it learns of it by reading.
+    fn write(&mut self, entry: usize) {
+        for change in self.entries[entry].due(self.now()) {
+            let holds = match (&self.rows.record, change.expected) {
+                (Some(row), Some(expected)) => row.is(expected),
+                (row, expected) => row.is_none() && expected.is_none(),
+            };
+            if holds {
+                self.rows.number += 1;
+                let Rows { number, .. } = self.rows;
+                self.rows.record = Some(Row { number, era: self.era, record: change.record });
+            }
+        }
+    }
+
+    fn find_bad(&mut self, entry: usize) {
+        let Some((number, _)) = self.rows.order else {
+            return;
+        };
+        let order_version = self.version(number);
+        let verdict = Verdict { service: service(), order_version, ending: Ending::Bad };
+        self.entries[entry].told(&verdict);
+    }
+
+    /// The end that the lasting entry has come to know is the one that it goes by ever after.
+    fn check(&mut self) {
+        let known = self.entries[LASTING].summary().pop();
+        let is_newest = |record: &RolloutRecord| {
+            self.ordered_s.is_some_and(|ordered_s| record.duration_ms == 1_000 * ordered_s)
+        };
+        let known = known.filter(|(_, record, _)| record.is_settled() && is_newest(record));
+        let known = known.map(|(_, record, _)| record.phase);
+        assert!(self.end.is_none() || self.end == known, "{:?} became {known:?}", self.end);
+        self.end = known;
+        if let Some(end) = self.end {
+            assert_eq!(self.wanted(LASTING), wanted_by(end));
+        }
+    }
+
+    fn wanted(&self, entry: usize) -> VersionFilter {
+        self.entries[entry].rule(self.now(), &service(), 0.5, None).wanted
+    }
+
+    /// All is written again and read, and what is due is written, until nothing is.
+    fn settle(&mut self) {
+        for _ in 0..20 {
+            for step in [Step::WriteOrderAgain, Step::ReadOrder(0), Step::ReadOrder(1)] {
+                self.play(step);
+            }
+            for entry in [LASTING, RESTARTING] {
+                for step in [Step::ReadRecord(entry), Step::Write(entry)] {
+                    self.play(step);
+                }
+            }
+        }
+    }
+}
+
+/// The version that requests go to after an end.
+fn wanted_by(end: RolloutPhase) -> VersionFilter {
+    match end {
+        RolloutPhase::Completed => VersionFilter::Only(target()),
+        _ => VersionFilter::Except(target()),
+    }
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 4_000,
+        rng_seed: RngSeed::Fixed(37),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn an_end_that_is_known_stays(steps in vec(step(), 0..60)) {
+        let mut model = Model::new();
+        for step in steps {
+            model.play(step);
+        }
+        let end = model.end;
+        model.settle();
+        let stored = model.rows.record.as_ref().map(|row| &row.record);
+        assert_eq!(stored.map(|record| record.duration_ms), model.ordered_s.map(|s| 1_000 * s));
+        if let Some(end) = end {
+            assert_eq!(stored.map(|record| record.phase), Some(end));
+            assert_eq!(model.wanted(RESTARTING), wanted_by(end));
+        }
+    }
+}
