--- a/tests/all/soak/fleet.rs
+++ b/tests/all/soak/fleet.rs
@@ -18,7 +18,6 @@
 use super::gateway_status::poll_readiness;
 use super::operator_config::OperatorConfig;
 use super::period::Period;
-use super::plan::GATEWAYS;
 use super::supervisor::GRACE;
 use super::supervisor::Signal;
 use super::supervisor::Supervisor;
@@ -59,7 +58,7 @@
 }
 
 impl Fleet {
-    pub(super) async fn start(violations: &Violations) -> Self {
+    pub(super) async fn start(gateways: usize, violations: &Violations) -> Self {
         let store = Arc::new(StoreStandin::start().await.expect("the store starts"));
         let upstreams = upstream::start_all(&store).await;
         let fragile = fragile::start_all(&store).await;
@@ -83,14 +82,14 @@
             readiness_polls: Vec::new(),
         };
         fleet.reconfigure();
-        fleet.start_gateways(violations).await;
+        fleet.start_gateways(gateways, violations).await;
         fleet
     }
 
-    async fn start_gateways(&mut self, violations: &Violations) {
+    async fn start_gateways(&mut self, gateways: usize, violations: &Violations) {
         let http = caller::client();
         let mut links = Vec::new();
-        for number in 0..GATEWAYS {
+        for number in 0..gateways {
             let link = FaultProxy::start(self.store.addr()).await.expect("a proxy starts");
             let settings = gateway_settings(number, &link);
             links.push(link);
--- a/tests/all/soak/mod.rs
+++ b/tests/all/soak/mod.rs
@@ -6,8 +6,8 @@
 //! have recorded, and at the end from the gateways' state dumps.
 //!
 //! By hand: `STALLHOIST_SOAK_SEEDS=1..51 STALLHOIST_SOAK_SECONDS=20 cargo test --release
-//! --test all soak -- --nocapture`. Without the variables, in every test run, two seeds are played
-//! for a short time. A seed that ever failed is to be added to those, with a line on the cause.
+//! --test all soak -- --nocapture`, and `STALLHOIST_SOAK_GATEWAYS=40` for other than four. Without the
+//! variables, in every test run, two seeds are played for a short time. A seed that ever failed is to be added to those, with a line on the cause.
 
 mod caller;
 mod faults;
@@ -24,6 +24,7 @@
 mod words;
 mod zones;
 
+use std::str::FromStr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -46,6 +47,7 @@
 use crate::harness::wait_until;
 
 const CALLERS: u64 = 32;
+const USUAL_GATEWAYS: usize = 4;
 /// The seeds of every test run. With a mechanism switched off, these noticed it: retries of what
 /// may run once, untrue refusals and a stop that waits for nothing (1), success without a seal
 /// and answers to other requests (5).
@@ -60,11 +62,12 @@
 async fn play(seed: u64, lasts: Duration) -> Vec<String> {
     let _alone = ONE_AT_A_TIME.lock().await;
     let violations = Violations::default();
-    let mut fleet = Fleet::start(&violations).await;
+    let gateways = given("GATEWAYS").unwrap_or(USUAL_GATEWAYS);
+    let mut fleet = Fleet::start(gateways, &violations).await;
     wait_until("all gateways are ready", async || are_up_to_date(&fleet).await).await;
     let stop = Arc::new(AtomicBool::new(false));
     let callers = start_callers(seed, &fleet, &stop);
-    play_faults(Plan::new(seed, lasts), &mut fleet).await;
+    play_faults(Plan::new(seed, lasts, gateways), &mut fleet).await;
     fleet.settle().await;
     let up_to_date = async || are_up_to_date(&fleet).await;
     wait_until("all gateways know the newest state", up_to_date).await;
@@ -205,12 +208,14 @@
     Some((number(from)..number(to)).collect())
 }
 
-fn given_seconds() -> Option<Duration> {
-    let text = std::env::var("STALLHOIST_SOAK_SECONDS").ok()?;
-    Some(Duration::from_secs(text.parse().expect("seconds are a number")))
+/// A number that an operator gives.
+fn given<T: FromStr>(name: &str) -> Option<T> {
+    let text = std::env::var(format!("STALLHOIST_SOAK_{name}")).ok()?;
+    Some(text.parse().unwrap_or_else(|_| panic!("{name}: {text} is no number")))
 }
 
 case!(invariants_hold_through_the_faults_of_each_seed, async {
     let seeds = given_seeds().unwrap_or(USUAL_SEEDS.to_vec());
-    play_all(seeds, given_seconds().unwrap_or(SHORT)).await;
+    let lasts = given("SECONDS").map_or(SHORT, Duration::from_secs);
+    play_all(seeds, lasts).await;
 });
--- a/tests/all/soak/plan.rs
+++ b/tests/all/soak/plan.rs
@@ -11,7 +11,6 @@
 use super::words::Word;
 
 /// Gateways of a run, and upstreams of each service.
-pub(super) const GATEWAYS: usize = 4;
 pub(super) const UPSTREAMS: usize = 4;
 
 /// The time between two faults; they last longer than that, so that several overlap.
@@ -181,8 +180,10 @@
 }
 
 impl Plan {
-    /// The plan of a seed, whose faults begin within `lasts`.
-    pub(super) fn new(seed: u64, lasts: Duration) -> Self {
+    /// The plan of a seed for so many gateways, whose faults begin within `lasts`.
+    pub(super) fn new(seed: u64, lasts: Duration, gateways: usize) -> Self {
+        let draw = |rng: &mut StdRng| draw(rng, gateways);
+        let draw_transfer = |rng: &mut StdRng| draw_transfer(rng, gateways);
         let mut faults = draw_all(seed, FAULT_EVERY_MS, lasts, draw);
         // Drawn apart, so that the other faults of a seed stay what they were.
         let transfers = seed ^ TRANSFERS_SEED;
@@ -218,8 +219,8 @@
 }
 
 /// What makes transfers long, or lets them never end.
-fn draw_transfer(rng: &mut StdRng) -> Fault {
-    let gateway = rng.random_range(0..GATEWAYS);
+fn draw_transfer(rng: &mut StdRng, gateways: usize) -> Fault {
+    let gateway = rng.random_range(0..gateways);
     let upstream = rng.random_range(0..2 * UPSTREAMS);
     let lasts = Duration::from_millis(rng.random_range(FAULT_LASTS_MS));
     match rng.random_range(0..4) {
@@ -268,8 +269,8 @@
     Fault::Says { upstream, word, lasts }
 }
 
-fn draw(rng: &mut StdRng) -> Fault {
-    let gateway = rng.random_range(0..GATEWAYS);
+fn draw(rng: &mut StdRng, gateways: usize) -> Fault {
+    let gateway = rng.random_range(0..gateways);
     let upstream = rng.random_range(0..2 * UPSTREAMS);
     let lasts = Duration::from_millis(rng.random_range(FAULT_LASTS_MS));
     match rng.random_range(0..28) {
@@ -277,7 +278,7 @@
         3..5 => Fault::Kill { gateway },
         5..7 => Fault::Freeze { gateway, lasts },
         7 => Fault::HangUp { gateway },
-        8 => Fault::KillMany { gateways: rng.random_range(2..=GATEWAYS) },
+        8 => Fault::KillMany { gateways: rng.random_range(2..=gateways) },
         9..12 => Fault::StoreLink { gateway, kind: draw_link(rng), lasts },
         12..14 => Fault::Store { kind: draw_store(rng), lasts },
         14..17 => Fault::UpstreamLink { upstream, kind: draw_link(rng), lasts },
