--- a/tests/all/gateway/store_returns.rs
+++ b/tests/all/gateway/store_returns.rs
@@ -34,7 +34,7 @@
 const WRITTEN_AGAIN_AFTER: Duration = Duration::from_millis(1_800);
 
 /// Until then nothing that is gone from the store is given up, and a while longer.
-const SETTLED_AFTER: Duration = Duration::from_millis(5_000);
+const SETTLED_AFTER: Duration = Duration::from_millis(6_500);
 
 /// More writes than the versions have gone back.
 const MANY: usize = 60;
