What pages of the store say comes into force in a file of its own; records of roll-outs are decoded once

Change: `follow/taking.rs`; one decoding; the match gives what it decides; `RolloutRecord::outlives` says no of an equal record. Figures: none moves but `unreadable_rows` at a whole read of the records, which counts each such row once.

--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -1,17 +1,15 @@
 //! The tasks that follow the platform's store.
 
 mod change_log;
+mod taking;
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use backon::BackoffBuilder;
 use backon::ExponentialBuilder;
 use stallhoist_core::StoreVersion;
-use stallhoist_policy::cold::ToldCold;
 
-use self::change_log::log_change;
 use crate::control_store::Change;
 use crate::control_store::ControlStore;
 use crate::control_store::ControlStoreError;
@@ -20,7 +18,6 @@
 use crate::era_watch::EraOfAnswer;
 use crate::era_watch::EraWatch;
 use crate::log_limit::LogLimit;
-use crate::members::Member;
 use crate::state::GatewayState;
 
 /// The first pause after a failed call, and the longest. Each call has a price, failed
@@ -102,35 +99,37 @@
 
     /// Whether an answer is taken in, by its era. The store may have come back from a copy.
     fn is_believed(&mut self, version: StoreVersion) -> bool {
-        let of_answer = self.eras.read(self.state.now(), version);
-        match of_answer {
+        match self.eras.read(self.state.now(), version) {
             EraOfAnswer::Known => {}
-            EraOfAnswer::Later(before) => {
-                log::warn!(
-                    feed:? = self.feed,
-                    before:% = before,
-                    now:% = version;
-                    "the store has come back from a copy"
-                );
-                self.came_back();
+            EraOfAnswer::Later(before) => self.came_back(before, version),
+            EraOfAnswer::Back(newest) => self.log_earlier_era(version, newest, false),
+            EraOfAnswer::Late(newest) => {
+                self.log_earlier_era(version, newest, true);
+                return false;
             }
-            EraOfAnswer::Late(newest) | EraOfAnswer::Back(newest) => log::warn!(
-                feed:? = self.feed,
-                version:% = version,
-                newest:% = newest,
-                is_ignored = matches!(of_answer, EraOfAnswer::Late(_));
-                "the store's era is an earlier one than what is known"
-            ),
-        }
-        let is_late = matches!(of_answer, EraOfAnswer::Late(_));
-        if !is_late {
-            self.state.store_is_in(version.era);
         }
-        !is_late
+        self.state.store_is_in(version.era);
+        true
+    }
+
+    fn log_earlier_era(&self, version: StoreVersion, newest: StoreVersion, is_ignored: bool) {
+        log::warn!(
+            feed:? = self.feed,
+            version:% = version,
+            newest:% = newest,
+            is_ignored;
+            "the store's era is an earlier one than what is known"
+        );
     }
 
     /// The store has come back from a copy.
-    fn came_back(&mut self) {
+    fn came_back(&mut self, before: StoreVersion, version: StoreVersion) {
+        log::warn!(
+            feed:? = self.feed,
+            before:% = before,
+            now:% = version;
+            "the store has come back from a copy"
+        );
         let now = self.state.now();
         match self.feed {
             Feed::Operators => self.eras.unsettled_for(now, WRITTEN_AGAIN_WITHIN),
@@ -231,161 +230,6 @@
         self.state.rollouts.lock().is_active() || known < Some(self.state.store_era())
     }
 
-    fn take_whole(&mut self, page: FeedPage) {
-        match self.feed {
-            Feed::Members => self.take_members(page),
-            Feed::Operators => self.take_operators(page),
-            Feed::Entries => self.take_changes(page),
-            Feed::FatalRequests => self.take_fatal_requests(page),
-            Feed::Rollouts => self.take_rollouts(page),
-        }
-    }
-
-    /// All records of roll-outs: those of others are gone.
-    fn take_rollouts(&mut self, page: FeedPage) {
-        let version = page.version;
-        let changes = self.decode(&page);
-        let recorded = changes.iter().filter_map(|change| match change {
-            Change::Rollout(stored) => Some(stored.service.clone()),
-            _ => None,
-        });
-        let recorded: BTreeSet<_> = recorded.collect();
-        self.state.rollouts.lock().retain_recorded(version, &recorded);
-        self.take_changes(page);
-        self.state.set_has_rollouts();
-    }
-
-    fn take_members(&mut self, page: FeedPage) {
-        let mut members: Vec<Member> = Vec::new();
-        for change in self.decode(&page) {
-            match change {
-                Change::MemberListed(member) => members.push(member),
-                other => self.take(other),
-            }
-        }
-        log::info!(
-            upstreams = members.len(),
-            store_version:% = page.version;
-            "list of upstreams read"
-        );
-        for start in self.state.upstreams.replace(self.state.now(), members) {
-            self.state.shown_ended(&start);
-        }
-        self.state.set_has_members();
-    }
-
-    /// All that operators have written. The zones come first: the configuration lets the entry
-    /// serve. A copy that is older than what was known takes no zone back.
-    fn take_operators(&mut self, page: FeedPage) {
-        let is_newest = self.eras.is_newest(page.version);
-        self.note_clock(&page);
-        let changes = self.decode(&page);
-        if is_newest {
-            let emptied = changes.iter().filter_map(|change| match change {
-                Change::ZoneEmptied(zone) => Some(zone.clone()),
-                _ => None,
-            });
-            let now = self.state.now();
-            self.state.upstreams.emptied_zones_are(now, &emptied.collect());
-        }
-        changes.into_iter().for_each(|change| self.take(change));
-    }
-
-    /// All requests that are held back: no other one is any more.
-    fn take_fatal_requests(&mut self, page: FeedPage) {
-        let changes = self.decode(&page);
-        let listed = changes.iter().filter_map(|change| match change {
-            Change::FatalRequest(stored) => Some(stored.request),
-            _ => None,
-        });
-        let (state, listed) = (&self.state, listed.collect());
-        let version = page.version;
-        state.fatal.change(|requests| requests.retain_stored(state.now(), version, &listed));
-        changes.into_iter().for_each(|change| self.take(change));
-        self.state.set_has_fatal_requests();
-    }
-
-    fn take_changes(&mut self, page: FeedPage) {
-        self.note_clock(&page);
-        for change in self.decode(&page) {
-            self.take(change);
-        }
-    }
-
-    /// What the store's clock says.
-    fn note_clock(&self, page: &FeedPage) {
-        let now = self.state.now();
-        self.state.rollouts.lock().store_clock(now, page.store_now_ms);
-    }
-
-    /// What the rows of a page say. For one that cannot be read, what was known stays in
-    /// force.
-    fn decode(&mut self, page: &FeedPage) -> Vec<Change> {
-        let mut changes = Vec::new();
-        for row in &page.rows {
-            match self.store.decode(self.feed, row) {
-                Ok(change) => changes.extend(change),
-                Err(error) => {
-                    let outcome = "what was known stays in force";
-                    self.unreadable(&error.key, &error.problem, outcome);
-                }
-            }
-        }
-        changes
-    }
-
-    /// A row cannot be read. Rows of other writers may come as often as they like, so the log
-    /// has one line in a while.
-    fn unreadable(&mut self, key: &str, problem: &str, outcome: &str) {
-        self.state.metrics.unreadable_rows.inc();
-        let Some(left_out) = self.unreadable_rows.pass(self.state.now()) else {
-            return;
-        };
-        log::error!(
-            feed:? = self.feed,
-            key = key,
-            problem = problem,
-            outcome = outcome,
-            left_out = left_out;
-            "a row cannot be read"
-        );
-    }
-
-    fn take(&mut self, change: Change) {
-        if let Change::MemberUnreadable(member) = &change {
-            let outcome = "it names no upstream";
-            self.unreadable(member.instance.as_str(), &member.problem, outcome);
-        }
-        if let Change::MemberListed(member) = &change
-            && member.cold == ToldCold::Unreadable
-        {
-            let outcome = "it is taken to be cold after its start";
-            let problem = "how much longer it is cold is no time";
-            self.unreadable(member.start.instance.as_str(), problem, outcome);
-        }
-        log_change(&change);
-        let state = &self.state;
-        match change {
-            Change::Config(config) => state.install_config(config),
-            Change::RolloutOrdered(order) => state.rollouts.lock().ordered(order),
-            Change::Rollout(stored) => state.rollouts.lock().stored(stored),
-            Change::MemberListed(_) | Change::MemberGone(_) | Change::MemberUnreadable(_) => {
-                for start in state.upstreams.apply(state.now(), change) {
-                    state.shown_ended(&start);
-                }
-            }
-            Change::ZoneEmptied(zone) => state.upstreams.zone_emptied(zone),
-            Change::ZoneTakenBack(zone) => {
-                state.upstreams.zone_taken_back(state.now(), &zone);
-            }
-            Change::EntryListed(entry) => state.entry_listed(entry),
-            Change::FatalRequest(stored) => state.fatal.stored(state.now(), &stored),
-            Change::FatalRequestGone(request) => {
-                state.fatal.change(|requests| requests.unstored(state.now(), request));
-            }
-        }
-    }
-
     fn reached(&mut self) {
         if self.is_reached != Some(true) {
             log::info!(feed:? = self.feed; "store reached");
--- a/crates/gateway/src/rollouts/order_and_record.rs
+++ b/crates/gateway/src/rollouts/order_and_record.rs
@@ -95,11 +95,9 @@
         if known.is_some_and(|known| stored.row_version <= known.row_version) {
             return;
         }
-        let is_same = known.is_some_and(|known| known.record == stored.record);
         let is_outlived = known.is_some_and(|known| {
             let is_restored = known.row_version.era < stored.row_version.era;
-            let may_be = !is_same && (is_restored || is_again_to_be_stored);
-            may_be && known.record.outlives(&stored.record)
+            (is_restored || is_again_to_be_stored) && known.record.outlives(&stored.record)
         });
         let is_step = known.is_some_and(|known| known.record.is_same_rollout(&stored.record));
         if !is_outlived || self.is_record_later.is_none() {
--- a/crates/policy/src/rollout/record.rs
+++ b/crates/policy/src/rollout/record.rs
@@ -50,7 +50,7 @@
     /// an earlier state of it or of another roll-out, or was begun by one that did not know of it.
     pub fn outlives(&self, restored: &Self) -> bool {
         if self.is_same_rollout(restored) {
-            return self.phase.rank() >= restored.phase.rank();
+            return self != restored && self.phase.rank() >= restored.phase.rank();
         }
         self.is_settled() || self.started_ms > restored.started_ms
     }
