--- a/crates/standins/src/users_platform/store_state.rs
+++ b/crates/standins/src/users_platform/store_state.rs
@@ -29,10 +29,13 @@
     version: u64,
 }
 
-/// What the store holds at some moment.
-#[derive(Debug, Clone)]
+/// A row's table and its key there.
+type RowKey = (String, String);
+
+/// What the store holds at some moment; by default nothing.
+#[derive(Debug, Clone, Default)]
 pub struct StoreCopy {
-    rows: BTreeMap<(String, String), Stored>,
+    rows: BTreeMap<RowKey, Stored>,
     version: u64,
     outside_writes: usize,
 }
@@ -44,7 +47,7 @@
 /// A row that an operator or an upstream has written or removed.
 #[derive(Debug, Clone)]
 struct OutsideWrite {
-    key: (String, String),
+    key: RowKey,
     value: Option<Value>,
     raw: Option<String>,
 }
@@ -52,7 +55,7 @@
 /// The rows of the store: of those that were removed the last version is kept.
 #[derive(Debug, Default)]
 pub(super) struct StoreState {
-    rows: BTreeMap<(String, String), Stored>,
+    rows: BTreeMap<RowKey, Stored>,
     version: u64,
     /// How often it has come back from a copy.
     era: u64,
@@ -64,7 +67,7 @@
     pub(super) fault: Option<StoreFault>,
     pub(super) calls: Vec<String>,
     /// Rows that calls cannot change: they are answered, and nothing is written.
-    pub(super) pinned: BTreeSet<(String, String)>,
+    pub(super) pinned: BTreeSet<RowKey>,
 }
 
 impl StoreState {
@@ -97,30 +100,28 @@
     }
 
     pub(super) fn put(&mut self, table: &str, key: &str, value: Value) {
-        let key = (table.to_owned(), key.to_owned());
-        self.write(OutsideWrite { key, value: Some(value), raw: None });
+        self.write(OutsideWrite { key: row_key(table, key), value: Some(value), raw: None });
     }
 
     /// Writes a row as another writer may: its value goes out as it stands.
     pub(super) fn put_raw(&mut self, table: &str, key: &str, raw: &str) {
-        let key = (table.to_owned(), key.to_owned());
-        self.write(OutsideWrite { key, value: Some(Value::Null), raw: Some(raw.to_owned()) });
+        let (key, raw) = (row_key(table, key), Some(raw.to_owned()));
+        self.write(OutsideWrite { key, value: Some(Value::Null), raw });
     }
 
     pub(super) fn remove(&mut self, table: &str, key: &str) {
-        let key = (table.to_owned(), key.to_owned());
-        self.write(OutsideWrite { key, value: None, raw: None });
+        self.write(OutsideWrite { key: row_key(table, key), value: None, raw: None });
     }
 
     fn write(&mut self, write: OutsideWrite) {
         self.version += 1;
         let OutsideWrite { key, value, raw } = write.clone();
-        self.rows.insert(key, Stored { value, raw, version: self.version });
+        self.set(key, value, raw);
         self.outside_writes.push(write);
     }
 
     pub(super) fn get(&self, table: &str, key: &str) -> Option<Value> {
-        self.rows.get(&(table.to_owned(), key.to_owned()))?.value.clone()
+        self.rows.get(&row_key(table, key))?.value.clone()
     }
 
     /// The values of all rows of a table.
@@ -168,28 +169,30 @@
         }
         self.version += 1;
         for entry in list("put") {
-            let (table, key) = key_of(&entry);
-            if self.pinned.contains(&(table.clone(), key.clone())) {
+            let key = key_of(&entry);
+            if self.pinned.contains(&key) {
                 continue;
             }
             let bytes = STANDARD.decode(entry["value"].as_str().unwrap_or_default());
             let value = bytes.ok().and_then(|bytes| serde_json::from_slice(&bytes).ok());
-            self.set(&table, &key, value);
+            self.set(key, value, None);
         }
         for entry in list("remove") {
-            let (table, key) = key_of(&entry);
-            self.set(&table, &key, None);
+            self.set(key_of(&entry), None, None);
         }
         true
     }
 
-    fn set(&mut self, table: &str, key: &str, value: Option<Value>) {
-        let row = Stored { value, raw: None, version: self.version };
-        self.rows.insert((table.to_owned(), key.to_owned()), row);
+    fn set(&mut self, key: RowKey, value: Option<Value>, raw: Option<String>) {
+        self.rows.insert(key, Stored { value, raw, version: self.version });
     }
 }
 
-fn wire((table, key): &(String, String), row: &Stored) -> Value {
+fn row_key(table: &str, key: &str) -> RowKey {
+    (table.to_owned(), key.to_owned())
+}
+
+fn wire((table, key): &RowKey, row: &Stored) -> Value {
     match &row.value {
         Some(value) => json!({
             "table": table,
--- a/tests/all/decisions/fatal.rs
+++ b/tests/all/decisions/fatal.rs
@@ -9,7 +9,6 @@
 use proptest::test_runner::Config;
 use proptest::test_runner::RngSeed;
 use stallhoist_core::RequestFingerprint;
-use stallhoist_core::StoreEra;
 use stallhoist_core::StoreVersion;
 use stallhoist_policy::balance::UpstreamKey;
 use stallhoist_policy::fatal::EndNews;
@@ -19,6 +18,7 @@
 use stallhoist_policy::fatal::Verdict;
 
 use super::at_ms;
+use super::later;
 
 /// A request; each number is another one.
 fn request(n: u32) -> RequestFingerprint {
@@ -72,8 +72,7 @@
 #[test]
 fn a_request_is_stored_again_when_the_store_has_come_back_without_it() {
     let mut requests = stored(1);
-    let returned = StoreVersion { era: StoreEra(1), number: 3 };
-    requests.retain_stored(at_ms(10), returned, &BTreeSet::new());
+    requests.retain_stored(at_ms(10), later(3), &BTreeSet::new());
     assert!(is_held(&requests, FATAL));
     let changes = requests.changes(at_ms(1_000), Duration::from_millis(500));
     let (of, change) = changes[0];
--- a/tests/all/decisions/mod.rs
+++ b/tests/all/decisions/mod.rs
@@ -16,6 +16,7 @@
 mod planned_stop;
 mod reading_speeds;
 mod request_progress;
+mod rollout_eras;
 mod rollout_evidence;
 mod rollout_plan;
 mod rollout_rules;
@@ -28,6 +29,13 @@
 use std::time::Duration;
 
 use stallhoist_core::MonoTime;
+use stallhoist_core::StoreEra;
+use stallhoist_core::StoreVersion;
+
+/// A version that the store gave out after it had come back from a copy.
+fn later(number: u64) -> StoreVersion {
+    StoreVersion { era: StoreEra(1), number }
+}
 
 /// A point in time, in milliseconds since the start.
 fn at_ms(ms: u64) -> MonoTime {
--- a/tests/all/decisions/peers.rs
+++ b/tests/all/decisions/peers.rs
@@ -4,7 +4,6 @@
 
 use stallhoist_core::HostId;
 use stallhoist_core::LinkRate;
-use stallhoist_core::StoreEra;
 use stallhoist_core::StoreVersion;
 use stallhoist_core::ZoneName;
 use stallhoist_gateway::control_store::ControlStoreError;
@@ -17,6 +16,7 @@
 use stallhoist_gateway::peers::PeerList;
 
 use super::at_ms;
+use super::later;
 
 fn host(n: u16) -> HostId {
     format!("entry-{n}").parse().expect("a name")
@@ -231,11 +231,6 @@
     assert!(matches!(answer, Some(Err(ControlStoreError::HistoryGone))));
 }
 
-/// A version that the store gave out after it had come back from a copy.
-fn later(number: u64) -> StoreVersion {
-    StoreVersion { era: StoreEra(1), number }
-}
-
 #[test]
 fn changes_since_an_earlier_era_are_gone() {
     let copies = FeedCopies::default();
--- a/tests/all/decisions/rollout_rules.rs
+++ b/tests/all/decisions/rollout_rules.rs
@@ -1,10 +1,8 @@
 //! Which version a request goes to.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use stallhoist_core::ServiceName;
-use stallhoist_core::StoreEra;
 use stallhoist_core::StoreVersion;
 use stallhoist_core::VersionName;
 use stallhoist_gateway::control_store::RolloutOrder;
@@ -27,7 +25,7 @@
 
 const SHIFTING: RolloutPhase = RolloutPhase::Shifting { since_ms: 12_000 };
 
-fn version(name: &str) -> VersionName {
+pub(super) fn version(name: &str) -> VersionName {
     name.parse().expect("a name")
 }
 
@@ -35,7 +33,7 @@
     "s".parse().expect("a name")
 }
 
-fn order(row_version: u64) -> RolloutOrder {
+pub(super) fn order(row_version: u64) -> RolloutOrder {
     RolloutOrder {
         service: service(),
         target: version("v2"),
@@ -44,14 +42,14 @@
     }
 }
 
-fn stored(phase: RolloutPhase, row_version: u64) -> StoredRollout {
+pub(super) fn stored(phase: RolloutPhase, row_version: u64) -> StoredRollout {
     let record =
         RolloutRecord { target: version("v2"), started_ms: 1_000, duration_ms: 20_000, phase };
     StoredRollout { service: service(), record, row_version: StoreVersion::of(row_version) }
 }
 
 /// An order at row version 10 and its record at 11, at 13 s of the store's clock.
-fn rollouts(phase: RolloutPhase) -> Rollouts {
+pub(super) fn rollouts(phase: RolloutPhase) -> Rollouts {
     let mut rollouts = Rollouts::new(RolloutConfig::default());
     rollouts.store_clock(at_ms(0), 0);
     rollouts.ordered(order(10));
@@ -59,16 +57,16 @@
     rollouts
 }
 
-fn rule(rollouts: &Rollouts, unit: f64, session: Option<&str>) -> VersionRule {
+pub(super) fn rule(rollouts: &Rollouts, unit: f64, session: Option<&str>) -> VersionRule {
     let session = session.map(version);
     rollouts.rule(at_ms(13_000), &service(), unit, session.as_ref())
 }
 
-fn new() -> VersionFilter {
+pub(super) fn new() -> VersionFilter {
     VersionFilter::Only(version("v2"))
 }
 
-fn old() -> VersionFilter {
+pub(super) fn old() -> VersionFilter {
     VersionFilter::Except(version("v2"))
 }
 
@@ -340,86 +338,3 @@
     answers(&mut rollouts, "v3", 100);
     assert!(rollouts.verdicts().iter().any(|verdict| verdict.ending == Ending::Bad));
 }
-
-/// A version that the store gave out after it had come back from a copy.
-fn later(number: u64) -> StoreVersion {
-    StoreVersion { era: StoreEra(1), number }
-}
-
-/// The record of the order, as the store has it after that.
-fn restored(phase: RolloutPhase, number: u64) -> StoredRollout {
-    StoredRollout { row_version: later(number), ..stored(phase, 0) }
-}
-
-/// The step that is due: what is to be stored, and in place of which row.
-fn due(rollouts: &Rollouts) -> Option<(RolloutPhase, Option<StoreVersion>)> {
-    let due = rollouts.due(at_ms(13_000));
-    due.first().map(|change| (change.record.phase, change.expected))
-}
-
-#[test]
-fn a_record_that_the_store_has_lost_is_stored_again() {
-    let mut rollouts = rollouts(RolloutPhase::RolledBack);
-    rollouts.retain_recorded(later(5), &BTreeSet::new());
-    assert_eq!(due(&rollouts), Some((RolloutPhase::RolledBack, None)));
-    assert_eq!(rule(&rollouts, 0.01, None).wanted, old());
-    rollouts.stored(restored(RolloutPhase::RolledBack, 6));
-    assert_eq!(due(&rollouts), None);
-}
-
-#[test]
-fn a_record_that_went_back_is_stored_again() {
-    let mut rollouts = rollouts(RolloutPhase::Completed);
-    rollouts.stored(restored(RolloutPhase::Canary, 11));
-    assert_eq!(due(&rollouts), Some((RolloutPhase::Completed, Some(later(11)))));
-    assert_eq!(rule(&rollouts, 0.99, Some("v1")).wanted, new());
-}
-
-// By an entry that started meanwhile.
-#[test]
-fn a_rollout_that_is_over_goes_before_one_that_was_begun_anew() {
-    let mut rollouts = rollouts(RolloutPhase::Completed);
-    let mut anew = restored(RolloutPhase::Canary, 20);
-    anew.record.started_ms = 9_000;
-    rollouts.stored(anew);
-    assert_eq!(due(&rollouts), Some((RolloutPhase::Completed, Some(later(20)))));
-}
-
-#[test]
-fn an_order_that_is_read_again_is_not_begun_anew() {
-    let mut rollouts = rollouts(RolloutPhase::Completed);
-    rollouts.ordered(RolloutOrder { row_version: later(30), ..order(0) });
-    rollouts.stored(restored(RolloutPhase::Completed, 11));
-    // An entry that starts would take the order for a new one, as it is later than the record.
-    assert_eq!(due(&rollouts), Some((RolloutPhase::Completed, Some(later(11)))));
-    rollouts.stored(restored(RolloutPhase::Completed, 31));
-    assert_eq!(due(&rollouts), None);
-    assert_eq!(rule(&rollouts, 0.99, Some("v1")).wanted, new());
-}
-
-// The record is one of an earlier order of the same version.
-#[test]
-fn an_order_without_an_answer_has_none_when_all_is_read_again() {
-    for is_order_first in [true, false] {
-        let mut rollouts = Rollouts::new(RolloutConfig::default());
-        rollouts.store_clock(at_ms(0), 0);
-        rollouts.stored(stored(RolloutPhase::RolledBack, 5));
-        rollouts.ordered(order(10));
-        let again = RolloutOrder { row_version: later(30), ..order(0) };
-        if is_order_first {
-            rollouts.ordered(again.clone());
-        }
-        rollouts.stored(restored(RolloutPhase::RolledBack, 5));
-        rollouts.ordered(again);
-        assert_eq!(due(&rollouts), Some((RolloutPhase::Canary, Some(later(5)))));
-    }
-}
-
-#[test]
-fn another_order_after_the_return_is_begun() {
-    let mut rollouts = rollouts(RolloutPhase::Completed);
-    rollouts.stored(restored(RolloutPhase::Completed, 11));
-    let other = RolloutOrder { duration: Duration::from_secs(30), ..order(0) };
-    rollouts.ordered(RolloutOrder { row_version: later(9), ..other });
-    assert_eq!(due(&rollouts), Some((RolloutPhase::Canary, Some(later(11)))));
-}
--- a/tests/all/gateway/fleet.rs
+++ b/tests/all/gateway/fleet.rs
@@ -77,6 +77,12 @@
         (0..self.entries.len()).filter(|n| row(*n).is_some()).count()
     }
 
+    /// Waits until all entries have listed themselves.
+    pub(super) async fn wait_until_listed(&self) {
+        let count = self.entries.len();
+        wait_until("all entries are listed", async || self.listed() == count).await;
+    }
+
     /// Where an entry is asked for news, as it listed itself.
     pub(super) fn peers_addr(&self, entry: usize) -> String {
         let row = self.store.get("stallhoist-entries", &format!("entry-{entry}"));
--- a/tests/all/gateway/store_returns.rs
+++ b/tests/all/gateway/store_returns.rs
@@ -18,7 +18,6 @@
 use super::fleet::Fleet;
 use super::rollouts::ask_until;
 use super::rollouts::order;
-use super::rollouts::status;
 use super::rollouts::wait_for_record;
 use super::rollouts::wait_for_status;
 use super::rollouts::world as rollout_world;
@@ -58,7 +57,7 @@
 /// force, although its version is one that entries have seen before.
 async fn configurations_come_into_force(entries: usize) {
     let fleet = Fleet::of(entries).await;
-    wait_until("entries are listed", async || fleet.listed() == entries).await;
+    fleet.wait_until_listed().await;
     let copy = fleet.store.copy();
     others_write(&fleet.store);
     fleet.store.put("op", "config", config(2));
@@ -82,7 +81,7 @@
 // Twice in a row, before all have noticed the first time.
 case!(a_store_that_comes_back_twice, async {
     let fleet = Fleet::of(7).await;
-    wait_until("entries are listed", async || fleet.listed() == 7).await;
+    fleet.wait_until_listed().await;
     let first = fleet.store.copy();
     others_write(&fleet.store);
     fleet.store.put("op", "config", config(2));
@@ -117,14 +116,11 @@
 
 // Entries write their own rows, which are lost with the rest.
 case!(entries_list_themselves_again, async {
-    let store = StoreStandin::start().await.expect("the store starts");
-    let before = store.copy();
-    drop(store);
     let fleet = Fleet::of(3).await;
-    wait_until("entries are listed", async || fleet.listed() == 3).await;
-    fleet.store.come_back_from(before);
+    fleet.wait_until_listed().await;
+    fleet.store.come_back_from(StoreCopy::default());
     fleet.store.put("op", "config", config(2));
-    wait_until("they are listed again", async || fleet.listed() == 3).await;
+    fleet.wait_until_listed().await;
 });
 
 /// The store comes back. Operators and upstreams write again only after a while, until which callers ask,
@@ -156,33 +152,35 @@
     assert_eq!((n, answer.status), (n, 200));
 }
 
-// One that came since the copy is used all the while, though its row is gone for two seconds.
-case!(an_upstream_that_came_since_is_not_given_up, async {
+/// Waits until so many upstreams are listed.
+async fn wait_for_listed(world: &World, count: usize) {
+    wait_until("the upstreams are listed", async || {
+        world.dump().await["upstreams"].to_string().matches("Listed").count() == count
+    })
+    .await;
+}
+
+/// An upstream that came since the store's copy, and its row.
+async fn with_one_since_the_copy() -> (World, StoreCopy, Value) {
     let world = World::start(PLAIN, &[Behaviour::answer("done")]).await;
     world.store.remove("servers", "i-0");
     let copy = world.store.copy();
-    let upstream = &world.upstreams[0];
-    let entry = upstream.entry(PLAIN, "zone-1", "v1", "ready");
+    let entry = world.upstreams[0].entry(PLAIN, "zone-1", "v1", "ready");
     world.store.put("servers", "i-0", entry.clone());
-    wait_until("it is known", async || {
-        world.dump().await["upstreams"].to_string().contains("Listed")
-    })
-    .await;
+    wait_for_listed(&world, 1).await;
+    (world, copy, entry)
+}
+
+// One that came since the copy is used all the while, though its row is gone for two seconds.
+case!(an_upstream_that_came_since_is_not_given_up, async {
+    let (world, copy, entry) = with_one_since_the_copy().await;
     let write_again = |store: &StoreStandin| store.put("servers", "i-0", entry.clone());
     come_back(&world, copy, write_again, async |n| ask_plain(&world, n).await).await;
 });
 
 // One that has gone is given up, once it had time to be listed again.
 case!(an_upstream_that_is_not_listed_again_is_given_up, async {
-    let world = World::start(PLAIN, &[Behaviour::answer("done")]).await;
-    world.store.remove("servers", "i-0");
-    let copy = world.store.copy();
-    let entry = world.upstreams[0].entry(PLAIN, "zone-1", "v1", "ready");
-    world.store.put("servers", "i-0", entry);
-    wait_until("it is known", async || {
-        world.dump().await["upstreams"].to_string().contains("Listed")
-    })
-    .await;
+    let (world, copy, _) = with_one_since_the_copy().await;
     world.store.come_back_from(copy);
     wait_until("it is given up", async || {
         !world.dump().await["upstreams"].to_string().contains("i-0")
@@ -212,10 +210,6 @@
     assert_eq!(send(request).await.expect("an answer").status, 200);
 }
 
-fn is_back(world: &World, state: &str) -> bool {
-    status(world).as_deref() == Some(state)
-}
-
 /// A roll-out ends, and the store comes back from a copy that knows of its order and not of its end, or of
 /// neither. Nothing goes to the version that lost, and operators are told the end again.
 async fn an_end_stays(new: Behaviour, end: &str, loser: usize, is_order_in_copy: bool) {
@@ -240,7 +234,8 @@
     };
     come_back(&world, copy, write_again, async |n| ask_stream(&world, n).await).await;
     assert_eq!(world.upstreams[loser].runs(), lost);
-    wait_until("operators are told the end again", async || is_back(&world, end)).await;
+    // Operators are told again.
+    wait_for_status(&world, end).await;
 }
 
 case!(a_completed_rollout_is_not_begun_anew, {
@@ -290,10 +285,7 @@
     for upstream in &world.upstreams {
         upstream.ends_on(EndRule::of(FATAL), world.store.writer(), PLAIN);
     }
-    wait_until("their starts are known", async || {
-        world.dump().await["upstreams"].to_string().matches("Listed").count() == 6
-    })
-    .await;
+    wait_for_listed(&world, 6).await;
     let copy = world.store.copy();
     let ask = async |n: usize| {
         let request = world.request(Method::POST, "/once/x", &format!("fatal-{n}")).body(FATAL);
