Benches in virtual time share their hosts, upstreams, weights and moments; the ends' decisions have a file of their own

Change: the four stand in `support/seeded_runs.rs`; what entries decide and agree on through the store is `support/ends_decisions.rs`. What is left alike in the two worlds differs in what it plays: a policy each, joins and bursts here, turns there.

--- a/benches/support/cold_world.rs
+++ b/benches/support/cold_world.rs
@@ -7,7 +7,6 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use stallhoist_core::HostId;
-use stallhoist_core::MonoTime;
 use stallhoist_core::StartId;
 use stallhoist_policy::cold::ColdBound;
 use stallhoist_policy::cold::ColdService;
@@ -16,8 +15,12 @@
 use stallhoist_policy::fleet_bound::Fleet;
 use stallhoist_policy::fleet_bound::Place;
 
+use crate::seeded_runs::at;
 use crate::seeded_runs::draw_weighted;
+use crate::seeded_runs::hosts;
 use crate::seeded_runs::next_arrival_s;
+use crate::seeded_runs::starts;
+use crate::seeded_runs::weight;
 
 /// What an upstream bears in a second while it is cold, and the bound by the platform's page.
 pub(crate) const SERVICE: ColdService =
@@ -110,10 +113,6 @@
     figures: Figures,
 }
 
-fn at(seconds: f64) -> MonoTime {
-    MonoTime::default().after(Duration::from_secs_f64(seconds))
-}
-
 /// Plays one return of upstreams.
 pub(crate) fn run(setting: &Setting, way: Way, seed: u64) -> Figures {
     World::new(setting, way, seed).run()
@@ -125,9 +124,7 @@
         let max_owners = if let Way::Among(owners) = way { owners } else { u32::MAX };
         let bound = ColdBound { overage: OVERAGE, slack: SLACK, max_owners };
         let joining = setting.entries * setting.joining / 100;
-        let hosts: Vec<HostId> = (0..setting.entries)
-            .map(|n| format!("host-{seed}-{n}").parse().expect("a name"))
-            .collect();
+        let hosts = hosts(seed, setting.entries);
         let joined_s: Vec<f64> = (0..setting.entries)
             .map(|n| if n < joining { rng.random_range(0.0..RETURN_S) } else { 0.0 })
             .collect();
@@ -140,19 +137,18 @@
                 fleet.announces_itself(at(joined_s[n]));
                 fleet.listed(host.clone());
             }
-            let weight = if n % 3 == 0 { setting.uneven } else { 1.0 };
+            let weight = weight(n, setting.uneven);
             let hears_s = RETURN_S + rng.random_range(0.0..=setting.news_s);
             let joined_s = joined_s[n];
             let cold = ColdUpstreams::new(Some(bound));
             entries.push(Entry { cold, fleet, weight, joined_s, hears_s, has_heard: false });
         }
-        let starts = (0..setting.cold).map(|n| format!("i-{seed}-{n}").parse().expect("a start"));
         let mut world = Self {
             setting,
             way,
             rng,
             entries,
-            starts: starts.collect(),
+            starts: starts(seed, setting.cold),
             came: vec![Vec::new(); setting.cold],
             known: vec![VecDeque::new(); setting.cold],
             figures: Figures::default(),
--- a/benches/support/ends_world.rs
+++ b/benches/support/ends_world.rs
@@ -1,5 +1,8 @@
 //! Entries, upstreams and callers of which some send fatal requests, in virtual time.
 
+#[path = "ends_decisions.rs"]
+mod decisions;
+
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -15,7 +18,6 @@
 use stallhoist_policy::fatal::EndNews;
 use stallhoist_policy::fatal::FatalRecord;
 use stallhoist_policy::fatal::FatalRequests;
-use stallhoist_policy::fatal::Verdict;
 
 use crate::ends_setting::Figures;
 use crate::ends_setting::Joining;
@@ -38,9 +40,6 @@
 const ATTEMPTS: u32 = 3;
 const UNCOUNTED_ENDS: u32 = 3;
 const WORKSPACES: u64 = 20;
-/// These entries write to the store.
-const WRITERS: usize = 3;
-const SETTLED: Duration = Duration::from_millis(500);
 const NEWS_BYTES: u64 = 30;
 /// An upstream whose end does not show at once takes requests again after so long.
 const UNSEEN_BACK_S: f64 = 0.02;
@@ -198,83 +197,6 @@
         }
     }
 
-    /// What may be done with a request: whether it is sent, and whether apart from others.
-    fn allows(&mut self, number: usize) -> Option<bool> {
-        let request = self.requests[number];
-        match self.setting.policy {
-            Policy::Nothing => Some(false),
-            Policy::Oracle => {
-                let is_known = request.body.is_some_and(|body| !self.ends[body].is_empty());
-                (!is_known).then_some(false)
-            }
-            Policy::ByWorkspace => {
-                let known = self.ends.iter().filter_map(|ends| ends.get(2)).min();
-                let heard = known.map(|at| at.after(seconds(self.setting.news_s)));
-                let is_held = request.workspace == 0 && heard.is_some_and(|at| self.now >= at);
-                (!is_held).then_some(false)
-            }
-            Policy::Kept | Policy::Alone => {
-                match self.books[request.entry].verdict(self.now, request.print) {
-                    Verdict::Free => Some(false),
-                    Verdict::Suspect => Some(true),
-                    Verdict::HeldBack { .. } => request.is_trying.then_some(true),
-                    Verdict::MayTry => self.claim(number).then_some(true),
-                }
-            }
-        }
-    }
-
-    /// Asks the store whether a request may be tried again.
-    fn claim(&mut self, number: usize) -> bool {
-        let Request { print, entry, attempts, .. } = self.requests[number];
-        if attempts > 0 {
-            return false;
-        }
-        let Some(change) = self.books[entry].begin_try(self.now, print) else {
-            return false;
-        };
-        let is_agreed = self.commit(print, change.expected, change.record);
-        self.requests[number].is_trying = is_agreed;
-        if !is_agreed {
-            self.books[entry].end_try(self.now, print);
-        }
-        is_agreed
-    }
-
-    fn commit(
-        &mut self,
-        print: RequestFingerprint,
-        expected: Option<StoreVersion>,
-        record: Option<FatalRecord>,
-    ) -> bool {
-        if self.rows.get(&print).map(|(version, _)| *version) != expected {
-            return false;
-        }
-        self.version += 1;
-        let row = record.map(|record| (StoreVersion::of(self.version), record));
-        match row {
-            Some(row) => self.rows.insert(print, row),
-            None => self.rows.remove(&print),
-        };
-        for entry in 0..self.setting.entries {
-            self.add(self.setting.news_s, Event::Stored(entry, print, row));
-        }
-        true
-    }
-
-    fn write(&mut self) {
-        if self.setting.policy == Policy::Kept {
-            for entry in 0..WRITERS.min(self.setting.entries) {
-                let mut changes = self.books[entry].changes(self.now, SETTLED);
-                changes.sort_unstable_by_key(|(print, _)| *print);
-                for (print, change) in changes {
-                    self.commit(print, change.expected, change.record);
-                }
-            }
-        }
-        self.add(TELL_EVERY_S, Event::Writers);
-    }
-
     fn go(&mut self, number: usize) {
         let Some(is_apart) = self.allows(number) else {
             if self.requests[number].body.is_none() {
--- a/benches/support/limits_world.rs
+++ b/benches/support/limits_world.rs
@@ -1,21 +1,22 @@
 //! Entries, and upstreams of which some name a limit, in virtual time.
 
 use std::collections::VecDeque;
-use std::time::Duration;
 
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use stallhoist_core::HostId;
-use stallhoist_core::MonoTime;
 use stallhoist_core::RequestRate;
 use stallhoist_core::StartId;
 use stallhoist_policy::fleet_bound::Fleet;
 use stallhoist_policy::named_limits::NamedLimit;
 use stallhoist_policy::named_limits::NamedLimits;
 
+use crate::seeded_runs::at;
 use crate::seeded_runs::draw_weighted;
+use crate::seeded_runs::hosts;
 use crate::seeded_runs::next_arrival_s;
+use crate::seeded_runs::starts;
+use crate::seeded_runs::weight;
 
 /// The bound by the platform's page: what may come in a window.
 const WINDOW_S: f64 = 4.0;
@@ -104,10 +105,6 @@
     figures: Figures,
 }
 
-fn at(seconds: f64) -> MonoTime {
-    MonoTime::default().after(Duration::from_secs_f64(seconds))
-}
-
 /// Plays some upstreams that name a limit from a moment on.
 pub(crate) fn run(setting: &Setting, way: Way, seed: u64) -> Figures {
     World::new(setting, way, seed).run()
@@ -116,27 +113,23 @@
 impl<'a> World<'a> {
     fn new(setting: &'a Setting, way: Way, seed: u64) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
-        let hosts: Vec<HostId> = (0..setting.entries)
-            .map(|n| format!("host-{seed}-{n}").parse().expect("a name"))
-            .collect();
+        let hosts = hosts(seed, setting.entries);
         let mut entries = Vec::new();
         for (n, host) in hosts.iter().enumerate() {
             let mut fleet = Fleet::new(host);
             let known = if way == Way::Alone { &hosts[n..=n] } else { &hosts[..] };
             known.iter().for_each(|other| fleet.listed(other.clone()));
-            let weight = if n % 3 == 0 { setting.uneven } else { 1.0 };
+            let weight = weight(n, setting.uneven);
             let hears_s = NAMED_S + rng.random_range(0.0..=NEWS_S);
             let limits = NamedLimits::default();
             entries.push(Entry { limits, fleet, weight, hears_s, has_heard: false });
         }
-        let starts =
-            (0..setting.limited).map(|n| format!("i-{seed}-{n}").parse().expect("a start"));
         Self {
             setting,
             way,
             rng,
             entries,
-            starts: starts.collect(),
+            starts: starts(seed, setting.limited),
             came: vec![Vec::new(); setting.limited],
             known: vec![VecDeque::new(); setting.limited],
             used: vec![(0, 0); setting.limited],
--- a/benches/support/seeded_runs.rs
+++ b/benches/support/seeded_runs.rs
@@ -1,9 +1,13 @@
-//! Runs in virtual time: of many seeds on a few threads, and what they draw.
+//! Runs in virtual time: of many seeds on a few threads, what they are played with, and what they draw.
 
 use std::thread;
+use std::time::Duration;
 
 use rand::RngExt;
 use rand::rngs::StdRng;
+use stallhoist_core::HostId;
+use stallhoist_core::MonoTime;
+use stallhoist_core::StartId;
 
 const THREADS: u64 = 4;
 
@@ -22,6 +26,26 @@
     })
 }
 
+/// A moment of a run.
+pub(crate) fn at(seconds: f64) -> MonoTime {
+    MonoTime::default().after(Duration::from_secs_f64(seconds))
+}
+
+/// The hosts of a run, which differ from seed to seed, as their ranks do.
+pub(crate) fn hosts(seed: u64, count: usize) -> Vec<HostId> {
+    (0..count).map(|n| format!("host-{seed}-{n}").parse().expect("a name")).collect()
+}
+
+/// The upstreams of a run.
+pub(crate) fn starts(seed: u64, count: usize) -> Vec<StartId> {
+    (0..count).map(|n| format!("i-{seed}-{n}").parse().expect("a start")).collect()
+}
+
+/// Requests at an entry beside those at others: a third of the entries gets so many times as many.
+pub(crate) fn weight(entry: usize, uneven: f64) -> f64 {
+    if entry.is_multiple_of(3) { uneven } else { 1.0 }
+}
+
 /// When the next request comes, of so many a second.
 pub(crate) fn next_arrival_s(rng: &mut StdRng, now_s: f64, per_s: f64) -> f64 {
     let unit: f64 = rng.random_range(f64::MIN_POSITIVE..1.0);
