--- a/crates/gateway/src/control_store.rs
+++ b/crates/gateway/src/control_store.rs
@@ -18,6 +18,8 @@
 use stallhoist_policy::fatal::FatalChange;
 use stallhoist_policy::fatal::FatalRecord;
 use stallhoist_policy::rollout::RolloutRecord;
+use stallhoist_policy::usage::DutyRecord;
+use stallhoist_policy::usage::DutyWrite;
 
 use crate::members::Member;
 use crate::routing::RoutingConfig;
@@ -188,6 +190,15 @@
     }
 }
 
+/// The record of the duties, as it was read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoredDuty {
+    /// The version of its row; that of the store if there is none.
+    pub version: StoreVersion,
+    /// The record; none if there is no row.
+    pub record: Option<DutyRecord>,
+}
+
 /// A change of a rollout record, made only if the record is still the one that was read.
 #[derive(Debug, Clone)]
 pub struct RolloutChange {
@@ -253,4 +264,13 @@
         request: RequestFingerprint,
         change: &FatalChange,
     ) -> impl Future<Output = Result<(), ControlStoreError>> + Send;
+
+    /// Reads the record of the duties.
+    fn read_duty(&self) -> impl Future<Output = Result<StoredDuty, ControlStoreError>> + Send;
+
+    /// Writes the record of the duties. Returns the version of its row.
+    fn commit_duty(
+        &self,
+        write: &DutyWrite,
+    ) -> impl Future<Output = Result<StoreVersion, ControlStoreError>> + Send;
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`members`]: the known upstreams
 //! - [`peers`]: exchange of data between gateways
 //! - [`rollouts`]: moving a service to a new version
+//! - [`duties`]: what one gateway at a time does for the platform
 //! - [`sessions`]: the version that served each session
 //! - [`era_tracker`]: the store era that the known state belongs to
 //! - [`planned_stop`]: which requests a stopping gateway accepts
@@ -28,6 +29,7 @@
 pub mod control_store;
 mod decision_log;
 pub mod dialect;
+pub mod duties;
 pub mod era_tracker;
 mod error;
 pub mod event_frames;
@@ -55,5 +57,6 @@
 pub use error::GatewayError;
 pub use process::Draining;
 pub use process::Gateway;
+pub use process::GatewayParts;
 pub use process::Leaving;
 pub use process::Serving;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -9,8 +9,10 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::metrics::histogram::exponential_buckets;
+use stallhoist_policy::usage::Delivery;
 use stallhoist_telemetry::MetricsPage;
 
+use crate::duties::DutyStatus;
 use crate::peers::Origin;
 use crate::upstreams::UpstreamCounts;
 
@@ -93,6 +95,35 @@
     pub(crate) origin: Origin,
 }
 
+/// What became of a usage report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub(crate) enum UsageResult {
+    /// The platform accepted it.
+    Delivered,
+    /// The platform rejected it.
+    Rejected,
+    /// A call failed; the report is sent again.
+    Failed,
+    /// There was none: its counts were not known, or it was overdue.
+    LeftOut,
+}
+
+impl UsageResult {
+    pub(crate) fn of(delivery: Delivery) -> Self {
+        match delivery {
+            Delivery::Delivered => Self::Delivered,
+            Delivery::Rejected => Self::Rejected,
+            Delivery::Failed => Self::Failed,
+        }
+    }
+}
+
+/// Labels of usage reports.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct UsageLabels {
+    pub(crate) result: UsageResult,
+}
+
 /// A gauge of a fraction.
 pub(crate) type FractionGauge = Gauge<f64, AtomicU64>;
 
@@ -118,6 +149,10 @@
     pub(crate) first_part_s: Histogram,
     pub(crate) rollout_evidence: Family<EvidenceLabels, FractionGauge>,
     pub(crate) rollout_load: Family<LoadLabels, FractionGauge>,
+    pub(crate) usage_reports: Family<UsageLabels, Counter>,
+    pub(crate) holds_duties: Gauge,
+    pub(crate) duty_epoch: Gauge,
+    pub(crate) usage_sent_through: Gauge,
 }
 
 /// Histogram bounds from 1 ms to 32 s.
@@ -146,6 +181,10 @@
             first_part_s: Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS)),
             rollout_evidence: Family::default(),
             rollout_load: Family::default(),
+            usage_reports: Family::default(),
+            holds_duties: Gauge::default(),
+            duty_epoch: Gauge::default(),
+            usage_sent_through: Gauge::default(),
         }
     }
 }
@@ -187,6 +226,14 @@
         r.register("rollout_evidence", help, self.rollout_evidence.clone());
         let help = "Mean of the requests in progress at the upstreams whose times were compared";
         r.register("rollout_load", help, self.rollout_load.clone());
+        let help = "Usage reports of this gateway by what became of them";
+        r.register("usage_reports", help, self.usage_reports.clone());
+        let help = "Whether this gateway holds the lease of the duties";
+        r.register("holds_duties", help, self.holds_duties.clone());
+        let help = "Fencing token of the holder of the duties";
+        r.register("duty_epoch", help, self.duty_epoch.clone());
+        let help = "Last window up to which all usage reports are done";
+        r.register("usage_sent_through", help, self.usage_sent_through.clone());
     }
 
     /// Sets the gauges of upstream counts.
@@ -201,6 +248,23 @@
         set(&self.emptied_zones, counts.emptied_zones);
     }
 
+    /// Sets the gauges of the duties.
+    pub(crate) fn set_duties(&self, status: Option<&DutyStatus>) {
+        let Some(status) = status else {
+            return;
+        };
+        let set = |gauge: &Gauge, value| {
+            gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+        };
+        set(&self.holds_duties, u64::from(status.is_local));
+        set(&self.duty_epoch, status.epoch.0);
+        set(&self.usage_sent_through, status.sent_through.0);
+    }
+
+    pub(crate) fn record_usage(&self, result: UsageResult, reports: u64) {
+        self.usage_reports.get_or_create(&UsageLabels { result }).inc_by(reports);
+    }
+
     pub(crate) fn record_feed_bytes(&self, origin: Origin, bytes: usize) {
         self.news_bytes.get_or_create(&FeedLabels { origin }).inc_by(bytes as u64);
     }
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -19,6 +19,7 @@
 use stallhoist_policy::rollout::RolloutRecord;
 use stallhoist_telemetry::MetricsPage;
 
+use crate::duties::DutyStatus;
 use crate::state::GatewayState;
 
 /// Mounts readiness at the path that the platform queries.
@@ -76,6 +77,37 @@
     rollouts: Vec<RolloutDump>,
     /// Baseline latencies that new versions are compared with during a rollout.
     usual_times: Vec<String>,
+    /// Who performs the duties; none if there are none, or nothing is known yet.
+    duties: Option<DutyDump>,
+}
+
+#[derive(Debug, Serialize)]
+struct DutyDump {
+    holder: String,
+    epoch: u64,
+    /// How long this gateway has known of this holder.
+    known_for_ms: u64,
+    is_local: bool,
+    /// Whether the holder has given the lease up.
+    is_released: bool,
+    /// The last window whose usage report is fixed.
+    fixed_through: u64,
+    /// The last window up to which all usage reports are done.
+    sent_through: u64,
+}
+
+impl From<DutyStatus> for DutyDump {
+    fn from(status: DutyStatus) -> Self {
+        Self {
+            holder: status.holder.to_string(),
+            epoch: status.epoch.0,
+            known_for_ms: u64::try_from(status.known_for.as_millis()).unwrap_or(u64::MAX),
+            is_local: status.is_local,
+            is_released: status.is_released,
+            fixed_through: status.fixed_through.0,
+            sent_through: status.sent_through.0,
+        }
+    }
 }
 
 #[derive(Debug, Serialize)]
@@ -104,6 +136,7 @@
 #[get("/state")]
 fn dump(state: &State<Arc<GatewayState>>) -> Json<Dump> {
     let rollouts = state.rollouts.lock().summary().into_iter();
+    let duties = state.duties.as_ref().and_then(|duties| duties.status(state.now()));
     Json(Dump {
         host: state.settings.host.id.to_string(),
         is_ready: state.is_ready(),
@@ -117,6 +150,7 @@
         speeds: state.upstreams.speeds_summary(),
         sessions_told: state.sessions.lock().count_from_peers(),
         usual_times: usual_times(state),
+        duties: duties.map(DutyDump::from),
         rollouts: rollouts
             .map(|(service, record, row_version)| RolloutDump {
                 service: service.to_string(),
--- a/crates/gateway/src/peers/list.rs
+++ b/crates/gateway/src/peers/list.rs
@@ -83,6 +83,15 @@
         self.relay_entries().iter().map(|entry| entry.host.clone()).collect()
     }
 
+    /// The position of this gateway in the order in which all gateways take a duty over: the relays first, as the
+    /// counts of all gateways reach them. The last one if it is not listed.
+    pub fn duty_rank(&self) -> usize {
+        let relays = self.relay_entries();
+        let others = self.in_order().filter(|entry| !relays.contains(entry));
+        let mut all = relays.iter().copied().chain(others);
+        all.position(|entry| entry.host == self.local).unwrap_or(self.entries.len())
+    }
+
     /// The other relays, if this gateway is a relay.
     pub fn other_relays(&self) -> Vec<(HostId, SocketAddr)> {
         if !self.poll_targets().is_empty() {
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -9,6 +9,7 @@
 use stallhoist_policy::rollout::TimedCounts;
 use stallhoist_policy::rollout::VersionCounts;
 
+use super::duties::DutyRequest;
 use crate::control_store::Feed;
 use crate::sessions::PinnedSession;
 use crate::sessions::SessionKey;
@@ -70,6 +71,9 @@
     /// Store era of the sender's copy of the feed; absent from older releases.
     #[prost(uint64, optional, tag = "17")]
     pub(super) store_era: Option<u64>,
+    /// What concerns the duties.
+    #[prost(message, optional, tag = "18")]
+    pub(super) duties: Option<DutyRequest>,
 }
 
 /// A rate limit that an upstream has reported.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -18,13 +18,14 @@
 //!
 //! Reading order: `list` and `poll_targets` select peers, `messages` and `response` define the
 //! protocol, `relayed_store` polls, `server` responds from `feed_cache`; `work`, `evidence`,
-//! `health`, `crashes`, `limits` and `rollout_decisions` exchange state.
+//! `health`, `crashes`, `limits`, `rollout_decisions` and `duties` exchange state.
 
 mod baselines;
 mod cached_row;
 mod client;
 mod connection;
 mod crashes;
+mod duties;
 mod evidence;
 mod feed_cache;
 mod health;
@@ -33,6 +34,7 @@
 mod messages;
 mod packing;
 mod poll_targets;
+mod push_targets;
 mod relayed_store;
 mod response;
 mod rollout_decisions;
@@ -42,6 +44,8 @@
 mod starting;
 mod work;
 
+pub(crate) use duties::exchange_duties;
+pub(crate) use duties::flush_duties;
 pub(crate) use evidence::publish_evidence;
 pub use feed_cache::FeedCache;
 pub use feed_cache::Origin;
--- a/crates/gateway/src/peers/relayed_store.rs
+++ b/crates/gateway/src/peers/relayed_store.rs
@@ -13,6 +13,7 @@
 use stallhoist_core::StoreEra;
 use stallhoist_core::StoreVersion;
 use stallhoist_policy::fatal::FatalChange;
+use stallhoist_policy::usage::DutyWrite;
 use tokio::sync::Mutex;
 use tokio::time::timeout;
 
@@ -43,6 +44,7 @@
 use crate::control_store::FeedRow;
 use crate::control_store::ListedEntry;
 use crate::control_store::RolloutChange;
+use crate::control_store::StoredDuty;
 use crate::control_store::UnreadableRow;
 use crate::sessions::SessionScope;
 use crate::state::GatewayState;
@@ -391,4 +393,12 @@
     ) -> Result<(), ControlStoreError> {
         self.store.commit_fatal(request, change).await
     }
+
+    async fn read_duty(&self) -> Result<StoredDuty, ControlStoreError> {
+        self.store.read_duty().await
+    }
+
+    async fn commit_duty(&self, write: &DutyWrite) -> Result<StoreVersion, ControlStoreError> {
+        self.store.commit_duty(write).await
+    }
 }
--- a/crates/gateway/src/peers/response.rs
+++ b/crates/gateway/src/peers/response.rs
@@ -7,6 +7,7 @@
 use stallhoist_core::StoreEra;
 use stallhoist_core::StoreVersion;
 
+use super::duties::DutyResponse;
 use super::feed_cache::FeedCache;
 use super::messages::BaselineMessage;
 use super::messages::CrashMessage;
@@ -72,6 +73,9 @@
     /// Store era of the versions; absent from older releases.
     #[prost(uint64, optional, tag = "14")]
     pub(super) store_era: Option<u64>,
+    /// What concerns the duties, if the request did.
+    #[prost(message, optional, tag = "15")]
+    pub(super) duties: Option<DutyResponse>,
 }
 
 /// Rows of a feed.
--- a/crates/gateway/src/peers/server.rs
+++ b/crates/gateway/src/peers/server.rs
@@ -22,6 +22,7 @@
 use super::crashes::all_crashes;
 use super::crashes::apply_crashes;
 use super::crashes::local_crashes;
+use super::duties::handle_duties;
 use super::evidence::apply_sessions;
 use super::evidence::pinned_sessions;
 use super::health::apply_health;
@@ -129,6 +130,7 @@
     apply_limits(state, &request.limits);
     let work = exchange_work(state, &request);
     let baselines = local_baselines(state, request.needs_baselines);
+    let duties = handle_duties(state, &request);
     // A request without a feed only exchanges state.
     let Some(feed) = feed_of(request.feed) else {
         let (rollout_decisions, health) = (local_decisions(state), local_health(state));
@@ -141,6 +143,7 @@
             baselines,
             ends,
             limits,
+            duties,
             ..PeerResponse::default()
         };
     };
--- a/crates/gateway/src/peers/work.rs
+++ b/crates/gateway/src/peers/work.rs
@@ -5,13 +5,11 @@
 //! that it polls, sends it its own work and receives that of all others. Traffic per gateway thus
 //! grows with the number of upstreams that have work, not with the number of gateways.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use stallhoist_core::HostId;
-use stallhoist_core::MonoTime;
 use stallhoist_policy::balance::UpstreamKey;
 use stallhoist_policy::balance::WorkByUpstream;
 use stallhoist_policy::balance::WorkInProgress;
@@ -26,6 +24,7 @@
 use super::messages::PeerRequest;
 use super::messages::UpstreamWork;
 use super::messages::WorkMessage;
+use super::push_targets::PushTargets;
 use super::rollout_decisions::apply_decisions;
 use super::rollout_decisions::local_decisions;
 use crate::state::GatewayState;
@@ -37,10 +36,8 @@
 /// together.
 const URGENT_DELAY: Duration = Duration::from_millis(20);
 
-/// A peer that has not responded within the timeout is skipped for a while, as older data is of no
-/// use.
+/// Timeout for a peer's response.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(150);
-const SKIP_FOR: Duration = Duration::from_secs(2);
 
 /// Maximum traffic of one gateway for these updates: the more upstreams have work, the less often
 /// they are sent.
@@ -51,11 +48,8 @@
 
 /// Sends this gateway's work to peers, forever.
 pub(crate) async fn publish_work(state: Arc<GatewayState>) {
-    let mut publisher = WorkPublisher {
-        state,
-        client: PeerClient::new(RESPONSE_TIMEOUT),
-        skipped_until: HashMap::new(),
-    };
+    let client = PeerClient::new(RESPONSE_TIMEOUT);
+    let mut publisher = WorkPublisher { state, client, targets: PushTargets::default() };
     let mut pause = PUBLISH_INTERVAL;
     loop {
         wait_or_urgent(&publisher.state, pause).await;
@@ -81,8 +75,7 @@
 struct WorkPublisher {
     state: Arc<GatewayState>,
     client: PeerClient,
-    /// Peers that did not respond.
-    skipped_until: HashMap<SocketAddr, MonoTime>,
+    targets: PushTargets,
 }
 
 impl WorkPublisher {
@@ -90,7 +83,6 @@
     async fn publish(&mut self) -> usize {
         let now = self.state.now();
         self.state.upstreams.expire_fleet_work(now);
-        self.skipped_until.retain(|_, until| now < *until);
         let work = group_work(&self.state);
         let request = PeerRequest {
             host: self.state.settings.host.id.to_string(),
@@ -102,26 +94,13 @@
             ..PeerRequest::default()
         };
         let mut items = 0;
-        for (host, addr) in self.push_targets() {
+        let targets = self.targets.select(now, &self.state.peers.lock());
+        for (host, addr) in targets {
             items += work.len() + request.limits.len() + self.send_to(host, addr, &request).await;
         }
         items
     }
 
-    /// The peers to update: the other relays if this gateway is a relay, else the first poll target
-    /// that responds. With the first target only, a gateway whose relay had gone sent and received
-    /// no updates for as long as that relay was listed.
-    fn push_targets(&self) -> Vec<(HostId, SocketAddr)> {
-        let peers = self.state.peers.lock();
-        let is_responsive =
-            |(_, addr): &(HostId, SocketAddr)| !self.skipped_until.contains_key(addr);
-        let relays = peers.other_relays();
-        if relays.is_empty() {
-            return peers.poll_targets().into_iter().filter(is_responsive).take(1).collect();
-        }
-        relays.into_iter().filter(is_responsive).collect()
-    }
-
     /// Sends an update to one peer and merges its response. Returns the number of items in the
     /// response.
     async fn send_to(&mut self, host: HostId, addr: SocketAddr, request: &PeerRequest) -> usize {
@@ -140,7 +119,7 @@
                     error:% = error;
                     "failed to send work in progress to a peer"
                 );
-                self.skipped_until.insert(addr, self.state.now().after(SKIP_FOR));
+                self.targets.skip(self.state.now(), addr);
                 0
             }
         }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -18,13 +18,17 @@
 use crate::control_store::Feed;
 use crate::control_store::ListedEntry;
 use crate::dialect::Dialect;
+use crate::duties::DutyPlatform;
+use crate::duties::perform_duties;
 use crate::error::GatewayError;
 use crate::fatal;
 use crate::follow::follow;
 use crate::operators;
 use crate::peers::PeerServer;
 use crate::peers::RelayedStore;
+use crate::peers::exchange_duties;
 use crate::peers::fetch_startup_limits;
+use crate::peers::flush_duties;
 use crate::peers::publish_evidence;
 use crate::peers::publish_work;
 use crate::rollouts;
@@ -86,6 +90,26 @@
     phase: PhantomData<Phase>,
 }
 
+/// What a gateway is made of, besides its settings.
+#[derive(Debug)]
+pub struct GatewayParts<S> {
+    /// The headers on the wire.
+    pub dialect: Arc<dyn Dialect>,
+    /// The store that is followed.
+    pub store: Arc<S>,
+    /// The receiver of the duties that the settings name; without one, none are performed.
+    pub duty_platform: Option<Arc<dyn DutyPlatform>>,
+    /// The clock, whose suspensions can be simulated.
+    pub clock: ProcessClock,
+}
+
+impl<S> GatewayParts<S> {
+    /// The parts of a gateway without duties.
+    pub fn new(dialect: Arc<dyn Dialect>, store: Arc<S>) -> Self {
+        Self { dialect, store, duty_platform: None, clock: ProcessClock::start() }
+    }
+}
+
 impl Gateway<Serving> {
     /// Starts a gateway that speaks `dialect` and follows `store`.
     ///
@@ -96,19 +120,18 @@
         dialect: Arc<dyn Dialect>,
         store: Arc<S>,
     ) -> Result<Self, GatewayError> {
-        Self::start_with_clock(settings, dialect, store, ProcessClock::start()).await
+        Self::start_with(settings, GatewayParts::new(dialect, store)).await
     }
 
-    /// The same with a clock whose suspensions can be simulated.
+    /// Starts a gateway from its parts.
     ///
     /// # Errors
     /// As [`start`](Self::start).
-    pub async fn start_with_clock<S: ControlStore>(
+    pub async fn start_with<S: ControlStore>(
         settings: GatewaySettings,
-        dialect: Arc<dyn Dialect>,
-        store: Arc<S>,
-        clock: ProcessClock,
+        parts: GatewayParts<S>,
     ) -> Result<Self, GatewayError> {
+        let GatewayParts { dialect, store, duty_platform, clock } = parts;
         let callers_addr = parse_addr(&settings.callers_addr)?;
         let readiness = server_settings(&settings.readiness_addr)?;
         let operators = server_settings(&settings.operators_addr)?;
@@ -118,7 +141,7 @@
             .await
             .map_err(|cause| GatewayError::Peers { addr: peers_addr, cause })?;
         let store = Arc::new(RelayedStore::new(Arc::clone(&state), store));
-        let tasks = start_tasks(&state, &store, peers.addr());
+        let tasks = start_tasks(&state, &store, duty_platform, peers.addr());
         let callers = CallerServer::start(callers_addr, Arc::clone(&state))
             .await
             .map_err(|cause| GatewayError::Callers { addr: callers_addr, cause })?;
@@ -180,8 +203,9 @@
         };
         self.tasks.abort_all();
         // Concurrently: sequentially they took longer than the margin before the kill.
-        let (are_responses_sent, (), ()) = tokio::join!(
+        let (are_responses_sent, _, (), ()) = tokio::join!(
             tokio::time::timeout(STOP_LINGER, responses_sent),
+            tokio::time::timeout(STOP_LINGER, flush_duties(&self.state)),
             self.readiness.stop(STOP_LINGER),
             self.operators.stop(STOP_LINGER),
         );
@@ -228,6 +252,7 @@
 fn start_tasks<S: ControlStore>(
     state: &Arc<GatewayState>,
     store: &Arc<S>,
+    duty_platform: Option<Arc<dyn DutyPlatform>>,
     peers_addr: SocketAddr,
 ) -> JoinSet<()> {
     let mut tasks = JoinSet::new();
@@ -242,6 +267,8 @@
     tasks.spawn(rollouts::watch(Arc::clone(state)));
     tasks.spawn(publish_evidence(Arc::clone(state)));
     tasks.spawn(publish_work(Arc::clone(state)));
+    tasks.spawn(perform_duties(Arc::clone(state), Arc::clone(store), duty_platform));
+    tasks.spawn(exchange_duties(Arc::clone(state)));
     tasks.spawn(expire(Arc::clone(state)));
     tasks
 }
--- a/crates/gateway/src/request/execution/mod.rs
+++ b/crates/gateway/src/request/execution/mod.rs
@@ -15,6 +15,7 @@
 
 use http::StatusCode;
 use stallhoist_core::ModelName;
+use stallhoist_core::MonoTime;
 use stallhoist_core::UpstreamIncarnation;
 use stallhoist_core::VersionName;
 use stallhoist_policy::cascade::StepUpTiming;
@@ -68,6 +69,8 @@
     isolation_seed: Option<u64>,
     /// The trial of a quarantined request, which allows a single attempt.
     trial: Option<Trial>,
+    /// Whether the request is counted for its workspace's usage.
+    is_counted: bool,
 }
 
 impl Execution {
@@ -90,6 +93,7 @@
             last_event,
             isolation_seed: None,
             trial: None,
+            is_counted: false,
             call,
         }
     }
@@ -159,6 +163,7 @@
             let started = self.state.now();
             let outcome = self.attempt(&chosen).await;
             let elapsed = self.state.now().since(started);
+            self.count_run(started, &outcome);
             self.log_attempt(&chosen, elapsed, &outcome);
             let has_crashed = match &outcome {
                 AttemptOutcome::Broken(cause) => {
@@ -337,6 +342,25 @@
         attempt.run().await
     }
 
+    /// Counts the request for its workspace's usage when the first of its attempts has begun to run: a stream with
+    /// its first event, any other request as soon as it is sent.
+    fn count_run(&mut self, started: MonoTime, outcome: &AttemptOutcome) {
+        let began = match outcome {
+            AttemptOutcome::NotSent(_) | AttemptOutcome::NotRun(_) => return,
+            AttemptOutcome::Stream(_) => self.state.now(),
+            AttemptOutcome::Whole(_) if self.call.route.is_stream => self.state.now(),
+            AttemptOutcome::Broken(_) | AttemptOutcome::TimedOut if self.call.route.is_stream => {
+                return;
+            }
+            AttemptOutcome::Whole(_) | AttemptOutcome::Broken(_) | AttemptOutcome::TimedOut => {
+                started
+            }
+        };
+        if !std::mem::replace(&mut self.is_counted, true) {
+            self.state.record_run(began, self.call.workspace.as_ref());
+        }
+    }
+
     /// How long an attempt waits for the first chunk: until the deadline, unless the request can be tried on
     /// another upstream.
     fn wait_limit(&self) -> Duration {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -17,6 +17,7 @@
 use stallhoist_core::MonoTime;
 use stallhoist_core::StoreEra;
 use stallhoist_core::UpstreamIncarnation;
+use stallhoist_core::WorkspaceName;
 use stallhoist_policy::cascade::StepUpConfig;
 use stallhoist_policy::retry::RetryBudget;
 use stallhoist_policy::rollout::RolloutConfig;
@@ -27,6 +28,7 @@
 use crate::control_store::ListedEntry;
 use crate::decision_log::DecisionLog;
 use crate::dialect::Dialect;
+use crate::duties::Duties;
 use crate::fatal::FatalRequestTracker;
 use crate::metrics::Metrics;
 use crate::peers::FeedCache;
@@ -62,6 +64,8 @@
     pub(crate) news_from: Mutex<BTreeMap<Feed, Option<SocketAddr>>>,
     /// What this gateway has read of the store, to serve its peers.
     pub(crate) feed_cache: FeedCache,
+    /// The duties that one gateway at a time performs; none if there are no such.
+    pub(crate) duties: Option<Duties>,
     pub(crate) metrics: Metrics,
     pub(crate) decisions: DecisionLog,
     pub(crate) suspend_recovery: SuspendRecovery,
@@ -89,6 +93,9 @@
         let session_lifetime = settings.session.as_duration() + SESSION_MARGIN;
         let retries = &settings.retries;
         let budget = RetryBudget::new(retries.budget_percent(), retries.burst_per_gateway(1));
+        let duties = settings.duties.as_ref();
+        let duties =
+            duties.map(|duties| Duties::new(duties, settings.host.id.clone(), clock.now()));
         let below_confidence = settings.step_up.below_confidence_percent.clone();
         Self {
             upstreams: Arc::new(Upstreams::new(&settings)),
@@ -102,6 +109,7 @@
             peers: Mutex::new(PeerList::new(settings.host.id.clone(), settings.host.zone.clone())),
             news_from: Mutex::default(),
             feed_cache: FeedCache::default(),
+            duties,
             metrics: Metrics::default(),
             decisions: DecisionLog::default(),
             suspend_recovery: SuspendRecovery::new(clock.clone()),
@@ -245,6 +253,7 @@
     pub(crate) fn begin_stop(&self) {
         let grace = self.settings.stop.grace.as_duration();
         *self.stop.lock() = Some(PlannedStop::new(self.now(), grace));
+        self.duties.iter().for_each(Duties::wake);
     }
 
     /// When a stopping process ends; now without a stop.
@@ -279,6 +288,13 @@
         }
     }
 
+    /// Counts a request of a workspace that an upstream began to run at `began`.
+    pub(crate) fn record_run(&self, began: MonoTime, workspace: Option<&WorkspaceName>) {
+        if let (Some(duties), Some(workspace)) = (&self.duties, workspace) {
+            duties.record_run(began, workspace);
+        }
+    }
+
     /// Number of requests in progress.
     pub(crate) fn in_progress(&self) -> usize {
         self.in_progress.load(Ordering::SeqCst)
--- a/crates/settings/src/gateway/mod.rs
+++ b/crates/settings/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 mod cold_upstreams;
 mod decisions;
+mod duties;
 mod host;
 mod retries;
 mod rollouts;
@@ -13,6 +14,7 @@
 
 pub use cold_upstreams::ColdUpstreamSettings;
 pub use decisions::DecisionSettings;
+pub use duties::DutySettings;
 pub use host::GatewayHost;
 pub use retries::GatewayRetrySettings;
 pub use rollouts::RolloutSettings;
--- a/crates/settings/src/gateway/settings.rs
+++ b/crates/settings/src/gateway/settings.rs
@@ -9,6 +9,7 @@
 
 use super::ColdUpstreamSettings;
 use super::DecisionSettings;
+use super::DutySettings;
 use super::GatewayHost;
 use super::GatewayRetrySettings;
 use super::RolloutSettings;
@@ -62,6 +63,9 @@
     /// Rate limit of upstreams that are warming up; no limit if absent.
     #[serde(default)]
     pub cold_upstreams: Option<ColdUpstreamSettings>,
+    /// Duties that one gateway at a time performs for the platform; none if absent.
+    #[serde(default)]
+    pub duties: Option<DutySettings>,
     /// Planned stop of the gateway.
     #[serde(default)]
     pub stop: StopSettings,
@@ -95,6 +99,7 @@
             retries: GatewayRetrySettings::default(),
             rollouts: RolloutSettings::default(),
             cold_upstreams: None,
+            duties: None,
             stop: StopSettings::default(),
             session: TimeSpan::from_secs(5),
         }
@@ -122,6 +127,9 @@
         if let Some(cold_upstreams) = &self.cold_upstreams {
             problems.check_section("cold_upstreams", cold_upstreams);
         }
+        if let Some(duties) = &self.duties {
+            problems.check_section("duties", duties);
+        }
         problems.check_section("stop", &self.stop);
         problems.check_range("session", self.session, TimeSpan::from_secs(0)..=MAX_SESSION);
     }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -35,6 +35,7 @@
 pub use error::SettingsProblems;
 pub use gateway::ColdUpstreamSettings;
 pub use gateway::DecisionSettings;
+pub use gateway::DutySettings;
 pub use gateway::GatewayHost;
 pub use gateway::GatewayRetrySettings;
 pub use gateway::GatewaySettings;
--- a/crates/standins/src/users_platform/mod.rs
+++ b/crates/standins/src/users_platform/mod.rs
@@ -1,9 +1,12 @@
-//! Stand-ins for the users' platform: its store and its upstreams, after their published interface.
+//! Stand-ins for the users' platform: its store, its upstreams and its receiver of duties, after their published
+//! interface.
 //!
 //! `store` serves the rows that `store_state` keeps. `upstream` serves requests as `upstream_behaviour` and
-//! `crash_rule` say, with the responses of `upstream_reply`. `server` is the HTTP server of both.
+//! `crash_rule` say, with the responses of `upstream_reply`. `duty_platform` receives the
+//! reports of duties. `server` is the HTTP server of all.
 
 mod crash_rule;
+mod duty_platform;
 mod server;
 mod store;
 mod store_state;
@@ -12,6 +15,9 @@
 mod upstream_reply;
 
 pub use crash_rule::CrashRule;
+pub use duty_platform::AcceptedReport;
+pub use duty_platform::DutyFault;
+pub use duty_platform::DutyPlatformStandin;
 pub use store::StoreStandin;
 pub use store::StoreWriter;
 pub use store_state::LostWrites;
--- a/src/bin/stallhoist-gateway.rs
+++ b/src/bin/stallhoist-gateway.rs
@@ -10,8 +10,11 @@
 use stallhoist_daemon::end;
 use stallhoist_daemon::initialize;
 use stallhoist_gateway::Gateway;
+use stallhoist_gateway::GatewayParts;
+use stallhoist_gateway::duties::DutyPlatform;
 use stallhoist_settings::GatewaySettings;
 use stallhoist_users_platform::PlatformDialect;
+use stallhoist_users_platform::PlatformDuties;
 use stallhoist_users_platform::PlatformStore;
 
 const NAME: &str = "stallhoist-gateway";
@@ -29,7 +32,12 @@
     let matches = command(NAME, ABOUT).get_matches();
     let settings: GatewaySettings = initialize(&matches)?;
     let store = Arc::new(PlatformStore::new(&settings.store)?);
-    let gateway = Gateway::start(settings, Arc::new(PlatformDialect), store).await?;
+    let duties = settings.duties.as_ref().map(PlatformDuties::new).transpose()?;
+    let parts = GatewayParts {
+        duty_platform: duties.map(|duties| Arc::new(duties) as Arc<dyn DutyPlatform>),
+        ..GatewayParts::new(Arc::new(PlatformDialect), store)
+    };
+    let gateway = Gateway::start_with(settings, parts).await?;
     tokio::spawn(hang_up.check_settings::<GatewaySettings>(matches));
     stop.wait().await;
     gateway.leave().wait_for_balancer().await.finish().await;
--- a/tests/all/gateway/mod.rs
+++ b/tests/all/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod configuration;
 mod daemon;
 mod draining_upstreams;
+mod duties;
 mod emptied_zones;
 mod fatal_requests;
 mod fleet;
--- a/tests/all/gateway/suspension.rs
+++ b/tests/all/gateway/suspension.rs
@@ -12,6 +12,7 @@
 use stallhoist_coordination::SimulatedSuspensions;
 use stallhoist_core::MonoTime;
 use stallhoist_gateway::Gateway;
+use stallhoist_gateway::GatewayParts;
 use stallhoist_gateway::control_store::Feed;
 use stallhoist_gateway::suspend_recovery::ResyncState;
 use stallhoist_settings::GatewaySettings;
@@ -72,9 +73,9 @@
 async fn start(settings: GatewaySettings, host: SimulatedSuspensions) -> Gateway {
     let client = PlatformStore::new(&settings.store).expect("the client starts");
     let clock = ProcessClock::start_with(host);
-    Gateway::start_with_clock(settings, Arc::new(PlatformDialect), Arc::new(client), clock)
-        .await
-        .expect("the gateway starts")
+    let parts =
+        GatewayParts { clock, ..GatewayParts::new(Arc::new(PlatformDialect), Arc::new(client)) };
+    Gateway::start_with(settings, parts).await.expect("the gateway starts")
 }
 
 // A key was revoked meanwhile, and the store does not respond at once.
--- a/tests/all/gateway/template.rs
+++ b/tests/all/gateway/template.rs
@@ -24,7 +24,7 @@
     "{{#limits.link_mbps}}, \"link\": \"{{limits.link_mbps}} Mbit/s\"{{/limits.link_mbps}}";
 
 /// The values of a usual deployment. The addresses are the test's own.
-const PLACEHOLDERS: [(&str, &str); 22] = [
+const PLACEHOLDERS: [(&str, &str); 30] = [
     ("{{node|json}}", "\"front-a-1\""),
     ("{{zone|json}}", "\"a\""),
     (LINK_PLACEHOLDER, ", \"link\": \"10 Mbit/s\""),
@@ -45,6 +45,14 @@
     ("{{bounds.cold_overage|json}}", "1.5"),
     ("{{bounds.cold_slack|json}}", "5"),
     ("{{/bounds.cold_overage}}", ""),
+    ("{{#cloud.address}}", ""),
+    ("{{#bounds.report_window_s}}", ""),
+    ("{{cloud.address|json}}", "\"127.0.0.1:2\""),
+    ("{{bounds.lease_ms}}", "3000"),
+    ("{{bounds.report_window_s}}", "5"),
+    ("{{bounds.usage_late_s}}", "10"),
+    ("{{/bounds.report_window_s}}", ""),
+    ("{{/cloud.address}}", ""),
     ("{{bounds.grace_s}}", "8"),
     ("{{bounds.session_s}}", "5"),
 ];
@@ -83,6 +91,10 @@
     assert_eq!(settings.rollouts.max_exposure, 0.0975);
     let cold = settings.cold_upstreams.expect("settings of cold upstreams");
     assert_eq!((cold.overage, cold.slack_per_s), (1.5, 5.0));
+    let duties = settings.duties.expect("settings of duties");
+    let expected = [TimeSpan::from_secs(3), TimeSpan::from_secs(5), TimeSpan::from_secs(10)];
+    assert_eq!([duties.lease, duties.usage_window, duties.usage_due_after], expected);
+    assert_eq!(duties.addr, "127.0.0.1:2");
     assert_eq!(settings.peers_addr, "10.1.0.40:8229");
     assert_eq!(settings.store.addr, "127.0.0.1:1");
     assert_eq!(settings.seeds, ["10.2.0.29:8229", "10.3.0.19:8229"]);
@@ -130,6 +142,8 @@
     ]
 );
 accepts!(any_slack_is_accepted, "{{bounds.budget_slack|json}}", ["52", "52.5", "0", "1000000000"]);
+accepts!(any_usage_window_is_accepted, "{{bounds.report_window_s}}", ["5", "1", "2.5", "3600"]);
+accepts!(any_lease_is_accepted, "{{bounds.lease_ms}}", ["3000", "500", "1500.5"]);
 accepts!(any_ratio_is_accepted, "{{bounds.retry_budget_ratio|json}}", ["0.9", "0", "1", "25"]);
 
 /// Asserts that settings with this value are rejected in one line that names key and value.
@@ -147,4 +161,11 @@
 rejects!(a_missing_grace, "{{bounds.grace_s}}", "", "key 'stop.grace', value \" s\"");
 rejects!(a_negative_session, "{{bounds.session_s}}", "-1", "key 'session', value \"-1 s\"");
 rejects!(an_endless_grace, "{{bounds.grace_s}}", "1e300", "key 'stop.grace', value \"1e300 s\"");
+rejects!(
+    no_usage_window,
+    "{{bounds.report_window_s}}",
+    "0",
+    "key 'duties.usage_window', value \"0 s\""
+);
+rejects!(a_short_lease, "{{bounds.lease_ms}}", "20", "key 'duties.lease', value \"20 ms\"");
 rejects!(a_missing_slack, "{{bounds.budget_slack|json}}", "null", "key 'retries.fleet_slack'");
