The soak kills, freezes, stops and cuts off the holder of the duties

A group of faults of its own, with a generator of its own, so that the other faults of a seed are as before. After the faults a report must arrive.

--- a/crates/standins/src/users_platform/mod.rs
+++ b/crates/standins/src/users_platform/mod.rs
@@ -2,8 +2,8 @@
 //! interface.
 //!
 //! `store` serves the rows that `store_state` keeps. `upstream` serves requests as `upstream_behaviour` and
-//! `crash_rule` say, with the responses of `upstream_reply`. `duty_platform` receives the
-//! reports of duties. `server` is the HTTP server of all.
+//! `crash_rule` say, with the responses of `upstream_reply`. `duty_platform` receives the reports of duties.
+//! `server` is the HTTP server of all.
 
 mod crash_rule;
 mod duty_platform;
@@ -18,6 +18,8 @@
 pub use duty_platform::AcceptedReport;
 pub use duty_platform::DutyFault;
 pub use duty_platform::DutyPlatformStandin;
+pub use duty_platform::differing_reports;
+pub use duty_platform::order_violations;
 pub use store::StoreStandin;
 pub use store::StoreWriter;
 pub use store_state::LostWrites;
--- a/tests/all/soak/mod.rs
+++ b/tests/all/soak/mod.rs
@@ -6,7 +6,7 @@
 //! callers and upstreams recorded, and at the end against the gateways' state dumps.
 //!
 //! Begin with `plan`, which draws the faults, and `faults`, which injects them into the `fleet`.
-//! `invariants`, `fragile`, `zones` and `reports` check the recorded requests.
+//! `invariants`, `fragile`, `zones` and `reports` check the recorded requests, `duties` the usage reports.
 //!
 //! By hand: `STALLHOIST_SOAK_SEEDS=1..51 STALLHOIST_SOAK_SECONDS=20 cargo test --release
 //! --test all soak -- --nocapture`, and `STALLHOIST_SOAK_GATEWAYS=40` for other than four. Without the
@@ -14,6 +14,7 @@
 //! them, with a line on the cause.
 
 mod caller;
+mod duties;
 mod faults;
 mod fleet;
 mod fragile;
@@ -76,6 +77,7 @@
     fleet.settle().await;
     let up_to_date = async || are_synced(&fleet).await;
     wait_until("all gateways have the newest state", up_to_date).await;
+    fleet.wait_for_report().await;
     stop.store(true, Ordering::SeqCst);
     let mut requests = Vec::new();
     for caller in callers {
@@ -87,6 +89,7 @@
     fragile::check(&fleet, &requests, &violations);
     zones::check(&fleet, &requests, &violations);
     reports::check(&fleet, &requests, &violations);
+    duties::check(&fleet, &violations);
     check_service(&requests, &violations);
     println!("{}", summary(seed, &fleet, &requests, &violations));
     violations.all()
--- a/tests/all/soak/plan.rs
+++ b/tests/all/soak/plan.rs
@@ -7,6 +7,7 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use stallhoist_standins::users_platform::DutyFault;
 
 use super::reports::Report;
 
@@ -46,6 +47,10 @@
 const RESTORE_EVERY_MS: Range<u64> = 2_500..6_000;
 const RESTORES_SEED: u64 = 0xE4A5_0037;
 
+/// The interval between faults of the holder of the duties, or of the platform that receives them.
+const DUTY_FAULT_EVERY_MS: Range<u64> = 1_000..3_000;
+const DUTIES_SEED: u64 = 0xD071_0055;
+
 /// A fault of the connection between two processes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum LinkFault {
@@ -92,6 +97,19 @@
     CutsStream,
 }
 
+/// A fault of the holder of the duties, or of the platform that receives them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum DutyFaultKind {
+    KillHolder,
+    StopHolder,
+    FreezeHolder,
+    /// The holder's connections to the store.
+    HolderStoreLink(LinkFault),
+    /// The holder's connections to the platform.
+    HolderLink(LinkFault),
+    Platform(DutyFault),
+}
+
 /// A fault, or an action of operators.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Fault {
@@ -166,6 +184,10 @@
         report: Report,
         duration: Duration,
     },
+    Duty {
+        kind: DutyFaultKind,
+        duration: Duration,
+    },
     /// A caller begins to send a request that crashes upstreams repeatedly.
     FatalSeries,
     /// Many routes are added to the configuration.
@@ -196,6 +218,7 @@
         faults.extend(draw_all(seed ^ ZONES_SEED, ZONE_FAULT_EVERY_MS, duration, draw_zone));
         faults.extend(draw_all(seed ^ REPORTS_SEED, REPORT_EVERY_MS, duration, draw_report));
         faults.extend(draw_all(seed ^ RESTORES_SEED, RESTORE_EVERY_MS, duration, draw_restore));
+        faults.extend(draw_all(seed ^ DUTIES_SEED, DUTY_FAULT_EVERY_MS, duration, draw_duty));
         faults.sort_by_key(|(at, _)| *at);
         Self { faults }
     }
@@ -259,6 +282,22 @@
     Fault::StoreRestore { duration: Duration::from_millis(rng.random_range(FAULT_DURATION_MS)) }
 }
 
+/// Draws a fault of the holder of the duties, or of the platform that receives them.
+fn draw_duty(rng: &mut StdRng) -> Fault {
+    let duration = Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
+    let kind = match rng.random_range(0..8) {
+        0 => DutyFaultKind::KillHolder,
+        1 => DutyFaultKind::StopHolder,
+        2 => DutyFaultKind::FreezeHolder,
+        3 => DutyFaultKind::HolderStoreLink(draw_link(rng)),
+        4 => DutyFaultKind::HolderLink(draw_link(rng)),
+        5 => DutyFaultKind::Platform(DutyFault::LoseAnswers),
+        6 => DutyFaultKind::Platform(DutyFault::Silent),
+        _ => DutyFaultKind::Platform(DutyFault::Status(503)),
+    };
+    Fault::Duty { kind, duration }
+}
+
 /// Draws a report of an upstream about itself.
 fn draw_report(rng: &mut StdRng) -> Fault {
     let upstream = rng.random_range(0..2 * UPSTREAMS);
