Gateways that start together are listed in a few writes

Cause: each gateway wrote its own row when it was informed. Change: a gateway asks a seed, or later a relay, to list it; that one writes all that have asked within 100 ms at once. Still not listed after 5 s: its own row, as before. 'listed for other entries' is now logged when the list shows it. Ruled out: jitter on the writes (the same number of calls, a later list).

--- a/crates/gateway/src/control_store.rs
+++ b/crates/gateway/src/control_store.rs
@@ -246,10 +246,10 @@
     /// Fails when the row cannot be understood.
     fn decode(&self, feed: Feed, row: &FeedRow) -> Result<Option<Change>, UnreadableRow>;
 
-    /// Lists a gateway, replacing the row of the same host.
-    fn list_entry(
+    /// Lists gateways in one write, replacing the rows of the same hosts.
+    fn list_entries(
         &self,
-        entry: &ListedEntry,
+        entries: &[ListedEntry],
     ) -> impl Future<Output = Result<(), ControlStoreError>> + Send;
 
     /// Changes a rollout record, and the status that operators see, in one transaction.
--- /dev/null
+++ b/crates/gateway/src/peers/listing.rs
@@ -0,0 +1,208 @@
+//! Lists gateways in the store, so that their peers can reach them.
+//!
+//! A store takes only so many writes a second, and a whole fleet lists itself at once when it starts. A gateway
+//! therefore asks a seed, or later a relay, to list it; that one lists all that have asked in one write. A gateway that is
+//! still not listed after a while writes its own row.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use rand::RngExt;
+use stallhoist_core::HostId;
+use tokio::sync::Notify;
+
+use super::connection::request_once;
+use super::messages::PeerRequest;
+use super::poll_targets::listing_target;
+use crate::control_store::ControlStore;
+use crate::control_store::Feed;
+use crate::control_store::ListedEntry;
+use crate::state::GatewayState;
+
+/// Interval of checks whether this gateway is listed, until it was once: gateways that start with it wait for the
+/// list.
+const INITIAL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// The same after that.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time for the list to show a gateway after its listing was requested or written, as peers batch and forward
+/// changes.
+const LISTING_TIME: Duration = Duration::from_secs(5);
+
+/// Timeout for a peer's response.
+const RESPONSE_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// How long requests are collected for one write.
+const BATCH_TIME: Duration = Duration::from_millis(100);
+
+/// Maximum number of gateways in one write.
+const MAX_BATCH: usize = 100;
+
+/// Delay before a failed write is repeated, and up to twice as long at random. After some failures the gateways are
+/// left to list themselves.
+const RETRY_DELAY: Duration = Duration::from_millis(400);
+const MAX_FAILURES: u32 = 3;
+
+/// A gateway that asks to be listed.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct ListingMessage {
+    #[prost(string, tag = "1")]
+    host: String,
+    #[prost(string, tag = "2")]
+    peers_addr: String,
+    #[prost(string, tag = "3")]
+    link: String,
+    #[prost(string, optional, tag = "4")]
+    zone: Option<String>,
+}
+
+impl ListingMessage {
+    fn of(entry: &ListedEntry) -> Self {
+        Self {
+            host: entry.host.to_string(),
+            peers_addr: entry.peers_addr.to_string(),
+            link: entry.link.to_string(),
+            zone: entry.zone.as_ref().map(ToString::to_string),
+        }
+    }
+
+    /// The gateway; none if a field is invalid.
+    fn entry(&self) -> Option<ListedEntry> {
+        Some(ListedEntry {
+            host: self.host.parse().ok()?,
+            peers_addr: self.peers_addr.parse().ok()?,
+            link: self.link.parse().ok()?,
+            zone: self.zone.as_ref().map(|zone| zone.parse()).transpose().ok()?,
+        })
+    }
+}
+
+/// The gateways that are to be listed with the next write.
+#[derive(Debug, Default)]
+pub(crate) struct PendingListings {
+    entries: Mutex<BTreeMap<HostId, ListedEntry>>,
+    added: Notify,
+}
+
+impl PendingListings {
+    fn add(&self, entries: impl IntoIterator<Item = ListedEntry>) {
+        let entries = entries.into_iter().map(|entry| (entry.host.clone(), entry));
+        self.entries.lock().extend(entries);
+        self.added.notify_one();
+    }
+
+    fn take(&self) -> Vec<ListedEntry> {
+        let mut entries = self.entries.lock();
+        let mut taken = Vec::new();
+        while taken.len() < MAX_BATCH
+            && let Some((_, entry)) = entries.pop_first()
+        {
+            taken.push(entry);
+        }
+        taken
+    }
+}
+
+/// Lists this gateway, forever.
+pub(crate) async fn announce(state: Arc<GatewayState>, peers_addr: SocketAddr) {
+    let host = &state.settings.host;
+    let entry = ListedEntry {
+        host: host.id.clone(),
+        peers_addr,
+        link: host.link,
+        zone: Some(host.zone.clone()),
+    };
+    let mut interval = INITIAL_CHECK_INTERVAL;
+    let mut is_known_listed = false;
+    let mut requested_at = None;
+    loop {
+        tokio::time::sleep(interval).await;
+        if !state.is_synced() || !state.feed_cache.has(Feed::Entries) {
+            continue;
+        }
+        interval = CHECK_INTERVAL;
+        if state.peers.lock().is_listed(&entry) {
+            if !std::mem::replace(&mut is_known_listed, true) {
+                log::info!(peers_addr:% = peers_addr; "listed for other entries");
+            }
+            requested_at = None;
+            continue;
+        }
+        let now = state.now();
+        if requested_at.is_some_and(|at| now.since(at) < LISTING_TIME) {
+            continue;
+        }
+        state.upstreams.announce_self(now);
+        let is_first = requested_at.replace(now).is_none();
+        if !is_first || !request_listing(&state, &entry).await {
+            state.listings.add([entry.clone()]);
+        }
+    }
+}
+
+/// Asks a peer to list this gateway. Returns whether it will try.
+async fn request_listing(state: &GatewayState, entry: &ListedEntry) -> bool {
+    let Some(addr) = listing_target(state) else {
+        return false;
+    };
+    let listing = Some(ListingMessage::of(entry));
+    let request = PeerRequest { listing, ..PeerRequest::default() };
+    match request_once(addr, &request, RESPONSE_TIMEOUT).await {
+        Ok(response) => response.is_listing,
+        Err(error) => {
+            log::debug!(addr:% = addr, error:% = error; "failed to ask a peer for the listing");
+            false
+        }
+    }
+}
+
+/// Handles a peer's request to be listed. Returns whether this gateway will list it.
+pub(super) fn handle_listing(state: &GatewayState, request: &PeerRequest) -> bool {
+    let Some(listing) = &request.listing else {
+        return false;
+    };
+    let Some(entry) = listing.entry() else {
+        log::warn!(host = listing.host; "ignoring a listing with an invalid field");
+        return false;
+    };
+    state.listings.add([entry]);
+    true
+}
+
+/// Writes the requested listings, forever.
+pub(crate) async fn write_listings<S: ControlStore>(state: Arc<GatewayState>, store: Arc<S>) {
+    let mut failures = 0;
+    loop {
+        state.listings.added.notified().await;
+        tokio::time::sleep(BATCH_TIME).await;
+        loop {
+            let entries = state.listings.take();
+            if entries.is_empty() {
+                break;
+            }
+            match store.list_entries(&entries).await {
+                Ok(()) => failures = 0,
+                Err(error) => {
+                    failures += 1;
+                    log::warn!(
+                        entries = entries.len(),
+                        failures,
+                        error:% = error;
+                        "failed to list gateways for their peers"
+                    );
+                    if failures >= MAX_FAILURES {
+                        failures = 0;
+                        continue;
+                    }
+                    state.listings.add(entries);
+                    let delay = RETRY_DELAY.mul_f64(rand::rng().random_range(1.0..2.0));
+                    tokio::time::sleep(delay).await;
+                }
+            }
+        }
+    }
+}
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -10,6 +10,7 @@
 use stallhoist_policy::rollout::VersionCounts;
 
 use super::duties::DutyRequest;
+use super::listing::ListingMessage;
 use crate::control_store::Feed;
 use crate::sessions::PinnedSession;
 use crate::sessions::SessionKey;
@@ -74,6 +75,9 @@
     /// What concerns the duties.
     #[prost(message, optional, tag = "18")]
     pub(super) duties: Option<DutyRequest>,
+    /// The sender, if it asks to be listed in the store.
+    #[prost(message, optional, tag = "19")]
+    pub(super) listing: Option<ListingMessage>,
 }
 
 /// A rate limit that an upstream has reported.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -17,7 +17,7 @@
 //! with.
 //!
 //! Reading order: `list` and `poll_targets` select peers, `messages` and `response` define the
-//! protocol, `relayed_store` polls, `server` responds from `feed_cache`; `work`, `evidence`,
+//! protocol, `relayed_store` polls, `server` responds from `feed_cache`, `listing` lists gateways; `work`, `evidence`,
 //! `health`, `crashes`, `limits`, `rollout_decisions` and `duties` exchange state.
 
 mod baselines;
@@ -31,6 +31,7 @@
 mod health;
 mod limits;
 mod list;
+mod listing;
 mod messages;
 mod packing;
 mod poll_targets;
@@ -51,6 +52,9 @@
 pub use feed_cache::Origin;
 pub(crate) use limits::fetch_startup_limits;
 pub use list::PeerList;
+pub(crate) use listing::PendingListings;
+pub(crate) use listing::announce;
+pub(crate) use listing::write_listings;
 pub use packing::pack;
 pub use packing::unpack;
 pub(crate) use poll_targets::follows_store;
--- a/crates/gateway/src/peers/poll_targets.rs
+++ b/crates/gateway/src/peers/poll_targets.rs
@@ -35,6 +35,16 @@
     if is_starting(state) { other_seeds(state, rotation_offset) } else { Vec::new() }
 }
 
+/// The gateway that is asked to list this one: a seed while a fleet may be starting, as all know the seeds before
+/// they agree on the relays; none if this gateway lists itself.
+pub(super) fn listing_target(state: &GatewayState) -> Option<SocketAddr> {
+    if !is_starting(state) || state.settings.seeds.is_empty() {
+        return poll_targets(state).into_iter().next();
+    }
+    let rotation_offset = state.peers.lock().rotation_offset();
+    other_seeds(state, rotation_offset).into_iter().next()
+}
+
 /// Whether this gateway follows the store itself.
 pub(crate) fn follows_store(state: &GatewayState) -> bool {
     poll_targets(state).is_empty()
--- a/crates/gateway/src/peers/relayed_store.rs
+++ b/crates/gateway/src/peers/relayed_store.rs
@@ -378,8 +378,8 @@
         self.store.decode(feed, row)
     }
 
-    async fn list_entry(&self, entry: &ListedEntry) -> Result<(), ControlStoreError> {
-        self.store.list_entry(entry).await
+    async fn list_entries(&self, entries: &[ListedEntry]) -> Result<(), ControlStoreError> {
+        self.store.list_entries(entries).await
     }
 
     async fn commit_rollout(&self, change: &RolloutChange) -> Result<(), ControlStoreError> {
--- a/crates/gateway/src/peers/response.rs
+++ b/crates/gateway/src/peers/response.rs
@@ -76,6 +76,9 @@
     /// What concerns the duties, if the request did.
     #[prost(message, optional, tag = "15")]
     pub(super) duties: Option<DutyResponse>,
+    /// Whether the sender will list the requester in the store, if that was requested.
+    #[prost(bool, tag = "16")]
+    pub(super) is_listing: bool,
 }
 
 /// Rows of a feed.
--- a/crates/gateway/src/peers/server.rs
+++ b/crates/gateway/src/peers/server.rs
@@ -30,6 +30,7 @@
 use super::limits::all_limits;
 use super::limits::apply_limits;
 use super::limits::local_limits;
+use super::listing::handle_listing;
 use super::messages::Evidence;
 use super::messages::PeerRequest;
 use super::messages::WorkMessage;
@@ -144,6 +145,7 @@
             ends,
             limits,
             duties,
+            is_listing: handle_listing(state, &request),
             ..PeerResponse::default()
         };
     };
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -16,7 +16,6 @@
 use crate::callers::CallerServer;
 use crate::control_store::ControlStore;
 use crate::control_store::Feed;
-use crate::control_store::ListedEntry;
 use crate::dialect::Dialect;
 use crate::duties::DutyPlatform;
 use crate::duties::perform_duties;
@@ -26,11 +25,13 @@
 use crate::operators;
 use crate::peers::PeerServer;
 use crate::peers::RelayedStore;
+use crate::peers::announce;
 use crate::peers::exchange_duties;
 use crate::peers::fetch_startup_limits;
 use crate::peers::flush_duties;
 use crate::peers::publish_evidence;
 use crate::peers::publish_work;
+use crate::peers::write_listings;
 use crate::rollouts;
 use crate::state::GatewayState;
 
@@ -41,14 +42,6 @@
 /// time.
 const MAX_BALANCER_LAG: Duration = Duration::from_millis(2_700);
 
-/// Interval of checks whether this gateway is listed, until it was once: gateways that start with
-/// it wait for the list.
-const INITIAL_ANNOUNCE_INTERVAL: Duration = Duration::from_millis(50);
-
-/// The same after that. After a write this is the time for the list to show it, as peers batch and
-/// forward changes.
-const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(5);
-
 /// How long a starting gateway waits for the list of quarantined requests, after which it serves
 /// without: callers wait for 0.8 s for the required state.
 const FATAL_REQUESTS_TIMEOUT: Duration = Duration::from_millis(500);
@@ -256,7 +249,8 @@
     peers_addr: SocketAddr,
 ) -> JoinSet<()> {
     let mut tasks = JoinSet::new();
-    tasks.spawn(announce(Arc::clone(state), Arc::clone(store), peers_addr));
+    tasks.spawn(announce(Arc::clone(state), peers_addr));
+    tasks.spawn(write_listings(Arc::clone(state), Arc::clone(store)));
     for feed in Feed::ALL {
         tasks.spawn(follow(Arc::clone(state), Arc::clone(store), feed));
     }
@@ -273,37 +267,6 @@
     tasks
 }
 
-/// Lists this gateway, so that peers can reach it.
-async fn announce<S: ControlStore>(
-    state: Arc<GatewayState>,
-    store: Arc<S>,
-    peers_addr: SocketAddr,
-) {
-    let host = &state.settings.host;
-    let entry = ListedEntry {
-        host: host.id.clone(),
-        peers_addr,
-        link: host.link,
-        zone: Some(host.zone.clone()),
-    };
-    let mut interval = INITIAL_ANNOUNCE_INTERVAL;
-    loop {
-        tokio::time::sleep(interval).await;
-        if !state.is_synced() || !state.feed_cache.has(Feed::Entries) {
-            continue;
-        }
-        interval = ANNOUNCE_INTERVAL;
-        if state.peers.lock().is_listed(&entry) {
-            continue;
-        }
-        state.upstreams.announce_self(state.now());
-        match store.list_entry(&entry).await {
-            Ok(()) => log::info!(peers_addr:% = peers_addr; "listed for other entries"),
-            Err(error) => log::warn!(error:% = error; "failed to list this gateway for its peers"),
-        }
-    }
-}
-
 /// Serves without the list of quarantined requests if it cannot be read in time.
 async fn serve_without_fatal_requests(state: Arc<GatewayState>) {
     tokio::time::sleep(FATAL_REQUESTS_TIMEOUT).await;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -33,6 +33,7 @@
 use crate::metrics::Metrics;
 use crate::peers::FeedCache;
 use crate::peers::PeerList;
+use crate::peers::PendingListings;
 use crate::planned_stop::PlannedStop;
 use crate::planned_stop::ResponseShape;
 use crate::retry_budgets::RetryBudgets;
@@ -62,6 +63,8 @@
     pub(crate) peers: Mutex<PeerList>,
     /// Where the latest data of each feed came from; `None` means the store.
     pub(crate) news_from: Mutex<BTreeMap<Feed, Option<SocketAddr>>>,
+    /// Gateways that this one is to list.
+    pub(crate) listings: PendingListings,
     /// What this gateway has read of the store, to serve its peers.
     pub(crate) feed_cache: FeedCache,
     /// The duties that one gateway at a time performs; none if there are no such.
@@ -108,6 +111,7 @@
             step_up: StepUpConfig { below_confidence },
             peers: Mutex::new(PeerList::new(settings.host.id.clone(), settings.host.zone.clone())),
             news_from: Mutex::default(),
+            listings: PendingListings::default(),
             feed_cache: FeedCache::default(),
             duties,
             metrics: Metrics::default(),
--- a/tests/all/gateway/mod.rs
+++ b/tests/all/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod emptied_zones;
 mod fatal_requests;
 mod fleet;
+mod fleet_start;
 mod going_away;
 mod headers;
 mod incarnations;
