A starting gateway waits for peers whose hosts respond

Cause: 60 ms after its start a gateway queried the store as well. In a whole fleet that starts, the seeds are not up yet (refused) or are busy with 380 others: all 385 read the list of gateways at the store, 150 all five feeds, and many went on there. Change: the delay stays 60 ms while no peer's host has responded at all (hosts down after a loss of power); once one has, if only by refusing the connection, it is the 400 ms for which peers are retried anyway. Ruled out: a larger fixed delay (late after a loss of power).

--- a/crates/gateway/src/peers/relayed_store.rs
+++ b/crates/gateway/src/peers/relayed_store.rs
@@ -5,6 +5,8 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use prost::Message;
@@ -18,6 +20,7 @@
 use tokio::time::timeout;
 
 use super::baselines::apply_baselines;
+use super::connection::Connection;
 use super::connection::PeerError;
 use super::connection::connect;
 use super::connection::exchange;
@@ -109,12 +112,33 @@
     pub(super) routes: HashMap<Feed, Mutex<Route>>,
     /// When the store failed on the liveness feed, if it has not responded since.
     store_unavailable_since: parking_lot::Mutex<Option<MonoTime>>,
+    /// Whether a peer's host has responded to a connection attempt, if only by refusing it.
+    is_peer_responsive: AtomicBool,
 }
 
 impl<S: ControlStore> RelayedStore<S> {
     pub(crate) fn new(state: Arc<GatewayState>, store: Arc<S>) -> Self {
         let routes = Feed::ALL.into_iter().map(|feed| (feed, Mutex::default())).collect();
-        Self { state, store, routes, store_unavailable_since: parking_lot::Mutex::default() }
+        Self {
+            state,
+            store,
+            routes,
+            store_unavailable_since: parking_lot::Mutex::default(),
+            is_peer_responsive: AtomicBool::new(false),
+        }
+    }
+
+    /// Whether a peer's host has responded to a connection attempt.
+    pub(super) fn is_peer_responsive(&self) -> bool {
+        self.is_peer_responsive.load(Ordering::SeqCst)
+    }
+
+    async fn connect(&self, addr: SocketAddr) -> Result<Connection, PeerError> {
+        let connected = connect(addr).await;
+        if !matches!(connected, Err(PeerError::TimedOut)) {
+            self.is_peer_responsive.store(true, Ordering::SeqCst);
+        }
+        connected
     }
 
     /// Requests a feed from the peers in turn; `None` when the store is to be queried.
@@ -230,7 +254,7 @@
         let known = route.connection.take().filter(|(connected, _)| *connected == addr);
         let mut connection = match known {
             Some((_, connection)) => connection,
-            None => connect(addr).await?,
+            None => self.connect(addr).await?,
         };
         let (wait, slack) = match after {
             Some(_) => (self.wait_for(feed), RESPONSE_SLACK),
--- a/crates/gateway/src/peers/starting.rs
+++ b/crates/gateway/src/peers/starting.rs
@@ -21,11 +21,16 @@
 const START_RETRY_TIME: Duration = Duration::from_millis(400);
 const START_RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Delay after which a starting gateway also queries the store; healthy peers respond in 10 to 30
-/// ms. After a power loss the hosts of its peers may still be down and silent, which delayed the
+/// Delay after which a starting gateway also queries the store if no peer's host has responded at
+/// all. After a power loss the hosts of its peers may still be down and silent, which delayed the
 /// gateway, and its callers, by 0.25 to 0.8 s.
 const HEDGE_DELAY: Duration = Duration::from_millis(60);
 
+/// The same if a host has responded, even by refusing the connection: its process is starting, or is
+/// serving others that start. The delay must not be so short that a whole fleet queries the store
+/// while its seeds are busy with it.
+const RESPONSIVE_HEDGE_DELAY: Duration = START_RETRY_TIME;
+
 /// How long a starting gateway waits for the list of gateways before it requests anything else:
 /// links to the seeds may be slow, those to the relays are not. It takes 10 ms, or 90 ms if the
 /// store has to be queried.
@@ -36,7 +41,11 @@
     pub(super) async fn read_at_start(&self, feed: Feed) -> Result<FeedPage, ControlStoreError> {
         self.wait_for_entries(feed).await;
         let mut others = Box::pin(self.request_from_peers_at_start(feed));
-        if let Ok(response) = timeout(HEDGE_DELAY, others.as_mut()).await {
+        let mut first = timeout(HEDGE_DELAY, others.as_mut()).await;
+        if first.is_err() && self.is_peer_responsive() {
+            first = timeout(RESPONSIVE_HEDGE_DELAY - HEDGE_DELAY, others.as_mut()).await;
+        }
+        if let Ok(response) = first {
             return match response {
                 Some(response) => response,
                 None => self.read_store(feed).await,
