A relay that stops tells its pollers, which turn to the others one by one

Change: a relay that is about to stop says so in its responses and ends all waits; a poller pauses for a random time, 2 ms for each listed gateway and 1 s at most, before it polls another one; so it does after the loss of an established connection.

--- a/crates/gateway/src/peers/feed_cache.rs
+++ b/crates/gateway/src/peers/feed_cache.rs
@@ -198,6 +198,11 @@
         PendingFollow { copies: self, feed }
     }
 
+    /// Wakes all that wait for changes, as this gateway is about to stop.
+    pub(crate) fn wake_pollers(&self) {
+        self.changed.notify_waiters();
+    }
+
     /// Records a poll by a peer.
     pub fn record_poll(&self, now: MonoTime) {
         self.copies.lock().polled_at = Some(now);
--- a/crates/gateway/src/peers/relayed_store.rs
+++ b/crates/gateway/src/peers/relayed_store.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use prost::Message;
+use rand::RngExt;
 use stallhoist_core::MonoTime;
 use stallhoist_core::RequestFingerprint;
 use stallhoist_core::StoreEra;
@@ -94,6 +95,12 @@
 /// Longest follow call while peers poll this gateway, as older copies are of no use to them.
 const FRESH_WAIT: Duration = Duration::from_millis(900);
 
+/// All pollers of a relay that stops turn to the others. They do so over this time for each listed gateway, and over
+/// `MAX_SWITCH_TIME` at most. When 130 gateways opened 500 connections at once, the next relay accepted too few of
+/// them in time, and 89 gateways queried the store for 8 s.
+const SWITCH_TIME_PER_GATEWAY: Duration = Duration::from_millis(2);
+const MAX_SWITCH_TIME: Duration = Duration::from_secs(1);
+
 /// Updates of at least this size are logged, so that slow transfers can be traced.
 const LARGE_UPDATE_BYTES: usize = 32 << 10;
 
@@ -155,6 +162,7 @@
         if targets.is_empty() {
             return None;
         }
+        tokio::time::sleep(route.paused_until.since(self.state.now())).await;
         for addr in targets {
             if route.is_skipped(self.state.now(), addr) {
                 continue;
@@ -212,7 +220,14 @@
         feed: Feed,
         after: Option<StoreVersion>,
     ) -> Option<Result<FeedPage, ControlStoreError>> {
-        match self.request_from_peer(route, addr, feed, after).await {
+        let was_connected =
+            route.connection.as_ref().is_some_and(|(connected, _)| *connected == addr);
+        let result = self.request_from_peer(route, addr, feed, after).await;
+        let is_leaving = result.as_ref().is_ok_and(|received| received.response.is_leaving);
+        if is_leaving {
+            route.leave(self.state.now(), addr, self.switch_pause());
+        }
+        match result {
             Ok(received) if !received.response.has_copy => None,
             Ok(ReceivedResponse { response, travelled_bytes }) => {
                 let page = response.into_page(self.state.feed_cache.era(feed));
@@ -227,11 +242,21 @@
                     error:% = error;
                     "an entry did not answer"
                 );
+                if was_connected {
+                    tokio::time::sleep(self.switch_pause()).await;
+                }
                 None
             }
         }
     }
 
+    /// How long this gateway waits before it turns from one relay to another.
+    fn switch_pause(&self) -> Duration {
+        let gateways = u32::try_from(self.state.peers.lock().count()).unwrap_or(u32::MAX);
+        let switch_time = SWITCH_TIME_PER_GATEWAY.saturating_mul(gateways).min(MAX_SWITCH_TIME);
+        switch_time.mul_f64(rand::rng().random_range(0.0..1.0))
+    }
+
     /// Caches what was read: a whole feed or its changes.
     fn cache_page(&self, feed: Feed, page: &FeedPage, is_whole: bool, origin: Origin) {
         let now = self.state.now();
--- a/crates/gateway/src/peers/response.rs
+++ b/crates/gateway/src/peers/response.rs
@@ -79,6 +79,9 @@
     /// Whether the sender will list the requester in the store, if that was requested.
     #[prost(bool, tag = "16")]
     pub(super) is_listing: bool,
+    /// Whether the sender is about to stop: it should not be polled any more.
+    #[prost(bool, tag = "17")]
+    pub(super) is_leaving: bool,
 }
 
 /// Rows of a feed.
--- a/crates/gateway/src/peers/route.rs
+++ b/crates/gateway/src/peers/route.rs
@@ -19,6 +19,8 @@
     /// Until then the store is queried directly.
     pub(super) direct_until: MonoTime,
     pub(super) skipped_until: HashMap<SocketAddr, MonoTime>,
+    /// Until then no other peer is polled.
+    pub(super) paused_until: MonoTime,
 }
 
 impl Route {
@@ -27,6 +29,12 @@
         self.skipped_until.get(&addr).is_some_and(|until| now < *until)
     }
 
+    /// Turns away from a peer that stops, and pauses before the next one is polled.
+    pub(super) fn leave(&mut self, now: MonoTime, addr: SocketAddr, pause: Duration) {
+        self.skip(now, addr);
+        self.paused_until = now.after(pause);
+    }
+
     /// Skips a peer that gave no fresh response.
     pub(super) fn skip(&mut self, now: MonoTime, addr: SocketAddr) {
         self.connection = None;
--- a/crates/gateway/src/peers/server.rs
+++ b/crates/gateway/src/peers/server.rs
@@ -163,6 +163,7 @@
         .map(|number| StoreVersion { era: requested_era(state, feed, &request), number });
     let mut response = page(state, feed, after, until).await;
     response.pack(feed, &request, &state.feed_cache);
+    response.is_leaving = state.is_leaving();
     match feed {
         Feed::Rollouts => PeerResponse {
             sessions: pinned_sessions(state, SessionScope::All),
@@ -182,7 +183,7 @@
     request.store_era.map_or_else(|| state.feed_cache.era(feed), StoreEra)
 }
 
-/// Waits until the feed has changes, its copy is stale, or `until` has passed.
+/// Waits until the feed has changes, its copy is stale, this gateway is about to stop, or `until` has passed.
 async fn page(
     state: &GatewayState,
     feed: Feed,
@@ -206,10 +207,12 @@
                 log::error!(feed:? = feed, error:% = error; "failed to read the cached feed");
                 return PeerResponse::default();
             }
-            Some(Ok(page)) if !page.rows.is_empty() || after.is_none() || now >= until => {
-                return PeerResponse::of(page);
+            Some(Ok(page)) => {
+                let is_due = after.is_none() || now >= until || state.is_leaving();
+                if is_due || !page.rows.is_empty() {
+                    return PeerResponse::of(page);
+                }
             }
-            Some(Ok(_)) => {}
         }
         // The requester learns at once that the copy is stale; otherwise it would notice a change a
         // whole wait too late.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -258,6 +258,7 @@
         let grace = self.settings.stop.grace.as_duration();
         *self.stop.lock() = Some(PlannedStop::new(self.now(), grace));
         self.duties.iter().for_each(Duties::wake);
+        self.feed_cache.wake_pollers();
     }
 
     /// When a stopping process ends; now without a stop.
