Pollers ask their relays again after a second if all of them responded

Change: 1 s in place of 8, as at a start, if no peer failed to respond: asking again then costs little. Test: seen failing at 9.1 s, bound 4 s. The pause is a function of its own now, with a test that plays the connections of 22 to 770 gateways.

--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -59,5 +59,6 @@
 pub use packing::unpack;
 pub(crate) use poll_targets::follows_store;
 pub(crate) use relayed_store::RelayedStore;
+pub use route::switch_pause;
 pub(crate) use server::PeerServer;
 pub(crate) use work::publish_work;
--- a/crates/gateway/src/peers/relayed_store.rs
+++ b/crates/gateway/src/peers/relayed_store.rs
@@ -39,6 +39,7 @@
 use super::poll_targets::poll_targets;
 use super::response::PeerResponse;
 use super::route::Route;
+use super::route::switch_pause;
 use super::seeds::request_from_seeds;
 use crate::control_store::Change;
 use crate::control_store::ControlStore;
@@ -81,8 +82,9 @@
 /// How long the store is queried directly after no peer had fresh data.
 const DIRECT_FOR: Duration = Duration::from_secs(8);
 
-/// The same for a gateway that has just started, whose peers may have started with it.
-const START_DIRECT_FOR: Duration = Duration::from_millis(1_000);
+/// The same for a gateway that has just started, whose peers may have started with it, and if all peers
+/// responded that their copies are stale: the store may have been away for the relays for a moment only.
+const BRIEF_DIRECT_FOR: Duration = Duration::from_millis(1_000);
 
 /// How long a request for a whole feed waits for a peer that is about to read it. A silent peer
 /// delays the startup by this time, during which callers wait.
@@ -95,12 +97,6 @@
 /// Longest follow call while peers poll this gateway, as older copies are of no use to them.
 const FRESH_WAIT: Duration = Duration::from_millis(900);
 
-/// All pollers of a relay that stops turn to the others. They do so over this time for each listed gateway, and over
-/// `MAX_SWITCH_TIME` at most. When 130 gateways opened 500 connections at once, the next relay accepted too few of
-/// them in time, and 89 gateways queried the store for 8 s.
-const SWITCH_TIME_PER_GATEWAY: Duration = Duration::from_millis(2);
-const MAX_SWITCH_TIME: Duration = Duration::from_secs(1);
-
 /// Updates of at least this size are logged, so that slow transfers can be traced.
 const LARGE_UPDATE_BYTES: usize = 32 << 10;
 
@@ -163,6 +159,7 @@
             return None;
         }
         tokio::time::sleep(route.paused_until.since(self.state.now())).await;
+        let mut is_any_lost = false;
         for addr in targets {
             if route.is_skipped(self.state.now(), addr) {
                 continue;
@@ -174,10 +171,13 @@
                 self.state.news_from.lock().insert(feed, Some(addr));
                 return Some(page);
             }
+            is_any_lost |= route.connection.is_none();
             route.skip(self.state.now(), addr);
         }
         log::info!(feed:? = feed; "no other entry has fresh news, asking the store");
-        let direct_for = if is_starting(&self.state) { START_DIRECT_FOR } else { DIRECT_FOR };
+        // Peers that respond, if only that their copies are stale, cost little to ask again.
+        let is_brief = is_starting(&self.state) || !is_any_lost;
+        let direct_for = if is_brief { BRIEF_DIRECT_FOR } else { DIRECT_FOR };
         route.direct_until = self.state.now().after(direct_for);
         route.skipped_until.clear();
         None
@@ -252,9 +252,8 @@
 
     /// How long this gateway waits before it turns from one relay to another.
     fn switch_pause(&self) -> Duration {
-        let gateways = u32::try_from(self.state.peers.lock().count()).unwrap_or(u32::MAX);
-        let switch_time = SWITCH_TIME_PER_GATEWAY.saturating_mul(gateways).min(MAX_SWITCH_TIME);
-        switch_time.mul_f64(rand::rng().random_range(0.0..1.0))
+        let gateways = self.state.peers.lock().count();
+        switch_pause(gateways, rand::rng().random_range(0.0..1.0))
     }
 
     /// Caches what was read: a whole feed or its changes.
--- a/crates/gateway/src/peers/route.rs
+++ b/crates/gateway/src/peers/route.rs
@@ -11,6 +11,19 @@
 /// How long a peer without a fresh response is skipped.
 const SKIP_FOR: Duration = Duration::from_secs(8);
 
+/// All pollers of a relay that ends lose it at the same moment. They turn to the others over this time for each listed gateway, and over `MAX_SWITCH_TIME` at most. When 130
+/// gateways opened 500 connections at once, the next relay accepted too few of them in time, and 89 gateways queried
+/// the store for 8 s.
+const SWITCH_TIME_PER_GATEWAY: Duration = Duration::from_millis(2);
+const MAX_SWITCH_TIME: Duration = Duration::from_secs(1);
+
+/// How long one of `gateways` waits before it turns from one relay to another; `unit` is random, from 0 to 1.
+pub fn switch_pause(gateways: usize, unit: f64) -> Duration {
+    let gateways = u32::try_from(gateways).unwrap_or(u32::MAX);
+    let switch_time = SWITCH_TIME_PER_GATEWAY.saturating_mul(gateways).min(MAX_SWITCH_TIME);
+    switch_time.mul_f64(unit)
+}
+
 /// What the follower of one feed knows about its peers.
 #[derive(Debug, Default)]
 pub(super) struct Route {
--- a/tests/all/decisions/peers.rs
+++ b/tests/all/decisions/peers.rs
@@ -1,5 +1,7 @@
 //! Selection of the gateways to poll, and the pages served from the feed cache.
 
+use std::time::Duration;
+
 use std::net::SocketAddr;
 
 use stallhoist_core::HostId;
@@ -14,6 +16,7 @@
 use stallhoist_gateway::peers::FeedCache;
 use stallhoist_gateway::peers::Origin;
 use stallhoist_gateway::peers::PeerList;
+use stallhoist_gateway::peers::switch_pause;
 
 use super::at_ms;
 use super::later;
@@ -325,3 +328,24 @@
     copies.extend(at_ms(61_000), Feed::Members, &page(Vec::new(), 11), Origin::Store);
     assert!(copies.page(at_ms(61_000), Feed::Members, None).is_some());
 }
+
+/// Connections that a relay can be sent within 10 ms and accept in time.
+const CONNECTIONS_IN_10_MS: usize = 128;
+
+// All pollers of one relay turn to another one, with a connection for each of four feeds.
+#[test]
+fn pollers_turn_to_another_relay_one_by_one() {
+    for gateways in [22, 103, 385, 770] {
+        let pollers = gateways / 3;
+        let mut arrivals_ms: Vec<u128> = (0..4 * pollers)
+            .map(|n| f64::from(n as u32).mul_add(0.618_034, 0.1).fract())
+            .map(|unit| switch_pause(gateways, unit).as_millis())
+            .collect();
+        arrivals_ms.sort_unstable();
+        let within_10_ms =
+            |from: &u128| arrivals_ms.iter().filter(|at| (*from..*from + 10).contains(*at)).count();
+        let most = arrivals_ms.iter().map(within_10_ms).max().unwrap_or(0);
+        assert!(most <= CONNECTIONS_IN_10_MS, "{most} of {} at {gateways}", 4 * pollers);
+        assert!(switch_pause(gateways, 1.0) <= Duration::from_secs(1));
+    }
+}
--- a/tests/all/gateway/fleet.rs
+++ b/tests/all/gateway/fleet.rs
@@ -13,7 +13,7 @@
 use super::world::KEY;
 use super::world::config;
 use super::world::settings;
-use super::world::start_gateway_with;
+use super::world::start_gateway_up_for;
 use crate::harness::wait_until;
 
 pub(super) const ENTRIES: usize = 7;
@@ -36,6 +36,11 @@
     }
 
     pub(super) async fn of(count: usize) -> Self {
+        Self::up_for(count, Duration::ZERO).await
+    }
+
+    /// Gateways that take themselves to have been running for this time.
+    pub(super) async fn up_for(count: usize, uptime: Duration) -> Self {
         let store = StoreStandin::start().await.expect("the store starts");
         store.put("op", "config", config(1));
         let (mut entries, mut store_links) = (Vec::new(), Vec::new());
@@ -47,7 +52,7 @@
             // Sessions must not expire during a test.
             settings.session = TimeSpan::from_secs(60);
             settings.host.id = format!("entry-{n}").parse().expect("a name");
-            entries.push(start_gateway_with(settings).await);
+            entries.push(start_gateway_up_for(settings, uptime).await);
         }
         let http = Client::builder().no_proxy().timeout(Duration::from_secs(5)).build();
         Self { store, store_links, entries, http: http.expect("a client can be made") }
--- a/tests/all/gateway/peers.rs
+++ b/tests/all/gateway/peers.rs
@@ -362,6 +362,28 @@
     leaving.wait_for_balancer().await.finish().await;
 });
 
+// The relays were without the store for a moment. Their pollers queried it for 8 s: at 385 gateways that
+// were 2,600 calls after its history was lost.
+case!(pollers_return_to_relays_that_have_the_store_again, async {
+    const BOUND: Duration = Duration::from_secs(4);
+    let fleet = Fleet::up_for(ENTRIES, Duration::from_secs(60)).await;
+    fleet.wait_for_direct_readers(3).await;
+    let dumps = fleet.dumps().await;
+    let is_relay = |n: &usize| dumps[*n]["news_from"]["Operators"] == "store";
+    let relays: Vec<usize> = (0..ENTRIES).filter(is_relay).collect();
+    relays.iter().for_each(|n| fleet.store_links[*n].sever());
+    wait_until("the others query the store", async || {
+        let dumps = fleet.dumps().await;
+        let is_direct = |n: usize| dumps[n]["news_from"]["Operators"] == "store";
+        (0..ENTRIES).any(|n| !relays.contains(&n) && is_direct(n))
+    })
+    .await;
+    relays.iter().for_each(|n| fleet.store_links[*n].heal());
+    let healed = Instant::now();
+    fleet.wait_for_direct_readers(3).await;
+    assert!(healed.elapsed() < BOUND, "it took {:?}", healed.elapsed());
+});
+
 /// In a fleet of this size, the work that one gateway has in progress becomes known to all others,
 /// and is dropped by them when it has ended.
 macro_rules! work_is_known_to_all {
--- a/tests/all/gateway/world.rs
+++ b/tests/all/gateway/world.rs
@@ -9,7 +9,10 @@
 use reqwest::header::HeaderMap;
 use serde_json::Value;
 use serde_json::json;
+use stallhoist_coordination::ProcessClock;
+use stallhoist_coordination::SimulatedSuspensions;
 use stallhoist_gateway::Gateway;
+use stallhoist_gateway::GatewayParts;
 use stallhoist_settings::GatewaySettings;
 use stallhoist_settings::StoreSettings;
 use stallhoist_standins::users_platform::Behaviour;
@@ -205,10 +208,18 @@
 }
 
 pub(super) async fn start_gateway_with(settings: GatewaySettings) -> Gateway {
+    start_gateway_up_for(settings, Duration::ZERO).await
+}
+
+/// Starts a gateway that takes itself to have been running for this time.
+pub(super) async fn start_gateway_up_for(settings: GatewaySettings, uptime: Duration) -> Gateway {
     let client = PlatformStore::new(&settings.store).expect("the client starts");
-    Gateway::start(settings, Arc::new(PlatformDialect), Arc::new(client))
-        .await
-        .expect("the gateway starts")
+    let suspensions = SimulatedSuspensions::default();
+    let clock = ProcessClock::start_with(suspensions.clone());
+    suspensions.add(uptime);
+    let parts = GatewayParts::new(Arc::new(PlatformDialect), Arc::new(client));
+    let parts = GatewayParts { clock, ..parts };
+    Gateway::start_with(settings, parts).await.expect("the gateway starts")
 }
 
 pub(crate) async fn readiness(http: &reqwest::Client, addr: &str) -> u16 {
