--- a/crates/gateway/src/peers/relayed_store.rs
+++ b/crates/gateway/src/peers/relayed_store.rs
@@ -228,7 +228,12 @@
             route.leave(self.state.now(), addr, self.switch_pause());
         }
         match result {
-            Ok(received) if !received.response.has_copy => None,
+            Ok(received) if !received.response.has_copy => {
+                if was_connected && !is_leaving {
+                    tokio::time::sleep(self.switch_pause()).await;
+                }
+                None
+            }
             Ok(ReceivedResponse { response, travelled_bytes }) => {
                 let page = response.into_page(self.state.feed_cache.era(feed));
                 let bytes = page.as_ref().map_or(0, FeedPage::value_bytes);
--- a/crates/gateway/src/peers/route.rs
+++ b/crates/gateway/src/peers/route.rs
@@ -11,7 +11,8 @@
 /// How long a peer without a fresh response is skipped.
 const SKIP_FOR: Duration = Duration::from_secs(8);
 
-/// All pollers of a relay that ends lose it at the same moment. They turn to the others over this time for each listed gateway, and over `MAX_SWITCH_TIME` at most. When 130
+/// All pollers of a relay lose it at the same moment: it ends, or the store is away for it and its copies are stale.
+/// They turn to the others over this time for each listed gateway, and over `MAX_SWITCH_TIME` at most. When 130
 /// gateways opened 500 connections at once, the next relay accepted too few of them in time, and 89 gateways queried
 /// the store for 8 s.
 const SWITCH_TIME_PER_GATEWAY: Duration = Duration::from_millis(2);
