--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -9,7 +9,7 @@
 use stallhoist_policy::rollout::TimedCounts;
 use stallhoist_policy::rollout::VersionCounts;
 
-use super::duties::DutyRequest;
+use super::duty_messages::DutyRequest;
 use super::listing::ListingMessage;
 use crate::control_store::Feed;
 use crate::sessions::PinnedSession;
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -26,6 +26,7 @@
 mod connection;
 mod crashes;
 mod duties;
+mod duty_messages;
 mod evidence;
 mod feed_cache;
 mod health;
--- a/crates/gateway/src/peers/response.rs
+++ b/crates/gateway/src/peers/response.rs
@@ -7,7 +7,7 @@
 use stallhoist_core::StoreEra;
 use stallhoist_core::StoreVersion;
 
-use super::duties::DutyResponse;
+use super::duty_messages::DutyResponse;
 use super::feed_cache::FeedCache;
 use super::messages::BaselineMessage;
 use super::messages::CrashMessage;
--- a/crates/policy/src/usage/mod.rs
+++ b/crates/policy/src/usage/mod.rs
@@ -7,7 +7,7 @@
 //!
 //! Invariant: for one window, no two different reports are ever sent.
 //!
-//! Read `UsageDuty::step` first. `UsageSchedule` says when a window is fixed and whose turn it is, `UsageCounts`
+//! Read `UsageDuty::step` first; `step` has the steps and their results. `UsageSchedule` says when a window is fixed and whose turn it is, `UsageCounts`
 //! holds the counts, `DutyRecord` is what is stored.
 
 mod counts;
@@ -15,21 +15,22 @@
 mod duty_record;
 mod report;
 mod schedule;
+mod step;
 mod summary;
 mod window;
 
 pub use counts::UsageCounts;
 pub use counts::UsageSource;
 pub use counts::UsageUpdate;
-pub use duty::Delivery;
-pub use duty::DutyContext;
-pub use duty::DutyStep;
 pub use duty::UsageDuty;
-pub use duty::WriteFailure;
 pub use duty_record::DutyRecord;
 pub use duty_record::DutyWrite;
 pub use report::UsageCall;
 pub use report::UsageReport;
 pub use schedule::UsageSchedule;
+pub use step::Delivery;
+pub use step::DutyContext;
+pub use step::DutyStep;
+pub use step::WriteFailure;
 pub use summary::DutySummary;
 pub use window::UsageWindow;
