A run is counted at the time at which it began, without a median per request

Cause: the time of day of a past point was worked out from the host's present clock. Where that reading counts (a gateway that hears from no other, or whose reading is the median) a plain request went into the window in which it was answered. And each request collected and sorted the readings of all peers: 130 to 260 on a relay of the fleet. Change: the clock keeps the offset agreed on last (at each step and exchange, twice a second); a past point is that offset and the monotonic clock. Test: a past point has the time that it had (new; the old code has no such call).

--- a/crates/gateway/src/duties/state.rs
+++ b/crates/gateway/src/duties/state.rs
@@ -34,7 +34,7 @@
 }
 
 impl DutyState {
-    fn unix(&self, now: MonoTime) -> Duration {
+    fn unix(&mut self, now: MonoTime) -> Duration {
         self.clock.unix(now, local_unix())
     }
 
@@ -101,7 +101,7 @@
         let incarnation = IncarnationId::generate();
         let source = UsageSource(xxh3_64(incarnation.as_bytes()));
         let holder = Holder { host, incarnation };
-        let clock = FleetClock::default();
+        let mut clock = FleetClock::default();
         let unix = clock.unix(now, local_unix());
         let lease = settings.lease.as_duration();
         let state = DutyState {
@@ -116,7 +116,7 @@
     /// Counts a request that an upstream began to run at `began`.
     pub(crate) fn record_run(&self, began: MonoTime, workspace: &WorkspaceName) {
         let mut state = self.state.lock();
-        let unix = state.unix(began);
+        let unix = state.clock.unix_at(began);
         let window = UsageWindow::containing(unix, self.schedule.window_length);
         state.counts.record(window, workspace);
     }
@@ -188,8 +188,9 @@
     /// The time up to which the counts of this gateway, and of those that report to it, are complete, regardless of
     /// the hosts `excluded`.
     pub(crate) fn complete_through(&self, now: MonoTime, excluded: &[HostId]) -> Duration {
-        let state = self.state.lock();
-        state.counts.complete_through(now, state.unix(now), excluded)
+        let mut state = self.state.lock();
+        let unix = state.unix(now);
+        state.counts.complete_through(now, unix, excluded)
     }
 
     /// Records that a peer was heard.
--- a/crates/policy/src/fleet_clock/mod.rs
+++ b/crates/policy/src/fleet_clock/mod.rs
@@ -32,6 +32,8 @@
     peers: HashMap<HostId, Reading>,
     /// The median that a relay has answered with.
     adopted: Option<Reading>,
+    /// The offset that was agreed on last.
+    agreed_ms: OffsetMs,
 }
 
 impl FleetClock {
@@ -52,15 +54,21 @@
     /// The agreed time of day, as a duration since the Unix epoch; `local` is that of this host.
     ///
     /// What a relay has answered counts for as long as no peer reports to this gateway.
-    pub fn unix(&self, now: MonoTime, local: Duration) -> Duration {
+    pub fn unix(&mut self, now: MonoTime, local: Duration) -> Duration {
         let is_recent = |reading: &&Reading| now.since(reading.read_at) < READING_LIFETIME;
         let peers: Vec<OffsetMs> =
             self.peers.values().filter(is_recent).map(|reading| reading.offset_ms).collect();
-        let offset_ms = match self.adopted {
+        self.agreed_ms = match self.adopted {
             Some(adopted) if peers.is_empty() => adopted.offset_ms,
             _ => median(peers, offset_ms(now, local)),
         };
-        let unix_ms = mono_ms(now).saturating_add(offset_ms);
+        self.unix_at(now)
+    }
+
+    /// The time of day at a point of this process's clock, which may be past, as agreed on by the last call of
+    /// [`unix`](Self::unix).
+    pub fn unix_at(&self, at: MonoTime) -> Duration {
+        let unix_ms = mono_ms(at).saturating_add(self.agreed_ms);
         Duration::from_millis(u64::try_from(unix_ms).unwrap_or(0))
     }
 }
--- a/tests/all/decisions/fleet_clock.rs
+++ b/tests/all/decisions/fleet_clock.rs
@@ -50,3 +50,12 @@
     assert_eq!(clock.unix(at_ms(1_000), unix(1_000, 0)), unix(1_000, 9_000));
     assert_eq!(clock.unix(at_ms(31_000), unix(31_000, 0)), unix(31_000, 0));
 }
+
+// A request is counted into the window in which it began, although it is counted when it has been answered.
+#[test]
+fn a_past_point_has_the_time_of_day_that_it_had() {
+    let mut clock = FleetClock::default();
+    assert_eq!(clock.unix(at_ms(5_000), unix(5_000, 0)), unix(5_000, 0), "it is alone");
+    assert_eq!(clock.unix_at(at_ms(2_000)), unix(2_000, 0));
+    assert_eq!(clock.unix_at(at_ms(6_000)), unix(6_000, 0));
+}
