One pause before a poller turns away; comments say what a larger fleet does

The pause after a stale copy and after a lost connection is in one place; the gauges share one function. Comments of the change that told how it was found say what holds at twice the size; one on zero counts was wrong.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -238,9 +238,6 @@
 
     /// Sets the gauges of upstream counts.
     pub(crate) fn set_upstream_counts(&self, counts: &UpstreamCounts) {
-        let set = |gauge: &Gauge, count| {
-            gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
-        };
         set(&self.upstreams, counts.known);
         set(&self.cold_upstreams, counts.cold);
         set(&self.limited_upstreams, counts.limited);
@@ -253,9 +250,6 @@
         let Some(status) = status else {
             return;
         };
-        let set = |gauge: &Gauge, value| {
-            gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
-        };
         set(&self.holds_duties, u64::from(status.is_local));
         set(&self.duty_epoch, status.epoch.0);
         set(&self.usage_sent_through, status.sent_through.0);
@@ -277,3 +271,8 @@
         self.attempts.get_or_create(&AttemptLabels { result }).inc();
     }
 }
+
+/// Sets a gauge to a value, or to the maximum if the value is greater.
+fn set(gauge: &Gauge, value: impl TryInto<i64>) {
+    gauge.set(value.try_into().unwrap_or(i64::MAX));
+}
--- a/crates/gateway/src/peers/listing.rs
+++ b/crates/gateway/src/peers/listing.rs
@@ -39,7 +39,7 @@
 /// How long requests are collected for one write.
 const BATCH_TIME: Duration = Duration::from_millis(100);
 
-/// Maximum number of gateways in one write.
+/// Maximum number of gateways in one write, as many rows as the store accepts. A larger fleet takes more writes.
 const MAX_BATCH: usize = 100;
 
 /// Delay before a failed write is repeated, and up to twice as long at random. After some failures the gateways are
--- a/crates/gateway/src/peers/relayed_store.rs
+++ b/crates/gateway/src/peers/relayed_store.rs
@@ -171,6 +171,7 @@
                 self.state.news_from.lock().insert(feed, Some(addr));
                 return Some(page);
             }
+            // The connection is kept only if the peer has responded.
             is_any_lost |= route.connection.is_none();
             route.skip(self.state.now(), addr);
         }
@@ -227,13 +228,8 @@
         if is_leaving {
             route.leave(self.state.now(), addr, self.switch_pause());
         }
-        match result {
-            Ok(received) if !received.response.has_copy => {
-                if was_connected && !is_leaving {
-                    tokio::time::sleep(self.switch_pause()).await;
-                }
-                None
-            }
+        let page = match result {
+            Ok(received) if !received.response.has_copy => None,
             Ok(ReceivedResponse { response, travelled_bytes }) => {
                 let page = response.into_page(self.state.feed_cache.era(feed));
                 let bytes = page.as_ref().map_or(0, FeedPage::value_bytes);
@@ -247,12 +243,13 @@
                     error:% = error;
                     "an entry did not answer"
                 );
-                if was_connected {
-                    tokio::time::sleep(self.switch_pause()).await;
-                }
                 None
             }
+        };
+        if page.is_none() && was_connected && !is_leaving {
+            tokio::time::sleep(self.switch_pause()).await;
         }
+        page
     }
 
     /// How long this gateway waits before it turns from one relay to another.
--- a/crates/gateway/src/peers/route.rs
+++ b/crates/gateway/src/peers/route.rs
@@ -12,9 +12,9 @@
 const SKIP_FOR: Duration = Duration::from_secs(8);
 
 /// All pollers of a relay lose it at the same moment: it ends, or the store is away for it and its copies are stale.
-/// They turn to the others over this time for each listed gateway, and over `MAX_SWITCH_TIME` at most. When 130
-/// gateways opened 500 connections at once, the next relay accepted too few of them in time, and 89 gateways queried
-/// the store for 8 s.
+/// They turn to the others over this time for each listed gateway, so that the connections that a relay must accept in a
+/// second do not grow with the fleet. From 500 gateways on `MAX_SWITCH_TIME` bounds the delay of changes instead: with
+/// 1,000 gateways a relay must accept twice as many in a second.
 const SWITCH_TIME_PER_GATEWAY: Duration = Duration::from_millis(2);
 const MAX_SWITCH_TIME: Duration = Duration::from_secs(1);
 
--- a/crates/gateway/src/peers/starting.rs
+++ b/crates/gateway/src/peers/starting.rs
@@ -28,7 +28,8 @@
 
 /// The same if a host has responded, even by refusing the connection: its process is starting, or is
 /// serving others that start. The delay must not be so short that a whole fleet queries the store
-/// while its seeds are busy with it.
+/// while its seeds are busy with it. The time that the seeds need grows with the fleet: gateways that
+/// they do not serve within the delay query the store.
 const RESPONSIVE_HEDGE_DELAY: Duration = START_RETRY_TIME;
 
 /// How long a starting gateway waits for the list of gateways before it requests anything else:
--- a/crates/policy/src/usage/counts.rs
+++ b/crates/policy/src/usage/counts.rs
@@ -63,7 +63,7 @@
 }
 
 impl WindowCounts {
-    /// Sets a count to the value that `update` makes of the present one; a zero is not kept.
+    /// Sets a count to the value that `update` makes of the present one, which is 0 at first.
     fn update(
         &mut self,
         source: UsageSource,
