--- a/crates/gateway/src/peers/relayed_store.rs
+++ b/crates/gateway/src/peers/relayed_store/mod.rs
@@ -1,5 +1,9 @@
 //! The control store as a gateway of a large fleet uses it: through a peer that has fresh data,
 //! else directly.
+//!
+//! `control_store` has the calls; this module selects the peer, or the store, that answers.
+
+mod control_store;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -12,45 +16,36 @@
 use prost::Message;
 use rand::RngExt;
 use stallhoist_core::MonoTime;
-use stallhoist_core::RequestFingerprint;
 use stallhoist_core::StoreEra;
 use stallhoist_core::StoreVersion;
-use stallhoist_policy::fatal::FatalChange;
-use stallhoist_policy::usage::DutyWrite;
 use tokio::sync::Mutex;
 use tokio::time::timeout;
 
-use super::baselines::apply_baselines;
-use super::connection::Connection;
-use super::connection::PeerError;
-use super::connection::connect;
-use super::connection::exchange;
-use super::crashes::apply_crashes;
-use super::evidence::apply_sessions;
-use super::evidence::local_evidence;
-use super::evidence::pinned_sessions;
-use super::feed_cache::LIVENESS_FEED;
-use super::feed_cache::Origin;
-use super::messages::HeldRow;
-use super::messages::PeerRequest;
-use super::messages::feed_number;
-use super::poll_targets::follows_store;
-use super::poll_targets::is_starting;
-use super::poll_targets::poll_targets;
-use super::response::PeerResponse;
-use super::route::Route;
-use super::route::switch_pause;
-use super::seeds::request_from_seeds;
-use crate::control_store::Change;
 use crate::control_store::ControlStore;
 use crate::control_store::ControlStoreError;
 use crate::control_store::Feed;
 use crate::control_store::FeedPage;
-use crate::control_store::FeedRow;
-use crate::control_store::ListedEntry;
-use crate::control_store::RolloutChange;
-use crate::control_store::StoredDuty;
-use crate::control_store::UnreadableRow;
+use crate::peers::baselines::apply_baselines;
+use crate::peers::connection::Connection;
+use crate::peers::connection::PeerError;
+use crate::peers::connection::connect;
+use crate::peers::connection::exchange;
+use crate::peers::crashes::apply_crashes;
+use crate::peers::evidence::apply_sessions;
+use crate::peers::evidence::local_evidence;
+use crate::peers::evidence::pinned_sessions;
+use crate::peers::feed_cache::LIVENESS_FEED;
+use crate::peers::feed_cache::Origin;
+use crate::peers::messages::HeldRow;
+use crate::peers::messages::PeerRequest;
+use crate::peers::messages::feed_number;
+use crate::peers::poll_targets::follows_store;
+use crate::peers::poll_targets::is_starting;
+use crate::peers::poll_targets::poll_targets;
+use crate::peers::response::PeerResponse;
+use crate::peers::route::Route;
+use crate::peers::route::switch_pause;
+use crate::peers::seeds::request_from_seeds;
 use crate::sessions::SessionScope;
 use crate::state::GatewayState;
 
@@ -382,73 +377,3 @@
         }
     }
 }
-
-impl<S: ControlStore> ControlStore for RelayedStore<S> {
-    async fn read(&self, feed: Feed) -> Result<FeedPage, ControlStoreError> {
-        if is_starting(&self.state) {
-            return self.read_at_start(feed).await;
-        }
-        match self.request_from_peers(feed, None).await {
-            Some(response) => response,
-            None => self.read_store(feed).await,
-        }
-    }
-
-    async fn follow(
-        &self,
-        feed: Feed,
-        after: StoreVersion,
-        wait: Duration,
-    ) -> Result<FeedPage, ControlStoreError> {
-        if let Some(response) = self.request_from_peers(feed, Some(after)).await {
-            return response;
-        }
-        if self.is_store_unavailable(feed) {
-            let cause = "it does not respond on the liveness feed".to_owned();
-            return Err(ControlStoreError::NotReached(cause));
-        }
-        let is_polled = self.state.feed_cache.is_polled(self.state.now());
-        if is_polled && !self.state.feed_cache.has(feed) {
-            // Peers need this feed, and only its changes have been followed so far.
-            return Err(ControlStoreError::HistoryGone);
-        }
-        let is_proof = is_polled && feed == LIVENESS_FEED;
-        let wait = if is_proof { wait.min(FRESH_WAIT) } else { wait };
-        let is_reached = self.state.feed_cache.is_from_store(feed);
-        let wait = if is_reached { wait } else { wait.min(FIRST_DIRECT_WAIT) };
-        let pending = self.state.feed_cache.begin_follow(feed);
-        let page = self.store.follow(feed, after, wait).await;
-        drop(pending);
-        let page = self.record_store_result(feed, page).await?;
-        self.cache_store_page(feed, &page, false);
-        Ok(page)
-    }
-
-    fn decode(&self, feed: Feed, row: &FeedRow) -> Result<Option<Change>, UnreadableRow> {
-        self.store.decode(feed, row)
-    }
-
-    async fn list_entries(&self, entries: &[ListedEntry]) -> Result<(), ControlStoreError> {
-        self.store.list_entries(entries).await
-    }
-
-    async fn commit_rollout(&self, change: &RolloutChange) -> Result<(), ControlStoreError> {
-        self.store.commit_rollout(change).await
-    }
-
-    async fn commit_fatal(
-        &self,
-        request: RequestFingerprint,
-        change: &FatalChange,
-    ) -> Result<(), ControlStoreError> {
-        self.store.commit_fatal(request, change).await
-    }
-
-    async fn read_duty(&self) -> Result<StoredDuty, ControlStoreError> {
-        self.store.read_duty().await
-    }
-
-    async fn commit_duty(&self, write: &DutyWrite) -> Result<StoreVersion, ControlStoreError> {
-        self.store.commit_duty(write).await
-    }
-}
--- a/tests/all/decisions/duty_model.rs
+++ b/tests/all/decisions/duty_model/mod.rs
@@ -3,7 +3,9 @@
 //! The gateways are the real decision code. Every run is decided by a list of choices: what becomes of each call,
 //! and whether a process is frozen or killed. All runs with up to two faults are played, and random ones with more.
 
-use std::collections::BTreeMap;
+mod choices;
+mod rules;
+
 use std::time::Duration;
 
 use proptest::prelude::ProptestConfig;
@@ -29,6 +31,10 @@
 use stallhoist_policy::usage::UsageWindow;
 use stallhoist_policy::usage::WriteFailure;
 
+use self::choices::Choices;
+use self::choices::Drawn;
+use self::choices::Exhaustive;
+
 const TICK: Duration = Duration::from_millis(250);
 const TICKS: u64 = 48;
 const WINDOW: Duration = Duration::from_secs(2);
@@ -46,76 +52,6 @@
 /// A write that is done late takes effect after this number of ticks.
 const LATE_TICKS: u64 = 9;
 
-/// Decides a run: 0 is the usual course, any other choice a fault.
-trait Choices {
-    fn choose(&mut self, options: usize) -> usize;
-}
-
-/// All runs with a limited number of faults, one after the other.
-#[derive(Debug, Default)]
-struct Exhaustive {
-    /// The choices of this run, with their numbers of options.
-    made: Vec<(usize, usize)>,
-    /// How many of them are taken over from the run before.
-    prefix: usize,
-    position: usize,
-    faults: usize,
-    max_faults: usize,
-}
-
-impl Exhaustive {
-    fn new(max_faults: usize) -> Self {
-        Self { max_faults, ..Self::default() }
-    }
-
-    /// Goes on to the next run; false after the last one.
-    fn advance(&mut self) -> bool {
-        while let Some((choice, options)) = self.made.pop() {
-            let faults = self.made.iter().filter(|(choice, _)| *choice > 0).count();
-            let next = choice + 1;
-            if next < options && faults < self.max_faults {
-                self.made.push((next, options));
-                self.prefix = self.made.len();
-                (self.position, self.faults) = (0, 0);
-                return true;
-            }
-        }
-        false
-    }
-}
-
-impl Choices for Exhaustive {
-    fn choose(&mut self, options: usize) -> usize {
-        let choice = if self.position < self.prefix {
-            self.made[self.position].0
-        } else {
-            self.made.push((0, options));
-            0
-        };
-        self.position += 1;
-        self.faults += usize::from(choice > 0);
-        choice
-    }
-}
-
-/// A run whose faults are drawn.
-#[derive(Debug)]
-struct Drawn {
-    state: u64,
-    one_in: u64,
-}
-
-impl Choices for Drawn {
-    fn choose(&mut self, options: usize) -> usize {
-        self.state = self
-            .state
-            .wrapping_mul(6_364_136_223_846_793_005)
-            .wrapping_add(1_442_695_040_888_963_407);
-        let drawn = self.state >> 33;
-        if drawn.is_multiple_of(self.one_in) { (drawn / self.one_in) as usize % options } else { 0 }
-    }
-}
-
 /// What differs between the runs of one exploration.
 #[derive(Debug, Clone, Copy)]
 struct Setting {
@@ -397,59 +333,6 @@
         self.accepted.push(Accepted { tick: self.tick, call, is_after_thaw });
     }
 
-    /// The rules of a single holder, as the platform sees them.
-    fn check(&self) -> Result<(), String> {
-        self.check_reports()?;
-        self.check_epochs()?;
-        self.check_turns()
-    }
-
-    /// For one window, all accepted reports are the same.
-    fn check_reports(&self) -> Result<(), String> {
-        let mut reports = BTreeMap::new();
-        for accepted in &self.accepted {
-            let report = &accepted.call.report;
-            let first = reports.entry(report.window).or_insert(report);
-            if *first != report {
-                return Err(format!("two reports of window {}", report.window));
-            }
-        }
-        Ok(())
-    }
-
-    /// An epoch belongs to one host, and epochs do not go back.
-    fn check_epochs(&self) -> Result<(), String> {
-        let mut hosts: BTreeMap<FencingToken, &HostId> = BTreeMap::new();
-        let mut highest = FencingToken(0);
-        for Accepted { tick, call, is_after_thaw } in &self.accepted {
-            if *hosts.entry(call.epoch).or_insert(&call.host) != &call.host {
-                return Err(format!("two holders of epoch {}", call.epoch));
-            }
-            if !is_after_thaw && call.epoch < highest {
-                return Err(format!("epoch {} after {highest} at tick {tick}", call.epoch));
-            }
-            highest = highest.max(call.epoch);
-        }
-        Ok(())
-    }
-
-    /// No host acts again within the lease's duration after another one has acted in between.
-    fn check_turns(&self) -> Result<(), String> {
-        let counted: Vec<_> = self.accepted.iter().filter(|a| !a.is_after_thaw).collect();
-        for (n, first) in counted.iter().enumerate() {
-            let mut is_other_seen = false;
-            for later in &counted[n + 1..] {
-                let is_same = later.call.host == first.call.host;
-                let since = TICK * (later.tick - first.tick) as u32;
-                if is_same && is_other_seen && since < LEASE {
-                    return Err(format!("{} acts out of turn", later.call.host));
-                }
-                is_other_seen |= !is_same;
-            }
-        }
-        Ok(())
-    }
-
     /// The windows whose reports were accepted in time.
     fn reported_in_time(&self) -> Vec<UsageWindow> {
         let is_in_time = |accepted: &&Accepted| {
--- a/tests/all/gateway/mod.rs
+++ b/tests/all/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod members;
 mod named_limits;
 mod peers;
+mod relay_changes;
 mod requested_backoffs;
 mod rollout_loads;
 mod rollouts;
