Interfaces of overload control: engine time, expectations, decisions

The gateway decides nothing about scarcity: every attempt is sent at once, and its cost is the time to the first chunk.

New: EngineTime, Expectation, AttemptDecision, EnginePrice, ShareStatus. No decision changes: the expectation of an attempt is what was used before.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod bill_record;
 mod cost;
+mod engine_time;
 mod instant;
 mod key_digest;
 mod link_rate;
@@ -30,6 +31,7 @@
 pub use attempt::AttemptId;
 pub use bill_record::BillRecord;
 pub use cost::CostMicros;
+pub use engine_time::EngineTime;
 pub use instant::MonoTime;
 pub use key_digest::KeyDigest;
 pub use link_rate::LinkRate;
--- a/crates/gateway/src/request/execution/mod.rs
+++ b/crates/gateway/src/request/execution/mod.rs
@@ -313,7 +313,7 @@
         };
         let better = StepUpTiming {
             elapsed: self.state.now().since(self.call.arrived),
-            expected_wait: chosen.expected_wait(),
+            expected_wait: chosen.expectation().first_chunk,
             target: self.call.route.target_latency,
         };
         better.is_in_time()
--- a/crates/gateway/src/upstreams/placement.rs
+++ b/crates/gateway/src/upstreams/placement.rs
@@ -3,12 +3,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use stallhoist_core::EngineTime;
 use stallhoist_core::ModelName;
 use stallhoist_core::MonoTime;
 use stallhoist_core::Prompt;
 use stallhoist_core::ServiceName;
 use stallhoist_core::UpstreamIncarnation;
 use stallhoist_core::VersionName;
+use stallhoist_policy::balance::Expectation;
 use stallhoist_policy::balance::PrefillWork;
 
 use crate::rollouts::VersionRule;
@@ -72,6 +74,13 @@
         self.wait_after(self.other_ms)
     }
 
+    /// What the attempt is expected to take.
+    pub(crate) fn expectation(&self) -> Expectation {
+        let first_chunk = self.expected_wait();
+        let engine_time = EngineTime::from_millis(self.base_ms + self.work.remaining_prefill_ms);
+        Expectation { first_chunk, completion: first_chunk, engine_time }
+    }
+
     /// The expected time to the first chunk, if other requests take `other_ms`.
     pub(super) fn wait_after(&self, other_ms: f64) -> Duration {
         Duration::try_from_secs_f64(
--- a/crates/policy/src/balance/mod.rs
+++ b/crates/policy/src/balance/mod.rs
@@ -12,6 +12,7 @@
 
 mod config;
 mod cost;
+mod expectation;
 mod health;
 mod load;
 mod peer_work;
@@ -26,6 +27,7 @@
 pub use cost::expected_wait_ms;
 pub use cost::other_ms;
 pub use cost::uncached_prefill_ms;
+pub use expectation::Expectation;
 pub use health::BackoffRange;
 pub use health::Evidence;
 pub use health::Fitness;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod lease;
 pub mod limits;
 pub mod named_limits;
+pub mod overload;
 pub mod placement;
 pub mod requested_backoffs;
 pub mod retry;
--- a/tests/all/decisions/mod.rs
+++ b/tests/all/decisions/mod.rs
@@ -13,6 +13,7 @@
 mod limits;
 mod list_properties;
 mod named_limits;
+mod overload_types;
 mod packing;
 mod peer_work;
 mod peers;
