--- a/tests/days/make_days.py
+++ b/tests/days/make_days.py
@@ -229,6 +229,35 @@
     ("zone-emptied", "zone-emptied-warm", 1.0),
 ]
 
+# More work than the upstreams bear: what is lost, and what comes on top of it.
+HEAVY_DAYS = {
+    "heavy-engines-lost": [
+        "at = 4.0, kind = 'srv_crash', how = 'gone', share = 0.45, service = '@s0'",
+        "at = 8.0, kind = 'burst', x = 1.8, for_s = 10.0",
+    ],
+    "heavy-workspace": [
+        "at = 4.0, kind = 'srv_crash', how = 'gone', share = 0.4, service = '@s0'",
+        "at = 8.0, kind = 'hot_tenant', x = 10.0, for_s = 12.0",
+    ],
+    "heavy-engines-slow": [
+        "at = 4.0, kind = 'srv_slow', share = 0.35, x = 5.0, for_s = 16.0, service = '@s0'",
+        "at = 8.0, kind = 'burst', x = 1.4, for_s = 8.0",
+    ],
+    "heavy-plain-lost": [
+        "at = 4.0, kind = 'srv_crash', how = 'gone', share = 0.5, service = '@s1'",
+        "at = 6.0, kind = 'hot_tenant', x = 8.0, for_s = 10.0",
+    ],
+    "heavy-retries": [
+        "at = 4.0, kind = 'srv_crash', how = 'gone', share = 0.4, service = '@s0'",
+        "at = 6.0, kind = 'retry_abuse', x = 4.0, share = 0.4, for_s = 12.0",
+        "at = 8.0, kind = 'burst', x = 1.5, for_s = 8.0",
+    ],
+    "heavy-hot-prompt": [
+        "at = 4.0, kind = 'srv_crash', how = 'gone', share = 0.35, service = '@s0'",
+        "at = 6.0, kind = 'hot_key', share = 0.4, for_s = 14.0",
+    ],
+}
+
 # Name: the class of requests that end upstreams, of one site or another.
 DEADLY_CLASSES = {
     "deadly": "diff-review",
@@ -331,6 +360,12 @@
         yield f"{first}+{second}", [(first, 4.0), (second, 4.0 + gap)]
 
 
+def heavy_days():
+    for seed, (name, faults) in zip(itertools.count(1001), HEAVY_DAYS.items()):
+        lines = [f"  {{ {fault} }}," for fault in faults]
+        yield name, day_text(name, {"plan": [], "faults": lines}, seed).replace("'", '"')
+
+
 def deadly_days():
     """Requests that end the upstreams that run them. A class is a site's own; a day whose class a
     site does not have is left out there."""
@@ -347,7 +382,7 @@
         old.unlink()
     for seed, (name, parts) in zip(itertools.count(1), deploy_days()):
         (target / f"{name}.toml").write_text(day(name, parts, "@s0", seed))
-    for name, text in deadly_days():
+    for name, text in itertools.chain(deadly_days(), heavy_days()):
         (target / f"{name}.toml").write_text(text)
 
 
