Sums over peers are a type of their own

The bookkeeping of peers' updates (replace, expire, total) moves to PeerSums; PeerWork is one of them.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod limits;
 pub mod named_limits;
 pub mod overload;
+pub mod peer_sums;
 pub mod placement;
 pub mod requested_backoffs;
 pub mod retry;
