Max-min fair shares of engine time among workspaces

FairShares counts what each workspace asks for and what is sent, here and at peers, and divides what the upstreams bear max-min fairly. Decision code alone: nothing calls it yet.

Ruled out: a tolerance of a fifth above the share, with which the others of the first test get 90 of 100 they ask for. Tests: 13, of which a_workspace_at_ten_times_its_usual.. and use_at_other_gateways.. fail with that tolerance.

--- a/crates/policy/src/overload/mod.rs
+++ b/crates/policy/src/overload/mod.rs
@@ -10,8 +10,15 @@
 
 mod decision;
 mod engine_price;
+mod fair_shares;
+mod max_min;
+mod recent_use;
 mod share;
 
 pub use decision::AttemptDecision;
 pub use engine_price::EnginePrice;
+pub use fair_shares::FairShares;
+pub use fair_shares::WorkspaceKey;
+pub use fair_shares::WorkspaceUse;
+pub use max_min::fair_share;
 pub use share::ShareStatus;
--- a/tests/all/decisions/mod.rs
+++ b/tests/all/decisions/mod.rs
@@ -6,6 +6,7 @@
 mod duty_model;
 mod era_tracker;
 mod event_frames;
+mod fair_shares;
 mod fatal;
 mod fleet_clock;
 mod health;
