Connections of an upstream are divided among the gateways by what is in use

Cause: each gateway bounded its requests at an upstream by a half of the connections that it accepts from all of them, so that many gateways went over the number together.

Without news of peers the whole bound is divided. A gateway that peers may not count yet takes an even part beside those that it knows. `decisions.divides_connections` switches it off.

Ruled out: fixed ranks for what an even division leaves over, as one gateway in twenty would have no part at any of four upstreams of 220 connections at 385 gateways; the smallest number in use between two updates in place of what was told, as short requests then never raise it.

Model tests with the mechanism off: 297 connections of 220 at 3 gateways, 2,673 at 27, 10,197 at 103, 83,160 of 480 at 385; with it the bound is kept in all.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -135,6 +135,10 @@
     pub(crate) streams_resumed: Counter,
     pub(crate) streams_broken: Counter,
     pub(crate) upstream_ends: Counter,
+    /// Requests that waited until this gateway might have one more connection to an upstream.
+    pub(crate) connection_waits: Counter,
+    /// Connections to upstreams that were established.
+    pub(crate) connections_opened: Counter,
     pub(crate) in_progress: Gauge,
     pub(crate) config_version: Gauge,
     pub(crate) store_era: Gauge,
@@ -167,6 +171,8 @@
             streams_resumed: Counter::default(),
             streams_broken: Counter::default(),
             upstream_ends: Counter::default(),
+            connection_waits: Counter::default(),
+            connections_opened: Counter::default(),
             in_progress: Gauge::default(),
             config_version: Gauge::default(),
             store_era: Gauge::default(),
@@ -199,6 +205,10 @@
         r.register("streams_broken", "Streams that broke off", self.streams_broken.clone());
         let help = "Requests that broke off because their upstream's process had ended";
         r.register("upstream_ends", help, self.upstream_ends.clone());
+        let help = "Requests that waited for a free connection to an upstream";
+        r.register("connection_waits", help, self.connection_waits.clone());
+        let help = "Connections to upstreams that were established";
+        r.register("connections_opened", help, self.connections_opened.clone());
         r.register("in_progress", "Requests in progress", self.in_progress.clone());
         r.register("config_version", "Configuration in force", self.config_version.clone());
         r.register(
--- a/crates/gateway/src/peers/work.rs
+++ b/crates/gateway/src/peers/work.rs
@@ -84,6 +84,7 @@
         let now = self.state.now();
         self.state.upstreams.expire_fleet_work(now);
         let work = group_work(&self.state);
+        self.state.upstreams.record_work_told();
         let request = PeerRequest {
             host: self.state.settings.host.id.to_string(),
             work: Some(WorkMessage::of(&work)),
--- a/crates/gateway/src/request/execution/choice.rs
+++ b/crates/gateway/src/request/execution/choice.rs
@@ -26,9 +26,6 @@
 /// seconds at least.
 const NOT_ALLOWED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Divides an upstream's maximum number of connections into the share that this gateway uses.
-const CONNECTION_DIVISOR: u32 = 2;
-
 impl Execution {
     /// Selects the upstream of the next attempt; waits for one where there is none.
     ///
@@ -36,6 +33,7 @@
     /// Fails when the deadline has passed, or when no upstream becomes usable in time.
     pub(super) async fn choose(&mut self) -> Result<Chosen, AbandonReason> {
         let until = self.state.now().after(WAIT_FOR_UPSTREAM);
+        let mut lacked_connection = false;
         loop {
             let now = self.state.now();
             if now >= self.call.deadline {
@@ -55,6 +53,11 @@
             let mut pause = until.since(now).min(POLL_INTERVAL);
             match self.unavailable_reason() {
                 UnavailableReason::NoneUsable => {}
+                UnavailableReason::NoConnection => {
+                    if !std::mem::replace(&mut lacked_connection, true) {
+                        self.record_no_connection();
+                    }
+                }
                 UnavailableReason::NoneAllowed => return Err(self.not_allowed()),
                 UnavailableReason::NoQuotaUntil(at) if at > until => {
                     return Err(self.rejected_until(at));
@@ -105,6 +108,15 @@
         }
     }
 
+    /// Every usable upstream has as many connections as this gateway may have.
+    fn record_no_connection(&self) {
+        self.state.metrics.connection_waits.inc();
+        if self.state.decisions.admits(self.state.now()) {
+            let (request, service) = (&self.call.head.id, &self.call.service_name);
+            log::info!(request, service:% = service; "waits for a free connection to an upstream");
+        }
+    }
+
     /// No upstream is allowed: rejects a request that has not run, as waiting would not help.
     fn not_allowed(&self) -> AbandonReason {
         if self.progress.may_have_run() {
@@ -134,8 +146,7 @@
                 self.call.workspace_allowed_regions.as_ref(),
             ],
             tried,
-            max_connections: service
-                .map_or(u32::MAX, |s| (s.max_connections / CONNECTION_DIVISOR).max(1)),
+            max_connections: service.map_or(u32::MAX, |service| service.max_connections),
         }
     }
 
--- a/crates/gateway/src/upstreams/choice.rs
+++ b/crates/gateway/src/upstreams/choice.rs
@@ -37,6 +37,10 @@
 /// which it is compared, have one or two.
 const MAX_CONTROL_IN_PROGRESS: u32 = 2;
 
+/// Divides an upstream's connections into the part that each gateway uses where they are not divided by what is in
+/// use.
+const UNDIVIDED_DIVISOR: u32 = 2;
+
 /// An arbitrary seed that makes the choice of the control independent of the choice of affinity upstreams.
 const CONTROL_SEED: u64 = 0x00C0_4704;
 
@@ -58,6 +62,7 @@
     pub(super) regions: &'a RegionsOfZones,
     pub(super) config: &'a BalanceConfig,
     pub(super) has_fleet_homes: bool,
+    pub(super) divides_connections: bool,
     pub(super) now: MonoTime,
     pub(super) placement: &'a Placement<'a>,
 }
@@ -97,9 +102,13 @@
         let filters = [Some(&rule.wanted), rule.fallback.as_ref()];
         let is_of_version =
             |member: &&Member| filters.into_iter().flatten().any(|f| f.allows(&member.version));
-        let members = self.allowed(true).filter(is_of_version);
+        let members: Vec<_> = self.allowed(true).filter(is_of_version).collect();
+        let place = |member: &Member| self.state.place(self.now, member);
+        if members.iter().any(|member| place(member).is_usable() && !self.has_connection(member)) {
+            return UnavailableReason::NoConnection;
+        }
         let reasons: Option<Vec<_>> =
-            members.map(|member| quota_reason(self.state.place(self.now, member))).collect();
+            members.into_iter().map(|member| quota_reason(place(member))).collect();
         let soonest = reasons.into_iter().flatten().min_by_key(|(at, _)| *at);
         soonest.map_or(UnavailableReason::NoneUsable, |(_, reason)| reason)
     }
@@ -120,11 +129,21 @@
     }
 
     fn is_usable(&self, filter: &VersionFilter, member: &Member) -> bool {
-        let in_progress = self.state.load.in_progress(self.now, &member.start, 0);
         filter.allows(&member.version)
             && self.state.place(self.now, member).is_usable()
             && !self.placement.tried.contains(&member.start)
-            && in_progress < self.placement.max_connections
+            && self.has_connection(member)
+    }
+
+    /// Whether this gateway may have one more connection to an upstream.
+    fn has_connection(&self, member: &Member) -> bool {
+        let Self { state, now, placement, .. } = *self;
+        let max_connections = placement.max_connections;
+        if self.divides_connections {
+            return state.has_connection(now, member, max_connections);
+        }
+        let in_progress = state.load.in_progress(now, &member.start, 0);
+        in_progress < (max_connections / UNDIVIDED_DIVISOR).max(1)
     }
 
     fn cheapest<'m>(&self, members: impl Iterator<Item = &'m Member>) -> Option<Chosen> {
--- a/crates/gateway/src/upstreams/mod.rs
+++ b/crates/gateway/src/upstreams/mod.rs
@@ -6,6 +6,7 @@
 
 mod choice;
 mod cold;
+mod connections;
 mod counts;
 mod emptied_zones;
 mod peer_updates;
@@ -269,7 +270,17 @@
         let has_fleet_homes = self.decisions.has_fleet_homes;
         let (local_zone, config) = (&self.local_zone, &self.config);
         let regions = &self.regions;
-        Choice { state, local_zone, regions, config, has_fleet_homes, now, placement }
+        let divides_connections = self.decisions.divides_connections;
+        Choice {
+            state,
+            local_zone,
+            regions,
+            config,
+            has_fleet_homes,
+            divides_connections,
+            now,
+            placement,
+        }
     }
 
     /// Counts work sent to an upstream until the guard is dropped.
--- a/crates/gateway/src/upstreams/peer_updates.rs
+++ b/crates/gateway/src/upstreams/peer_updates.rs
@@ -89,6 +89,11 @@
         self.state.lock().peer_work.apply_peer_update(now, host, work);
     }
 
+    /// Notes that this gateway's work is being sent to peers.
+    pub(crate) fn record_work_told(&self) {
+        self.state.lock().load.record_told();
+    }
+
     /// Drops work received from peers whose time to live has passed.
     pub(crate) fn expire_fleet_work(&self, now: MonoTime) {
         self.state.lock().peer_work.expire(now);
--- a/crates/gateway/src/upstreams/placement.rs
+++ b/crates/gateway/src/upstreams/placement.rs
@@ -36,7 +36,7 @@
     pub(crate) allowed_regions: [Option<&'a AllowedRegions>; 2],
     /// Upstreams to which this request was sent before.
     pub(crate) tried: &'a [UpstreamIncarnation],
-    /// Most requests in progress that this gateway keeps at one upstream, as each uses a connection.
+    /// Connections that one upstream accepts from all gateways together; each request in progress uses one.
     pub(crate) max_connections: u32,
 }
 
@@ -45,6 +45,8 @@
 pub(crate) enum UnavailableReason {
     /// No upstream is listed, or none of the listed ones is usable. This may change at any moment.
     NoneUsable,
+    /// The usable upstreams have as many connections as this gateway may have. One may end at any moment.
+    NoConnection,
     /// The usable upstreams have no quota left for this gateway until then.
     NoQuotaUntil(MonoTime),
     /// Other gateways use the whole quota of the usable upstreams until then.
--- a/crates/policy/src/balance/load.rs
+++ b/crates/policy/src/balance/load.rs
@@ -8,6 +8,7 @@
 
 use super::UpstreamKey;
 use super::WorkInProgress;
+use crate::connections::RecentMinimum;
 
 /// Time to live of the load that an upstream reported.
 const REPORT_TTL: Duration = Duration::from_millis(500);
@@ -40,6 +41,7 @@
     in_progress: u32,
     remaining_prefill_ms: f64,
     reported: Option<(MonoTime, ReportedLoad)>,
+    told: RecentMinimum,
 }
 
 /// Work that this gateway has in progress on each upstream, and the load that upstreams
@@ -100,6 +102,23 @@
         reported.map_or(known, |(_, r)| known.max(r.in_progress()))
     }
 
+    /// Requests of this gateway in progress on an upstream.
+    pub fn own_requests(&self, incarnation: &UpstreamIncarnation) -> u32 {
+        self.by_incarnation.get(incarnation).map_or(0, |load| load.in_progress)
+    }
+
+    /// Requests of this gateway on an upstream that peers may know of.
+    pub fn told_requests(&self, incarnation: &UpstreamIncarnation) -> u32 {
+        self.by_incarnation.get(incarnation).map_or(0, |load| load.told.get())
+    }
+
+    /// Notes that this gateway's work is being told to peers.
+    pub fn record_told(&mut self) {
+        for load in self.by_incarnation.values_mut() {
+            load.told.told(load.in_progress);
+        }
+    }
+
     /// Outstanding prefill time of this gateway's requests on an upstream, in milliseconds.
     pub fn remaining_prefill_ms(&self, incarnation: &UpstreamIncarnation) -> f64 {
         self.by_incarnation.get(incarnation).map_or(0.0, |load| load.remaining_prefill_ms)
--- a/crates/policy/src/fleet_bound/fleet.rs
+++ b/crates/policy/src/fleet_bound/fleet.rs
@@ -29,6 +29,8 @@
     usable_from: MonoTime,
     /// Increases with each change; invalidates cached ranks.
     generation: u64,
+    /// Whether this gateway is among `gateways`.
+    is_local_listed: bool,
 }
 
 impl Fleet {
@@ -39,12 +41,14 @@
             gateways: BTreeMap::new(),
             usable_from: MonoTime::default().after(PREDECESSOR_WINDOW),
             generation: 0,
+            is_local_listed: false,
         }
     }
 
     /// Adds a listed gateway.
     pub fn add_gateway(&mut self, host: HostId) {
         let hash = hash_of(&host);
+        self.is_local_listed |= hash == self.local;
         if self.gateways.insert(host, hash).is_none() {
             self.generation += 1;
         }
@@ -53,7 +57,7 @@
     /// Notes that this gateway is about to list itself. Has no effect if an earlier process on its host
     /// is still listed: peers already count it.
     pub fn announce_self(&mut self, now: MonoTime) {
-        if !self.gateways.values().any(|hash| *hash == self.local) {
+        if !self.is_local_listed {
             self.usable_from = now.after(LISTING_DELAY);
         }
     }
@@ -63,6 +67,17 @@
         u32::try_from(self.gateways.len()).unwrap_or(u32::MAX)
     }
 
+    /// Whether peers count this gateway among those that share the bounds on upstreams.
+    pub(crate) fn is_counted(&self, now: MonoTime) -> bool {
+        self.is_local_listed && now >= self.usable_from
+    }
+
+    /// A number that differs between gateways, upstreams and rounds.
+    pub(crate) fn draw(&self, upstream: UpstreamKey, round: u64) -> u64 {
+        let seed = xxh3_64_with_seed(&round.to_le_bytes(), upstream.0);
+        xxh3_64_with_seed(&self.local.to_le_bytes(), seed)
+    }
+
     /// The rank of this gateway for an upstream; none while it is not listed or peers may not count it yet.
     pub(crate) fn rank_for(
         &self,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod balance;
 pub mod cascade;
 pub mod cold;
+pub mod connections;
 pub mod fatal;
 pub mod fleet_bound;
 pub mod fleet_clock;
--- a/crates/policy/src/peer_sums.rs
+++ b/crates/policy/src/peer_sums.rs
@@ -70,6 +70,11 @@
         self.by_host.insert(host, PeerUpdate { received: now, values: bounded });
     }
 
+    /// Whether any peer has sent an update lately.
+    pub fn is_known(&self) -> bool {
+        !self.by_host.is_empty()
+    }
+
     /// Drops updates that are past their time to live.
     pub fn expire(&mut self, now: MonoTime) {
         let is_expired = |update: &PeerUpdate<K, V>| now.since(update.received) >= UPDATE_TTL;
--- a/crates/settings/src/gateway/decisions.rs
+++ b/crates/settings/src/gateway/decisions.rs
@@ -19,6 +19,9 @@
     pub needs_better_in_time: bool,
     /// Gateways publish their requests in progress to each other.
     pub tells_work: bool,
+    /// The connections that an upstream accepts are divided among the gateways by what each has in use. Otherwise
+    /// each gateway uses up to half of them.
+    pub divides_connections: bool,
     /// Number of other requests that the prefill of a prompt is estimated to delay.
     pub held_up_by_reading: f64,
 }
@@ -30,6 +33,7 @@
             learns_speeds: true,
             needs_better_in_time: true,
             tells_work: true,
+            divides_connections: true,
             held_up_by_reading: 8.0,
         }
     }
--- a/tests/all/decisions/mod.rs
+++ b/tests/all/decisions/mod.rs
@@ -2,6 +2,7 @@
 
 mod balance;
 mod cold;
+mod connections;
 mod directory;
 mod duty_model;
 mod era_tracker;
