Relays pass on the rollout evidence of the gateways that report to them

Cause: a gateway sends its counts on a new version to the one relay that it polls, and relays sent each other no more than their own. In a fleet of 30 each of three relays so decided on a third of the evidence.

Change: with its own counts a relay passes on those of its pollers whose counts of the new version have grown since it last did, 32 at most at once; after a failure to send everything is sent again. Counts carry the host and the run of its process, and the largest of each run counts, so that the ways and the order in which they come make no difference.

Ruled out: one sum per relay (a poller that changes relays would count twice); all counts each time (133 gateways of 400 per relay, twice a second).

Tests: gateways_of_a_large_fleet_pool_their_evidence failed with MAX_PASSED_ON at 0, passes with 32. counts_of_a_restarted_gateway_are_added is reworded: a restart now is another run, and no longer a total below the last one; older_counts_that_arrive_late_count_nothing guards what that rule got wrong.

--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -3,13 +3,9 @@
 use std::time::Duration;
 
 use stallhoist_core::NameError;
-use stallhoist_core::ServiceName;
-use stallhoist_core::StoreVersion;
-use stallhoist_policy::rollout::EvidenceTotals;
-use stallhoist_policy::rollout::TimedCounts;
-use stallhoist_policy::rollout::VersionCounts;
 
 use super::duty_messages::DutyRequest;
+use super::evidence_message::Evidence;
 use super::listing::ListingMessage;
 use crate::control_store::Feed;
 use crate::sessions::PinnedSession;
@@ -33,7 +29,7 @@
     /// Host that sends the request.
     #[prost(string, tag = "4")]
     pub(super) host: String,
-    /// Its evidence on running rollouts, cumulative.
+    /// Its evidence on running rollouts, cumulative, and from a relay that of gateways that report to it.
     #[prost(message, repeated, tag = "5")]
     pub(super) evidence: Vec<Evidence>,
     /// Sessions that stay on the old version of a service.
@@ -208,95 +204,6 @@
     }
 }
 
-/// A gateway's evidence on a rollout, cumulative.
-#[derive(Clone, PartialEq, prost::Message)]
-pub(super) struct Evidence {
-    #[prost(string, tag = "1")]
-    pub(super) service: String,
-    /// Version of the order's row: counts for another order are ignored.
-    #[prost(uint64, tag = "2")]
-    pub(super) order_version: u64,
-    /// Responses of the old version.
-    #[prost(uint64, tag = "3")]
-    pub(super) old_answers: u64,
-    /// Those that failed.
-    #[prost(uint64, tag = "4")]
-    pub(super) old_failures: u64,
-    /// Responses of the old version whose time to first chunk was compared.
-    #[prost(uint64, tag = "5")]
-    pub(super) old_first_parts: u64,
-    /// Those that were slow.
-    #[prost(uint64, tag = "6")]
-    pub(super) old_slow_first_parts: u64,
-    /// Responses of the new version.
-    #[prost(uint64, tag = "7")]
-    pub(super) new_answers: u64,
-    /// Those that failed.
-    #[prost(uint64, tag = "8")]
-    pub(super) new_failures: u64,
-    /// Responses of the new version whose time to first chunk was compared.
-    #[prost(uint64, tag = "9")]
-    pub(super) new_first_parts: u64,
-    /// Those that were slow.
-    #[prost(uint64, tag = "10")]
-    pub(super) new_slow_first_parts: u64,
-    /// Streams of the old version whose token interval was compared.
-    #[prost(uint64, tag = "11")]
-    pub(super) old_paces: u64,
-    /// Those that were slow.
-    #[prost(uint64, tag = "12")]
-    pub(super) old_slow_paces: u64,
-    /// Streams of the new version whose token interval was compared.
-    #[prost(uint64, tag = "13")]
-    pub(super) new_paces: u64,
-    /// Those that were slow.
-    #[prost(uint64, tag = "14")]
-    pub(super) new_slow_paces: u64,
-}
-
-impl Evidence {
-    pub(super) fn of(service: &ServiceName, order: StoreVersion, totals: EvidenceTotals) -> Self {
-        Self {
-            service: service.to_string(),
-            order_version: order.number,
-            old_answers: totals.old.answers,
-            old_failures: totals.old.failures,
-            old_first_parts: totals.old.first_parts.timed,
-            old_slow_first_parts: totals.old.first_parts.slow,
-            old_paces: totals.old.paces.timed,
-            old_slow_paces: totals.old.paces.slow,
-            new_answers: totals.new.answers,
-            new_failures: totals.new.failures,
-            new_first_parts: totals.new.first_parts.timed,
-            new_slow_first_parts: totals.new.first_parts.slow,
-            new_paces: totals.new.paces.timed,
-            new_slow_paces: totals.new.paces.slow,
-        }
-    }
-
-    pub(super) fn totals(&self) -> EvidenceTotals {
-        let old = VersionCounts {
-            answers: self.old_answers,
-            failures: self.old_failures,
-            first_parts: TimedCounts {
-                timed: self.old_first_parts,
-                slow: self.old_slow_first_parts,
-            },
-            paces: TimedCounts { timed: self.old_paces, slow: self.old_slow_paces },
-        };
-        let new = VersionCounts {
-            answers: self.new_answers,
-            failures: self.new_failures,
-            first_parts: TimedCounts {
-                timed: self.new_first_parts,
-                slow: self.new_slow_first_parts,
-            },
-            paces: TimedCounts { timed: self.new_paces, slow: self.new_slow_paces },
-        };
-        EvidenceTotals { old, new }
-    }
-}
-
 /// Baseline latency of an active version at a load.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(super) struct BaselineMessage {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -28,6 +28,7 @@
 mod duties;
 mod duty_messages;
 mod evidence;
+mod evidence_message;
 mod feed_cache;
 mod health;
 mod limits;
--- a/crates/gateway/src/peers/server.rs
+++ b/crates/gateway/src/peers/server.rs
@@ -25,13 +25,13 @@
 use super::duties::handle_duties;
 use super::evidence::apply_sessions;
 use super::evidence::pinned_sessions;
+use super::evidence_message::Evidence;
 use super::health::apply_health;
 use super::health::local_health;
 use super::limits::all_limits;
 use super::limits::apply_limits;
 use super::limits::local_limits;
 use super::listing::handle_listing;
-use super::messages::Evidence;
 use super::messages::PeerRequest;
 use super::messages::WorkMessage;
 use super::messages::feed_of;
@@ -259,14 +259,13 @@
 }
 
 fn apply_evidence(state: &GatewayState, host: &str, evidence: &Evidence) {
-    let (Ok(host), Ok(service)) = (host.parse(), evidence.service.parse()) else {
-        log::warn!(
+    match evidence.report(host) {
+        Ok((report, path)) => state.rollouts.lock().apply_peer_evidence(&report, path),
+        Err(error) => log::warn!(
             host,
-            service = evidence.service;
+            service = evidence.service,
+            error:% = error;
             "ignoring evidence with an invalid host or service name"
-        );
-        return;
-    };
-    let order = StoreVersion::of(evidence.order_version);
-    state.rollouts.lock().apply_peer_evidence(host, &service, order, evidence.totals());
+        ),
+    }
 }
--- a/crates/gateway/src/rollouts/service_rollout.rs
+++ b/crates/gateway/src/rollouts/service_rollout.rs
@@ -1,14 +1,10 @@
 //! The state of the rollout of one service at this gateway.
 
-use std::collections::HashMap;
-
-use stallhoist_core::HostId;
 use stallhoist_core::ServiceName;
 use stallhoist_core::StoreEra;
 use stallhoist_core::StoreVersion;
 use stallhoist_core::VersionName;
 use stallhoist_policy::rollout::BaselineLatency;
-use stallhoist_policy::rollout::EvidenceTotals;
 use stallhoist_policy::rollout::Observation;
 use stallhoist_policy::rollout::RequestKind;
 use stallhoist_policy::rollout::RolloutConfig;
@@ -21,10 +17,14 @@
 
 use super::BaselineUpdate;
 use super::ControlRule;
+use super::EvidenceReport;
+use super::ReportPath;
+use super::ReportPosition;
 use super::RolloutDecision;
 use super::RolloutOutcome;
 use super::VersionRule;
 use super::order_and_record::OrderAndRecord;
+use super::peer_counts::PeerCounts;
 use crate::control_store::RolloutChange;
 use crate::control_store::RolloutOrder;
 use crate::control_store::StoredRollout;
@@ -34,8 +34,7 @@
 pub(super) struct ServiceRollout {
     pub(super) known: OrderAndRecord,
     pub(super) evidence: RolloutEvidence,
-    /// The counts that each peer sent last.
-    pub(super) peers: HashMap<HostId, EvidenceTotals>,
+    pub(super) peers: PeerCounts,
     /// Whether the target of the record was found bad, here or by a peer.
     is_found_bad: bool,
     /// Whether a peer has sent baselines of the old version.
@@ -202,17 +201,32 @@
     /// Merges the total counts of a peer since an order.
     pub(super) fn apply_peer_evidence(
         &mut self,
-        host: HostId,
-        service: &ServiceName,
-        order_version: StoreVersion,
-        totals: EvidenceTotals,
+        report: &EvidenceReport,
+        path: ReportPath,
+        position: ReportPosition,
     ) {
-        if !self.is_for_order(order_version) {
+        if !self.is_for_order(report.order_version) {
             return;
         }
-        let earlier = self.peers.insert(host, totals).unwrap_or_default();
-        self.evidence.add_peer_counts(totals.since(earlier));
-        self.decide(service);
+        let more = self.peers.merge(report, path, position);
+        self.evidence.add_peer_counts(more);
+        self.decide(&report.service);
+    }
+
+    /// The reports to pass on to other relays: those after a position, with their positions.
+    pub(super) fn reports_after(
+        &self,
+        position: ReportPosition,
+    ) -> Vec<(ReportPosition, EvidenceReport)> {
+        let Some(order) = self.known.order().filter(|_| self.is_running()) else {
+            return Vec::new();
+        };
+        let reports = self.peers.reported_after(position);
+        let with_order = reports.map(|(at, host, run, totals)| {
+            let (service, order_version) = (order.service.clone(), order.row_version);
+            (at, EvidenceReport { host: host.clone(), run, service, order_version, totals })
+        });
+        with_order.collect()
     }
 
     /// Whether a peer should be asked for the old version's baselines.
--- a/crates/gateway/src/rollouts/state.rs
+++ b/crates/gateway/src/rollouts/state.rs
@@ -4,7 +4,6 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use stallhoist_core::HostId;
 use stallhoist_core::MonoTime;
 use stallhoist_core::ServiceName;
 use stallhoist_core::StoreEra;
@@ -19,6 +18,9 @@
 use stallhoist_policy::rollout::RolloutRecord;
 
 use super::BaselineUpdate;
+use super::EvidenceReport;
+use super::ReportPath;
+use super::ReportPosition;
 use super::RolloutDecision;
 use super::VersionRule;
 use super::service_rollout::ServiceRollout;
@@ -31,6 +33,8 @@
 pub struct Rollouts {
     config: RolloutConfig,
     services: BTreeMap<ServiceName, ServiceRollout>,
+    /// The position of the last report of a peer.
+    last_report: ReportPosition,
     /// The store era in which the records were read last.
     records_era: StoreEra,
     /// The store's clock minus this process's clock when it was last read, in milliseconds.
@@ -150,18 +154,28 @@
     }
 
     /// Merges the total counts of a peer since an order.
-    pub fn apply_peer_evidence(
-        &mut self,
-        host: HostId,
-        service: &ServiceName,
-        order_version: StoreVersion,
-        totals: EvidenceTotals,
-    ) {
-        if let Some(rollout) = self.services.get_mut(service) {
-            rollout.apply_peer_evidence(host, service, order_version, totals);
+    pub fn apply_peer_evidence(&mut self, report: &EvidenceReport, path: ReportPath) {
+        if let Some(rollout) = self.services.get_mut(&report.service) {
+            self.last_report = self.last_report.next();
+            rollout.apply_peer_evidence(report, path, self.last_report);
         }
     }
 
+    /// The next reports to pass on to another relay: those of the gateways that report to this one, after
+    /// a position, the earliest first and `max` at most; and the position up to which they go.
+    pub fn reports_after(
+        &self,
+        position: ReportPosition,
+        max: usize,
+    ) -> (Vec<EvidenceReport>, ReportPosition) {
+        let of_service = |rollout: &ServiceRollout| rollout.reports_after(position);
+        let mut reports: Vec<_> = self.services.values().flat_map(of_service).collect();
+        reports.sort_by_key(|(at, _)| *at);
+        reports.truncate(max);
+        let last = reports.last().map_or(position, |(at, _)| *at);
+        (reports.into_iter().map(|(_, report)| report).collect(), last)
+    }
+
     /// Whether a peer should be asked for the old version's baselines: a gateway that starts during a
     /// rollout, perhaps in a burst, has not seen an upstream as idle as those of the new version.
     pub fn needs_baselines(&self) -> bool {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -37,6 +37,7 @@
 use crate::planned_stop::PlannedStop;
 use crate::planned_stop::ResponseShape;
 use crate::retry_budgets::RetryBudgets;
+use crate::rollouts::ProcessRun;
 use crate::rollouts::Rollouts;
 use crate::routing::RoutingConfig;
 use crate::sessions::Sessions;
@@ -53,6 +54,8 @@
     pub(crate) settings: GatewaySettings,
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) upstreams: Arc<Upstreams>,
+    /// The run of this process, by which peers tell its counts from those before a restart.
+    pub(crate) run: ProcessRun,
     pub(crate) rollouts: Mutex<Rollouts>,
     pub(crate) sessions: Mutex<Sessions>,
     pub(crate) retries: Mutex<RetryBudgets>,
@@ -102,6 +105,7 @@
         let below_confidence = settings.step_up.below_confidence_percent.clone();
         Self {
             upstreams: Arc::new(Upstreams::new(&settings)),
+            run: ProcessRun::random(),
             rollouts: Mutex::new(Rollouts::new(RolloutConfig::within(
                 settings.rollouts.max_exposure,
             ))),
--- a/crates/policy/src/rollout/counts.rs
+++ b/crates/policy/src/rollout/counts.rs
@@ -68,15 +68,13 @@
 }
 
 impl EvidenceTotals {
-    /// The counts since `earlier`; all of them if the counts were reset in between.
+    /// The counts by which these exceed earlier ones; none where they do not.
     pub fn since(self, earlier: Self) -> Self {
-        if self.old.answers < earlier.old.answers || self.new.answers < earlier.new.answers {
-            return self;
-        }
         Self { old: self.old.since(earlier.old), new: self.new.since(earlier.new) }
     }
 
-    pub(super) fn add(&mut self, more: Self) {
+    /// Adds counts.
+    pub fn add(&mut self, more: Self) {
         self.old.add(more.old);
         self.new.add(more.new);
     }
--- a/tests/all/gateway/peers.rs
+++ b/tests/all/gateway/peers.rs
@@ -6,6 +6,7 @@
 use futures_util::future::join_all;
 use serde_json::Value;
 use serde_json::json;
+use stallhoist_gateway::Gateway;
 use stallhoist_gateway::sessions::SessionKey;
 use stallhoist_policy::rollout::RolloutConfig;
 use stallhoist_standins::Direction;
@@ -83,6 +84,44 @@
     assert!(new.runs() <= 3 * SAMPLES_PER_GATEWAY);
 });
 
+// Each relay is told by a part of the gateways only. None of these parts suffices for a decision.
+case!(gateways_of_a_large_fleet_pool_their_evidence, async {
+    const GATEWAYS: usize = 9;
+    let old = UpstreamStandin::start("i-old", Behaviour::stream(1)).await.expect("it starts");
+    let new = UpstreamStandin::start("i-new", Behaviour::Fail).await.expect("it starts");
+    let fleet = Fleet::of(GATEWAYS).await;
+    fleet.store.put("servers", "i-old", old.entry(ENGINE, "zone-1", "v1", "ready"));
+    fleet.store.put("servers", "i-new", new.entry(ENGINE, "zone-1", "v2", "ready"));
+    fleet.wait_until_listed().await;
+    fleet.wait_for_direct_readers(3).await;
+    let order = json!({ "service": ENGINE, "target_version": "v2", "duration_s": 600 });
+    fleet.store.put("op", "rollout/engine", order);
+    fleet.wait_for_rollout_record().await;
+    let dumps = fleet.dumps().await;
+    let is_poller = |dump: &Value| dump["news_from"]["Operators"] != "store";
+    let pollers = fleet.entries.iter().zip(&dumps).filter(|(_, dump)| is_poller(dump));
+    for (n, (entry, _)) in pollers.enumerate() {
+        fail_once(&fleet, entry, n, &new).await;
+    }
+    assert_eq!(new.runs(), GATEWAYS - 3);
+    wait_until("the version is rolled back", async || is_rolled_back(&fleet.store)).await;
+    assert_eq!(new.runs(), GATEWAYS - 3);
+});
+
+/// Sends requests to the n-th gateway until the new version has received one more.
+async fn fail_once(fleet: &Fleet, entry: &Gateway, n: usize, new: &UpstreamStandin) {
+    let target = new.runs() + 1;
+    let mut sent = 0;
+    while new.runs() < target {
+        sent += 1;
+        assert!(sent < 2_000, "the new version got {} of {target}", new.runs());
+        let url = format!("http://{}/stream/x", entry.callers_addr());
+        let request = fleet.http.post(url).header("Host", "test.example").bearer_auth(KEY);
+        let request = request.header("Request-Id", format!("id-{n}-{sent}")).header("Model", "*");
+        assert_eq!(request.send().await.expect("an answer").status(), 200);
+    }
+}
+
 // A gateway started in a burst has seen no upstream as idle as those of the new version. It counted
 // none of its slow responses as slow, and its evidence diluted that of its peers.
 case!(baseline_latencies_are_sent_to_gateways_that_lack_them, async {
