A version that fails on one route is found by that route's failures

Cause: failures of all routes were tested together.

Change: failures are counted by route, sent with the other counts, and tested against the old version's failures on the same route. The n-th route that the new version answers has to be n (n + 1) times as significant, which bounds the error over any number of routes by that of one test. A route counts once the old version has answered it 30 times.

Ruled out: times by route (0.01 to 0.11 of the old version's are slow, and the load decides which); an even division of the error over the routes known at the time, which grows with each new one.

Tests: a_version_that_is_bad_for_one_route_is_found_... fails with the strength of the routes at zero (not found in 2,000 answers). Four bounds on good versions: at most 1 of 150 found bad, also with 100 routes and with a route that fails in 0.3 and 0.9 of its answers.

--- a/benches/rollout.rs
+++ b/benches/rollout.rs
@@ -186,15 +186,15 @@
             .entries
             .iter_mut()
             .map(|entry| {
-                let local = entry.evidence.own();
-                let updates = local.since(entry.last_sent);
+                let local = entry.evidence.own().clone();
+                let updates = local.since(&entry.last_sent);
                 entry.last_sent = local;
                 updates
             })
             .collect();
         for (n, entry) in self.entries.iter_mut().enumerate() {
             for (_, updates) in updates.iter().enumerate().filter(|(of, _)| *of != n) {
-                entry.evidence.add_peer_counts(*updates);
+                entry.evidence.add_peer_counts(updates);
             }
         }
     }
--- a/crates/gateway/src/peers/evidence.rs
+++ b/crates/gateway/src/peers/evidence.rs
@@ -23,15 +23,15 @@
 /// Timeout for a peer's response.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Maximum number of other gateways whose evidence is passed on at once, of about 60 bytes each. The rest
-/// follows with the next updates.
+/// Maximum number of other gateways whose evidence is passed on at once, of about 60 bytes and 25 more
+/// for each route. The rest follows with the next updates.
 const MAX_PASSED_ON: usize = 32;
 
 /// The evidence that this gateway has counted on running rollouts.
 pub(super) fn local_evidence(state: &GatewayState) -> Vec<Evidence> {
     let local = state.rollouts.lock().local_evidence();
     let own =
-        |(service, order, totals): &(_, _, _)| Evidence::own(state.run, service, *order, *totals);
+        |(service, order, totals): &(_, _, _)| Evidence::own(state.run, service, *order, totals);
     local.iter().map(own).collect()
 }
 
--- a/crates/gateway/src/peers/evidence_message.rs
+++ b/crates/gateway/src/peers/evidence_message.rs
@@ -1,9 +1,14 @@
 //! Protocol buffer of a gateway's evidence on a rollout.
 
+use std::cmp::Reverse;
+
 use stallhoist_core::NameError;
+use stallhoist_core::RouteName;
 use stallhoist_core::ServiceName;
 use stallhoist_core::StoreVersion;
+use stallhoist_policy::rollout::AnswerCounts;
 use stallhoist_policy::rollout::EvidenceTotals;
+use stallhoist_policy::rollout::RouteCounts;
 use stallhoist_policy::rollout::TimedCounts;
 use stallhoist_policy::rollout::VersionCounts;
 
@@ -11,6 +16,9 @@
 use crate::rollouts::ProcessRun;
 use crate::rollouts::ReportPath;
 
+/// Maximum number of routes in one message, of about 25 bytes each.
+const MAX_ROUTES: usize = 32;
+
 /// A gateway's evidence on a rollout, cumulative.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(super) struct Evidence {
@@ -61,6 +69,55 @@
     /// The run of its process; absent from older releases.
     #[prost(fixed64, tag = "16")]
     pub(super) run: u64,
+    /// Routes on which the new version has responded.
+    #[prost(message, repeated, tag = "17")]
+    pub(super) routes: Vec<RouteMessage>,
+}
+
+/// Counts of one route.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct RouteMessage {
+    #[prost(string, tag = "1")]
+    pub(super) route: String,
+    /// Responses of the old version.
+    #[prost(uint64, tag = "2")]
+    pub(super) old_answers: u64,
+    /// Those that failed.
+    #[prost(uint64, tag = "3")]
+    pub(super) old_failures: u64,
+    /// Responses of the new version.
+    #[prost(uint64, tag = "4")]
+    pub(super) new_answers: u64,
+    /// Those that failed.
+    #[prost(uint64, tag = "5")]
+    pub(super) new_failures: u64,
+}
+
+impl RouteMessage {
+    fn of((route, counts): (&RouteName, &RouteCounts)) -> Self {
+        Self {
+            route: route.to_string(),
+            old_answers: counts.old.answers,
+            old_failures: counts.old.failures,
+            new_answers: counts.new.answers,
+            new_failures: counts.new.failures,
+        }
+    }
+
+    fn counts(&self) -> Result<(RouteName, RouteCounts), NameError> {
+        let old = AnswerCounts { answers: self.old_answers, failures: self.old_failures };
+        let new = AnswerCounts { answers: self.new_answers, failures: self.new_failures };
+        Ok((self.route.parse()?, RouteCounts { old, new }))
+    }
+}
+
+/// The routes with the most responses of the new version. Which routes are sent must not depend on the
+/// failures: the rest would make a good version look bad.
+fn routes_to_send(totals: &EvidenceTotals) -> Vec<RouteMessage> {
+    let observed = totals.routes.iter().filter(|(_, counts)| counts.new.answers > 0);
+    let mut observed: Vec<_> = observed.collect();
+    observed.sort_by_key(|(_, counts)| Reverse(counts.new.answers));
+    observed.into_iter().take(MAX_ROUTES).map(RouteMessage::of).collect()
 }
 
 impl Evidence {
@@ -69,13 +126,14 @@
         run: ProcessRun,
         service: &ServiceName,
         order: StoreVersion,
-        totals: EvidenceTotals,
+        totals: &EvidenceTotals,
     ) -> Self {
         Self {
             service: service.to_string(),
             order_version: order.number,
             host: None,
             run: run.0,
+            routes: routes_to_send(totals),
             old_answers: totals.old.answers,
             old_failures: totals.old.failures,
             old_first_parts: totals.old.first_parts.timed,
@@ -93,14 +151,14 @@
 
     /// The counts of another gateway.
     pub(super) fn passed_on(report: &EvidenceReport) -> Self {
-        let own = Self::own(report.run, &report.service, report.order_version, report.totals);
+        let own = Self::own(report.run, &report.service, report.order_version, &report.totals);
         Self { host: Some(report.host.to_string()), ..own }
     }
 
     /// The report, and how it came, in a message of this sender.
     ///
     /// # Errors
-    /// Fails if the name of the host or the service is invalid.
+    /// Fails if the name of the host, the service or a route is invalid.
     pub(super) fn report(&self, sender: &str) -> Result<(EvidenceReport, ReportPath), NameError> {
         let path = if self.host.is_some() { ReportPath::PassedOn } else { ReportPath::Direct };
         let report = EvidenceReport {
@@ -108,12 +166,12 @@
             run: ProcessRun(self.run),
             service: self.service.parse()?,
             order_version: StoreVersion::of(self.order_version),
-            totals: self.totals(),
+            totals: self.totals()?,
         };
         Ok((report, path))
     }
 
-    fn totals(&self) -> EvidenceTotals {
+    fn totals(&self) -> Result<EvidenceTotals, NameError> {
         let old = VersionCounts {
             answers: self.old_answers,
             failures: self.old_failures,
@@ -132,6 +190,7 @@
             },
             paces: TimedCounts { timed: self.new_paces, slow: self.new_slow_paces },
         };
-        EvidenceTotals { old, new }
+        let routes = self.routes.iter().map(RouteMessage::counts).collect::<Result<_, _>>()?;
+        Ok(EvidenceTotals { old, new, routes })
     }
 }
--- a/crates/gateway/src/rollouts/peer_counts.rs
+++ b/crates/gateway/src/rollouts/peer_counts.rs
@@ -56,8 +56,8 @@
             .records
             .entry(key)
             .or_insert_with(|| PeerRecord { totals: EvidenceTotals::default(), reported_at: None });
-        let more = report.totals.since(record.totals);
-        record.totals.add(more);
+        let more = report.totals.since(&record.totals);
+        record.totals.add(&more);
         if path == ReportPath::Direct && more.new != Default::default() {
             record.reported_at = Some(position);
         }
@@ -72,7 +72,7 @@
     ) -> impl Iterator<Item = (ReportPosition, &HostId, ProcessRun, EvidenceTotals)> {
         self.records.iter().filter_map(move |((host, run), record)| {
             let at = record.reported_at.filter(|at| *at > position)?;
-            Some((at, host, *run, record.totals))
+            Some((at, host, *run, record.totals.clone()))
         })
     }
 }
--- a/crates/gateway/src/rollouts/service_rollout.rs
+++ b/crates/gateway/src/rollouts/service_rollout.rs
@@ -209,7 +209,7 @@
             return;
         }
         let more = self.peers.merge(report, path, position);
-        self.evidence.add_peer_counts(more);
+        self.evidence.add_peer_counts(&more);
         self.decide(&report.service);
     }
 
--- a/crates/gateway/src/rollouts/state.rs
+++ b/crates/gateway/src/rollouts/state.rs
@@ -128,7 +128,7 @@
         running
             .filter_map(|rollout| {
                 let order = rollout.known.order()?;
-                Some((order.service.clone(), order.row_version, rollout.evidence.own()))
+                Some((order.service.clone(), order.row_version, rollout.evidence.own().clone()))
             })
             .collect()
     }
--- a/crates/policy/src/rollout/comparison.rs
+++ b/crates/policy/src/rollout/comparison.rs
@@ -13,6 +13,9 @@
 /// By how much the rate of a new version may exceed that of the old one.
 const ALLOWED_EXCESS: f64 = 0.03;
 
+/// The highest rate with which a new version is compared.
+const MAX_BASE_RATE: f64 = 0.5;
+
 /// The old version's rate of one kind of bad response, and the sequential test of the new version.
 #[derive(Debug, Default)]
 pub(super) struct Comparison {
@@ -34,7 +37,8 @@
 
     pub(super) fn new_version(&mut self, answers: u64, bad: u64) {
         let old_bad = self.old_bad + PRIOR_RATE * PRIOR_RESPONSES;
-        let base_rate = (old_bad / (self.old_answers + PRIOR_RESPONSES) + ALLOWED_EXCESS).min(0.5);
+        let base_rate =
+            (old_bad / (self.old_answers + PRIOR_RESPONSES) + ALLOWED_EXCESS).min(MAX_BASE_RATE);
         self.test.observe(answers, bad, base_rate);
     }
 
@@ -43,7 +47,10 @@
         self.test.log_value() / std::f64::consts::LN_10
     }
 
-    pub(super) fn is_worse(&self) -> bool {
-        self.test.rejects(ALPHA)
+    /// Whether the old version's rate can be told from the prior, and is not so high that the highest
+    /// base rate would be below it.
+    pub(super) fn is_old_rate_known(&self) -> bool {
+        let is_low = self.old_bad < (MAX_BASE_RATE - ALLOWED_EXCESS) * self.old_answers;
+        self.old_answers >= PRIOR_RESPONSES && is_low
     }
 }
--- a/crates/policy/src/rollout/counts.rs
+++ b/crates/policy/src/rollout/counts.rs
@@ -1,5 +1,9 @@
 //! Counts of responses by version of a service.
 
+use std::collections::BTreeMap;
+
+use stallhoist_core::RouteName;
+
 /// Responses whose latency was compared with the baseline at the same load.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct TimedCounts {
@@ -27,6 +31,49 @@
     }
 }
 
+/// Responses, and those that failed.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct AnswerCounts {
+    /// All of them.
+    pub answers: u64,
+    /// Those that failed.
+    pub failures: u64,
+}
+
+impl AnswerCounts {
+    pub(super) fn add(&mut self, more: Self) {
+        self.answers += more.answers;
+        self.failures += more.failures;
+    }
+
+    fn since(self, earlier: Self) -> Self {
+        Self {
+            answers: self.answers.saturating_sub(earlier.answers),
+            failures: self.failures.saturating_sub(earlier.failures),
+        }
+    }
+}
+
+/// Counts of one route.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct RouteCounts {
+    /// Counts of the old version.
+    pub old: AnswerCounts,
+    /// Counts of the new version.
+    pub new: AnswerCounts,
+}
+
+impl RouteCounts {
+    fn add(&mut self, more: Self) {
+        self.old.add(more.old);
+        self.new.add(more.new);
+    }
+
+    fn since(self, earlier: Self) -> Self {
+        Self { old: self.old.since(earlier.old), new: self.new.since(earlier.new) }
+    }
+}
+
 /// Counts of one version.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct VersionCounts {
@@ -41,6 +88,11 @@
 }
 
 impl VersionCounts {
+    /// The responses alone.
+    pub(super) fn responses(&self) -> AnswerCounts {
+        AnswerCounts { answers: self.answers, failures: self.failures }
+    }
+
     fn add(&mut self, more: Self) {
         self.answers += more.answers;
         self.failures += more.failures;
@@ -59,23 +111,37 @@
 }
 
 /// Counts of the old and the new version of a service.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct EvidenceTotals {
     /// Counts of the old version.
     pub old: VersionCounts,
     /// Counts of the new version.
     pub new: VersionCounts,
+    /// Counts by route.
+    pub routes: BTreeMap<RouteName, RouteCounts>,
 }
 
 impl EvidenceTotals {
     /// The counts by which these exceed earlier ones; none where they do not.
-    pub fn since(self, earlier: Self) -> Self {
-        Self { old: self.old.since(earlier.old), new: self.new.since(earlier.new) }
+    pub fn since(&self, earlier: &Self) -> Self {
+        let routes = self.routes.iter().map(|(route, counts)| {
+            let earlier = earlier.routes.get(route).copied().unwrap_or_default();
+            (route.clone(), counts.since(earlier))
+        });
+        let grown = routes.filter(|(_, counts)| *counts != RouteCounts::default());
+        Self {
+            old: self.old.since(earlier.old),
+            new: self.new.since(earlier.new),
+            routes: grown.collect(),
+        }
     }
 
     /// Adds counts.
-    pub fn add(&mut self, more: Self) {
+    pub fn add(&mut self, more: &Self) {
         self.old.add(more.old);
         self.new.add(more.new);
+        for (route, counts) in &more.routes {
+            self.routes.entry(route.clone()).or_default().add(*counts);
+        }
     }
 }
--- a/crates/policy/src/rollout/evidence.rs
+++ b/crates/policy/src/rollout/evidence.rs
@@ -1,8 +1,11 @@
 //! Decides whether a new version is worse than the old one.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::time::Duration;
 
+use stallhoist_core::RouteName;
+
 use super::BaselineLatency;
 use super::EvidenceStatus;
 use super::EvidenceTest;
@@ -12,9 +15,11 @@
 use super::MeanLoad;
 use super::Observation;
 use super::RequestKind;
+use super::RouteCounts;
 use super::TimedCounts;
 use super::VersionCounts;
 use super::comparison::Comparison;
+use super::route_failures::RouteFailures;
 
 /// A response that takes this many times the old version's baseline latency at the same load counts as
 /// slow. The old version has slow responses too; what matters is whether the new one has more of them.
@@ -37,6 +42,7 @@
 pub struct RolloutEvidence {
     baselines: HashMap<RequestKind, LatencyBaseline>,
     failures: Comparison,
+    route_failures: RouteFailures,
     first_parts: Comparison,
     paces: Comparison,
     own: EvidenceTotals,
@@ -65,7 +71,12 @@
         if old.paces.timed > 0 {
             self.old_load.observe(load);
         }
-        self.add_local_counts(EvidenceTotals { old, ..EvidenceTotals::default() });
+        let counts = RouteCounts { old: old.responses(), ..RouteCounts::default() };
+        self.add_local_counts(EvidenceTotals {
+            old,
+            routes: of_route(kind, counts),
+            ..EvidenceTotals::default()
+        });
     }
 
     /// Adds the result of an attempt on the new version, at the load by which requests of this kind are
@@ -75,7 +86,12 @@
         if new.paces.timed > 0 {
             self.new_load.observe(load);
         }
-        self.add_local_counts(EvidenceTotals { new, ..EvidenceTotals::default() });
+        let counts = RouteCounts { new: new.responses(), ..RouteCounts::default() };
+        self.add_local_counts(EvidenceTotals {
+            new,
+            routes: of_route(kind, counts),
+            ..EvidenceTotals::default()
+        });
     }
 
     /// The latency above which a response counts as slow; none while there is no baseline.
@@ -106,29 +122,31 @@
     }
 
     /// Adds counts of a peer, which were not included before.
-    pub fn add_peer_counts(&mut self, counts: EvidenceTotals) {
+    pub fn add_peer_counts(&mut self, counts: &EvidenceTotals) {
         self.all.add(counts);
-        let EvidenceTotals { old, new } = counts;
+        let EvidenceTotals { old, new, routes } = counts;
         self.failures.old_version(old.answers, old.failures);
         self.first_parts.old_version(old.first_parts.timed, old.first_parts.slow);
         self.paces.old_version(old.paces.timed, old.paces.slow);
         self.failures.new_version(new.answers, new.failures);
         self.first_parts.new_version(new.first_parts.timed, new.first_parts.slow);
         self.paces.new_version(new.paces.timed, new.paces.slow);
+        for (route, counts) in routes {
+            self.route_failures.observe(route, *counts);
+        }
     }
 
     /// Whether the new version is worse than the old one.
     pub fn is_bad(&self) -> bool {
-        self.tests().iter().any(|(_, comparison)| comparison.is_worse())
+        self.strengths().iter().any(|(_, strength)| *strength >= Comparison::needed_strength())
     }
 
     /// How close the tests are to a decision.
     pub fn status(&self) -> EvidenceStatus {
-        let strengths = self.tests().map(|(test, comparison)| (test, comparison.strength()));
         EvidenceStatus {
-            own: self.own,
-            all: self.all,
-            strengths: strengths.to_vec(),
+            own: self.own.clone(),
+            all: self.all.clone(),
+            strengths: self.strengths().to_vec(),
             needed_strength: Comparison::needed_strength(),
             old_load: self.old_load,
             new_load: self.new_load,
@@ -136,21 +154,22 @@
     }
 
     /// The counts of this gateway.
-    pub fn own(&self) -> EvidenceTotals {
-        self.own
+    pub fn own(&self) -> &EvidenceTotals {
+        &self.own
     }
 
-    fn tests(&self) -> [(EvidenceTest, &Comparison); 3] {
+    fn strengths(&self) -> [(EvidenceTest, f64); 4] {
         [
-            (EvidenceTest::Failures, &self.failures),
-            (EvidenceTest::FirstParts, &self.first_parts),
-            (EvidenceTest::Paces, &self.paces),
+            (EvidenceTest::Failures, self.failures.strength()),
+            (EvidenceTest::RouteFailures, self.route_failures.strength()),
+            (EvidenceTest::FirstParts, self.first_parts.strength()),
+            (EvidenceTest::Paces, self.paces.strength()),
         ]
     }
 
     fn add_local_counts(&mut self, counts: EvidenceTotals) {
-        self.own.add(counts);
-        self.add_peer_counts(counts);
+        self.own.add(&counts);
+        self.add_peer_counts(&counts);
     }
 
     /// The counts of one observation of either version, by the baselines so far.
@@ -176,3 +195,9 @@
         slow_threshold.map_or_else(TimedCounts::default, |slow| TimedCounts::one(time > slow))
     }
 }
+
+/// Counts of the route of a kind of requests; nothing if it has none or there is no response.
+fn of_route(kind: &RequestKind, counts: RouteCounts) -> BTreeMap<RouteName, RouteCounts> {
+    let route = kind.route.iter().filter(|_| counts != RouteCounts::default());
+    route.map(|route| (route.clone(), counts)).collect()
+}
--- a/crates/policy/src/rollout/evidence_status.rs
+++ b/crates/policy/src/rollout/evidence_status.rs
@@ -7,6 +7,8 @@
 pub enum EvidenceTest {
     /// Whether more of its responses fail.
     Failures,
+    /// Whether more of its responses on one route fail.
+    RouteFailures,
     /// Whether more of its first chunks are slow.
     FirstParts,
     /// Whether more of its streams have slow token intervals.
@@ -41,7 +43,7 @@
     /// Counts of all gateways, as far as received.
     pub all: EvidenceTotals,
     /// For each test, the decimal logarithm of the likelihood ratio between a worse version and a good
-    /// one.
+    /// one. For the routes, that of the worst one, less what many tests would find by chance.
     pub strengths: Vec<(EvidenceTest, f64)>,
     /// The strength from which on the version counts as worse.
     pub needed_strength: f64,
--- a/crates/policy/src/rollout/mod.rs
+++ b/crates/policy/src/rollout/mod.rs
@@ -6,7 +6,7 @@
 //! one; if not, everything moves to the new one near the end of the ordered time.
 //!
 //! Read `record` and `plan` first, then `observation`, `counts`, `latency_baseline`, `stream_pace`,
-//! `comparison` and `evidence`.
+//! `comparison`, `route_failures` and `evidence`.
 
 mod comparison;
 mod counts;
@@ -16,9 +16,12 @@
 mod observation;
 mod plan;
 mod record;
+mod route_failures;
 mod stream_pace;
 
+pub use counts::AnswerCounts;
 pub use counts::EvidenceTotals;
+pub use counts::RouteCounts;
 pub use counts::TimedCounts;
 pub use counts::VersionCounts;
 pub use evidence::RolloutEvidence;
--- a/tests/all/decisions/rollout_evidence.rs
+++ b/tests/all/decisions/rollout_evidence.rs
@@ -71,6 +71,98 @@
     assert!(called.count() <= 2);
 }
 
+/// Routes of a service; the first one has this many of the requests, the others equal parts of the rest.
+struct Routes {
+    names: Vec<RequestKind>,
+    first_share: f64,
+    /// Failure rates of the old version on the first route and on the others.
+    old_rates: [f64; 2],
+}
+
+impl Routes {
+    fn of(count: usize, first_share: f64, old_rates: [f64; 2]) -> Self {
+        let names = (0..count).map(|n| kind(&format!("r-{n}"))).collect();
+        Self { names, first_share, old_rates }
+    }
+
+    /// A random request: whether it is on the first route, and its kind.
+    fn request(&self, rng: &mut StdRng) -> (bool, &RequestKind) {
+        if rng.random_bool(self.first_share) {
+            return (true, &self.names[0]);
+        }
+        (false, &self.names[rng.random_range(1..self.names.len())])
+    }
+
+    /// The responses of the new version until it is found bad, as in [`found_bad_after`]; it fails on the
+    /// first route at `first_rate`, and on the others like the old version.
+    fn found_bad_after(&self, seed: u64, first_rate: f64, most: u32) -> Option<u32> {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut evidence = RolloutEvidence::default();
+        let rate = |is_first: bool| self.old_rates[usize::from(!is_first)];
+        for n in 1..=most {
+            for _ in 0..16 {
+                let (is_first, kind) = self.request(&mut rng);
+                let observation = observation(&mut rng, rate(is_first));
+                evidence.old_version(kind, LOAD, observation);
+            }
+            let (is_first, kind) = self.request(&mut rng);
+            let new_rate = if is_first { first_rate } else { rate(is_first) };
+            evidence.new_version(kind, LOAD, observation(&mut rng, new_rate));
+            if evidence.is_bad() {
+                return Some(n);
+            }
+        }
+        None
+    }
+}
+
+// Half of the responses of a tenth of the requests: the failures of all routes together tell it after
+// about 50 bad answers.
+#[test]
+fn a_version_that_is_bad_for_one_route_is_found_in_a_few_of_its_responses() {
+    let routes = Routes::of(5, 0.1, [0.01; 2]);
+    let after = (0..200).map(|seed| routes.found_bad_after(seed, 0.5, 2_000));
+    let mut after: Vec<_> = after.map(|after| after.expect("it is found")).collect();
+    after.sort_unstable();
+    assert!(after[100] <= 200 && after[190] <= 350, "{} and {}", after[100], after[190]);
+}
+
+/// Checks how many of 150 good versions are found bad within 400 responses: at most one.
+macro_rules! a_good_version_is_kept {
+    ($name:ident, $routes:expr, $old_rates:expr) => {
+        #[test]
+        fn $name() {
+            let routes = Routes::of($routes, 0.1, $old_rates);
+            let found = (0..300)
+                .filter(|seed| routes.found_bad_after(*seed, $old_rates[0], 1_000).is_some());
+            let found = found.count();
+            assert!(found <= 1, "{found} of 150");
+        }
+    };
+}
+
+a_good_version_is_kept!(a_good_version_with_few_routes_is_kept, 3, [0.02; 2]);
+a_good_version_is_kept!(a_good_version_with_many_routes_is_kept, 100, [0.02; 2]);
+a_good_version_is_kept!(a_good_version_is_kept_though_one_route_often_fails, 5, [0.3, 0.01]);
+a_good_version_is_kept!(a_good_version_is_kept_though_one_route_nearly_always_fails, 5, [0.9, 0.0]);
+
+// A route that was never used before.
+#[test]
+fn failures_on_a_route_that_the_old_version_has_not_served_do_not_count_by_route() {
+    let mut evidence = RolloutEvidence::default();
+    for _ in 0..1_000 {
+        evidence.old_version(&kind("r"), LOAD, answered_ms(100));
+        evidence.new_version(&kind("r"), LOAD, answered_ms(100));
+    }
+    for _ in 0..12 {
+        evidence.new_version(&kind("new"), LOAD, Observation::Failed);
+        for _ in 0..10 {
+            evidence.new_version(&kind("r"), LOAD, answered_ms(100));
+        }
+    }
+    assert!(!evidence.is_bad());
+}
+
 #[test]
 fn a_version_that_takes_eight_times_as_long_is_found() {
     let mut evidence = RolloutEvidence::default();
--- a/tests/all/decisions/rollout_rules.rs
+++ b/tests/all/decisions/rollout_rules.rs
@@ -205,7 +205,7 @@
 fn totals_of(answers: u64, failures: u64) -> EvidenceTotals {
     let old = VersionCounts { answers: 100, ..VersionCounts::default() };
     let new = VersionCounts { answers, failures, ..VersionCounts::default() };
-    EvidenceTotals { old, new }
+    EvidenceTotals { old, new, ..EvidenceTotals::default() }
 }
 
 fn apply_counts(rollouts: &mut Rollouts, entry: &str, order_version: u64, totals: EvidenceTotals) {
@@ -317,7 +317,7 @@
     rollouts.observe(&service(), &version("v2"), &kind, 4, Observation::Failed);
     let own = rollouts.local_evidence();
     assert_eq!(own.len(), 1);
-    let totals = own[0].2;
+    let totals = &own[0].2;
     assert_eq!((totals.new.answers, totals.new.failures, totals.old.answers), (1, 1, 0));
 }
 
