A stream ends when its host resumes past its deadline

Timers do not advance while a host is suspended. An attempt without a response notices that its deadline has passed, a stream did not: its upstream went on until the next event, or for as long as the stream may be silent.

The same wait as for attempts now ends the read of a stream.

--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -117,7 +117,7 @@
         let outcome = loop {
             tokio::select! {
                 outcome = response.as_mut() => break outcome.unwrap_or(AttemptOutcome::TimedOut),
-                () = self.resumed_past_deadline() => break AttemptOutcome::TimedOut,
+                () = self.state.resumed_past(self.call.deadline) => break AttemptOutcome::TimedOut,
                 () = self.until_overdue(started), if !is_overdue => {
                     is_overdue = true;
                     self.observe(Observation::Overdue);
@@ -128,17 +128,6 @@
         outcome
     }
 
-    /// Waits until the host resumes from suspension past the request's deadline: timers do not advance while
-    /// it is suspended.
-    async fn resumed_past_deadline(&self) {
-        loop {
-            self.state.suspend_recovery.woken().await;
-            if self.state.now() >= self.call.deadline {
-                return;
-            }
-        }
-    }
-
     /// Waits until the response counts as slow for a rollout, if one compares it. The load may grow meanwhile.
     async fn until_overdue(&self, started: MonoTime) {
         let service = &self.call.service_name;
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -80,7 +80,7 @@
             if let Some(first_events) = self.stream.first_events.take() {
                 return Ok(Some(self.forward(first_events)));
             }
-            match self.read().await {
+            match self.read_until_resumed().await {
                 Ok(Some(events)) => return Ok(Some(self.forward(events))),
                 Ok(None) => {
                     self.token_interval.stream_ended();
@@ -98,6 +98,17 @@
         events.bytes
     }
 
+    /// Like [`read`](Self::read), and fails when the host resumes from suspension past the deadline, as the caller has
+    /// left by then.
+    async fn read_until_resumed(&mut self) -> Result<Option<EventFrames>, BrokenResponse> {
+        let state = Arc::clone(self.execution.state());
+        let deadline = self.execution.call().deadline;
+        tokio::select! {
+            events = self.read() => events,
+            () = state.resumed_past(deadline) => Err(BrokenResponse::IdleTimeout),
+        }
+    }
+
     /// Reads from the upstream until an event is complete. The intervals between events are recorded; a long one
     /// is recorded before it has ended.
     async fn read(&mut self) -> Result<Option<EventFrames>, BrokenResponse> {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -271,6 +271,17 @@
         self.stop.lock().map_or(now, |stop| stop.end())
     }
 
+    /// Waits until the host resumes from suspension past a request's deadline: timers do not advance while it is
+    /// suspended.
+    pub(crate) async fn resumed_past(&self, deadline: MonoTime) {
+        loop {
+            self.suspend_recovery.woken().await;
+            if self.now() >= deadline {
+                return;
+            }
+        }
+    }
+
     /// Whether a new request is still accepted.
     pub(crate) fn accepts(&self, shape: ResponseShape) -> bool {
         let now = self.now();
--- a/tests/all/gateway/suspension.rs
+++ b/tests/all/gateway/suspension.rs
@@ -22,6 +22,7 @@
 use stallhoist_users_platform::PlatformDialect;
 use stallhoist_users_platform::PlatformStore;
 
+use super::world::ENGINE;
 use super::world::PLAIN;
 use super::world::World;
 use super::world::config;
@@ -45,7 +46,11 @@
 
 impl Suspended {
     async fn start(behaviour: Behaviour) -> Self {
-        let mut world = World::start(PLAIN, &[behaviour]).await;
+        Self::start_for(PLAIN, behaviour).await
+    }
+
+    async fn start_for(service: &str, behaviour: Behaviour) -> Self {
+        let mut world = World::start(service, &[behaviour]).await;
         let link = FaultProxy::start(world.store.addr()).await.expect("a proxy starts");
         let host = SimulatedSuspensions::default();
         let mut settings = settings(&world.store);
@@ -146,6 +151,41 @@
     assert!(ended - woken < MAX_DELAY, "{:?}", ended - woken);
 });
 
+// Its caller has left by then: the upstream must not go on generating.
+case!(a_stream_suspended_past_its_deadline_is_stopped_at_its_upstream, async {
+    let slow = Behaviour::Stream {
+        events: 100,
+        pause: Duration::from_millis(2_000),
+        confidence: None,
+        truncate_after: None,
+    };
+    let suspended = Suspended::start_for(ENGINE, slow).await;
+    let mut config = config(2);
+    config["routes"][3]["timeout_ms"] = json!(20_000);
+    suspended.world.store.put("op", "config", config);
+    let is_in_force = async || suspended.world.dump().await["config_version"] == 2;
+    wait_until("the configuration is in force", is_in_force).await;
+    let request = async {
+        let request = suspended.world.once_stream_within("id-1", 20_000);
+        let answer = send(request).await;
+        (answer.expect("an answer"), Instant::now())
+    };
+    let suspend = async {
+        let has_begun = async || {
+            let metrics = suspended.world.metrics().await;
+            metrics.contains("stallhoist_first_part_seconds_count 1")
+        };
+        wait_until("the stream has begun", has_begun).await;
+        suspended.host.add(GAP);
+        Instant::now()
+    };
+    let ((answer, ended), woken) = futures_util::future::join(request, suspend).await;
+    assert!(!answer.is_whole);
+    assert!(ended - woken < Duration::from_millis(1_000), "{:?}", ended - woken);
+    let is_abandoned = async || suspended.world.upstreams[0].abandoned() == 1;
+    wait_until("the upstream sees the close", is_abandoned).await;
+});
+
 // The platform kills by wall-clock time.
 case!(a_planned_stop_suspended_past_its_grace_ends, async {
     let suspended = Suspended::start(Behaviour::Hang).await;
--- a/tests/all/gateway/world.rs
+++ b/tests/all/gateway/world.rs
@@ -171,6 +171,11 @@
             .body("a prompt")
     }
 
+    /// The same on the route whose streams may not be resumed.
+    pub(super) fn once_stream_within(&self, id: &str, deadline_ms: u64) -> RequestBuilder {
+        self.request_within(Method::POST, "/once-stream/x", id, deadline_ms).body("a prompt")
+    }
+
     /// Number of requests that the upstreams ran.
     pub(super) fn runs(&self) -> usize {
         self.upstreams.iter().map(UpstreamStandin::runs).sum()
