When a waiting attempt is given up for another upstream, as a decision

An attempt is given up after two target latencies, whatever the others are like: while all upstreams are slow, its prompt is read again in a queue as long.

The decision compares what is expected here and elsewhere, both corrected by how late the first chunks of the service arrive, with hysteresis and bounded by the time left; an upstream without a sign of life is left as it may hang. Not used yet.

--- a/crates/policy/src/retry/mod.rs
+++ b/crates/policy/src/retry/mod.rs
@@ -4,6 +4,8 @@
 mod budget;
 mod decision;
 mod ejection;
+mod first_chunk_delay;
+mod give_up;
 mod progress;
 
 pub use budget::RetryBudget;
@@ -11,5 +13,8 @@
 pub use decision::may_retry;
 pub use ejection::Ejection;
 pub use ejection::EjectionConfig;
+pub use first_chunk_delay::FirstChunkDelay;
+pub use give_up::GiveUpDecision;
+pub use give_up::WaitingAttempt;
 pub use progress::RequestProgress;
 pub use progress::RequestRules;
