Attempts are given up by expectation; engine time by use; second attempts bounded

The gateway asks the decisions of `policy::retry` now, for requests that state their prompt: when an attempt that waits is given up, and whether there is engine time for a repeat or a better model. `engine_time_ms` counts engine time by use. Both decisions have switches. Without them the new tests fail: while all upstreams are slow requests are moved until they end 502, one that hangs is never left (decision always waiting), a poor response is replaced while engine time is scarce.

Not built: moving streams that fall behind their pace; the price of engine time from admission.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 //! - `upstream`: connections to upstreams
 //! - `callers`: the interface to callers
 
+mod attempt_times;
 mod callers;
 pub mod control_store;
 mod decision_log;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -9,6 +9,8 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::metrics::histogram::exponential_buckets;
+use stallhoist_core::EngineTime;
+use stallhoist_core::ServiceName;
 use stallhoist_policy::usage::Delivery;
 use stallhoist_telemetry::MetricsPage;
 
@@ -56,6 +58,30 @@
     SteppedUp,
 }
 
+/// What engine time was used for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub(crate) enum EngineTimeUse {
+    /// The first attempt of a request, whose response was forwarded.
+    Answered,
+    /// A better model, after a poor response of a smaller one.
+    SecondLeg,
+    /// A poor response that was dropped for that of a better model.
+    Replaced,
+    /// A response that was forwarded after an earlier attempt had failed.
+    Repeated,
+    /// An attempt that failed, or was given up for another.
+    GivenUp,
+    /// An attempt whose caller left.
+    Abandoned,
+}
+
+/// Labels of engine time.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct EngineTimeLabels {
+    pub(crate) service: String,
+    pub(crate) used_for: EngineTimeUse,
+}
+
 /// Labels of requests.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct RequestLabels {
@@ -132,6 +158,7 @@
 pub(crate) struct Metrics {
     pub(crate) requests: Family<RequestLabels, Counter>,
     pub(crate) attempts: Family<AttemptLabels, Counter>,
+    pub(crate) engine_time_ms: Family<EngineTimeLabels, Counter>,
     pub(crate) streams_resumed: Counter,
     pub(crate) streams_broken: Counter,
     pub(crate) upstream_ends: Counter,
@@ -168,6 +195,7 @@
         Self {
             requests: Family::default(),
             attempts: Family::default(),
+            engine_time_ms: Family::default(),
             streams_resumed: Counter::default(),
             streams_broken: Counter::default(),
             upstream_ends: Counter::default(),
@@ -201,6 +229,8 @@
         let r = page.registry_mut();
         r.register("requests", "Requests by how they ended", self.requests.clone());
         r.register("attempts", "Attempts by how they ended", self.attempts.clone());
+        let help = "Expected engine time of attempts in milliseconds, by what it was used for";
+        r.register("engine_time_ms", help, self.engine_time_ms.clone());
         r.register("streams_resumed", "Streams continued elsewhere", self.streams_resumed.clone());
         r.register("streams_broken", "Streams that broke off", self.streams_broken.clone());
         let help = "Requests that broke off because their upstream's process had ended";
@@ -277,6 +307,16 @@
         self.requests.get_or_create(&RequestLabels { end }).inc();
     }
 
+    pub(crate) fn record_engine_time(
+        &self,
+        service: &ServiceName,
+        used_for: EngineTimeUse,
+        time: EngineTime,
+    ) {
+        let labels = EngineTimeLabels { service: service.to_string(), used_for };
+        self.engine_time_ms.get_or_create(&labels).inc_by(time.as_millis().round() as u64);
+    }
+
     pub(crate) fn record_attempt(&self, result: AttemptResult) {
         self.attempts.get_or_create(&AttemptLabels { result }).inc();
     }
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -18,12 +18,14 @@
 use super::BrokenResponse;
 use super::Call;
 use super::CompleteResponse;
+use super::engine_time_meter::EngineTimeMeter;
 use crate::dialect::AttemptHead;
 use crate::dialect::ReplyHead;
 use crate::dialect::RequestedModel;
 use crate::event_frames::EventBuffer;
 use crate::event_frames::EventFrames;
 use crate::metrics::AttemptResult;
+use crate::metrics::EngineTimeUse;
 use crate::state::GatewayState;
 use crate::upstream::ConnectSettings;
 use crate::upstream::Connection;
@@ -49,6 +51,8 @@
     pub(crate) incarnation: UpstreamIncarnation,
     pub(crate) addr: SocketAddr,
     pub(crate) version: VersionName,
+    /// Counts its engine time.
+    pub(crate) meter: Option<EngineTimeMeter>,
     /// Counts the work on the upstream until the stream is dropped.
     pub(crate) _work: WorkGuard,
 }
@@ -79,13 +83,14 @@
     pub(crate) model: Option<&'a ModelName>,
     /// Id of the last event that the caller has received.
     pub(crate) last_event: Option<u64>,
-    /// How long to wait for the first chunk of the response.
-    pub(crate) wait_limit: Duration,
+    /// What its engine time is used for if its response is forwarded.
+    pub(crate) purpose: EngineTimeUse,
 }
 
 impl Attempt<'_> {
-    /// Makes the attempt, and records its result for the upstream's health and its version's rollout.
-    pub(crate) async fn run(self) -> AttemptOutcome {
+    /// Makes the attempt until `given_up` ends, and records its result for the upstream's health and its version's
+    /// rollout.
+    pub(crate) async fn run(self, given_up: impl Future<Output = ()>) -> AttemptOutcome {
         let started = self.state.now();
         let work = self.state.upstreams.start(self.chosen);
         let timings = &self.state.settings.upstream;
@@ -110,24 +115,39 @@
         };
         self.state.metrics.connections_opened.inc();
         let outgoing = self.outgoing();
-        let response = self.send_and_receive(connection, outgoing, work);
-        let response = tokio::time::timeout(self.wait_limit, response);
-        let mut response = std::pin::pin!(response);
+        let mut meter = Some(self.meter());
         let mut is_overdue = false;
-        let outcome = loop {
-            tokio::select! {
-                outcome = response.as_mut() => break outcome.unwrap_or(AttemptOutcome::TimedOut),
-                () = self.state.resumed_past(self.call.deadline) => break AttemptOutcome::TimedOut,
-                () = self.until_overdue(started), if !is_overdue => {
-                    is_overdue = true;
-                    self.observe(Observation::Overdue);
+        let outcome = {
+            let response = self.send_and_receive(connection, outgoing, work, &mut meter);
+            let response = tokio::time::timeout(self.call.deadline.since(started), response);
+            let mut response = std::pin::pin!(response);
+            let mut given_up = std::pin::pin!(given_up);
+            loop {
+                tokio::select! {
+                    outcome = response.as_mut() => {
+                        break outcome.unwrap_or(AttemptOutcome::TimedOut);
+                    }
+                    () = given_up.as_mut() => break AttemptOutcome::TimedOut,
+                    () = self.state.resumed_past(self.call.deadline) => break AttemptOutcome::TimedOut,
+                    () = self.until_overdue(started), if !is_overdue => {
+                        is_overdue = true;
+                        self.observe(Observation::Overdue);
+                    }
                 }
             }
         };
+        if let Some(meter) = meter {
+            meter.attempt_ended(&outcome);
+        }
         self.record_result(started, &outcome, is_overdue);
         outcome
     }
 
+    fn meter(&self) -> EngineTimeMeter {
+        let service = &self.call.service_name;
+        EngineTimeMeter::start(self.state, service, self.chosen.expectation(), self.purpose)
+    }
+
     /// Waits until the response counts as slow for a rollout, if one compares it. The load may grow meanwhile.
     async fn until_overdue(&self, started: MonoTime) {
         let service = &self.call.service_name;
@@ -193,6 +213,7 @@
         connection: Connection,
         outgoing: Outgoing,
         mut work: WorkGuard,
+        meter: &mut Option<EngineTimeMeter>,
     ) -> AttemptOutcome {
         let sent = self.state.now();
         let reply = match send(connection, outgoing).await {
@@ -221,7 +242,7 @@
         }
         work.prefill_finished();
         if is_success && self.call.route.is_stream {
-            return self.open_stream(reply, head, work).await;
+            return self.open_stream(reply, head, work, meter).await;
         }
         match reply.read_to_end(MAX_BUFFERED_BYTES).await {
             Ok((head, body)) => AttemptOutcome::Whole(CompleteResponse {
@@ -268,6 +289,7 @@
         mut reply: OpenResponse,
         reply_head: ReplyHead,
         work: WorkGuard,
+        meter: &mut Option<EngineTimeMeter>,
     ) -> AttemptOutcome {
         let mut events = EventBuffer::default();
         let first_events = match reply.next_events(&mut events).await {
@@ -283,6 +305,7 @@
             incarnation: self.chosen.start.clone(),
             addr: self.chosen.addr,
             version: self.chosen.version.clone(),
+            meter: meter.take(),
             _work: work,
         }))
     }
@@ -324,6 +347,7 @@
             }
         };
         self.state.metrics.record_attempt(result);
+        self.record_times(now, elapsed, outcome);
         if let (AttemptOutcome::Stream(_), Some(model)) = (outcome, self.model) {
             let relative_prefill_time = self.call.relative_prefill_time(Some(model));
             let service = &self.call.service_name;
@@ -337,6 +361,21 @@
         }
     }
 
+    /// Records what the attempt shows about the upstream's load.
+    fn record_times(&self, now: MonoTime, elapsed: Duration, outcome: &AttemptOutcome) {
+        let times = &self.state.attempt_times;
+        let service = &self.call.service_name;
+        match outcome {
+            AttemptOutcome::NotRun(_) => times.record_rejection(now, service),
+            AttemptOutcome::Whole(_) => times.record_sign(now, &self.chosen.start),
+            AttemptOutcome::Stream(_) => {
+                times.record_sign(now, &self.chosen.start);
+                times.record_first_chunk(now, service, self.chosen.expected_wait(), elapsed);
+            }
+            AttemptOutcome::NotSent(_) | AttemptOutcome::Broken(_) | AttemptOutcome::TimedOut => {}
+        }
+    }
+
     /// Signal of a response which states that the request did not run. Where the caller named the model, a
     /// status of 421 does not indicate another process at the address: an upstream without that model
     /// responds with the same status.
--- a/crates/gateway/src/request/execution/mod.rs
+++ b/crates/gateway/src/request/execution/mod.rs
@@ -9,6 +9,7 @@
 mod attempt_log;
 mod choice;
 mod quarantine;
+mod waits;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,12 +19,15 @@
 use stallhoist_core::MonoTime;
 use stallhoist_core::UpstreamIncarnation;
 use stallhoist_core::VersionName;
+use stallhoist_policy::balance::Expectation;
 use stallhoist_policy::cascade::StepUpTiming;
 use stallhoist_policy::retry::RequestProgress;
 use stallhoist_policy::retry::RequestRules;
+use stallhoist_policy::retry::SecondAttempt;
 
 use crate::fatal::Trial;
 use crate::metrics::AttemptResult;
+use crate::metrics::EngineTimeUse;
 use crate::request::AbandonReason;
 use crate::request::Call;
 use crate::request::CompleteResponse;
@@ -43,16 +47,6 @@
 /// `Retry-After` of a request that has not run.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// A repeatable request waits this many times its target latency for the first chunk before another
-/// upstream is tried, and at least `MIN_WAIT_LIMIT`.
-const WAIT_LIMIT_TARGETS: u32 = 2;
-const MIN_WAIT_LIMIT: Duration = Duration::from_millis(1_000);
-
-/// It waits for no more than this share of the remaining time, so that another upstream has time to respond.
-/// Without this limit, an upstream that hangs takes all the time of callers that wait for two target
-/// latencies.
-const MAX_SHARE_OF_REMAINING: f64 = 0.6;
-
 /// State of a request across its attempts.
 #[derive(Debug)]
 pub(crate) struct Execution {
@@ -71,6 +65,10 @@
     trial: Option<Trial>,
     /// Whether the request is counted for its workspace's usage.
     is_counted: bool,
+    /// Why the next attempt is made, unless it is the first.
+    second: Option<SecondAttempt>,
+    /// What the last attempt was expected to take.
+    last_expectation: Expectation,
 }
 
 impl Execution {
@@ -94,6 +92,8 @@
             isolation_seed: None,
             trial: None,
             is_counted: false,
+            second: None,
+            last_expectation: Expectation::default(),
             call,
         }
     }
@@ -162,6 +162,7 @@
             let chosen = self.choose().await?;
             let started = self.state.now();
             let outcome = self.attempt(&chosen).await;
+            self.record_engine_time(&chosen, &outcome);
             let elapsed = self.state.now().since(started);
             self.count_run(started, &outcome);
             self.log_attempt(&chosen, elapsed, &outcome);
@@ -258,11 +259,15 @@
     }
 
     /// A stream has begun: it is the response, unless a better model is tried instead.
-    fn after_stream_begin(&mut self, stream: Box<OpenStream>) -> Option<AttemptResponse> {
+    fn after_stream_begin(&mut self, mut stream: Box<OpenStream>) -> Option<AttemptResponse> {
         self.progress.sent();
         if self.should_step_up(&stream) {
             self.state.metrics.record_attempt(AttemptResult::SteppedUp);
             self.models.choose_best();
+            self.second = Some(SecondAttempt::StepUp);
+            if let Some(meter) = stream.meter.take() {
+                meter.ended(EngineTimeUse::Replaced);
+            }
             return None;
         }
         self.remember_session(&stream.version);
@@ -284,9 +289,18 @@
 
     /// Whether another attempt is allowed. Each takes from the retry budget: the platform counts rejected
     /// requests as well.
-    fn may_retry(&self) -> bool {
-        let take_budget = || self.state.retries.lock().try_acquire(&self.call.service_name);
-        self.trial.is_none() && self.progress.may_retry(true, take_budget)
+    fn may_retry(&mut self) -> bool {
+        let Expectation { first_chunk, engine_time, .. } = self.last_expectation;
+        let is_repeat = self.progress.may_have_run();
+        let take_budget = || {
+            (!is_repeat || self.has_engine_time(SecondAttempt::Repeat, first_chunk, engine_time))
+                && self.state.retries.lock().try_acquire(&self.call.service_name)
+        };
+        let may_retry = self.trial.is_none() && self.progress.may_retry(true, take_budget);
+        if may_retry && is_repeat {
+            self.second = Some(SecondAttempt::Repeat);
+        }
+        may_retry
     }
 
     /// Whether the response is dropped and the best model tried instead.
@@ -299,21 +313,38 @@
         let priority = self.call.route.priority;
         is_possible
             && self.state.step_up.is_poor(priority, stream.reply_head.confidence)
-            && (!self.state.settings.decisions.needs_better_in_time || self.is_better_in_time())
+            && self.is_better_worthwhile()
             && self.state.retries.lock().try_acquire(&self.call.service_name)
     }
 
+    /// Whether a response of the best model is expected in time, and there is engine time for it.
+    fn is_better_worthwhile(&self) -> bool {
+        let Some(expectation) = self.better_expectation() else {
+            return !self.state.settings.decisions.needs_better_in_time;
+        };
+        let Expectation { first_chunk, engine_time, .. } = expectation;
+        let is_in_time = self.is_in_time(first_chunk);
+        (!self.state.settings.decisions.needs_better_in_time || is_in_time)
+            && self.has_engine_time(SecondAttempt::StepUp, first_chunk, engine_time)
+    }
+
     /// Whether a response of the best model is expected in time.
     fn is_better_in_time(&self) -> bool {
+        self.better_expectation().is_some_and(|better| self.is_in_time(better.first_chunk))
+    }
+
+    /// What an attempt with the best model is expected to take, if there is an upstream for it.
+    fn better_expectation(&self) -> Option<Expectation> {
         let best = self.models.best();
         // An upstream that has failed before is better than none, as in `choose`.
         let chosen = self.choose_for(best, &self.tried).or_else(|| self.choose_for(best, &[]));
-        let Some(chosen) = chosen else {
-            return false;
-        };
+        chosen.map(|chosen| chosen.expectation())
+    }
+
+    fn is_in_time(&self, expected_wait: Duration) -> bool {
         let better = StepUpTiming {
             elapsed: self.state.now().since(self.call.arrived),
-            expected_wait: chosen.expectation().first_chunk,
+            expected_wait,
             target: self.call.route.target_latency,
         };
         better.is_in_time()
@@ -337,9 +368,9 @@
             chosen,
             model: self.models.chosen(),
             last_event: self.last_event,
-            wait_limit: self.wait_limit(),
+            purpose: self.purpose(),
         };
-        attempt.run().await
+        attempt.run(self.until_given_up(chosen)).await
     }
 
     /// Counts the request for its workspace's usage when the first of its attempts has begun to run: a stream with
@@ -361,18 +392,6 @@
         }
     }
 
-    /// How long an attempt waits for the first chunk: until the deadline, unless the request can be tried on
-    /// another upstream.
-    fn wait_limit(&self) -> Duration {
-        let remaining = self.call.deadline.since(self.state.now());
-        let route = &self.call.route;
-        if !route.is_repeatable() || self.progress.is_next_last() {
-            return remaining;
-        }
-        let wait_limit = (route.target_latency * WAIT_LIMIT_TARGETS).max(MIN_WAIT_LIMIT);
-        wait_limit.min(remaining.mul_f64(MAX_SHARE_OF_REMAINING))
-    }
-
     /// Keeps the request's session on the version that serves it.
     pub(crate) fn remember_session(&self, version: &VersionName) {
         if let Some(session) = Call::session(&self.call.head) {
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod broken_response;
 mod call;
+mod engine_time_meter;
 mod execution;
 mod model_choice;
 mod outcome;
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -16,6 +16,7 @@
 use super::token_interval::MonitoredStream;
 use super::token_interval::TokenIntervalMonitor;
 use crate::event_frames::EventFrames;
+use crate::metrics::EngineTimeUse;
 use crate::metrics::RequestOutcome;
 
 /// A resumable stream is resumed on another upstream once it is silent for this many times the route's target
@@ -84,6 +85,9 @@
                 Ok(Some(events)) => return Ok(Some(self.forward(events))),
                 Ok(None) => {
                     self.token_interval.stream_ended();
+                    if let Some(meter) = self.stream.meter.take() {
+                        meter.answered();
+                    }
                     self.execution.record_response();
                     self.ended(RequestOutcome::Answered, "complete");
                     return Ok(None);
@@ -129,6 +133,7 @@
         };
         let events = read.map_err(|_| BrokenResponse::IdleTimeout)?;
         if matches!(events, Ok(Some(_))) {
+            state.attempt_times.record_sign(state.now(), &self.stream.incarnation);
             self.token_interval.record_interval(state.now().since(began));
         }
         events.map_err(BrokenResponse::from)
@@ -148,6 +153,9 @@
     async fn resume(&mut self, cause: BrokenResponse) -> Result<(), RelayError> {
         let state = self.execution.state().clone();
         state.upstreams.observe(state.now(), &self.stream.incarnation, Evidence::Failed);
+        if let Some(meter) = self.stream.meter.take() {
+            meter.ended(EngineTimeUse::GivenUp);
+        }
         log::info!(
             request = self.execution.call().head.id,
             instance:% = self.stream.incarnation,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -24,6 +24,7 @@
 use stallhoist_settings::GatewaySettings;
 use tokio::sync::Notify;
 
+use crate::attempt_times::AttemptTimes;
 use crate::control_store::Feed;
 use crate::control_store::ListedEntry;
 use crate::decision_log::DecisionLog;
@@ -59,6 +60,7 @@
     pub(crate) rollouts: Mutex<Rollouts>,
     pub(crate) sessions: Mutex<Sessions>,
     pub(crate) retries: Mutex<RetryBudgets>,
+    pub(crate) attempt_times: AttemptTimes,
     /// Requests during which upstreams crashed.
     pub(crate) fatal: FatalRequestTracker,
     pub(crate) step_up: StepUpConfig,
@@ -111,6 +113,7 @@
             ))),
             sessions: Mutex::new(Sessions::new(session_lifetime)),
             retries: Mutex::new(RetryBudgets::new(budget)),
+            attempt_times: AttemptTimes::new(retries.budget_percent()),
             fatal: FatalRequestTracker::default(),
             step_up: StepUpConfig { below_confidence },
             peers: Mutex::new(PeerList::new(settings.host.id.clone(), settings.host.zone.clone())),
--- a/crates/settings/src/gateway/decisions.rs
+++ b/crates/settings/src/gateway/decisions.rs
@@ -22,6 +22,10 @@
     /// The connections that an upstream accepts are divided among the gateways by what each has in use. Otherwise
     /// each gateway uses up to half of them.
     pub divides_connections: bool,
+    /// An attempt that waits is given up only if another one is expected to be faster.
+    pub compares_waits: bool,
+    /// The engine time of second attempts is bounded while there is no room.
+    pub bounds_second_attempts: bool,
     /// Number of other requests that the prefill of a prompt is estimated to delay.
     pub held_up_by_reading: f64,
 }
@@ -34,6 +38,8 @@
             needs_better_in_time: true,
             tells_work: true,
             divides_connections: true,
+            compares_waits: true,
+            bounds_second_attempts: true,
             held_up_by_reading: 8.0,
         }
     }
--- a/tests/all/gateway/mod.rs
+++ b/tests/all/gateway/mod.rs
@@ -3,6 +3,7 @@
 
 mod allowed_regions;
 mod attempts;
+mod attempts_under_load;
 mod callers;
 mod callers_of_fleet;
 mod cold_upstreams;
