Second legs of the cascade only while engines have time

Cause: a second leg was made wherever it was in time itself, by its own route's target. With engines lost, a route with a target of 4 s takes the engine time of one with 1.5 s: all kinds wait alike, and the most urgent loses most.

Change: no second leg while the mean outstanding prefill of the service's engines exceeds 0.35 of the strictest target of its streams, unless the prompt is read within 0.3 of it.

Tests: decisions::engine_backlog.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -162,6 +162,8 @@
     pub(crate) streams_resumed: Counter,
     pub(crate) streams_broken: Counter,
     pub(crate) upstream_ends: Counter,
+    /// Poor responses that were not replaced, as engines lack time.
+    pub(crate) step_ups_spared: Counter,
     /// Requests that waited until this gateway might have one more connection to an upstream.
     pub(crate) connection_waits: Counter,
     /// Connections to upstreams that were established.
@@ -199,6 +201,7 @@
             streams_resumed: Counter::default(),
             streams_broken: Counter::default(),
             upstream_ends: Counter::default(),
+            step_ups_spared: Counter::default(),
             connection_waits: Counter::default(),
             connections_opened: Counter::default(),
             in_progress: Gauge::default(),
@@ -235,6 +238,8 @@
         r.register("streams_broken", "Streams that broke off", self.streams_broken.clone());
         let help = "Requests that broke off because their upstream's process had ended";
         r.register("upstream_ends", help, self.upstream_ends.clone());
+        let help = "Poor responses that were not replaced, as engines lack time";
+        r.register("step_ups_spared", help, self.step_ups_spared.clone());
         let help = "Requests that waited for a free connection to an upstream";
         r.register("connection_waits", help, self.connection_waits.clone());
         let help = "Connections to upstreams that were established";
--- a/crates/gateway/src/request/execution/mod.rs
+++ b/crates/gateway/src/request/execution/mod.rs
@@ -20,6 +20,7 @@
 use stallhoist_core::UpstreamIncarnation;
 use stallhoist_core::VersionName;
 use stallhoist_policy::balance::Expectation;
+use stallhoist_policy::cascade::EngineBacklog;
 use stallhoist_policy::cascade::StepUpTiming;
 use stallhoist_policy::retry::RequestProgress;
 use stallhoist_policy::retry::RequestRules;
@@ -319,26 +320,46 @@
 
     /// Whether a response of the best model is expected in time, and there is engine time for it.
     fn is_better_worthwhile(&self) -> bool {
-        let Some(expectation) = self.better_expectation() else {
-            return !self.state.settings.decisions.needs_better_in_time;
+        let decisions = &self.state.settings.decisions;
+        let Some(better) = self.choose_better() else {
+            return !decisions.needs_better_in_time;
         };
-        let Expectation { first_chunk, engine_time, .. } = expectation;
+        let Expectation { first_chunk, engine_time, .. } = better.expectation();
         let is_in_time = self.is_in_time(first_chunk);
-        (!self.state.settings.decisions.needs_better_in_time || is_in_time)
+        (!decisions.needs_better_in_time || is_in_time)
+            && (!decisions.spares_busy_engines || self.leaves_others_their_time(&better))
             && self.has_engine_time(SecondAttempt::StepUp, first_chunk, engine_time)
     }
 
     /// Whether a response of the best model is expected in time.
     fn is_better_in_time(&self) -> bool {
-        self.better_expectation().is_some_and(|better| self.is_in_time(better.first_chunk))
+        let better = self.choose_better();
+        better.is_some_and(|better| self.is_in_time(better.expectation().first_chunk))
     }
 
-    /// What an attempt with the best model is expected to take, if there is an upstream for it.
-    fn better_expectation(&self) -> Option<Expectation> {
+    /// The upstream for an attempt with the best model, if there is one.
+    fn choose_better(&self) -> Option<Chosen> {
         let best = self.models.best();
         // An upstream that has failed before is better than none, as in `choose`.
-        let chosen = self.choose_for(best, &self.tried).or_else(|| self.choose_for(best, &[]));
-        chosen.map(|chosen| chosen.expectation())
+        self.choose_for(best, &self.tried).or_else(|| self.choose_for(best, &[]))
+    }
+
+    /// Whether an attempt on `better` leaves other requests of the service their time.
+    fn leaves_others_their_time(&self, better: &Chosen) -> bool {
+        let service = &self.call.service_name;
+        let config = self.state.config();
+        let backlog = EngineBacklog {
+            mean: self.state.upstreams.mean_prefill(self.state.now(), service),
+            until_read: better.until_read(),
+            strictest_target: config
+                .and_then(|config| config.strictest_target(service))
+                .unwrap_or_default(),
+        };
+        let has_time = backlog.has_time_for_better();
+        if !has_time {
+            self.state.metrics.step_ups_spared.inc();
+        }
+        has_time
     }
 
     fn is_in_time(&self, expected_wait: Duration) -> bool {
--- a/crates/gateway/src/routing/config.rs
+++ b/crates/gateway/src/routing/config.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use stallhoist_core::ConfigVersion;
 use stallhoist_core::KeyDigest;
@@ -28,6 +29,15 @@
 }
 
 impl RoutingConfig {
+    /// The strictest target latency of the streams of a service; none if none of its routes has one.
+    pub fn strictest_target(&self, service: &ServiceName) -> Option<Duration> {
+        let leads_there = |route: &&Arc<Route>| {
+            route.is_stream && route.destinations.iter().any(|d| d.service == *service)
+        };
+        let targets = self.routes.iter().filter(leads_there).map(|route| route.target_latency);
+        targets.filter(|target| !target.is_zero()).min()
+    }
+
     /// The route of a request: of the routes for its host, the one with the longest matching path prefix. Host
     /// names are compared without regard to case.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
--- a/crates/gateway/src/upstreams/mod.rs
+++ b/crates/gateway/src/upstreams/mod.rs
@@ -283,6 +283,16 @@
         }
     }
 
+    /// Mean outstanding prefill time of a service's upstreams.
+    pub(crate) fn mean_prefill(&self, now: MonoTime, service: &ServiceName) -> Duration {
+        let state = self.state.lock();
+        let members = state.directory.of_service(now, service, false);
+        let prefill_ms =
+            members.map(|member| state.work_on(now, &member.start).remaining_prefill_ms);
+        let (sum_ms, count) = prefill_ms.fold((0.0, 0.0), |(sum, n), ms| (sum + ms, n + 1.0));
+        Duration::try_from_secs_f64(sum_ms / f64::max(count, 1.0) / 1e3).unwrap_or(Duration::MAX)
+    }
+
     /// Counts work sent to an upstream until the guard is dropped.
     pub(crate) fn start(self: &Arc<Self>, chosen: &Chosen) -> WorkGuard {
         self.state.lock().load.request_started(&chosen.start, chosen.work);
--- a/crates/gateway/src/upstreams/placement.rs
+++ b/crates/gateway/src/upstreams/placement.rs
@@ -78,6 +78,12 @@
         self.wait_after(self.other_ms)
     }
 
+    /// Expected time until the upstream has read the prompt, after the work that it has.
+    pub(crate) fn until_read(&self) -> Duration {
+        let until_read_ms = self.other_ms + self.work.remaining_prefill_ms;
+        Duration::try_from_secs_f64(until_read_ms / 1e3).unwrap_or(Duration::MAX)
+    }
+
     /// What the attempt is expected to take.
     pub(crate) fn expectation(&self) -> Expectation {
         let first_chunk = self.expected_wait();
--- a/crates/policy/src/cascade/mod.rs
+++ b/crates/policy/src/cascade/mod.rs
@@ -5,11 +5,13 @@
 //! each workspace and task. A model of unknown quality is explored only in cascades, where
 //! the rater keeps a poor response from the caller.
 
+mod engine_backlog;
 mod learner;
 mod model_stats;
 mod plan;
 mod step_up;
 
+pub use engine_backlog::EngineBacklog;
 pub use learner::CascadeConfig;
 pub use learner::CascadeLearner;
 pub use learner::CascadeModel;
--- a/crates/settings/src/gateway/decisions.rs
+++ b/crates/settings/src/gateway/decisions.rs
@@ -17,6 +17,8 @@
     pub learns_speeds: bool,
     /// A better model is used only if its response is expected in time.
     pub needs_better_in_time: bool,
+    /// While engines lack time, a better model is used only if it delays others little.
+    pub spares_busy_engines: bool,
     /// Gateways publish their requests in progress to each other.
     pub tells_work: bool,
     /// The connections that an upstream accepts are divided among the gateways by what each has in use. Otherwise
@@ -36,6 +38,7 @@
             has_fleet_homes: true,
             learns_speeds: true,
             needs_better_in_time: true,
+            spares_busy_engines: true,
             tells_work: true,
             divides_connections: true,
             compares_waits: true,
--- a/tests/all/decisions/mod.rs
+++ b/tests/all/decisions/mod.rs
@@ -5,6 +5,7 @@
 mod connections;
 mod directory;
 mod duty_model;
+mod engine_backlog;
 mod engine_time_budget;
 mod era_tracker;
 mod event_frames;
