Expectations of a whole response: generation time, length, speed of each upstream

New in policy::balance: the time between events by service and model as a function of the requests in progress, the number of events by route, the speed of each upstream relative to its service (own observations that decay, and sums of peers), and the reported pace, which is believed less with age.

Tests that build ReportedLoad, WorkInProgress and RequestFacts name the new fields; nothing else in them changes.

--- a/benches/support/own_knowledge.rs
+++ b/benches/support/own_knowledge.rs
@@ -54,6 +54,7 @@
             prompt_tokens: request.prompt_tokens,
             prefill_time: PrefillTime { base_ms: 0.0, ms_per_token: MS_PER_TOKEN },
             body_bytes: 0,
+            generation: None,
         };
         let parts = parts(request);
         let ties: Vec<u64> = self.instances.iter().map(|_| self.rng.random()).collect();
@@ -92,6 +93,7 @@
             cached_tokens: self.prefixes.cached_tokens(now, instance, &self.model, parts),
             is_same_zone: true,
             failure_rate: 0.0,
+            slowdown: 1.0,
         }
     }
 }
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -161,6 +161,15 @@
     /// Expected time for the upstream to read (prefill) their prompts.
     #[prost(uint32, tag = "3")]
     pub(super) prefill_ms: u32,
+    /// Engine time that is left of them, prefill and generation; absent from older releases.
+    #[prost(uint32, tag = "4")]
+    pub(super) engine_ms: u32,
+    /// Number of observations of its speed; absent where this message does not tell the speed.
+    #[prost(uint32, tag = "5")]
+    pub(super) speed_weight: u32,
+    /// Sum of the logarithms of observed over expected duration, in thousandths.
+    #[prost(sint32, tag = "6")]
+    pub(super) speed_log_milli: i32,
 }
 
 /// A session that stays on the version that served it.
--- a/crates/gateway/src/peers/work.rs
+++ b/crates/gateway/src/peers/work.rs
@@ -5,11 +5,13 @@
 //! that it polls, sends it its own work and receives that of all others. Traffic per gateway thus
 //! grows with the number of upstreams that have work, not with the number of gateways.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use stallhoist_core::HostId;
+use stallhoist_policy::balance::SpeedEvidence;
 use stallhoist_policy::balance::UpstreamKey;
 use stallhoist_policy::balance::WorkByUpstream;
 use stallhoist_policy::balance::WorkInProgress;
@@ -44,7 +46,7 @@
 const MAX_BYTES_PER_S: usize = 4_000;
 
 /// Approximate size of one upstream in a message.
-const BYTES_PER_UPSTREAM: usize = 18;
+const BYTES_PER_UPSTREAM: usize = 22;
 
 /// Sends this gateway's work to peers, forever.
 pub(crate) async fn publish_work(state: Arc<GatewayState>) {
@@ -85,9 +87,10 @@
         self.state.upstreams.expire_fleet_work(now);
         let work = group_work(&self.state);
         self.state.upstreams.record_work_told();
+        let sent_items = work.upstreams.len();
         let request = PeerRequest {
             host: self.state.settings.host.id.to_string(),
-            work: Some(WorkMessage::of(&work)),
+            work: Some(work),
             rollout_decisions: local_decisions(&self.state),
             health: local_health(&self.state),
             ends: local_crashes(&self.state),
@@ -97,7 +100,7 @@
         let mut items = 0;
         let targets = self.targets.select(now, &self.state.peers.lock());
         for (host, addr) in targets {
-            items += work.len() + request.limits.len() + self.send_to(host, addr, &request).await;
+            items += sent_items + request.limits.len() + self.send_to(host, addr, &request).await;
         }
         items
     }
@@ -135,9 +138,9 @@
 }
 
 /// The work of this gateway and of its group.
-fn group_work(state: &GatewayState) -> WorkByUpstream {
+fn group_work(state: &GatewayState) -> WorkMessage {
     let relays: Vec<HostId> = state.peers.lock().relays();
-    state.upstreams.work(|host| !relays.contains(host))
+    work_of(state, |host| !relays.contains(host))
 }
 
 /// The work of all other gateways, for a requester in this gateway's group. Another relay receives
@@ -146,31 +149,69 @@
     if state.peers.lock().relays().contains(host) {
         return None;
     }
-    Some(WorkMessage::of(&state.upstreams.work(|other| other != host)))
+    Some(work_of(state, |other| other != host))
+}
+
+/// The work of this gateway and of those that `included` accepts, and the speeds of some upstreams.
+fn work_of(state: &GatewayState, included: impl Fn(&HostId) -> bool) -> WorkMessage {
+    let work = state.upstreams.work(&included);
+    let speeds = state.upstreams.speed_sums(state.now(), &included);
+    WorkMessage::of(&work, speeds)
 }
 
 /// Merges the work received from a peer.
 pub(super) fn apply_work(state: &GatewayState, host: HostId, work: Option<&WorkMessage>) {
     if let Some(work) = work {
-        state.upstreams.apply_fleet_work(state.now(), host, work.work());
+        let now = state.now();
+        state.upstreams.apply_speed_sums(now, &host, work.speeds());
+        state.upstreams.apply_fleet_work(now, host, work.work());
     }
 }
 
 impl WorkMessage {
-    fn of(work: &WorkByUpstream) -> Self {
-        let to_message = |(key, work): (&UpstreamKey, &WorkInProgress)| UpstreamWork {
-            upstream: key.0,
-            requests: work.requests,
-            prefill_ms: work.prefill_ms,
-        };
-        Self { upstreams: work.iter().map(to_message).collect() }
+    fn of(work: &WorkByUpstream, mut speeds: HashMap<UpstreamKey, SpeedEvidence>) -> Self {
+        let mut upstreams = Vec::with_capacity(work.len() + speeds.len());
+        for (key, work) in work {
+            let speed = speeds.remove(key).unwrap_or_default();
+            upstreams.push(UpstreamWork::of(*key, *work, speed));
+        }
+        let idle = WorkInProgress::default();
+        upstreams.extend(speeds.into_iter().map(|(key, speed)| UpstreamWork::of(key, idle, speed)));
+        Self { upstreams }
     }
 
+    /// The upstreams that have work.
     fn work(&self) -> impl Iterator<Item = (UpstreamKey, WorkInProgress)> {
-        self.upstreams.iter().map(|upstream| {
-            let work =
-                WorkInProgress { requests: upstream.requests, prefill_ms: upstream.prefill_ms };
+        let work = self.upstreams.iter().map(|upstream| {
+            let work = WorkInProgress {
+                requests: upstream.requests,
+                prefill_ms: upstream.prefill_ms,
+                engine_ms: upstream.engine_ms,
+            };
             (UpstreamKey(upstream.upstream), work)
-        })
+        });
+        work.filter(|(_, work)| *work != WorkInProgress::default())
+    }
+
+    /// Evidence of the speed of the upstreams for which this message tells it.
+    fn speeds(&self) -> impl Iterator<Item = (UpstreamKey, SpeedEvidence)> {
+        let speeds = self.upstreams.iter().map(|upstream| {
+            let UpstreamWork { speed_weight: weight, speed_log_milli: log_milli, .. } = *upstream;
+            (UpstreamKey(upstream.upstream), SpeedEvidence { weight, log_milli })
+        });
+        speeds.filter(|(_, speed)| !speed.is_empty())
+    }
+}
+
+impl UpstreamWork {
+    fn of(key: UpstreamKey, work: WorkInProgress, speed: SpeedEvidence) -> Self {
+        Self {
+            upstream: key.0,
+            requests: work.requests,
+            prefill_ms: work.prefill_ms,
+            engine_ms: work.engine_ms,
+            speed_weight: speed.weight,
+            speed_log_milli: speed.log_milli,
+        }
     }
 }
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -35,6 +35,7 @@
 use crate::upstream::connect;
 use crate::upstream::send;
 use crate::upstream_report::UpstreamReport;
+use crate::upstreams::ArrivedFirstChunk;
 use crate::upstreams::Chosen;
 use crate::upstreams::WorkGuard;
 
@@ -54,7 +55,7 @@
     /// Counts its engine time.
     pub(crate) meter: Option<EngineTimeMeter>,
     /// Counts the work on the upstream until the stream is dropped.
-    pub(crate) _work: WorkGuard,
+    pub(crate) work: WorkGuard,
 }
 
 /// Result of an attempt.
@@ -226,8 +227,13 @@
         let head = self.state.dialect.read_reply(&reply.head);
         if self.is_from_selected(&reply.head, &head) {
             let (upstreams, incarnation) = (&self.state.upstreams, &self.chosen.start);
-            let has_limit_changed =
-                upstreams.record_report(self.state.now(), incarnation, sent, &head.upstream_report);
+            let has_limit_changed = upstreams.record_report(
+                self.state.now(),
+                &self.call.service_name,
+                incarnation,
+                sent,
+                &head.upstream_report,
+            );
             self.log_report(&head.upstream_report, has_limit_changed);
         }
         if head.is_not_run {
@@ -306,7 +312,7 @@
             addr: self.chosen.addr,
             version: self.chosen.version.clone(),
             meter: meter.take(),
-            _work: work,
+            work,
         }))
     }
 
@@ -348,10 +354,16 @@
         };
         self.state.metrics.record_attempt(result);
         self.record_times(now, elapsed, outcome);
-        if let (AttemptOutcome::Stream(_), Some(model)) = (outcome, self.model) {
-            let relative_prefill_time = self.call.relative_prefill_time(Some(model));
-            let service = &self.call.service_name;
-            upstreams.first_part(service, model, relative_prefill_time, self.chosen, elapsed);
+        if let (AttemptOutcome::Stream(stream), Some(model)) = (outcome, self.model) {
+            let first_chunk = ArrivedFirstChunk {
+                service: &self.call.service_name,
+                model,
+                relative_prefill_time: self.call.relative_prefill_time(Some(model)),
+                chosen: self.chosen,
+                took: elapsed,
+                pace: stream.reply_head.upstream_report.load.and_then(|load| load.pace),
+            };
+            upstreams.first_chunk_arrived(now, first_chunk);
         }
         if upstreams.observe(now, &self.chosen.start, evidence) {
             self.state.confirm_termination(&self.chosen.start);
--- a/crates/gateway/src/request/execution/choice.rs
+++ b/crates/gateway/src/request/execution/choice.rs
@@ -135,6 +135,9 @@
         Placement {
             service: &self.call.service_name,
             rule,
+            route: &self.call.route.name,
+            is_stream: self.call.route.is_stream,
+            completion_weight: self.completion_weight(),
             model,
             relative_prefill_time: self.call.relative_prefill_time(model),
             prompt: self.call.head.prompt.as_ref(),
@@ -150,6 +153,13 @@
         }
     }
 
+    /// Late at its first chunk a response has lost its full value, late at its end all of it.
+    fn completion_weight(&self) -> f64 {
+        let limit = self.call.deadline.since(self.call.arrived).as_secs_f64();
+        let weight = self.call.route.target_latency.as_secs_f64() / limit;
+        if weight.is_finite() { weight.min(1.0) } else { 0.0 }
+    }
+
     fn version_rule(&self) -> VersionRule {
         let now = self.state.now();
         let service = &self.call.service_name;
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -9,6 +9,7 @@
 mod broken_response;
 mod call;
 mod engine_time_meter;
+mod event_monitor;
 mod execution;
 mod model_choice;
 mod outcome;
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -13,6 +13,7 @@
 use super::BrokenResponse;
 use super::Execution;
 use super::attempt::OpenStream;
+use super::event_monitor::EventMonitor;
 use super::token_interval::MonitoredStream;
 use super::token_interval::TokenIntervalMonitor;
 use crate::event_frames::EventFrames;
@@ -28,14 +29,19 @@
 #[derive(Debug, Display, thiserror::Error)]
 pub(crate) struct RelayError;
 
-fn monitor_for(execution: &Execution, stream: &OpenStream) -> TokenIntervalMonitor {
+fn monitors_for(
+    execution: &Execution,
+    stream: &OpenStream,
+) -> (TokenIntervalMonitor, EventMonitor) {
     let subject = MonitoredStream {
         service: execution.call().service_name.clone(),
         model: execution.model().cloned(),
         version: stream.version.clone(),
         incarnation: stream.incarnation.clone(),
     };
-    TokenIntervalMonitor::new(Arc::clone(execution.state()), subject)
+    let state = execution.state();
+    let token_interval = TokenIntervalMonitor::new(Arc::clone(state), subject.clone());
+    (token_interval, EventMonitor::new(Arc::clone(state), subject))
 }
 
 /// A stream that is forwarded to the caller. Dropping it closes the connection to the upstream.
@@ -48,6 +54,7 @@
     last_event: Option<u64>,
     is_ended: bool,
     token_interval: TokenIntervalMonitor,
+    event_monitor: EventMonitor,
 }
 
 impl Relay {
@@ -55,7 +62,7 @@
         let head = &stream.reply.head;
         let headers = execution.state().dialect.caller_headers(&head.headers);
         let status = head.status;
-        let token_interval = monitor_for(&execution, &stream);
+        let (token_interval, event_monitor) = monitors_for(&execution, &stream);
         Self {
             execution,
             stream,
@@ -64,6 +71,7 @@
             last_event: None,
             is_ended: false,
             token_interval,
+            event_monitor,
         }
     }
 
@@ -88,6 +96,8 @@
                     if let Some(meter) = self.stream.meter.take() {
                         meter.answered();
                     }
+                    self.event_monitor.stream_ended();
+                    self.record_length();
                     self.execution.record_response();
                     self.ended(RequestOutcome::Answered, "complete");
                     return Ok(None);
@@ -132,9 +142,13 @@
             None => next.await,
         };
         let events = read.map_err(|_| BrokenResponse::IdleTimeout)?;
-        if matches!(events, Ok(Some(_))) {
+        if let Ok(Some(events)) = &events {
             state.attempt_times.record_sign(state.now(), &self.stream.incarnation);
             self.token_interval.record_interval(state.now().since(began));
+            if let Some(last_id) = events.last_id {
+                let count = self.event_monitor.events_read(began, last_id);
+                self.stream.work.events_received(count);
+            }
         }
         events.map_err(BrokenResponse::from)
     }
@@ -171,7 +185,8 @@
             Ok(stream) => {
                 state.metrics.streams_resumed.inc();
                 self.stream = *stream;
-                self.token_interval = monitor_for(&self.execution, &self.stream);
+                (self.token_interval, self.event_monitor) =
+                    monitors_for(&self.execution, &self.stream);
                 Ok(())
             }
             Err(abandon_reason) => {
@@ -182,6 +197,14 @@
         }
     }
 
+    /// Learns the length of the route's streams. Events are numbered from 1.
+    fn record_length(&self) {
+        if let Some(events) = self.last_event {
+            let execution = &self.execution;
+            execution.state().upstreams.stream_completed(&execution.call().route.name, events);
+        }
+    }
+
     fn ended(&mut self, end: RequestOutcome, result: &str) {
         self.is_ended = true;
         self.execution.state().metrics.record_request(end);
--- a/crates/gateway/src/request/token_interval.rs
+++ b/crates/gateway/src/request/token_interval.rs
@@ -16,7 +16,7 @@
 use crate::state::GatewayState;
 
 /// The stream whose intervals are measured.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct MonitoredStream {
     pub(super) service: ServiceName,
     pub(super) model: Option<ModelName>,
--- a/crates/gateway/src/upstreams/choice.rs
+++ b/crates/gateway/src/upstreams/choice.rs
@@ -6,6 +6,7 @@
 use stallhoist_core::ZoneName;
 use stallhoist_policy::balance::BalanceConfig;
 use stallhoist_policy::balance::CandidateFacts;
+use stallhoist_policy::balance::ExpectedGeneration;
 use stallhoist_policy::balance::Fitness;
 use stallhoist_policy::balance::PrefillTime;
 use stallhoist_policy::balance::PrefillWork;
@@ -15,9 +16,11 @@
 use stallhoist_policy::balance::other_ms;
 use stallhoist_policy::balance::uncached_prefill_ms;
 use stallhoist_policy::fleet_bound::SendQuota;
+use stallhoist_settings::DecisionSettings;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::Chosen;
+use super::GenerationWork;
 use super::Placement;
 use super::UnavailableReason;
 use super::UpstreamsState;
@@ -44,6 +47,9 @@
 /// An upstream with this many requests in progress for each slot may accept fewer connections than it states.
 const CROWDED_REQUESTS_PER_SLOT: u32 = 3;
 
+/// Step in which speeds count for the affinity upstream, as a difference of logarithms.
+const HOME_SPEED_STEP: f64 = 0.35;
+
 /// An arbitrary seed that makes the choice of the control independent of the choice of affinity upstreams.
 const CONTROL_SEED: u64 = 0x00C0_4704;
 
@@ -64,8 +70,7 @@
     pub(super) local_zone: &'a ZoneName,
     pub(super) regions: &'a RegionsOfZones,
     pub(super) config: &'a BalanceConfig,
-    pub(super) has_fleet_homes: bool,
-    pub(super) divides_connections: bool,
+    pub(super) decisions: &'a DecisionSettings,
     pub(super) now: MonoTime,
     pub(super) placement: &'a Placement<'a>,
 }
@@ -142,7 +147,7 @@
     fn has_connection(&self, member: &Member) -> bool {
         let Self { state, now, placement, .. } = *self;
         let max_connections = placement.max_connections;
-        if self.divides_connections {
+        if self.decisions.divides_connections {
             return state.has_connection(now, member, max_connections);
         }
         let in_progress = state.load.in_progress(now, &member.start, 0);
@@ -155,12 +160,12 @@
             prompt_tokens: prompt.map_or(0, |prompt| prompt.input_tokens),
             prefill_time: self.reading_time(),
             body_bytes: self.placement.body_bytes,
+            generation: self.expected_generation(),
         };
         let members: Vec<_> = members.collect();
         let affinity = self.affinity_upstream(&members, &request);
         let costs = members.into_iter().map(|member| {
-            let has_affinity = affinity == Some(&member.start);
-            let facts = self.facts(member, has_affinity);
+            let facts = self.facts(member, affinity == Some(&member.start));
             let cost_ms = expected_cost_ms(self.config, &request, &facts);
             (cost_ms, hash_of(member, self.placement.tie_seed), facts, member)
         });
@@ -169,16 +174,24 @@
             None => costs.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1))),
         };
         let (.., facts, member) = chosen?;
+        let generation = request.generation.map(|generation| GenerationWork {
+            duration_ms: facts.slowdown * generation.duration_ms(facts.in_progress),
+            engine_ms: generation.engine_ms(facts.in_progress),
+            engine_ms_per_event: generation.time.engine_ms(f64::from(facts.in_progress)),
+        });
         Some(Chosen {
             start: member.start.clone(),
             addr: member.addr,
             version: member.version.clone(),
             work: PrefillWork { remaining_prefill_ms: uncached_prefill_ms(&request, &facts) },
             unread_tokens: request.prompt_tokens.saturating_sub(facts.cached_tokens),
-            is_crowded: self.divides_connections
+            is_crowded: self.decisions.divides_connections
                 && facts.in_progress >= facts.slots.saturating_mul(CROWDED_REQUESTS_PER_SLOT),
             base_ms: request.prefill_time.base_ms,
             other_ms: other_ms(self.config, &facts),
+            slowdown: facts.slowdown,
+            is_cache_known: facts.cached_tokens == self.known_cached_tokens(&member.start),
+            generation: generation.unwrap_or_default(),
         })
     }
 
@@ -197,11 +210,21 @@
         let shared = self.placement.prompt?.shared_parts();
         let part = shared.last()?;
         let saved_ms = request.prefill_time.of_tokens_ms(likely_cached_tokens(shared));
-        let is_worth_other_zone =
-            self.has_fleet_homes && saved_ms > cross_zone_cost_ms(self.config, request.body_bytes);
+        let is_worth_other_zone = self.decisions.has_fleet_homes
+            && saved_ms > cross_zone_cost_ms(self.config, request.body_bytes);
         let eligible =
             members.iter().filter(|member| is_worth_other_zone || member.zone == *self.local_zone);
-        eligible.min_by_key(|member| hash_of(member, part.id)).map(|member| &member.start)
+        if !self.decisions.places_by_speed {
+            let home = eligible.min_by_key(|member| hash_of(member, part.id));
+            return home.map(|member| &member.start);
+        }
+        let distance = |member: &&&Member| {
+            let slowdown = self.state.upstream_speeds.slowdown(self.now, &member.start);
+            rendezvous_distance(hash_of(member, part.id), slowdown)
+        };
+        let distances = eligible.map(|member| (distance(&member), member));
+        let home = distances.min_by(|a, b| a.0.total_cmp(&b.0));
+        home.map(|(_, member)| &member.start)
     }
 
     /// The prefill time of the chosen model; the default for a request without a model.
@@ -214,24 +237,58 @@
     fn facts(&self, member: &Member, has_affinity: bool) -> CandidateFacts {
         let Self { state, now, placement, .. } = *self;
         let incarnation = &member.start;
-        let cached_tokens = match (placement.model, placement.prompt) {
-            (Some(model), Some(prompt)) => {
-                let shared = prompt.shared_parts();
-                let cached = state.prefix_caches.cached_tokens(now, incarnation, model, shared);
-                if has_affinity { cached.max(likely_cached_tokens(shared)) } else { cached }
+        let cached = self.known_cached_tokens(incarnation);
+        let cached_tokens = match placement.prompt {
+            Some(prompt) if has_affinity && placement.model.is_some() => {
+                cached.max(likely_cached_tokens(prompt.shared_parts()))
             }
-            _ => 0,
+            _ => cached,
         };
         let work = state.work_on(now, incarnation);
         CandidateFacts {
             in_progress: work.in_progress,
-            slots: member.slots,
+            slots: state.load.reported_slots(incarnation).unwrap_or(member.slots),
             remaining_prefill_ms: work.remaining_prefill_ms,
             cached_tokens,
             is_same_zone: member.zone == *self.local_zone,
             failure_rate: state.health.failure_rate(now, incarnation),
+            slowdown: self.slowdown(incarnation),
         }
     }
+
+    /// The tokens of the prompt that this gateway has sent to an upstream lately.
+    fn known_cached_tokens(&self, incarnation: &UpstreamIncarnation) -> u64 {
+        let Placement { model, prompt, .. } = *self.placement;
+        let (Some(model), Some(prompt)) = (model, prompt) else {
+            return 0;
+        };
+        let prefix_caches = &self.state.prefix_caches;
+        prefix_caches.cached_tokens(self.now, incarnation, model, prompt.shared_parts())
+    }
+
+    /// Duration of work at an upstream relative to its service's usual one: as learned, and as it reports it.
+    fn slowdown(&self, incarnation: &UpstreamIncarnation) -> f64 {
+        if !self.decisions.places_by_speed {
+            return 1.0;
+        }
+        let learned = self.state.upstream_speeds.slowdown(self.now, incarnation);
+        let service = self.placement.service;
+        learned * self.state.paces.slowdown(self.now, service, incarnation)
+    }
+
+    /// The stream after its first event, as far as the model's streams have shown it.
+    fn expected_generation(&self) -> Option<ExpectedGeneration> {
+        let Placement { service, model, route, prompt, is_stream, .. } = *self.placement;
+        if !is_stream {
+            return None;
+        }
+        let time = self.state.generation_times.time(service, model?)?;
+        let max_output_tokens = prompt.map_or(u64::MAX, |prompt| prompt.max_output_tokens);
+        let events = self.state.response_lengths.events(route, max_output_tokens)?;
+        let is_counted = self.decisions.places_by_completion;
+        let weight = if is_counted { self.placement.completion_weight } else { 0.0 };
+        Some(ExpectedGeneration { time, events, weight })
+    }
 }
 
 /// Whether a request goes to the control: an upstream of the old version that is kept at low load during a
@@ -285,6 +342,15 @@
     }
 }
 
+/// Distance of an upstream in rendezvous hashing: each upstream is the nearest one of a share of the prefixes
+/// that is in proportion to its speed. The speed is rounded, so that gateways which know slightly different
+/// speeds agree on almost all prefixes.
+fn rendezvous_distance(hash: u64, slowdown: f64) -> f64 {
+    let rounded_log = (slowdown.ln() / HOME_SPEED_STEP).round() * HOME_SPEED_STEP;
+    let unit = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    -unit.ln() * rounded_log.exp()
+}
+
 fn hash_of(member: &Member, seed: u64) -> u64 {
     xxh3_64_with_seed(member.start.instance.as_str().as_bytes(), seed)
 }
--- a/crates/gateway/src/upstreams/mod.rs
+++ b/crates/gateway/src/upstreams/mod.rs
@@ -12,6 +12,7 @@
 mod peer_updates;
 mod placement;
 mod reports;
+mod speeds;
 mod summary;
 mod work;
 
@@ -31,15 +32,18 @@
 use stallhoist_policy::balance::BalanceConfig;
 use stallhoist_policy::balance::CandidateFacts;
 use stallhoist_policy::balance::Evidence;
-use stallhoist_policy::balance::FirstChunk;
 use stallhoist_policy::balance::Fitness;
+use stallhoist_policy::balance::GenerationTimes;
 use stallhoist_policy::balance::HealthConfig;
 use stallhoist_policy::balance::PeerWork;
 use stallhoist_policy::balance::PrefillSpeeds;
 use stallhoist_policy::balance::PrefixCaches;
+use stallhoist_policy::balance::ReportedPaces;
+use stallhoist_policy::balance::ResponseLengths;
 use stallhoist_policy::balance::UpstreamHealth;
 use stallhoist_policy::balance::UpstreamKey;
 use stallhoist_policy::balance::UpstreamLoad;
+use stallhoist_policy::balance::UpstreamSpeeds;
 use stallhoist_policy::balance::other_ms;
 use stallhoist_policy::cold::ColdBound;
 use stallhoist_policy::cold::ColdService;
@@ -55,8 +59,10 @@
 
 pub(crate) use counts::UpstreamCounts;
 pub(crate) use placement::Chosen;
+pub(crate) use placement::GenerationWork;
 pub(crate) use placement::Placement;
 pub(crate) use placement::UnavailableReason;
+pub(crate) use speeds::ArrivedFirstChunk;
 pub(crate) use work::WorkGuard;
 
 use crate::control_store::Change;
@@ -79,6 +85,10 @@
     health: UpstreamHealth,
     prefix_caches: PrefixCaches,
     speeds: PrefillSpeeds,
+    generation_times: GenerationTimes,
+    response_lengths: ResponseLengths,
+    upstream_speeds: UpstreamSpeeds,
+    paces: ReportedPaces,
     emptied_zones: EmptiedZones,
     /// The gateways that share the bounds on upstreams.
     fleet: Fleet,
@@ -107,6 +117,10 @@
             health: UpstreamHealth::new(HealthConfig::default()),
             prefix_caches: PrefixCaches::default(),
             speeds: PrefillSpeeds::default(),
+            generation_times: GenerationTimes::default(),
+            response_lengths: ResponseLengths::default(),
+            upstream_speeds: UpstreamSpeeds::default(),
+            paces: ReportedPaces::default(),
             emptied_zones: EmptiedZones::default(),
             fleet: Fleet::new(local),
             cold: ColdUpstreams::new(bound),
@@ -221,7 +235,16 @@
     pub(crate) fn expire(&self, now: MonoTime) {
         let mut state = self.state.lock();
         let UpstreamsState {
-            directory, load, health, prefix_caches, cold, limits, backoffs, ..
+            directory,
+            load,
+            health,
+            prefix_caches,
+            upstream_speeds,
+            paces,
+            cold,
+            limits,
+            backoffs,
+            ..
         } = &mut *state;
         limits.expire(now);
         backoffs.expire(now);
@@ -229,6 +252,8 @@
             load.retain(|incarnation| directory.is_known(incarnation));
             health.retain(|incarnation| directory.is_known(incarnation));
             prefix_caches.retain(|incarnation| directory.is_known(incarnation));
+            upstream_speeds.retain(|incarnation| directory.is_known(incarnation));
+            paces.retain(|incarnation| directory.is_known(incarnation));
             cold.retain(|incarnation| directory.is_known(incarnation));
         }
     }
@@ -267,20 +292,9 @@
         now: MonoTime,
         placement: &'a Placement<'a>,
     ) -> Choice<'a> {
-        let has_fleet_homes = self.decisions.has_fleet_homes;
         let (local_zone, config) = (&self.local_zone, &self.config);
-        let regions = &self.regions;
-        let divides_connections = self.decisions.divides_connections;
-        Choice {
-            state,
-            local_zone,
-            regions,
-            config,
-            has_fleet_homes,
-            divides_connections,
-            now,
-            placement,
-        }
+        let (regions, decisions) = (&self.regions, &self.decisions);
+        Choice { state, local_zone, regions, config, decisions, now, placement }
     }
 
     /// Mean outstanding prefill time of a service's upstreams.
@@ -295,9 +309,17 @@
 
     /// Counts work sent to an upstream until the guard is dropped.
     pub(crate) fn start(self: &Arc<Self>, chosen: &Chosen) -> WorkGuard {
-        self.state.lock().load.request_started(&chosen.start, chosen.work);
-        let incarnation = chosen.start.clone();
-        WorkGuard { upstreams: Arc::clone(self), start: incarnation, prefill: chosen.work }
+        let mut state = self.state.lock();
+        state.load.request_started(&chosen.start, chosen.work);
+        state.load.generation_expected(&chosen.start, chosen.generation.engine_ms);
+        drop(state);
+        WorkGuard {
+            upstreams: Arc::clone(self),
+            start: chosen.start.clone(),
+            prefill: chosen.work,
+            generation_left_ms: chosen.generation.engine_ms,
+            generation_ms_per_event: chosen.generation.engine_ms_per_event,
+        }
     }
 
     /// Updates the health of an incarnation by a signal. Returns whether that shows its termination for
@@ -350,6 +372,7 @@
             slots: u32::MAX,
             remaining_prefill_ms: (work.remaining_prefill_ms - chosen.work.remaining_prefill_ms)
                 .max(0.0),
+            slowdown: chosen.slowdown,
             ..CandidateFacts::default()
         };
         chosen.wait_after(other_ms(&self.config, &facts))
@@ -370,24 +393,4 @@
             prompt.shared_parts(),
         );
     }
-
-    /// Learns the prefill speed of a model from the time to the first chunk of a response.
-    pub(crate) fn first_part(
-        &self,
-        service: &ServiceName,
-        model: &ModelName,
-        relative_prefill_time: f64,
-        chosen: &Chosen,
-        took: Duration,
-    ) {
-        if !self.decisions.learns_speeds {
-            return;
-        }
-        let first_part = FirstChunk {
-            unread_tokens: chosen.unread_tokens,
-            other_ms: chosen.other_ms,
-            took_ms: took.as_secs_f64() * 1e3,
-        };
-        self.state.lock().speeds.observe(service, model, relative_prefill_time, first_part);
-    }
 }
--- a/crates/gateway/src/upstreams/peer_updates.rs
+++ b/crates/gateway/src/upstreams/peer_updates.rs
@@ -96,6 +96,8 @@
 
     /// Drops work received from peers whose time to live has passed.
     pub(crate) fn expire_fleet_work(&self, now: MonoTime) {
-        self.state.lock().peer_work.expire(now);
+        let mut state = self.state.lock();
+        state.peer_work.expire(now);
+        state.upstream_speeds.expire(now);
     }
 }
--- a/crates/gateway/src/upstreams/placement.rs
+++ b/crates/gateway/src/upstreams/placement.rs
@@ -7,6 +7,7 @@
 use stallhoist_core::ModelName;
 use stallhoist_core::MonoTime;
 use stallhoist_core::Prompt;
+use stallhoist_core::RouteName;
 use stallhoist_core::ServiceName;
 use stallhoist_core::UpstreamIncarnation;
 use stallhoist_core::VersionName;
@@ -21,6 +22,10 @@
 pub(crate) struct Placement<'a> {
     pub(crate) service: &'a ServiceName,
     pub(crate) rule: &'a VersionRule,
+    pub(crate) route: &'a RouteName,
+    pub(crate) is_stream: bool,
+    /// Worth of a millisecond at the end of a stream relative to one before its first chunk.
+    pub(crate) completion_weight: f64,
     pub(crate) model: Option<&'a ModelName>,
     /// The model's time per token relative to the slowest model's, used until responses have shown it.
     pub(crate) relative_prefill_time: f64,
@@ -70,6 +75,23 @@
     pub(crate) base_ms: f64,
     /// Component of the expected wait, in milliseconds, that is due to other requests.
     pub(crate) other_ms: f64,
+    /// Duration of work at the upstream relative to one of normal speed.
+    pub(crate) slowdown: f64,
+    /// Whether the number of unread tokens is more than an assumption about other gateways' requests.
+    pub(crate) is_cache_known: bool,
+    /// The stream after its first event.
+    pub(crate) generation: GenerationWork,
+}
+
+/// What a response takes after its first chunk.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct GenerationWork {
+    /// Duration at the upstream's present load and speed, in milliseconds.
+    pub(crate) duration_ms: f64,
+    /// Engine time, in milliseconds.
+    pub(crate) engine_ms: f64,
+    /// Engine time of one event, in milliseconds.
+    pub(crate) engine_ms_per_event: f64,
 }
 
 impl Chosen {
@@ -87,14 +109,17 @@
     /// What the attempt is expected to take.
     pub(crate) fn expectation(&self) -> Expectation {
         let first_chunk = self.expected_wait();
-        let engine_time = EngineTime::from_millis(self.base_ms + self.work.remaining_prefill_ms);
-        Expectation { first_chunk, completion: first_chunk, engine_time }
+        let duration = Duration::try_from_secs_f64(self.generation.duration_ms / 1e3);
+        let completion = first_chunk.saturating_add(duration.unwrap_or(Duration::MAX));
+        let prefill_ms = self.base_ms + self.work.remaining_prefill_ms;
+        let engine_time = EngineTime::from_millis(prefill_ms + self.generation.engine_ms);
+        Expectation { first_chunk, completion, engine_time }
     }
 
     /// The expected time to the first chunk, if other requests take `other_ms`.
     pub(super) fn wait_after(&self, other_ms: f64) -> Duration {
         Duration::try_from_secs_f64(
-            (self.base_ms + self.work.remaining_prefill_ms + other_ms) / 1e3,
+            (self.slowdown * (self.base_ms + self.work.remaining_prefill_ms) + other_ms) / 1e3,
         )
         .unwrap_or(Duration::MAX)
     }
--- a/crates/gateway/src/upstreams/reports.rs
+++ b/crates/gateway/src/upstreams/reports.rs
@@ -1,6 +1,7 @@
 //! Reports that upstreams send about themselves in response headers.
 
 use stallhoist_core::MonoTime;
+use stallhoist_core::ServiceName;
 use stallhoist_core::UpstreamIncarnation;
 use stallhoist_policy::cold::ReportedCold;
 
@@ -13,6 +14,7 @@
     pub(crate) fn record_report(
         &self,
         now: MonoTime,
+        service: &ServiceName,
         incarnation: &UpstreamIncarnation,
         sent: MonoTime,
         upstream_report: &UpstreamReport,
@@ -20,6 +22,9 @@
         let mut state = self.state.lock();
         if let Some(load) = upstream_report.load {
             state.load.record_report(now, incarnation, load);
+            if let Some(pace) = load.pace {
+                state.paces.record(now, service, incarnation, pace);
+            }
         }
         if let Some(cold) = upstream_report.cold {
             state.cold.record_report(now, incarnation, ReportedCold::For(cold));
--- a/crates/policy/src/balance/load.rs
+++ b/crates/policy/src/balance/load.rs
@@ -6,6 +6,7 @@
 use stallhoist_core::MonoTime;
 use stallhoist_core::UpstreamIncarnation;
 
+use super::PacePercent;
 use super::UpstreamKey;
 use super::WorkInProgress;
 use crate::connections::RecentMinimum;
@@ -27,6 +28,10 @@
     pub running: u32,
     /// Requests in its queue.
     pub waiting: u32,
+    /// Requests that it processes concurrently.
+    pub slots: Option<u32>,
+    /// How long work takes there at present.
+    pub pace: Option<PacePercent>,
 }
 
 impl ReportedLoad {
@@ -40,6 +45,7 @@
 struct IncarnationLoad {
     in_progress: u32,
     remaining_prefill_ms: f64,
+    remaining_generation_ms: f64,
     reported: Option<(MonoTime, ReportedLoad)>,
     told: RecentMinimum,
 }
@@ -76,6 +82,20 @@
         }
     }
 
+    /// Adds the engine time that a response is expected to take after its first chunk.
+    pub fn generation_expected(&mut self, incarnation: &UpstreamIncarnation, generation_ms: f64) {
+        let load = self.by_incarnation.entry(incarnation.clone()).or_default();
+        load.remaining_generation_ms += generation_ms.max(0.0);
+    }
+
+    /// Removes engine time of a response that was used, or that is not needed any more.
+    pub fn generation_done(&mut self, incarnation: &UpstreamIncarnation, generation_ms: f64) {
+        if let Some(load) = self.by_incarnation.get_mut(incarnation) {
+            load.remaining_generation_ms =
+                (load.remaining_generation_ms - generation_ms.max(0.0)).max(0.0);
+        }
+    }
+
     /// Stores the load that an upstream reported.
     pub fn record_report(
         &mut self,
@@ -124,12 +144,22 @@
         self.by_incarnation.get(incarnation).map_or(0.0, |load| load.remaining_prefill_ms)
     }
 
+    /// Slots of an upstream as it reported them last.
+    pub fn reported_slots(&self, incarnation: &UpstreamIncarnation) -> Option<u32> {
+        let (_, reported) = self.by_incarnation.get(incarnation)?.reported?;
+        reported.slots
+    }
+
     /// This gateway's work on each upstream that has any.
     pub fn local_work(&self) -> impl Iterator<Item = (UpstreamKey, WorkInProgress)> {
         let busy = self.by_incarnation.iter().filter(|(_, load)| load.in_progress > 0);
         busy.map(|(incarnation, load)| {
-            let prefill_ms = load.remaining_prefill_ms.round() as u32;
-            let work = WorkInProgress { requests: load.in_progress, prefill_ms };
+            let engine_ms = load.remaining_prefill_ms + load.remaining_generation_ms;
+            let work = WorkInProgress {
+                requests: load.in_progress,
+                prefill_ms: load.remaining_prefill_ms.round() as u32,
+                engine_ms: engine_ms.round() as u32,
+            };
             (UpstreamKey::of(incarnation), work)
         })
     }
--- a/crates/policy/src/balance/peer_work.rs
+++ b/crates/policy/src/balance/peer_work.rs
@@ -14,6 +14,7 @@
 /// Bounds on the work that a single peer's update can claim on one upstream.
 const MAX_REQUESTS: u32 = 10_000;
 const MAX_PREFILL_MS: u32 = 60_000;
+const MAX_ENGINE_MS: u32 = 600_000;
 
 /// Identifies an upstream incarnation between gateways: a hash of its id and its start time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -34,6 +35,9 @@
     pub requests: u32,
     /// Outstanding prefill time of their prompts, in milliseconds.
     pub prefill_ms: u32,
+    /// Engine time that is left of them, prefill and generation, in milliseconds. None of it where a peer runs
+    /// an older release.
+    pub engine_ms: u32,
 }
 
 impl Summable for WorkInProgress {
@@ -43,6 +47,7 @@
         Self {
             requests: self.requests.saturating_add(other.requests),
             prefill_ms: self.prefill_ms.saturating_add(other.prefill_ms),
+            engine_ms: self.engine_ms.saturating_add(other.engine_ms),
         }
     }
 
@@ -50,6 +55,7 @@
         Self {
             requests: self.requests.saturating_sub(other.requests),
             prefill_ms: self.prefill_ms.saturating_sub(other.prefill_ms),
+            engine_ms: self.engine_ms.saturating_sub(other.engine_ms),
         }
     }
 
@@ -57,6 +63,7 @@
         Self {
             requests: self.requests.min(MAX_REQUESTS),
             prefill_ms: self.prefill_ms.min(MAX_PREFILL_MS),
+            engine_ms: self.engine_ms.min(MAX_ENGINE_MS),
         }
     }
 }
--- a/crates/policy/src/balance/prefill_speeds.rs
+++ b/crates/policy/src/balance/prefill_speeds.rs
@@ -69,6 +69,20 @@
     pub took_ms: f64,
 }
 
+impl FirstChunk {
+    /// Ratio of the observed to the expected time, without what is due to other requests. None where the
+    /// response mostly waited for those: it says little about the prefill, which must be the greater part of
+    /// the expected or of the observed time.
+    pub fn slowdown(&self, expected: PrefillTime) -> Option<f64> {
+        let expected_ms = expected.base_ms + expected.of_tokens_ms(self.unread_tokens);
+        let is_finite = self.other_ms.is_finite() && self.took_ms.is_finite();
+        if !is_finite || self.other_ms > expected_ms.max(self.took_ms / 2.0) {
+            return None;
+        }
+        Some((self.took_ms - self.other_ms) / expected_ms)
+    }
+}
+
 /// Estimate of one model.
 #[derive(Debug, Clone, Copy)]
 struct Estimate {
@@ -113,17 +127,12 @@
         relative_prefill_time: f64,
         first_chunk: FirstChunk,
     ) {
-        let FirstChunk { unread_tokens, other_ms, took_ms } = first_chunk;
         let known = self.time(service, model, relative_prefill_time);
-        let expected_ms = known.base_ms + known.of_tokens_ms(unread_tokens);
-        let is_finite = other_ms.is_finite() && took_ms.is_finite();
-        // Responses that mostly waited for other requests say little about the prefill: it must be
-        // the greater part of the expected or of the observed time.
-        if !is_finite || other_ms > expected_ms.max(took_ms / 2.0) {
+        let Some(slowdown) = first_chunk.slowdown(known) else {
             return;
-        }
-        let error_factor =
-            ((took_ms - other_ms) / expected_ms).clamp(1.0 / MAX_ERROR_FACTOR, MAX_ERROR_FACTOR);
+        };
+        let expected_ms = known.base_ms + known.of_tokens_ms(first_chunk.unread_tokens);
+        let error_factor = slowdown.clamp(1.0 / MAX_ERROR_FACTOR, MAX_ERROR_FACTOR);
         let base_share = known.base_ms / expected_ms;
         let estimates = self.by_service.entry(service.clone()).or_default();
         let responses = estimates.get(model).map_or(0, |estimate| estimate.responses);
--- a/crates/settings/src/gateway/decisions.rs
+++ b/crates/settings/src/gateway/decisions.rs
@@ -28,6 +28,10 @@
     pub compares_waits: bool,
     /// The engine time of second attempts is bounded while there is no room.
     pub bounds_second_attempts: bool,
+    /// Upstreams that respond faster than others of their service get more requests, and more shared prompt prefixes.
+    pub places_by_speed: bool,
+    /// The time from the first chunk to the end of a stream counts in the choice of an upstream.
+    pub places_by_completion: bool,
     /// Number of other requests that the prefill of a prompt is estimated to delay.
     pub held_up_by_reading: f64,
 }
@@ -43,6 +47,8 @@
             divides_connections: true,
             compares_waits: true,
             bounds_second_attempts: true,
+            places_by_speed: false,
+            places_by_completion: false,
             held_up_by_reading: 8.0,
         }
     }
--- a/tests/all/decisions/balance.rs
+++ b/tests/all/decisions/balance.rs
@@ -85,11 +85,28 @@
     assert_eq!((load.in_progress(at_ms(0), &a, 0), load.remaining_prefill_ms(&a)), (0, 0.0));
 }
 
+#[test]
+fn engine_time_that_is_left_falls_as_a_response_arrives() {
+    let mut load = UpstreamLoad::default();
+    let a = incarnation("a");
+    let work = PrefillWork { remaining_prefill_ms: 100.0 };
+    let engine_ms = |load: &UpstreamLoad| load.local_work().map(|(_, work)| work.engine_ms).sum();
+    load.request_started(&a, work);
+    load.generation_expected(&a, 300.0);
+    let left: [u32; 4] = [
+        engine_ms(&load),
+        (load.prefill_finished(&a, work), engine_ms(&load)).1,
+        (load.generation_done(&a, 100.0), engine_ms(&load)).1,
+        (load.generation_done(&a, 900.0), engine_ms(&load)).1,
+    ];
+    assert_eq!(left, [400, 300, 200, 0]);
+}
+
 #[test]
 fn a_reported_load_counts_while_it_is_fresh() {
     let mut load = UpstreamLoad::default();
     let a = incarnation("a");
-    load.record_report(at_ms(0), &a, ReportedLoad { running: 5, waiting: 2 });
+    load.record_report(at_ms(0), &a, ReportedLoad { running: 5, waiting: 2, ..Default::default() });
     assert_eq!(load.in_progress(at_ms(100), &a, 0), 7);
     assert_eq!(load.in_progress(at_ms(600), &a, 0), 0);
     assert_eq!(load.in_progress(at_ms(100), &a, 3), 7, "peers' work is part of the reported load");
@@ -148,7 +165,12 @@
         fn $name() {
             let config = BalanceConfig::default();
             let prefill_time = PrefillTime { base_ms: 20.0, ms_per_token: 0.025 };
-            let request = RequestFacts { prompt_tokens: 4_000, prefill_time, body_bytes: 4_000 };
+            let request = RequestFacts {
+                prompt_tokens: 4_000,
+                prefill_time,
+                body_bytes: 4_000,
+                generation: None,
+            };
             let typical = CandidateFacts { slots: 8, is_same_zone: true, ..Default::default() };
             let first: fn(CandidateFacts) -> CandidateFacts = $first;
             let second: fn(CandidateFacts) -> CandidateFacts = $second;
@@ -173,3 +195,7 @@
     |c| CandidateFacts { is_same_zone: false, ..c },
     |c| CandidateFacts { in_progress: 20, ..c }
 );
+cheaper!(a_faster_upstream, |c| c, |c| CandidateFacts { slowdown: 1.5, ..c });
+cheaper!(a_busier_upstream_that_is_faster, |c| CandidateFacts { in_progress: 3, ..c }, |c| {
+    CandidateFacts { slowdown: 1.5, ..c }
+});
--- a/tests/all/decisions/mod.rs
+++ b/tests/all/decisions/mod.rs
@@ -13,6 +13,7 @@
 mod fatal;
 mod first_chunk_delay;
 mod fleet_clock;
+mod generation_times;
 mod give_up;
 mod health;
 mod lease;
@@ -35,6 +36,7 @@
 mod sessions;
 mod step_up;
 mod store_return_model;
+mod upstream_speeds;
 mod usage_counts;
 
 use std::time::Duration;
--- a/tests/all/decisions/peer_work.rs
+++ b/tests/all/decisions/peer_work.rs
@@ -19,7 +19,7 @@
 }
 
 fn work(requests: u32, prefill_ms: u32) -> WorkInProgress {
-    WorkInProgress { requests, prefill_ms }
+    WorkInProgress { requests, prefill_ms, ..WorkInProgress::default() }
 }
 
 #[test]
