Placement by the end of the stream; speed of upstreams told and learned

A stream was placed by the time to its first chunk, so that upstreams with many long streams looked as good as idle ones as soon as their prompts were read. The time from the first chunk to the end now counts, and the delay that the stream causes to others in its batch, each by target latency over time limit of the request.

Also: slots and pace of the reported load are read, implausible ones counted (load_figures_rejected); slowdowns in the state dump and in upstream_slowdown; the affinity upstream by weighted rendezvous.

Tests: the Batch stand-in reports a pace; World can be started with other decisions; existing tests name the new field and check what they did.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -144,6 +144,21 @@
     }
 }
 
+/// Which of a service's upstreams a slowdown is that of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub(crate) enum SlowdownRank {
+    Least,
+    Median,
+    Greatest,
+}
+
+/// Labels of the slowdowns of upstreams.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct SlowdownLabels {
+    pub(crate) service: String,
+    pub(crate) rank: SlowdownRank,
+}
+
 /// Labels of usage reports.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct UsageLabels {
@@ -182,6 +197,8 @@
     pub(crate) first_part_s: Histogram,
     pub(crate) rollout_evidence: Family<EvidenceLabels, FractionGauge>,
     pub(crate) rollout_load: Family<LoadLabels, FractionGauge>,
+    pub(crate) upstream_slowdown: Family<SlowdownLabels, FractionGauge>,
+    pub(crate) load_figures_rejected: Counter,
     pub(crate) usage_reports: Family<UsageLabels, Counter>,
     pub(crate) holds_duties: Gauge,
     pub(crate) duty_epoch: Gauge,
@@ -218,6 +235,8 @@
             first_part_s: Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS)),
             rollout_evidence: Family::default(),
             rollout_load: Family::default(),
+            upstream_slowdown: Family::default(),
+            load_figures_rejected: Counter::default(),
             usage_reports: Family::default(),
             holds_duties: Gauge::default(),
             duty_epoch: Gauge::default(),
@@ -271,6 +290,11 @@
         r.register("rollout_evidence", help, self.rollout_evidence.clone());
         let help = "Mean of the requests in progress at the upstreams whose times were compared";
         r.register("rollout_load", help, self.rollout_load.clone());
+        let help =
+            "Duration of work at an upstream relative to its service's usual one, as learned";
+        r.register("upstream_slowdown", help, self.upstream_slowdown.clone());
+        let help = "Slots and paces that upstreams reported and that are implausible";
+        r.register("load_figures_rejected", help, self.load_figures_rejected.clone());
         let help = "Usage reports of this gateway by what became of them";
         r.register("usage_reports", help, self.usage_reports.clone());
         let help = "Whether this gateway holds the lease of the duties";
@@ -290,6 +314,17 @@
         set(&self.emptied_zones, counts.emptied_zones);
     }
 
+    /// Sets the gauges of the slowdowns of each service's upstreams.
+    pub(crate) fn set_slowdowns(&self, slowdowns: Vec<(ServiceName, [f64; 3])>) {
+        let ranks = [SlowdownRank::Least, SlowdownRank::Median, SlowdownRank::Greatest];
+        for (service, slowdowns) in slowdowns {
+            for (rank, slowdown) in ranks.into_iter().zip(slowdowns) {
+                let labels = SlowdownLabels { service: service.to_string(), rank };
+                self.upstream_slowdown.get_or_create(&labels).set(slowdown);
+            }
+        }
+    }
+
     /// Sets the gauges of the duties.
     pub(crate) fn set_duties(&self, status: Option<&DutyStatus>) {
         let Some(status) = status else {
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -281,6 +281,7 @@
         state.upstreams.expire(now);
         state.upstreams.check_warm_up(now);
         state.metrics.set_upstream_counts(&state.upstreams.counts(now));
+        state.metrics.set_slowdowns(state.upstreams.slowdowns(now));
     }
 }
 
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -234,6 +234,8 @@
                 sent,
                 &head.upstream_report,
             );
+            let load = head.upstream_report.load.unwrap_or_default();
+            self.state.metrics.load_figures_rejected.inc_by(load.rejected_figures.into());
             self.log_report(&head.upstream_report, has_limit_changed);
         }
         if head.is_not_run {
--- a/crates/gateway/src/upstreams/choice.rs
+++ b/crates/gateway/src/upstreams/choice.rs
@@ -47,8 +47,13 @@
 /// An upstream with this many requests in progress for each slot may accept fewer connections than it states.
 const CROWDED_REQUESTS_PER_SLOT: u32 = 3;
 
-/// Step in which speeds count for the affinity upstream, as a difference of logarithms.
-const HOME_SPEED_STEP: f64 = 0.35;
+/// Step in which speeds count for the affinity upstream, as a difference of logarithms: a factor of two. Smaller
+/// differences do not move prefixes, as gateways know slightly different speeds.
+const HOME_SPEED_STEP: f64 = 0.7;
+
+/// Power of the speed by which prefixes are divided. With 1, a slow upstream would be the affinity upstream of
+/// prefixes that its cost sends elsewhere, to another upstream at each gateway.
+const HOME_SPEED_POWER: f64 = 4.0;
 
 /// An arbitrary seed that makes the choice of the control independent of the choice of affinity upstreams.
 const CONTROL_SEED: u64 = 0x00C0_4704;
@@ -343,12 +348,12 @@
 }
 
 /// Distance of an upstream in rendezvous hashing: each upstream is the nearest one of a share of the prefixes
-/// that is in proportion to its speed. The speed is rounded, so that gateways which know slightly different
-/// speeds agree on almost all prefixes.
+/// that grows with its speed. The speed is rounded, so that gateways which know slightly different speeds agree
+/// on almost all prefixes.
 fn rendezvous_distance(hash: u64, slowdown: f64) -> f64 {
     let rounded_log = (slowdown.ln() / HOME_SPEED_STEP).round() * HOME_SPEED_STEP;
     let unit = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
-    -unit.ln() * rounded_log.exp()
+    -unit.ln() * (HOME_SPEED_POWER * rounded_log).exp()
 }
 
 fn hash_of(member: &Member, seed: u64) -> u64 {
--- a/crates/gateway/src/upstreams/speeds.rs
+++ b/crates/gateway/src/upstreams/speeds.rs
@@ -81,6 +81,22 @@
         }
     }
 
+    /// The least, the median and the greatest slowdown of each service's upstreams, for metrics.
+    pub(crate) fn slowdowns(&self, now: MonoTime) -> Vec<(ServiceName, [f64; 3])> {
+        let state = self.state.lock();
+        let mut by_service = HashMap::<_, Vec<f64>>::new();
+        for (member, _) in state.directory.iter() {
+            let slowdown = state.upstream_speeds.slowdown(now, &member.start);
+            by_service.entry(member.service.clone()).or_default().push(slowdown);
+        }
+        let range = |(service, mut slowdowns): (_, Vec<f64>)| {
+            slowdowns.sort_unstable_by(f64::total_cmp);
+            let last = slowdowns.len() - 1;
+            (service, [slowdowns[0], slowdowns[last / 2], slowdowns[last]])
+        };
+        by_service.into_iter().map(range).collect()
+    }
+
     /// Learns the length of a route's streams from one that ended as planned.
     pub(crate) fn stream_completed(&self, route: &RouteName, events: u64) {
         self.state.lock().response_lengths.observe(route, events);
--- a/crates/policy/src/balance/load.rs
+++ b/crates/policy/src/balance/load.rs
@@ -32,6 +32,8 @@
     pub slots: Option<u32>,
     /// How long work takes there at present.
     pub pace: Option<PacePercent>,
+    /// Number of its figures that were sent, but are implausible.
+    pub rejected_figures: u32,
 }
 
 impl ReportedLoad {
--- a/crates/settings/src/gateway/decisions.rs
+++ b/crates/settings/src/gateway/decisions.rs
@@ -48,7 +48,7 @@
             compares_waits: true,
             bounds_second_attempts: true,
             places_by_speed: false,
-            places_by_completion: false,
+            places_by_completion: true,
             held_up_by_reading: 8.0,
         }
     }
--- a/crates/standins/src/users_platform/upstream.rs
+++ b/crates/standins/src/users_platform/upstream.rs
@@ -343,12 +343,12 @@
                 EventStream { next: from, last: events, interval, truncate_after, running };
             return Ok(streamed(id, confidence, events).await);
         }
-        Behaviour::Batch { events, idle_pause, pause_per_request } => {
+        Behaviour::Batch { events, idle_pause, pause_per_request, pace_percent } => {
             let from = arrival.header("last-event-id").parse().unwrap_or(0) + 1;
             let interval = EventInterval { idle_pause, pause_per_request };
             let events =
                 EventStream { next: from, last: events, interval, truncate_after: None, running };
-            return Ok(streamed_with_load(id, events).await);
+            return Ok(streamed_with_load(id, pace_percent, events).await);
         }
         Behaviour::Hang => pending().await,
         Behaviour::CutBeforeReply => {
--- a/crates/standins/src/users_platform/upstream_behaviour.rs
+++ b/crates/standins/src/users_platform/upstream_behaviour.rs
@@ -37,6 +37,8 @@
         idle_pause: Duration,
         /// Additional time before each event for each request in the batch.
         pause_per_request: Duration,
+        /// How long work takes at present, as it reports it: 100 is as usual.
+        pace_percent: u32,
     },
     /// Runs the request and responds with status 500.
     Fail,
--- a/crates/standins/src/users_platform/upstream_reply.rs
+++ b/crates/standins/src/users_platform/upstream_reply.rs
@@ -123,9 +123,14 @@
     response
 }
 
-/// Like [`streamed`], with a header that reports the load: running requests, queued requests, and slots.
-pub(super) async fn streamed_with_load(id: &str, events: EventStream) -> Response<Body> {
-    let load = format!("{},0,{}", events.running.count(), u32::MAX);
+/// Like [`streamed`], with a header that reports the load: running requests, queued requests, slots and
+/// pace.
+pub(super) async fn streamed_with_load(
+    id: &str,
+    pace_percent: u32,
+    events: EventStream,
+) -> Response<Body> {
+    let load = format!("{},0,{},{pace_percent}", events.running.count(), u32::MAX);
     let mut response = streamed(id, None, events).await;
     if let Ok(load) = HeaderValue::from_str(&load) {
         response.headers_mut().insert("server-load", load);
--- a/tests/all/decisions/balance.rs
+++ b/tests/all/decisions/balance.rs
@@ -7,7 +7,9 @@
 use stallhoist_policy::balance::BalanceConfig;
 use stallhoist_policy::balance::CandidateFacts;
 use stallhoist_policy::balance::Evidence;
+use stallhoist_policy::balance::ExpectedGeneration;
 use stallhoist_policy::balance::Fitness;
+use stallhoist_policy::balance::GenerationTime;
 use stallhoist_policy::balance::HealthConfig;
 use stallhoist_policy::balance::PrefillTime;
 use stallhoist_policy::balance::PrefillWork;
@@ -199,3 +201,30 @@
 cheaper!(a_busier_upstream_that_is_faster, |c| CandidateFacts { in_progress: 3, ..c }, |c| {
     CandidateFacts { slowdown: 1.5, ..c }
 });
+
+/// Checks which of an upstream with the prefix and five requests, and an idle one without, a stream goes to.
+macro_rules! long_stream {
+    ($name:ident, $weight:expr, $goes_to_idle:expr) => {
+        #[test]
+        fn $name() {
+            let generation = ExpectedGeneration {
+                time: GenerationTime { base_ms: 25.0, per_request_ms: 2.0 },
+                events: 60.0,
+                weight: $weight,
+            };
+            let request = RequestFacts {
+                prompt_tokens: 400,
+                prefill_time: PrefillTime { base_ms: 20.0, ms_per_token: 0.025 },
+                body_bytes: 400,
+                generation: Some(generation),
+            };
+            let idle = CandidateFacts { slots: 64, is_same_zone: true, ..Default::default() };
+            let busy = CandidateFacts { in_progress: 5, cached_tokens: 300, ..idle };
+            let cost = |facts| expected_cost_ms(&BalanceConfig::default(), &request, &facts);
+            assert_eq!(cost(idle) < cost(busy), $goes_to_idle);
+        }
+    };
+}
+
+long_stream!(a_long_stream_goes_where_it_ends_sooner, 0.16, true);
+long_stream!(a_stream_without_a_time_limit_goes_where_it_begins_sooner, 0.0, false);
--- a/tests/all/decisions/upstream_speeds.rs
+++ b/tests/all/decisions/upstream_speeds.rs
@@ -6,11 +6,14 @@
 use stallhoist_core::HostId;
 use stallhoist_core::ServiceName;
 use stallhoist_core::UpstreamIncarnation;
+use stallhoist_gateway::dialect::Dialect;
 use stallhoist_policy::balance::PacePercent;
+use stallhoist_policy::balance::ReportedLoad;
 use stallhoist_policy::balance::ReportedPaces;
 use stallhoist_policy::balance::SpeedEvidence;
 use stallhoist_policy::balance::UpstreamKey;
 use stallhoist_policy::balance::UpstreamSpeeds;
+use stallhoist_users_platform::PlatformDialect;
 
 use super::at_ms;
 
@@ -237,3 +240,32 @@
     paces.record(at_ms(1), &service(), &a, pace(2_000));
     assert_eq!(paces.slowdown(at_ms(1), &service(), &a), 4.0);
 }
+
+/// The load in a response with this header.
+fn reported(figures: &str) -> Option<ReportedLoad> {
+    let response = http::Response::builder().header("Server-Load", figures);
+    let (head, ()) = response.body(()).expect("a head").into_parts();
+    PlatformDialect.read_reply(&head).upstream_report.load
+}
+
+/// Checks which slots and pace are read from a header, and how many figures are rejected.
+macro_rules! figures {
+    ($name:ident, $figures:expr, $slots:expr, $pace:expr, $rejected:expr) => {
+        #[test]
+        fn $name() {
+            let load = reported($figures).expect("a load");
+            assert_eq!((load.running, load.waiting), (3, 1));
+            assert_eq!((load.slots, load.pace.map(PacePercent::slowdown)), ($slots, $pace));
+            assert_eq!(load.rejected_figures, $rejected);
+        }
+    };
+}
+
+figures!(two_figures, "3,1", None, None, 0);
+figures!(three_figures, "3, 1, 8", Some(8), None, 0);
+figures!(four_figures, "3,1,8,250", Some(8), Some(2.5), 0);
+figures!(a_pace_of_zero, "3,1,8,0", Some(8), None, 1);
+figures!(a_huge_pace, "3,1,8,99999999999999", Some(8), None, 1);
+figures!(no_numbers, "3,1,x,NaN", None, None, 2);
+figures!(no_slots, "3,1,0,100", None, Some(1.0), 1);
+figures!(huge_slots, "3,1,4294967295,-1", None, None, 2);
--- a/tests/all/gateway/mod.rs
+++ b/tests/all/gateway/mod.rs
@@ -32,4 +32,5 @@
 mod streams;
 mod suspension;
 mod template;
+mod uneven_upstreams;
 pub(crate) mod world;
--- a/tests/all/gateway/rollout_loads.rs
+++ b/tests/all/gateway/rollout_loads.rs
@@ -32,6 +32,7 @@
         events: 6,
         idle_pause: Duration::from_millis(20) * times,
         pause_per_request: Duration::from_millis(2) * times,
+        pace_percent: 100,
     }
 }
 
--- a/tests/all/gateway/world.rs
+++ b/tests/all/gateway/world.rs
@@ -13,6 +13,7 @@
 use stallhoist_coordination::SimulatedSuspensions;
 use stallhoist_gateway::Gateway;
 use stallhoist_gateway::GatewayParts;
+use stallhoist_settings::DecisionSettings;
 use stallhoist_settings::GatewaySettings;
 use stallhoist_settings::StoreSettings;
 use stallhoist_standins::users_platform::Behaviour;
@@ -110,6 +111,15 @@
 impl World {
     /// Starts one upstream per behaviour, all of one service, and a gateway that knows them.
     pub(super) async fn start(service: &str, behaviours: &[Behaviour]) -> Self {
+        Self::start_deciding(service, behaviours, DecisionSettings::default()).await
+    }
+
+    /// The same with these decisions of the gateway.
+    pub(super) async fn start_deciding(
+        service: &str,
+        behaviours: &[Behaviour],
+        decisions: DecisionSettings,
+    ) -> Self {
         let store = StoreStandin::start().await.expect("the store starts");
         store.put("op", "config", config(1));
         let mut upstreams = Vec::new();
@@ -120,7 +130,7 @@
             store.put("servers", &instance, upstream.entry(service, "zone-1", "v1", "ready"));
             upstreams.push(upstream);
         }
-        let gateway = start_gateway(&store).await;
+        let gateway = start_gateway_with(GatewaySettings { decisions, ..settings(&store) }).await;
         let http = reqwest::Client::builder().no_proxy().timeout(WAIT_LIMIT).build();
         let world = Self { store, upstreams, gateway, http: http.expect("a client can be made") };
         world.wait_until_ready().await;
