--- a/crates/gateway/src/upstreams/speeds.rs
+++ b/crates/gateway/src/upstreams/speeds.rs
@@ -51,10 +51,9 @@
         let UpstreamsState { speeds, upstream_speeds, .. } = &mut *self.state.lock();
         let expected = speeds.time(service, model, relative_prefill_time);
         speeds.observe(service, model, relative_prefill_time, observed);
-        // A slow moment, as the upstream itself reports it, does not make it a slow upstream.
-        let is_usual = pace.is_none_or(PacePercent::is_normal) && chosen.is_cache_known;
-        if let Some(slowdown) = observed.slowdown(expected).filter(|_| is_usual) {
-            upstream_speeds.observe(now, &chosen.start, slowdown);
+        let slowdown = observed.slowdown(expected).filter(|_| chosen.is_cache_known);
+        if let Some(slowdown) = slowdown {
+            upstream_speeds.observe_at_pace(now, &chosen.start, slowdown, pace);
         }
     }
 
--- a/crates/policy/src/balance/upstream_speeds.rs
+++ b/crates/policy/src/balance/upstream_speeds.rs
@@ -11,6 +11,7 @@
 use stallhoist_core::MonoTime;
 use stallhoist_core::UpstreamIncarnation;
 
+use super::PacePercent;
 use super::SpeedEvidence;
 use super::UpstreamKey;
 use super::speed_evidence::bounded_log;
@@ -90,6 +91,18 @@
         true
     }
 
+    /// Like [`observe`](Self::observe), for a short time at which the upstream reported this pace. A slow moment
+    /// does not make it a slow upstream, so it counts only at a normal pace.
+    pub fn observe_at_pace(
+        &mut self,
+        now: MonoTime,
+        incarnation: &UpstreamIncarnation,
+        slowdown: f64,
+        pace: Option<PacePercent>,
+    ) -> bool {
+        pace.is_none_or(PacePercent::is_normal) && self.observe(now, incarnation, slowdown)
+    }
+
     /// Duration of work at an upstream relative to one of normal speed.
     pub fn slowdown(&self, now: MonoTime, incarnation: &UpstreamIncarnation) -> f64 {
         self.evidence(now, incarnation).slowdown()
--- a/tests/all/decisions/upstream_speeds.rs
+++ b/tests/all/decisions/upstream_speeds.rs
@@ -102,6 +102,17 @@
 refused!(zero, 0.0);
 refused!(negative, -1.0);
 
+#[test]
+fn a_slow_moment_is_not_a_slow_upstream() {
+    let (mut speeds, a) = (UpstreamSpeeds::default(), incarnation("a"));
+    for n in 0..100 {
+        let is_slow = n % 4 == 0;
+        let (slowdown, percent) = if is_slow { (2.5, 250) } else { (1.0, 100) };
+        speeds.observe_at_pace(at_ms(n * 100), &a, slowdown, PacePercent::new(percent));
+    }
+    assert_eq!(speeds.slowdown(at_ms(10_000), &a), 1.0);
+}
+
 const EVIDENCE: SpeedEvidence = SpeedEvidence { weight: 20, log_milli: 14_000 };
 
 fn key() -> UpstreamKey {
