Requests wait at the gateway for room, and are rejected if they cannot be served

Cause: the gateway sends every attempt at once. What does not fit goes to an upstream's own queue in order of arrival, or is rejected there, and each rejection takes an attempt and retry budget.

Change: policy::overload::WaitingQueue decides on each attempt: send, wait or reject, from the requests in progress that gateways exchange, own requests, slots, prefill work, rejections and the rate at which requests end. Order: share, in time before late, due time, priority. Bounded in number, bytes and time; ends with the caller or with the stop. gateway::admission holds the queues. Reservations moves from policy::admission to policy::overload, which both use. Counts of others are believed only for requests that last a second or more.

Ruled out: counts of others for all services.

Tests: decisions::overload_admission; gateway::admission, all four of which fail with decisions.waits_for_room off.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 //! - `upstream`: connections to upstreams
 //! - `callers`: the interface to callers
 
+mod admission;
 mod attempt_times;
 mod callers;
 pub mod control_store;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -82,6 +82,27 @@
     pub(crate) used_for: EngineTimeUse,
 }
 
+/// What was decided on an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub(crate) enum AdmissionResult {
+    /// It was sent when it was ready.
+    SentAtOnce,
+    /// It was sent after it had waited for room at an upstream.
+    SentAfterWait,
+    /// It was rejected as its time limit had passed.
+    RejectedNoTimeLeft,
+    /// It was rejected as no turn was expected within its time limit.
+    RejectedNoTurnInTime,
+    /// It was rejected as too much was waiting.
+    RejectedQueueFull,
+}
+
+/// Labels of admission decisions.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct AdmissionLabels {
+    pub(crate) result: AdmissionResult,
+}
+
 /// Labels of requests.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct RequestLabels {
@@ -174,6 +195,10 @@
     pub(crate) requests: Family<RequestLabels, Counter>,
     pub(crate) attempts: Family<AttemptLabels, Counter>,
     pub(crate) engine_time_ms: Family<EngineTimeLabels, Counter>,
+    pub(crate) admissions: Family<AdmissionLabels, Counter>,
+    pub(crate) waiting: Gauge,
+    pub(crate) waited_s: Histogram,
+    pub(crate) retry_after_s: Histogram,
     pub(crate) streams_resumed: Counter,
     pub(crate) streams_broken: Counter,
     pub(crate) upstream_ends: Counter,
@@ -215,6 +240,10 @@
             requests: Family::default(),
             attempts: Family::default(),
             engine_time_ms: Family::default(),
+            admissions: Family::default(),
+            waiting: Gauge::default(),
+            waited_s: Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS)),
+            retry_after_s: Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS)),
             streams_resumed: Counter::default(),
             streams_broken: Counter::default(),
             upstream_ends: Counter::default(),
@@ -253,6 +282,14 @@
         r.register("attempts", "Attempts by how they ended", self.attempts.clone());
         let help = "Expected engine time of attempts in milliseconds, by what it was used for";
         r.register("engine_time_ms", help, self.engine_time_ms.clone());
+        let help =
+            "Attempts by whether they were sent, had to wait or were rejected for lack of room";
+        r.register("admissions", help, self.admissions.clone());
+        r.register("waiting", "Requests that wait for room at an upstream", self.waiting.clone());
+        let help = "Time that requests waited for room at an upstream";
+        r.register("waited_seconds", help, self.waited_s.clone());
+        let help = "Retry-After of requests rejected for lack of room";
+        r.register("retry_after_seconds", help, self.retry_after_s.clone());
         r.register("streams_resumed", "Streams continued elsewhere", self.streams_resumed.clone());
         r.register("streams_broken", "Streams that broke off", self.streams_broken.clone());
         let help = "Requests that broke off because their upstream's process had ended";
@@ -357,6 +394,15 @@
         self.engine_time_ms.get_or_create(&labels).inc_by(time.as_millis().round() as u64);
     }
 
+    pub(crate) fn record_admission(&self, result: AdmissionResult) {
+        self.admissions.get_or_create(&AdmissionLabels { result }).inc();
+    }
+
+    /// Sets the number of requests that wait for room.
+    pub(crate) fn set_waiting(&self, waiting: usize) {
+        set(&self.waiting, waiting);
+    }
+
     pub(crate) fn record_attempt(&self, result: AttemptResult) {
         self.attempts.get_or_create(&AttemptLabels { result }).inc();
     }
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -61,6 +61,8 @@
     is_ready: bool,
     is_leaving: bool,
     config_version: Option<u64>,
+    /// Requests that wait for room at an upstream.
+    waiting: usize,
     /// Number of listed gateways, including this one.
     entries: usize,
     /// Where the latest data of each feed came from: the store or a peer.
@@ -141,6 +143,7 @@
         host: state.settings.host.id.to_string(),
         is_ready: state.is_ready(),
         is_leaving: state.is_leaving(),
+        waiting: state.admission.waiting(),
         config_version: state.config().map(|config| config.version.0),
         entries: state.peers.lock().count(),
         news_from: news_from(state),
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -282,6 +282,7 @@
         state.upstreams.check_warm_up(now);
         state.metrics.set_upstream_counts(&state.upstreams.counts(now));
         state.metrics.set_slowdowns(state.upstreams.slowdowns(now));
+        state.metrics.set_waiting(state.admission.waiting());
     }
 }
 
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -93,7 +93,7 @@
     /// rollout.
     pub(crate) async fn run(self, given_up: impl Future<Output = ()>) -> AttemptOutcome {
         let started = self.state.now();
-        let work = self.state.upstreams.start(self.chosen);
+        let work = self.state.upstreams.start(self.chosen, self.state.running(self.call));
         let timings = &self.state.settings.upstream;
         let settings = ConnectSettings {
             connect_timeout: Duration::from_millis(timings.connect_timeout_ms),
@@ -239,6 +239,7 @@
             self.log_report(&head.upstream_report, has_limit_changed);
         }
         if head.is_not_run {
+            self.state.upstreams.record_rejection(self.state.now(), &self.chosen.start);
             return AttemptOutcome::NotRun(reply.head.status);
         }
         if head.id.as_deref() != Some(self.call.head.id.as_str()) {
--- /dev/null
+++ b/crates/gateway/src/request/execution/admission.rs
@@ -0,0 +1,141 @@
+//! Whether the next attempt is sent now, waits at this gateway or is rejected.
+
+use std::time::Duration;
+
+use stallhoist_core::MonoTime;
+use stallhoist_policy::overload::AttemptDecision;
+use stallhoist_policy::overload::RejectReason;
+use stallhoist_policy::overload::ServiceRoom;
+use stallhoist_policy::overload::ShareStatus;
+use stallhoist_policy::overload::Waiter;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::Execution;
+use crate::admission::WaitTicket;
+use crate::metrics::AdmissionResult;
+use crate::request::AbandonReason;
+
+/// Time before the end of a stopping process at which the last waiting requests are rejected, so that their
+/// callers receive the responses.
+const STOP_MARGIN: Duration = Duration::from_millis(300);
+
+impl Execution {
+    /// Waits until the next attempt may be sent.
+    ///
+    /// # Errors
+    /// Fails when the request cannot be served within its time limit. Nothing has run then.
+    pub(super) async fn wait_for_turn(
+        &self,
+        ticket: &mut Option<WaitTicket>,
+    ) -> Result<(), AbandonReason> {
+        if !self.state.admission.is_enabled() || self.progress.is_delivered() {
+            return Ok(());
+        }
+        loop {
+            let now = self.state.now();
+            match self.admit(now, ticket) {
+                AttemptDecision::WaitUntil(at) => {
+                    if let Some(ticket) = ticket {
+                        ticket.woken_until(now, at).await;
+                    }
+                }
+                AttemptDecision::Reject { retry_after, reason }
+                    if !self.progress.may_have_run() =>
+                {
+                    self.record_rejection(now, reason, retry_after);
+                    return Err(AbandonReason::NotRun { retry_after });
+                }
+                AttemptDecision::Send | AttemptDecision::Reject { .. } => return Ok(()),
+            }
+        }
+    }
+
+    fn admit(&self, now: MonoTime, ticket: &mut Option<WaitTicket>) -> AttemptDecision {
+        let admission = &self.state.admission;
+        let (room, first_chunk) = self.room(now);
+        let deadline = self.latest_end();
+        if let Some(ticket) = ticket {
+            return admission.ask(now, ticket, deadline, &room);
+        }
+        let waiter = Waiter {
+            key: xxh3_64(self.call.head.id.as_bytes()),
+            due: self.call.arrived.after(self.call.route.target_latency),
+            deadline,
+            first_chunk,
+            priority: self.call.priority,
+            share: ShareStatus::Within,
+            pool: self.pool(),
+            size_bytes: self.call.body.len(),
+        };
+        let (decision, new_ticket) = admission.offer(now, &self.call.service_name, waiter, &room);
+        *ticket = new_ticket;
+        decision
+    }
+
+    /// The request's time limit, or the end of the process if it is stopping.
+    fn latest_end(&self) -> MonoTime {
+        if !self.state.is_leaving() {
+            return self.call.deadline;
+        }
+        let end =
+            MonoTime(self.state.planned_end().0.saturating_sub(STOP_MARGIN.as_micros() as u64));
+        self.call.deadline.min(end)
+    }
+
+    /// The room at the upstreams that the next attempt may use, and the time to the first chunk there.
+    fn room(&self, now: MonoTime) -> (ServiceRoom, Duration) {
+        let rule = self.version_rule();
+        let placement = self.placement(&rule, self.models.chosen(), &[]);
+        let validity = self.state.admission.news_validity(&self.call.service_name);
+        self.state.upstreams.room(now, &placement, validity)
+    }
+
+    /// Requests with the same number may use the same upstreams.
+    fn pool(&self) -> u64 {
+        let route = self.call.route.allowed_regions.as_ref();
+        let workspace = self.call.workspace_allowed_regions.as_ref();
+        if route.is_none() && workspace.is_none() {
+            return 0;
+        }
+        xxh3_64(format!("{route:?} {workspace:?}").as_bytes())
+    }
+
+    /// Records that the next attempt is sent, after it waited with this ticket.
+    pub(super) fn record_sent(&self, now: MonoTime, ticket: Option<&WaitTicket>) {
+        let metrics = &self.state.metrics;
+        let Some(ticket) = ticket else {
+            metrics.record_admission(AdmissionResult::SentAtOnce);
+            return;
+        };
+        let waited = now.since(ticket.since());
+        metrics.record_admission(AdmissionResult::SentAfterWait);
+        metrics.waited_s.observe(waited.as_secs_f64());
+        if self.state.decisions.admits(now) {
+            log::info!(
+                request = self.call.head.id,
+                waited_ms = waited.as_millis() as u64;
+                "a request had to wait for room at an upstream"
+            );
+        }
+    }
+
+    fn record_rejection(&self, now: MonoTime, reason: RejectReason, retry_after: Duration) {
+        let metrics = &self.state.metrics;
+        metrics.record_admission(match reason {
+            RejectReason::NoTimeLeft => AdmissionResult::RejectedNoTimeLeft,
+            RejectReason::NoTurnInTime => AdmissionResult::RejectedNoTurnInTime,
+            RejectReason::QueueFull => AdmissionResult::RejectedQueueFull,
+        });
+        metrics.retry_after_s.observe(retry_after.as_secs_f64());
+        if self.state.decisions.admits(now) {
+            log::info!(
+                request = self.call.head.id,
+                reason:% = reason,
+                waiting = self.state.admission.waiting(),
+                elapsed_ms = now.since(self.call.arrived).as_millis() as u64,
+                retry_after_ms = retry_after.as_millis() as u64;
+                "a request is rejected for lack of room at the upstreams"
+            );
+        }
+    }
+}
--- a/crates/gateway/src/request/execution/choice.rs
+++ b/crates/gateway/src/request/execution/choice.rs
@@ -32,14 +32,18 @@
     /// # Errors
     /// Fails when the deadline has passed, or when no upstream becomes usable in time.
     pub(super) async fn choose(&mut self) -> Result<Chosen, AbandonReason> {
-        let until = self.state.now().after(WAIT_FOR_UPSTREAM);
+        let mut ticket = None;
+        let mut until = None;
         let mut lacked_connection = false;
         loop {
+            self.wait_for_turn(&mut ticket).await?;
             let now = self.state.now();
+            let until = *until.get_or_insert(now.after(WAIT_FOR_UPSTREAM));
             if now >= self.call.deadline {
                 return Err(self.abandon_reason());
             }
             if let Some(chosen) = self.acquire() {
+                self.record_sent(now, ticket.as_ref());
                 return Ok(chosen);
             }
             if !self.tried.is_empty() {
@@ -125,7 +129,7 @@
         AbandonReason::NotAllowed { retry_after: NOT_ALLOWED_RETRY_AFTER }
     }
 
-    fn placement<'a>(
+    pub(super) fn placement<'a>(
         &'a self,
         rule: &'a VersionRule,
         model: Option<&'a ModelName>,
@@ -160,7 +164,7 @@
         if weight.is_finite() { weight.min(1.0) } else { 0.0 }
     }
 
-    fn version_rule(&self) -> VersionRule {
+    pub(super) fn version_rule(&self) -> VersionRule {
         let now = self.state.now();
         let service = &self.call.service_name;
         let session = Call::session(&self.call.head);
--- a/crates/gateway/src/request/execution/mod.rs
+++ b/crates/gateway/src/request/execution/mod.rs
@@ -1,10 +1,11 @@
 //! The attempts of one request, until its final response.
 //!
-//! Read `Execution::run` first. `choice` selects the upstream of an attempt, `after_broken_response` handles
+//! Read `Execution::run` first. `admission` decides when an attempt is sent, `choice` selects the upstream of an attempt, `after_broken_response` handles
 //! its crash, `quarantine` holds back requests that crash upstreams, `attempt_log` writes the log lines.
 //!
 //! Invariant: a request that may run once only is never sent again after an attempt that may have run.
 
+mod admission;
 mod after_broken_response;
 mod attempt_log;
 mod choice;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -24,6 +24,8 @@
 use stallhoist_settings::GatewaySettings;
 use tokio::sync::Notify;
 
+use crate::admission::Admission;
+use crate::admission::RunningRequest;
 use crate::attempt_times::AttemptTimes;
 use crate::control_store::Feed;
 use crate::control_store::ListedEntry;
@@ -37,6 +39,7 @@
 use crate::peers::PendingListings;
 use crate::planned_stop::PlannedStop;
 use crate::planned_stop::ResponseShape;
+use crate::request::Call;
 use crate::retry_budgets::RetryBudgets;
 use crate::rollouts::ProcessRun;
 use crate::rollouts::Rollouts;
@@ -64,6 +67,8 @@
     /// Requests during which upstreams crashed.
     pub(crate) fatal: FatalRequestTracker,
     pub(crate) step_up: StepUpConfig,
+    /// Requests that wait for room at the upstreams.
+    pub(crate) admission: Arc<Admission>,
     /// The gateways of the system.
     pub(crate) peers: Mutex<PeerList>,
     /// Where the latest data of each feed came from; `None` means the store.
@@ -116,6 +121,7 @@
             attempt_times: AttemptTimes::new(retries.budget_percent()),
             fatal: FatalRequestTracker::default(),
             step_up: StepUpConfig { below_confidence },
+            admission: Arc::new(Admission::new(&settings.decisions)),
             peers: Mutex::new(PeerList::new(settings.host.id.clone(), settings.host.zone.clone())),
             news_from: Mutex::default(),
             listings: PendingListings::default(),
@@ -266,6 +272,7 @@
         *self.stop.lock() = Some(PlannedStop::new(self.now(), grace));
         self.duties.iter().for_each(Duties::wake);
         self.feed_cache.wake_pollers();
+        self.admission.wake_all();
     }
 
     /// When a stopping process ends; now without a stop.
@@ -318,6 +325,13 @@
         }
     }
 
+    /// Counts an attempt of a request as one that takes a place, until the result is dropped.
+    pub(crate) fn running(&self, call: &Call) -> RunningRequest {
+        let admission = Arc::clone(&self.admission);
+        let is_stream = call.route.is_stream;
+        RunningRequest::new(admission, self.clock.clone(), call.service_name.clone(), is_stream)
+    }
+
     /// Number of requests in progress.
     pub(crate) fn in_progress(&self) -> usize {
         self.in_progress.load(Ordering::SeqCst)
--- a/crates/gateway/src/upstreams/choice.rs
+++ b/crates/gateway/src/upstreams/choice.rs
@@ -83,6 +83,11 @@
 impl Choice<'_> {
     /// The best upstream for a request; none when none is usable.
     pub(super) fn best(&self) -> Option<Chosen> {
+        self.cheapest(self.candidates())
+    }
+
+    /// The upstreams among which the best is chosen.
+    pub(super) fn candidates(&self) -> Vec<&Member> {
         let rule = self.placement.rule;
         let filters = [Some(&rule.wanted), rule.fallback.as_ref()];
         let control = Control::of(self);
@@ -94,12 +99,13 @@
                         && self.state.health.fitness(self.now, &member.start) <= worst
                         && self.is_usable(filter, member)
                 });
-                if let Some(chosen) = self.cheapest(usable) {
-                    return Some(chosen);
+                let usable: Vec<_> = usable.collect();
+                if !usable.is_empty() {
+                    return usable;
                 }
             }
         }
-        None
+        Vec::new()
     }
 
     /// The reason for which there is no upstream. Where every candidate lacks quota, the reason of the
@@ -159,7 +165,7 @@
         in_progress < (max_connections / UNDIVIDED_DIVISOR).max(1)
     }
 
-    fn cheapest<'m>(&self, members: impl Iterator<Item = &'m Member>) -> Option<Chosen> {
+    fn cheapest(&self, members: Vec<&Member>) -> Option<Chosen> {
         let prompt = self.placement.prompt;
         let request = RequestFacts {
             prompt_tokens: prompt.map_or(0, |prompt| prompt.input_tokens),
@@ -167,7 +173,6 @@
             body_bytes: self.placement.body_bytes,
             generation: self.expected_generation(),
         };
-        let members: Vec<_> = members.collect();
         let affinity = self.affinity_upstream(&members, &request);
         let costs = members.into_iter().map(|member| {
             let facts = self.facts(member, affinity == Some(&member.start));
@@ -233,7 +238,7 @@
     }
 
     /// The prefill time of the chosen model; the default for a request without a model.
-    fn reading_time(&self) -> PrefillTime {
+    pub(super) fn reading_time(&self) -> PrefillTime {
         let Placement { service, model, relative_prefill_time, .. } = *self.placement;
         let time = |model| self.state.speeds.time(service, model, relative_prefill_time);
         model.map_or_else(PrefillTime::default, time)
--- a/crates/gateway/src/upstreams/mod.rs
+++ b/crates/gateway/src/upstreams/mod.rs
@@ -12,6 +12,7 @@
 mod peer_updates;
 mod placement;
 mod reports;
+mod room;
 mod speeds;
 mod summary;
 mod work;
@@ -65,6 +66,7 @@
 pub(crate) use speeds::ArrivedFirstChunk;
 pub(crate) use work::WorkGuard;
 
+use crate::admission::RunningRequest;
 use crate::control_store::Change;
 use crate::members::Directory;
 use crate::members::Member;
@@ -308,7 +310,7 @@
     }
 
     /// Counts work sent to an upstream until the guard is dropped.
-    pub(crate) fn start(self: &Arc<Self>, chosen: &Chosen) -> WorkGuard {
+    pub(crate) fn start(self: &Arc<Self>, chosen: &Chosen, running: RunningRequest) -> WorkGuard {
         let mut state = self.state.lock();
         state.load.request_started(&chosen.start, chosen.work);
         state.load.generation_expected(&chosen.start, chosen.generation.engine_ms);
@@ -319,6 +321,7 @@
             prefill: chosen.work,
             generation_left_ms: chosen.generation.engine_ms,
             generation_ms_per_event: chosen.generation.engine_ms_per_event,
+            running,
         }
     }
 
--- a/crates/gateway/src/upstreams/summary.rs
+++ b/crates/gateway/src/upstreams/summary.rs
@@ -35,12 +35,13 @@
             let start = &member.start;
             let others = state.peer_work.on(UpstreamKey::of(start));
             format!(
-                "{start} {} {} {} {} {listing:?} in_progress={} told_by_others={} \
+                "{start} {} {} {} {} {listing:?} slots={} in_progress={} told_by_others={} \
                  slowdown={:.2} evidence={} failure_rate={:.2} fitness={:?} cold={:?} limit={} place={:?}",
                 member.service,
                 member.version,
                 member.addr,
                 member.zone,
+                member.slots,
                 state.load.in_progress(now, start, 0),
                 others.requests,
                 state.upstream_speeds.slowdown(now, start),
--- a/crates/gateway/src/upstreams/work.rs
+++ b/crates/gateway/src/upstreams/work.rs
@@ -6,6 +6,7 @@
 use stallhoist_policy::balance::PrefillWork;
 
 use super::Upstreams;
+use crate::admission::RunningRequest;
 
 /// Work in progress on an upstream. Counts as finished when it is dropped.
 #[derive(Debug)]
@@ -16,11 +17,14 @@
     /// Engine time that the rest of the response is expected to take, in milliseconds.
     pub(super) generation_left_ms: f64,
     pub(super) generation_ms_per_event: f64,
+    /// Wakes a waiting request once the work has been subtracted.
+    pub(super) running: RunningRequest,
 }
 
 impl WorkGuard {
     /// Notes that the first chunk of the response has arrived, so the prefill is done.
     pub(crate) fn prefill_finished(&mut self) {
+        self.running.set_has_run();
         let work = std::mem::take(&mut self.prefill);
         self.upstreams.state.lock().load.prefill_finished(&self.start, work);
     }
--- a/crates/policy/src/admission/controller.rs
+++ b/crates/policy/src/admission/controller.rs
@@ -12,8 +12,8 @@
 use super::Estimator;
 use super::queue::Queue;
 use super::queue::QueuedRequest;
-use super::reservations::Reservations;
 use super::running::Running;
+use crate::overload::Reservations;
 
 /// The shortest retry time.
 pub(super) const MIN_RETRY_AFTER: Duration = Duration::from_millis(10);
--- a/crates/policy/src/admission/mod.rs
+++ b/crates/policy/src/admission/mod.rs
@@ -6,7 +6,7 @@
 //! is reserved.
 //!
 //! Read `controller` first, then `forecast` (predicted waits), `estimator` and `step_model`
-//! (predicted durations), and `reservations`.
+//! (predicted durations), and `crate::overload::Reservations`.
 
 mod config;
 mod controller;
@@ -15,7 +15,6 @@
 mod prediction_error;
 mod queue;
 mod request;
-mod reservations;
 mod running;
 mod step_model;
 
--- a/crates/policy/src/balance/load.rs
+++ b/crates/policy/src/balance/load.rs
@@ -50,6 +50,7 @@
     remaining_generation_ms: f64,
     reported: Option<(MonoTime, ReportedLoad)>,
     told: RecentMinimum,
+    rejected_at: Option<MonoTime>,
 }
 
 /// Work that this gateway has in progress on each upstream, and the load that upstreams
@@ -108,6 +109,28 @@
         self.by_incarnation.entry(incarnation.clone()).or_default().reported = Some((now, load));
     }
 
+    /// Notes that an upstream has rejected a request.
+    pub fn record_rejection(&mut self, now: MonoTime, incarnation: &UpstreamIncarnation) {
+        self.by_incarnation.entry(incarnation.clone()).or_default().rejected_at = Some(now);
+    }
+
+    /// Whether an upstream has rejected a request less than `within` ago.
+    pub fn has_rejected(
+        &self,
+        now: MonoTime,
+        incarnation: &UpstreamIncarnation,
+        within: Duration,
+    ) -> bool {
+        let load = self.by_incarnation.get(incarnation);
+        let rejected_at = load.and_then(|load| load.rejected_at);
+        rejected_at.is_some_and(|at| now.since(at) < within)
+    }
+
+    /// Requests that this gateway has in progress on an upstream.
+    pub fn local_requests(&self, incarnation: &UpstreamIncarnation) -> u32 {
+        self.by_incarnation.get(incarnation).map_or(0, |load| load.in_progress)
+    }
+
     /// Requests in progress on an upstream: this gateway's and its peers' (`others`), or what the
     /// upstream reported if that is more.
     pub fn in_progress(
--- a/crates/policy/src/overload/mod.rs
+++ b/crates/policy/src/overload/mod.rs
@@ -9,16 +9,30 @@
 //! has no price.
 
 mod decision;
+mod end_rate;
 mod engine_price;
 mod fair_shares;
 mod max_min;
 mod recent_use;
+mod reservations;
+mod room;
 mod share;
+mod waiter;
+mod waiting;
 
 pub use decision::AttemptDecision;
+pub use decision::RejectReason;
 pub use engine_price::EnginePrice;
 pub use fair_shares::FairShares;
 pub use fair_shares::WorkspaceKey;
 pub use fair_shares::WorkspaceUse;
 pub use max_min::fair_share;
+pub(crate) use reservations::Reservations;
+pub use room::NewsValidity;
+pub use room::ServiceRoom;
+pub use room::UpstreamOccupancy;
 pub use share::ShareStatus;
+pub use waiter::Waiter;
+pub use waiter::WaiterId;
+pub use waiting::WaitLimits;
+pub use waiting::WaitingQueue;
--- a/crates/settings/src/gateway/decisions.rs
+++ b/crates/settings/src/gateway/decisions.rs
@@ -32,6 +32,14 @@
     pub places_by_speed: bool,
     /// The time from the first chunk to the end of a stream counts in the choice of an upstream.
     pub places_by_completion: bool,
+    /// Requests wait at the gateway while no upstream has room, and are rejected if they cannot get a turn in time.
+    pub waits_for_room: bool,
+    /// Most requests that wait for one service.
+    pub max_waiting_requests: usize,
+    /// Most bytes of the bodies of requests that wait for one service.
+    pub max_waiting_bytes: usize,
+    /// Longest wait of a request; after it, the request is sent all the same.
+    pub max_wait_ms: u64,
     /// Number of other requests that the prefill of a prompt is estimated to delay.
     pub held_up_by_reading: f64,
 }
@@ -49,6 +57,10 @@
             bounds_second_attempts: true,
             places_by_speed: false,
             places_by_completion: true,
+            waits_for_room: true,
+            max_waiting_requests: 512,
+            max_waiting_bytes: 4 << 20,
+            max_wait_ms: 10_000,
             held_up_by_reading: 8.0,
         }
     }
@@ -56,6 +68,9 @@
 
 impl Validate for DecisionSettings {
     fn validate(&self, problems: &mut Problems) {
+        problems.check_range("max_waiting_requests", self.max_waiting_requests, 0..=100_000);
+        problems.check_range("max_waiting_bytes", self.max_waiting_bytes, 0..=1 << 30);
+        problems.check_range("max_wait_ms", self.max_wait_ms, 0..=600_000);
         problems.check_range("held_up_by_reading", self.held_up_by_reading, 0.0..=100.0);
     }
 }
--- a/tests/all/decisions/mod.rs
+++ b/tests/all/decisions/mod.rs
@@ -20,6 +20,7 @@
 mod limits;
 mod list_properties;
 mod named_limits;
+mod overload_admission;
 mod overload_types;
 mod packing;
 mod peer_work;
--- a/tests/all/gateway/mod.rs
+++ b/tests/all/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! The gateway on the users' platform: its contracts with callers, upstreams and the store, each
 //! tested against stand-ins that speak the platform's protocol.
 
+mod admission;
 mod allowed_regions;
 mod attempts;
 mod attempts_under_load;
