--- a/crates/settings/src/gateway/decisions.rs
+++ b/crates/settings/src/gateway/decisions.rs
@@ -6,7 +6,7 @@
 use crate::Problems;
 use crate::Validate;
 
-/// Switches of the mechanisms that choose models and upstreams. All are on by default; tests and measurements switch
+/// Switches of the mechanisms that choose models and upstreams. All but `waits_for_room` are on by default; tests and measurements switch
 /// single ones off to determine their effect.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -57,7 +57,7 @@
             bounds_second_attempts: true,
             places_by_speed: false,
             places_by_completion: true,
-            waits_for_room: true,
+            waits_for_room: false,
             max_waiting_requests: 512,
             max_waiting_bytes: 4 << 20,
             max_wait_ms: 10_000,
--- a/tests/all/gateway/admission.rs
+++ b/tests/all/gateway/admission.rs
@@ -8,8 +8,10 @@
 use reqwest::Method;
 use serde_json::json;
 use stallhoist_gateway::Gateway;
+use stallhoist_settings::GatewaySettings;
 use stallhoist_settings::TimeSpan;
 use stallhoist_standins::users_platform::Behaviour;
+use stallhoist_standins::users_platform::StoreStandin;
 use stallhoist_standins::users_platform::UpstreamStandin;
 
 use super::world::PLAIN;
@@ -28,9 +30,16 @@
     Behaviour::Answer { body: "done".to_owned(), after: WORK }
 }
 
+fn waiting_settings(store: &StoreStandin) -> GatewaySettings {
+    let mut settings = settings(store);
+    settings.decisions.waits_for_room = true;
+    settings
+}
+
 /// A world with one upstream of one slot, and targets of 3 s (`/safe/`) and 1 s (`/once/`).
 async fn one_slot() -> World {
-    let world = World::start(PLAIN, &[slow()]).await;
+    let mut world = World::start(PLAIN, &[slow()]).await;
+    world.gateway = start_gateway_with(waiting_settings(&world.store)).await;
     let mut config = config(2);
     config["routes"][0]["target_latency_ms"] = json!(3_000);
     config["routes"][1]["target_latency_ms"] = json!(1_000);
@@ -113,7 +122,7 @@
 case!(a_stopped_gateway_tells_waiting_callers_that_nothing_has_run, async {
     let mut world = one_slot().await;
     world.upstreams[0].then([Behaviour::Hang]);
-    let mut settings = settings(&world.store);
+    let mut settings = waiting_settings(&world.store);
     settings.stop.grace = TimeSpan::from_millis(1_500);
     world.gateway = start_gateway_with(settings).await;
     world.wait_until_ready().await;
