--- a/crates/gateway/src/upstreams/room.rs
+++ b/crates/gateway/src/upstreams/room.rs
@@ -50,7 +50,7 @@
     fn occupancy(&self, member: &Member, validity: NewsValidity) -> UpstreamOccupancy {
         let Self { state, now, .. } = *self;
         let incarnation = &member.start;
-        let own = state.load.local_requests(incarnation);
+        let own = state.load.own_requests(incarnation);
         let is_rejecting = state.load.has_rejected(now, incarnation, validity.rejection_time());
         let own_only = UpstreamOccupancy {
             slots: member.slots,
--- a/crates/policy/src/balance/load.rs
+++ b/crates/policy/src/balance/load.rs
@@ -126,11 +126,6 @@
         rejected_at.is_some_and(|at| now.since(at) < within)
     }
 
-    /// Requests that this gateway has in progress on an upstream.
-    pub fn local_requests(&self, incarnation: &UpstreamIncarnation) -> u32 {
-        self.by_incarnation.get(incarnation).map_or(0, |load| load.in_progress)
-    }
-
     /// Requests in progress on an upstream: this gateway's and its peers' (`others`), or what the
     /// upstream reported if that is more.
     pub fn in_progress(
