--- a/crates/settings/src/gateway/decisions.rs
+++ b/crates/settings/src/gateway/decisions.rs
@@ -6,7 +6,7 @@
 use crate::Problems;
 use crate::Validate;
 
-/// Switches of the mechanisms that choose models and upstreams. All but `waits_for_room` are on by default; tests and measurements switch
+/// Switches of the mechanisms that choose models and upstreams. Most are on by default; tests and measurements switch
 /// single ones off to determine their effect.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
