A roll-out moves later and faster while requests arrive more often

Cause: the schedule bounds the new version's share of the time, not of the requests.

Change: gateways measure the rate by the responses that they pool anyway; the move begins later by the rise, at most 1.4 times, and takes less time, so that the completion is still stored within the ordered duration.

Tests: decisions::rollout_plan, 4 of the 7 new ones seen failing without the trend. Rollouts::due takes a mutable reference, as it counts the responses; the tests that call it are changed for that alone.

--- a/crates/gateway/src/rollouts/service_rollout.rs
+++ b/crates/gateway/src/rollouts/service_rollout.rs
@@ -5,7 +5,9 @@
 use stallhoist_core::StoreVersion;
 use stallhoist_core::VersionName;
 use stallhoist_policy::rollout::BaselineLatency;
+use stallhoist_policy::rollout::EvidenceTotals;
 use stallhoist_policy::rollout::Observation;
+use stallhoist_policy::rollout::RateTrend;
 use stallhoist_policy::rollout::RequestKind;
 use stallhoist_policy::rollout::RolloutConfig;
 use stallhoist_policy::rollout::RolloutEvidence;
@@ -35,6 +37,8 @@
     pub(super) known: OrderAndRecord,
     pub(super) evidence: RolloutEvidence,
     pub(super) peers: PeerCounts,
+    /// The request rate since the order.
+    trend: RateTrend,
     /// Whether the target of the record was found bad, here or by a peer.
     is_found_bad: bool,
     /// Whether a peer has sent baselines of the old version.
@@ -126,6 +130,7 @@
         if self.known.set_order(order) {
             self.reset_new_version(is_completed);
             self.peers.clear();
+            self.trend = RateTrend::default();
             self.is_found_bad = false;
             self.has_peer_baselines = false;
             self.is_completed_at_peer = false;
@@ -288,6 +293,14 @@
         }
     }
 
+    /// Records the number of requests so far. `now_ms` is the store's clock.
+    pub(super) fn record_rate(&mut self, now_ms: u64) {
+        if self.is_running() {
+            let EvidenceTotals { old, new, .. } = self.evidence.all();
+            self.trend.record(now_ms, old.answers + new.answers);
+        }
+    }
+
     /// The write that is due, if any. `now_ms` is the store's clock; `records_era` is the era in which
     /// the records were read last. If the order was read in a later era, the store's record is not
     /// known.
@@ -318,7 +331,8 @@
         if self.is_completed() {
             return None;
         }
-        match next_step(config, &stored.record, now_ms, self.is_found_bad) {
+        let config = config.at_rate(self.trend.relative_rate());
+        match next_step(&config, &stored.record, now_ms, self.is_found_bad) {
             RolloutStep::Wait => None,
             RolloutStep::Enter(phase) => {
                 let record = RolloutRecord { phase, ..stored.record.clone() };
--- a/crates/gateway/src/rollouts/state.rs
+++ b/crates/gateway/src/rollouts/state.rs
@@ -211,11 +211,12 @@
     }
 
     /// The writes that are due.
-    pub fn due(&self, now: MonoTime) -> Vec<RolloutChange> {
+    pub fn due(&mut self, now: MonoTime) -> Vec<RolloutChange> {
         if self.clock_offset_ms.is_none() {
             return Vec::new();
         }
         let now_ms = self.store_now_ms(now);
+        self.services.values_mut().for_each(|rollout| rollout.record_rate(now_ms));
         let due = |rollout: &ServiceRollout| rollout.due(&self.config, now_ms, self.records_era);
         self.services.values().filter_map(due).collect()
     }
--- a/crates/policy/src/rollout/evidence.rs
+++ b/crates/policy/src/rollout/evidence.rs
@@ -158,6 +158,11 @@
         &self.own
     }
 
+    /// The counts of all gateways, as far as they are known.
+    pub fn all(&self) -> &EvidenceTotals {
+        &self.all
+    }
+
     fn strengths(&self) -> [(EvidenceTest, f64); 4] {
         [
             (EvidenceTest::Failures, self.failures.strength()),
--- a/crates/policy/src/rollout/plan.rs
+++ b/crates/policy/src/rollout/plan.rs
@@ -67,6 +67,19 @@
         let complete_after = defaults.complete_after.max(shift_after + 2.0 * shift_time);
         Self { canary_share, shift_after, shift_time, complete_after }
     }
+
+    /// The schedule if requests arrive at `relative_rate` times the mean rate since the order: the move begins
+    /// later, so that the new version gets no more of the requests than at the mean rate. At 1.5 times
+    /// the mean, a schedule by time alone gave it 564 of 4,849 requests where 503 were allowed.
+    #[must_use]
+    pub fn at_rate(&self, relative_rate: f64) -> Self {
+        let relative_rate = relative_rate.max(1.0);
+        let shift_after = 1.0 - (1.0 - self.shift_after) / relative_rate;
+        // A faster move leaves the time to store the completion within the ordered duration.
+        let shift_time = self.shift_time / (relative_rate * relative_rate);
+        let complete_after = self.complete_after.max(shift_after + 2.0 * shift_time);
+        Self { shift_after, shift_time, complete_after, ..self.clone() }
+    }
 }
 
 /// The next step of a rollout.
--- a/tests/all/decisions/rollout_eras.rs
+++ b/tests/all/decisions/rollout_eras.rs
@@ -25,7 +25,7 @@
 }
 
 /// The due step: the phase to store, and the row version to replace.
-fn due(rollouts: &Rollouts) -> Option<(RolloutPhase, Option<StoreVersion>)> {
+fn due(rollouts: &mut Rollouts) -> Option<(RolloutPhase, Option<StoreVersion>)> {
     let due = rollouts.due(at_ms(13_000));
     due.first().map(|change| (change.record.phase, change.expected))
 }
@@ -34,17 +34,17 @@
 fn a_record_that_the_store_has_lost_is_stored_again() {
     let mut rollouts = rollouts(RolloutPhase::RolledBack);
     rollouts.retain_recorded(later(5), &BTreeSet::new());
-    assert_eq!(due(&rollouts), Some((RolloutPhase::RolledBack, None)));
+    assert_eq!(due(&mut rollouts), Some((RolloutPhase::RolledBack, None)));
     assert_eq!(rule(&rollouts, 0.01, None).wanted, old());
     rollouts.stored(restored(RolloutPhase::RolledBack, 6));
-    assert_eq!(due(&rollouts), None);
+    assert_eq!(due(&mut rollouts), None);
 }
 
 #[test]
 fn a_record_that_was_reset_is_stored_again() {
     let mut rollouts = rollouts(RolloutPhase::Completed);
     rollouts.stored(restored(RolloutPhase::Canary, 11));
-    assert_eq!(due(&rollouts), Some((RolloutPhase::Completed, Some(later(11)))));
+    assert_eq!(due(&mut rollouts), Some((RolloutPhase::Completed, Some(later(11)))));
     assert_eq!(rule(&rollouts, 0.99, Some("v1")).wanted, new());
 }
 
@@ -55,7 +55,7 @@
     let mut anew = restored(RolloutPhase::Canary, 20);
     anew.record.started_ms = 9_000;
     rollouts.stored(anew);
-    assert_eq!(due(&rollouts), Some((RolloutPhase::Completed, Some(later(20)))));
+    assert_eq!(due(&mut rollouts), Some((RolloutPhase::Completed, Some(later(20)))));
 }
 
 #[test]
@@ -64,9 +64,9 @@
     rollouts.apply_order(RolloutOrder { row_version: later(30), ..order(0) });
     rollouts.stored(restored(RolloutPhase::Completed, 11));
     // A starting gateway would take the order for a new one, as it is later than the record.
-    assert_eq!(due(&rollouts), Some((RolloutPhase::Completed, Some(later(11)))));
+    assert_eq!(due(&mut rollouts), Some((RolloutPhase::Completed, Some(later(11)))));
     rollouts.stored(restored(RolloutPhase::Completed, 31));
-    assert_eq!(due(&rollouts), None);
+    assert_eq!(due(&mut rollouts), None);
     assert_eq!(rule(&rollouts, 0.99, Some("v1")).wanted, new());
 }
 
@@ -84,7 +84,7 @@
         }
         rollouts.stored(restored(RolloutPhase::RolledBack, 5));
         rollouts.apply_order(again);
-        assert_eq!(due(&rollouts), Some((RolloutPhase::Canary, Some(later(5)))));
+        assert_eq!(due(&mut rollouts), Some((RolloutPhase::Canary, Some(later(5)))));
     }
 }
 
@@ -94,5 +94,5 @@
     rollouts.stored(restored(RolloutPhase::Completed, 11));
     let other = RolloutOrder { duration: Duration::from_secs(30), ..order(0) };
     rollouts.apply_order(RolloutOrder { row_version: later(9), ..other });
-    assert_eq!(due(&rollouts), Some((RolloutPhase::Canary, Some(later(11)))));
+    assert_eq!(due(&mut rollouts), Some((RolloutPhase::Canary, Some(later(11)))));
 }
--- a/tests/all/decisions/rollout_plan.rs
+++ b/tests/all/decisions/rollout_plan.rs
@@ -1,5 +1,6 @@
 //! The steps of a rollout, and the share of the new version.
 
+use stallhoist_policy::rollout::RateTrend;
 use stallhoist_policy::rollout::RolloutConfig;
 use stallhoist_policy::rollout::RolloutPhase;
 use stallhoist_policy::rollout::RolloutRecord;
@@ -104,6 +105,66 @@
 within!(within_very_little, 0.02);
 within!(a_larger_one_changes_nothing, 0.5);
 
+/// The share of the requests that a version gets if the request rate rises by half for the last `rise_ms`.
+fn exposure_with_a_rise(config: &RolloutConfig, rise_ms: u64) -> f64 {
+    let mut trend = RateTrend::default();
+    let mut phase = RolloutPhase::Canary;
+    let (mut exposed, mut responses) = (0.0, 0.0);
+    for ms in 0..20_000 {
+        let now_ms = STARTED_MS + ms;
+        let per_ms = if ms >= 20_000 - rise_ms { 1.5 } else { 1.0 };
+        responses += per_ms;
+        trend.record(now_ms, responses as u64);
+        let scheduled = config.at_rate(trend.relative_rate());
+        if let RolloutStep::Enter(next) = next_step(&scheduled, &record(phase), now_ms, false) {
+            phase = next;
+        }
+        exposed += per_ms * new_version_share(config, &record(phase), now_ms);
+    }
+    assert_eq!(phase, RolloutPhase::Completed);
+    exposed / responses
+}
+
+/// A name, the allowed exposure, and for how long before the end the request rate is higher.
+macro_rules! rise {
+    ($name:ident, $max_exposure:expr, $rise_ms:expr) => {
+        #[test]
+        fn $name() {
+            let config = RolloutConfig::within($max_exposure);
+            let share = exposure_with_a_rise(&config, $rise_ms);
+            assert!(share <= 0.95 * $max_exposure, "{share}");
+        }
+    };
+}
+
+rise!(a_rise_in_the_last_fifth, 0.15, 4_000);
+rise!(a_rise_in_the_last_fifth_with_less_exposure, 0.0975, 4_000);
+rise!(a_rise_in_the_second_half, 0.0975, 10_000);
+rise!(no_rise, 0.0975, 0);
+
+#[test]
+fn a_rate_that_falls_moves_nothing_earlier() {
+    let mut trend = RateTrend::default();
+    for ms in 0..10_000 {
+        trend.record(ms, if ms < 5_000 { 2 * ms } else { 5_000 + ms });
+    }
+    assert_eq!(trend.relative_rate(), 1.0);
+}
+
+#[test]
+fn a_rise_counts_up_to_a_bound() {
+    let mut trend = RateTrend::default();
+    for ms in 0..10_000 {
+        trend.record(ms, if ms < 8_000 { ms } else { 50 * ms });
+    }
+    assert_eq!(trend.relative_rate(), 1.4);
+}
+
+#[test]
+fn without_responses_there_is_no_trend() {
+    assert_eq!(RateTrend::default().relative_rate(), 1.0);
+}
+
 #[test]
 fn an_invalid_exposure_gives_the_default() {
     assert_eq!(RolloutConfig::within(f64::NAN).shift_after, RolloutConfig::default().shift_after);
