--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -6,6 +6,7 @@
 //! Invariant: a response states that nothing has run only where no attempt may have run.
 
 mod attempt;
+mod attempt_record;
 mod broken_response;
 mod call;
 mod engine_time_meter;
