--- a/crates/gateway/src/upstreams/mod.rs
+++ b/crates/gateway/src/upstreams/mod.rs
@@ -66,6 +66,7 @@
 pub(crate) use speeds::ArrivedFirstChunk;
 pub(crate) use work::WorkGuard;
 
+use self::placement::duration_of_ms;
 use crate::admission::RunningRequest;
 use crate::control_store::Change;
 use crate::members::Directory;
@@ -306,7 +307,7 @@
         let prefill_ms =
             members.map(|member| state.work_on(now, &member.start).remaining_prefill_ms);
         let (sum_ms, count) = prefill_ms.fold((0.0, 0.0), |(sum, n), ms| (sum + ms, n + 1.0));
-        Duration::try_from_secs_f64(sum_ms / f64::max(count, 1.0) / 1e3).unwrap_or(Duration::MAX)
+        duration_of_ms(sum_ms / f64::max(count, 1.0))
     }
 
     /// Counts work sent to an upstream until the guard is dropped.
--- a/crates/gateway/src/upstreams/placement.rs
+++ b/crates/gateway/src/upstreams/placement.rs
@@ -102,15 +102,13 @@
 
     /// Expected time until the upstream has read the prompt, after the work that it has.
     pub(crate) fn until_read(&self) -> Duration {
-        let until_read_ms = self.other_ms + self.work.remaining_prefill_ms;
-        Duration::try_from_secs_f64(until_read_ms / 1e3).unwrap_or(Duration::MAX)
+        duration_of_ms(self.other_ms + self.work.remaining_prefill_ms)
     }
 
     /// What the attempt is expected to take.
     pub(crate) fn expectation(&self) -> Expectation {
         let first_chunk = self.expected_wait();
-        let duration = Duration::try_from_secs_f64(self.generation.duration_ms / 1e3);
-        let completion = first_chunk.saturating_add(duration.unwrap_or(Duration::MAX));
+        let completion = first_chunk.saturating_add(duration_of_ms(self.generation.duration_ms));
         let prefill_ms = self.base_ms + self.work.remaining_prefill_ms;
         let engine_time = EngineTime::from_millis(prefill_ms + self.generation.engine_ms);
         Expectation { first_chunk, completion, engine_time }
@@ -118,9 +116,12 @@
 
     /// The expected time to the first chunk, if other requests take `other_ms`.
     pub(super) fn wait_after(&self, other_ms: f64) -> Duration {
-        Duration::try_from_secs_f64(
-            (self.slowdown * (self.base_ms + self.work.remaining_prefill_ms) + other_ms) / 1e3,
-        )
-        .unwrap_or(Duration::MAX)
+        let own_ms = self.slowdown * (self.base_ms + self.work.remaining_prefill_ms);
+        duration_of_ms(own_ms + other_ms)
     }
 }
+
+/// A time in milliseconds; the longest duration if it is none.
+pub(super) fn duration_of_ms(millis: f64) -> Duration {
+    Duration::try_from_secs_f64(millis / 1e3).unwrap_or(Duration::MAX)
+}
--- a/crates/gateway/src/upstreams/room.rs
+++ b/crates/gateway/src/upstreams/room.rs
@@ -12,6 +12,7 @@
 use super::Placement;
 use super::Upstreams;
 use super::choice::Choice;
+use super::placement::duration_of_ms;
 use crate::members::Member;
 
 impl Upstreams {
@@ -77,7 +78,6 @@
             return Duration::ZERO;
         };
         let time = self.reading_time();
-        let first_chunk_ms = time.base_ms + time.of_tokens_ms(prompt.input_tokens);
-        Duration::try_from_secs_f64(first_chunk_ms / 1e3).unwrap_or(Duration::MAX)
+        duration_of_ms(time.base_ms + time.of_tokens_ms(prompt.input_tokens))
     }
 }
