A sign of life costs the same whatever the number of upstreams

Each event of a stream records one. Old signs are looked for once a minute now; known upstreams are found without a copy. What counts as a sign, and for how long, is unchanged. Not measured; tests: gateway::attempts_under_load.

--- a/crates/gateway/src/attempt_times.rs
+++ b/crates/gateway/src/attempt_times.rs
@@ -14,10 +14,8 @@
 use stallhoist_policy::retry::FirstChunkDelay;
 use stallhoist_policy::retry::SecondAttempt;
 
-/// Number of upstreams from which on old signs of life are dropped.
-const MAX_SIGNS: usize = 1_024;
-
-/// Signs of life that are older than this say nothing, as hardly a request waits for longer.
+/// Signs of life that are older than this say nothing, as hardly a request waits for longer. Old ones are looked for
+/// once in this time, so that the cost of each sign does not grow with the number of upstreams.
 const SIGN_TTL: Duration = Duration::from_secs(60);
 
 #[derive(Debug)]
@@ -30,6 +28,16 @@
 struct Times {
     by_service: HashMap<ServiceName, ServiceTimes>,
     last_signs: HashMap<UpstreamIncarnation, MonoTime>,
+    signs_expired_at: MonoTime,
+}
+
+impl Times {
+    fn expire_signs(&mut self, now: MonoTime) {
+        if now.since(self.signs_expired_at) >= SIGN_TTL {
+            self.signs_expired_at = now;
+            self.last_signs.retain(|_, at| now.since(*at) < SIGN_TTL);
+        }
+    }
 }
 
 /// What attempts have shown lately. Its lock is held by no task that holds another.
@@ -47,11 +55,14 @@
 
     /// Records that an upstream has sent something.
     pub(crate) fn record_sign(&self, now: MonoTime, incarnation: &UpstreamIncarnation) {
-        let signs = &mut self.times.lock().last_signs;
-        if signs.len() >= MAX_SIGNS {
-            signs.retain(|_, at| now.since(*at) < SIGN_TTL);
+        let mut times = self.times.lock();
+        times.expire_signs(now);
+        match times.last_signs.get_mut(incarnation) {
+            Some(last) => *last = now,
+            None => {
+                times.last_signs.insert(incarnation.clone(), now);
+            }
         }
-        signs.insert(incarnation.clone(), now);
     }
 
     /// Whether an upstream has sent anything since `sent`.
