Lengths learned of a route go with the route

Change: routes that a new configuration does not have are dropped when it is installed, after the lock of the configuration is released. Expectations of configured routes are unchanged. Test: lengths_of_routes_that_are_gone_are_dropped.

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -3,6 +3,7 @@
 //! Lock order: no task holds two of these locks at once.
 
 use std::collections::BTreeMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -170,8 +171,10 @@
         let services = config.services.values();
         let cold = services.map(|service| (service.name.clone(), service.cold));
         self.upstreams.set_cold_services(cold.collect());
-        *current = Some(config);
+        *current = Some(Arc::clone(&config));
         drop(current);
+        let routes: HashSet<_> = config.routes.iter().map(|route| &route.name).collect();
+        self.upstreams.retain_routes(|route| routes.contains(route));
         self.sync_changed.notify_waiters();
     }
 
--- a/crates/gateway/src/upstreams/speeds.rs
+++ b/crates/gateway/src/upstreams/speeds.rs
@@ -101,6 +101,11 @@
         self.state.lock().response_lengths.observe(route, events);
     }
 
+    /// Drops what was learned of routes that are no longer configured.
+    pub(crate) fn retain_routes(&self, is_configured: impl FnMut(&RouteName) -> bool) {
+        self.state.lock().response_lengths.retain(is_configured);
+    }
+
     /// Evidence of the speed of upstreams to send to peers: that of this gateway, and that received from the
     /// gateways that `included` accepts.
     pub(crate) fn speed_sums(
--- a/tests/all/decisions/generation_times.rs
+++ b/tests/all/decisions/generation_times.rs
@@ -127,3 +127,14 @@
     assert!((1..=40).all(|id| meter.record(read(id, 25, 100)).is_none()));
     assert_eq!(meter.ended(), None);
 }
+
+#[test]
+fn lengths_of_routes_that_are_gone_are_dropped() {
+    let (kept, gone) = ("kept".parse().expect("a name"), "gone".parse().expect("a name"));
+    let mut lengths = ResponseLengths::default();
+    lengths.observe(&kept, 40);
+    lengths.observe(&gone, 40);
+    lengths.retain(|route| *route == kept);
+    assert_eq!(lengths.events(&kept, 100), Some(40.0));
+    assert_eq!(lengths.events(&gone, 100), None);
+}
