Retries are counted by what they are for and whether the budget granted them

An incident could not be traced: neither logs nor metrics said what a retry budget holds and gave out, so retries that are not charged could not be told from budgets that are too generous.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -16,6 +16,7 @@
 
 use crate::duties::DutyStatus;
 use crate::peers::Origin;
+use crate::retry_budgets::RetryUse;
 use crate::upstreams::UpstreamCounts;
 
 /// The outcome of a request.
@@ -115,6 +116,14 @@
     pub(crate) result: AttemptResult,
 }
 
+/// Labels of retries.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct RetryLabels {
+    pub(crate) service: String,
+    pub(crate) used_for: RetryUse,
+    pub(crate) granted: bool,
+}
+
 /// Labels of the evidence of a rollout.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct EvidenceLabels {
@@ -194,6 +203,7 @@
 pub(crate) struct Metrics {
     pub(crate) requests: Family<RequestLabels, Counter>,
     pub(crate) attempts: Family<AttemptLabels, Counter>,
+    pub(crate) retries: Family<RetryLabels, Counter>,
     pub(crate) engine_time_ms: Family<EngineTimeLabels, Counter>,
     pub(crate) admissions: Family<AdmissionLabels, Counter>,
     pub(crate) waiting: Gauge,
@@ -239,6 +249,7 @@
         Self {
             requests: Family::default(),
             attempts: Family::default(),
+            retries: Family::default(),
             engine_time_ms: Family::default(),
             admissions: Family::default(),
             waiting: Gauge::default(),
@@ -280,6 +291,8 @@
         let r = page.registry_mut();
         r.register("requests", "Requests by how they ended", self.requests.clone());
         r.register("attempts", "Attempts by how they ended", self.attempts.clone());
+        let help = "Retries by what they were for and whether the retry budget granted them";
+        r.register("retries", help, self.retries.clone());
         let help = "Expected engine time of attempts in milliseconds, by what it was used for";
         r.register("engine_time_ms", help, self.engine_time_ms.clone());
         let help =
@@ -403,6 +416,11 @@
         set(&self.waiting, waiting);
     }
 
+    pub(crate) fn record_retry(&self, service: &ServiceName, used_for: RetryUse, granted: bool) {
+        let labels = RetryLabels { service: service.to_string(), used_for, granted };
+        self.retries.get_or_create(&labels).inc();
+    }
+
     pub(crate) fn record_attempt(&self, result: AttemptResult) {
         self.attempts.get_or_create(&AttemptLabels { result }).inc();
     }
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -72,6 +72,8 @@
     emptied_zones: Vec<String>,
     /// Requests during which upstreams crashed.
     fatal_requests: Vec<String>,
+    /// The retry budget of each service, and what it was used for.
+    retry_budgets: Vec<String>,
     /// The learnt prefill speeds.
     speeds: Vec<String>,
     /// Number of sessions that stay on a version because a peer reported them.
@@ -150,6 +152,7 @@
         upstreams: state.upstreams.summary(state.now()),
         emptied_zones: state.upstreams.emptied_zones(),
         fatal_requests: state.fatal.summary(),
+        retry_budgets: state.retries.lock().summary(),
         speeds: state.upstreams.speeds_summary(),
         sessions_told: state.sessions.lock().count_from_peers(),
         usual_times: usual_times(state),
--- a/crates/gateway/src/request/execution/mod.rs
+++ b/crates/gateway/src/request/execution/mod.rs
@@ -39,6 +39,7 @@
 use crate::request::attempt::AttemptOutcome;
 use crate::request::attempt::OpenStream;
 use crate::request::model_choice::ModelChoice;
+use crate::retry_budgets::RetryUse;
 use crate::state::GatewayState;
 use crate::upstreams::Chosen;
 
@@ -246,8 +247,7 @@
     /// Another process at the upstream's address rejected the request. This does not count as an attempt, but it
     /// takes from the retry budget, as the platform counts the arrival.
     fn after_misdirected(&mut self, incarnation: UpstreamIncarnation) -> Result<(), AbandonReason> {
-        let has_budget = self.state.retries.lock().try_acquire(&self.call.service_name);
-        if !has_budget {
+        if !self.take_retry(RetryUse::Misdirected) {
             return Err(self.abandon_reason());
         }
         self.after_connect_failure(incarnation)
@@ -294,9 +294,11 @@
     fn may_retry(&mut self) -> bool {
         let Expectation { first_chunk, engine_time, .. } = self.last_expectation;
         let is_repeat = self.progress.may_have_run();
+        let retry_use =
+            if self.progress.is_delivered() { RetryUse::Resume } else { RetryUse::Repeat };
         let take_budget = || {
             (!is_repeat || self.has_engine_time(SecondAttempt::Repeat, first_chunk, engine_time))
-                && self.state.retries.lock().try_acquire(&self.call.service_name)
+                && self.take_retry(retry_use)
         };
         let may_retry = self.trial.is_none() && self.progress.may_retry(true, take_budget);
         if may_retry && is_repeat {
@@ -305,6 +307,15 @@
         may_retry
     }
 
+    /// Whether the retry budget allows a retry; if so, it is deducted.
+    fn take_retry(&self, retry_use: RetryUse) -> bool {
+        let service = &self.call.service_name;
+        let is_granted =
+            self.state.retries.lock().try_acquire(self.state.now(), service, retry_use);
+        self.state.metrics.record_retry(service, retry_use, is_granted);
+        is_granted
+    }
+
     fn abandon_reason(&self) -> AbandonReason {
         if !self.progress.may_have_run() {
             return AbandonReason::NotRun { retry_after: RETRY_AFTER };
--- a/crates/gateway/src/request/execution/step_up.rs
+++ b/crates/gateway/src/request/execution/step_up.rs
@@ -9,6 +9,7 @@
 
 use super::Execution;
 use crate::request::attempt::OpenStream;
+use crate::retry_budgets::RetryUse;
 use crate::upstreams::Chosen;
 
 impl Execution {
@@ -23,7 +24,7 @@
         is_possible
             && self.state.step_up.is_poor(priority, stream.reply_head.confidence)
             && self.is_better_worthwhile()
-            && self.state.retries.lock().try_acquire(&self.call.service_name)
+            && self.take_retry(RetryUse::StepUp)
     }
 
     /// Whether a response of the best model is expected in time, and there is engine time for it.
--- a/crates/policy/src/retry/budget.rs
+++ b/crates/policy/src/retry/budget.rs
@@ -1,5 +1,7 @@
 //! A retry budget that limits retries to a fraction of all requests.
 
+use std::fmt;
+
 /// Each request adds `percent` credits and each retry costs `CREDITS_PER_RETRY`. With all
 /// upstreams failing, calls stay below `1 + percent / 100` of the requests, plus the burst.
 #[derive(Debug, Clone)]
@@ -38,3 +40,10 @@
         true
     }
 }
+
+impl fmt::Display for RetryBudget {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let retries = |credits: u64| credits as f64 / CREDITS_PER_RETRY as f64;
+        write!(f, "{:.2} of {:.2} retries", retries(self.credits), retries(self.max_credits))
+    }
+}
--- a/tests/all/gateway/attempts.rs
+++ b/tests/all/gateway/attempts.rs
@@ -135,6 +135,7 @@
         "stallhoist_attempts_total{result=\"Failure\"} 1",
         "stallhoist_attempts_total{result=\"Answered\"} 1",
         "stallhoist_requests_total{end=\"Answered\"} 1",
+        "stallhoist_retries_total{service=\"plain\",used_for=\"Repeat\",granted=\"true\"} 1",
         "stallhoist_first_part_seconds_count 1",
     ] {
         assert!(metrics.contains(line), "{line} is not in\n{metrics}");
