--- a/tests/all/gateway/attempts.rs
+++ b/tests/all/gateway/attempts.rs
@@ -142,6 +142,26 @@
     }
 });
 
+// Guards against a budget that begins full at each start, as if the process before it had spent nothing.
+case!(a_gateway_that_restarts_stays_within_the_retry_budget, async {
+    const STARTS: usize = 12;
+    const REQUESTS: usize = 6;
+    let mut world = World::start(PLAIN, &[Behaviour::Fail, Behaviour::Fail, Behaviour::Fail]).await;
+    for start in 0..STARTS {
+        if start > 0 {
+            world.restart_gateway().await;
+        }
+        for n in 0..REQUESTS {
+            let request = world.request(Method::GET, "/safe/x", &format!("id-{start}-{n}"));
+            assert_eq!(send(request).await.expect("an answer").status, 500);
+        }
+    }
+    let requests = STARTS * REQUESTS;
+    let retries = world.runs() - requests;
+    // The default ratio of the requests, and the slack.
+    assert!(retries <= requests * 9 / 10 + 50, "{retries} retries of {requests} requests");
+});
+
 // Guards against gateways that exceed the platform's limit together: its burst is divided among them, as 30
 // gateways with a burst of 8 each would exceed it.
 case!(the_burst_is_divided_among_gateways, async {
--- a/tests/all/gateway/world.rs
+++ b/tests/all/gateway/world.rs
@@ -137,6 +137,12 @@
         world
     }
 
+    /// Ends the gateway as a kill does, and starts another at the same host.
+    pub(super) async fn restart_gateway(&mut self) {
+        self.gateway = start_gateway(&self.store).await;
+        self.wait_until_ready().await;
+    }
+
     pub(super) async fn wait_until_ready(&self) {
         wait_until("the gateway is ready", async || self.readiness().await == 200).await;
     }
