The retry budget of a restarted gateway begins with one retry in place of a full burst

Callers saw more repeats than the budget allows while gateways were killed and upstreams reset requests. Cause: what a process had spent in the platform's window was forgotten with it, and its successor began with a full burst: 29 starts x 6 retries a round of kills. Class: an allowance renewed by a restart.

A budget now begins with what one retry of the first request costs beyond its own credits (0.145 of a retry at the default ratio); the rest is saved from requests, which the platform counts too. Retries then exceed the ratio only by what was saved before the window, whatever the number of starts. A host whose row is not in the first list of gateways has had no process before: there the first request keeps its three attempts.

gateway::attempts::a_gateway_that_restarts_stays_within_the_retry_budget failed before (144 retries of 72 requests, 114 allowed) and passes. Ruled out: beginning empty everywhere (12 tests of the first request's three attempts failed).

--- a/crates/gateway/src/follow/apply.rs
+++ b/crates/gateway/src/follow/apply.rs
@@ -15,7 +15,10 @@
         match self.feed {
             Feed::Members => self.apply_members(page),
             Feed::Operators => self.apply_operators(page),
-            Feed::Entries => self.apply_changes(page),
+            Feed::Entries => {
+                self.apply_changes(page);
+                self.state.set_has_gateways();
+            }
             Feed::FatalRequests => self.apply_fatal_requests(page),
             Feed::Rollouts => self.apply_rollouts(page),
         }
--- a/crates/gateway/src/peers/list.rs
+++ b/crates/gateway/src/peers/list.rs
@@ -63,6 +63,11 @@
         self.entries.retain(|(_, known)| known.host != self.local);
     }
 
+    /// Whether this host is listed, by this process or an earlier one.
+    pub fn is_local_listed(&self) -> bool {
+        self.in_order().any(|entry| entry.host == self.local)
+    }
+
     /// Number of listed gateways, including those that have gone since.
     pub fn count(&self) -> usize {
         self.entries.len()
--- a/crates/gateway/src/retry_budgets.rs
+++ b/crates/gateway/src/retry_budgets.rs
@@ -12,6 +12,9 @@
 /// Minimum time between two log lines on the budget of a service.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Retries that the first request at a new host may make, so that it has the usual three attempts.
+const FIRST_REQUEST_RETRIES: u32 = 2;
+
 /// What a retry is made for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub(crate) enum RetryUse {
@@ -111,6 +114,13 @@
         is_granted
     }
 
+    /// Lets the first request use all of its attempts, as no earlier process at this host has made retries.
+    pub(crate) fn set_new_host(&mut self) {
+        let services = self.by_service.values_mut().map(|service| &mut service.budget);
+        let budgets = services.chain([&mut self.template]);
+        budgets.for_each(|budget| budget.reserve(FIRST_REQUEST_RETRIES));
+    }
+
     /// Limits the retries made at once for each service to `burst`.
     pub(crate) fn set_burst(&mut self, burst: u32) {
         self.template.set_burst(burst);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -87,6 +87,7 @@
     config: RwLock<Option<Arc<RoutingConfig>>>,
     store_era: AtomicU64,
     has_members: AtomicBool,
+    has_gateways: AtomicBool,
     has_rollouts: AtomicBool,
     has_fatal_requests: AtomicBool,
     has_limits: AtomicBool,
@@ -106,7 +107,7 @@
     ) -> Self {
         let session_lifetime = settings.session.as_duration() + SESSION_MARGIN;
         let retries = &settings.retries;
-        let budget = RetryBudget::new(retries.budget_percent(), retries.burst_per_gateway(1));
+        let budget = RetryBudget::restarted(retries.budget_percent(), retries.burst_per_gateway(1));
         let duties = settings.duties.as_ref();
         let duties =
             duties.map(|duties| Duties::new(duties, settings.host.id.clone(), clock.now()));
@@ -135,6 +136,7 @@
             config: RwLock::new(None),
             store_era: AtomicU64::new(0),
             has_members: AtomicBool::new(false),
+            has_gateways: AtomicBool::new(false),
             has_rollouts: AtomicBool::new(false),
             has_fatal_requests: AtomicBool::new(false),
             has_limits: AtomicBool::new(false),
@@ -312,6 +314,15 @@
         self.retries.lock().set_burst(self.settings.retries.burst_per_gateway(entries));
     }
 
+    /// Records that the list of gateways has been read. The first list tells whether an earlier process at this host
+    /// listed itself.
+    pub(crate) fn set_has_gateways(&self) {
+        let is_first = !self.has_gateways.swap(true, Ordering::SeqCst);
+        if is_first && !self.peers.lock().is_local_listed() {
+            self.retries.lock().set_new_host();
+        }
+    }
+
     /// Handles the confirmed termination of an upstream's incarnation. Streams that broke there
     /// recently are attributed to it, unless the upstream had announced that it leaves, which makes
     /// it a planned one.
--- a/crates/policy/src/retry/budget.rs
+++ b/crates/policy/src/retry/budget.rs
@@ -20,6 +20,21 @@
         Self { credits: max_credits, percent: u64::from(percent), max_credits }
     }
 
+    /// Creates the same budget with just enough for one retry of the first request. For a process whose predecessor
+    /// may have spent the burst.
+    pub fn restarted(percent: u32, burst: u32) -> Self {
+        let mut budget = Self { credits: 0, ..Self::new(percent, burst) };
+        budget.reserve(1);
+        budget
+    }
+
+    /// Raises what is saved to what `retries` retries of the next request cost in addition to its own credits.
+    pub fn reserve(&mut self, retries: u32) {
+        let cost = u64::from(retries) * CREDITS_PER_RETRY;
+        let saved = self.credits.max(cost.saturating_sub(self.percent));
+        self.credits = saved.min(self.max_credits);
+    }
+
     /// Limits the budget to `burst` retries at once.
     pub fn set_burst(&mut self, burst: u32) {
         self.max_credits = u64::from(burst) * CREDITS_PER_RETRY;
