A rate limit of a restarted entry begins with one request in place of a full bucket

The buckets of the rates in operators' tables began full in each process, so that an entry that restarted admitted another second of the rate each time, and forgot what requests larger than the rate had overdrawn. Workspaces got more than their limit.

A bucket now has been filling since the start of the process, one request at least.

--- a/crates/policy/src/limits/bucket.rs
+++ b/crates/policy/src/limits/bucket.rs
@@ -12,7 +12,7 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct Bucket {
     /// The time of the last update and the level then. None before the first use: a new bucket
-    /// is full.
+    /// has been filling since the start of the process, as an earlier one may have emptied it.
     last_update: Option<(MonoTime, f64)>,
 }
 
@@ -23,7 +23,7 @@
         let burst = (rate_per_s * BURST_WINDOW_S).max(1.0);
         let level = match self.last_update {
             Some((at, level)) => (level + now.since(at).as_secs_f64() * rate_per_s).min(burst),
-            None => burst,
+            None => (now.since(MonoTime::default()).as_secs_f64() * rate_per_s).clamp(1.0, burst),
         };
         self.last_update = Some((now, level));
         let missing = 1.0 - level;
