Retries are counted in one place

The budgets kept counts of their own beside those of the metrics, for the log line and the state dump. Both now read the metric. The log's text names the uses as the metric does.

--- a/crates/gateway/src/metrics/mod.rs
+++ b/crates/gateway/src/metrics/mod.rs
@@ -15,7 +15,6 @@
 
 use crate::duties::DutyStatus;
 use crate::peers::Origin;
-use crate::retry_budgets::RetryUse;
 use crate::upstreams::UpstreamCounts;
 
 pub(crate) use labels::AdmissionLabels;
@@ -257,11 +256,6 @@
         set(&self.waiting, waiting);
     }
 
-    pub(crate) fn record_retry(&self, service: &ServiceName, used_for: RetryUse, granted: bool) {
-        let labels = RetryLabels { service: service.to_string(), used_for, granted };
-        self.retries.get_or_create(&labels).inc();
-    }
-
     pub(crate) fn record_attempt(&self, result: AttemptResult) {
         self.attempts.get_or_create(&AttemptLabels { result }).inc();
     }
--- a/crates/gateway/src/request/execution/mod.rs
+++ b/crates/gateway/src/request/execution/mod.rs
@@ -309,11 +309,8 @@
 
     /// Whether the retry budget allows a retry; if so, it is deducted.
     fn take_retry(&self, retry_use: RetryUse) -> bool {
-        let service = &self.call.service_name;
-        let is_granted =
-            self.state.retries.lock().try_acquire(self.state.now(), service, retry_use);
-        self.state.metrics.record_retry(service, retry_use, is_granted);
-        is_granted
+        let now = self.state.now();
+        self.state.retries.lock().try_acquire(now, &self.call.service_name, retry_use)
     }
 
     fn abandon_reason(&self) -> AbandonReason {
--- a/crates/gateway/src/retry_budgets.rs
+++ b/crates/gateway/src/retry_budgets.rs
@@ -1,14 +1,17 @@
 //! Retry budgets by service.
 
 use std::collections::HashMap;
-use std::fmt;
 use std::time::Duration;
 
 use prometheus_client::encoding::EncodeLabelValue;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
 use stallhoist_core::MonoTime;
 use stallhoist_core::ServiceName;
 use stallhoist_policy::retry::RetryBudget;
 
+use crate::metrics::RetryLabels;
+
 /// Minimum time between two log lines on the budget of a service.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -28,65 +31,32 @@
     Misdirected,
 }
 
-/// Number of retries of each use.
-#[derive(Debug, Clone, Default)]
-struct UseCounts {
-    repeats: u64,
-    step_ups: u64,
-    resumes: u64,
-    misdirected: u64,
-}
-
-impl UseCounts {
-    fn add(&mut self, retry_use: RetryUse) {
-        let count = match retry_use {
-            RetryUse::Repeat => &mut self.repeats,
-            RetryUse::StepUp => &mut self.step_ups,
-            RetryUse::Resume => &mut self.resumes,
-            RetryUse::Misdirected => &mut self.misdirected,
-        };
-        *count += 1;
-    }
+impl RetryUse {
+    const ALL: [Self; 4] = [Self::Repeat, Self::StepUp, Self::Resume, Self::Misdirected];
 }
 
-impl fmt::Display for UseCounts {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { repeats, step_ups, resumes, misdirected } = self;
-        write!(
-            f,
-            "repeats {repeats}, step-ups {step_ups}, resumes {resumes}, misdirected {misdirected}"
-        )
-    }
-}
-
-/// The budget of a service and its use since the start of the process.
+/// The budget of a service.
 #[derive(Debug)]
 struct ServiceBudget {
     budget: RetryBudget,
+    /// Requests since the start of the process.
     requests: u64,
-    granted: UseCounts,
-    refused: UseCounts,
     next_log: MonoTime,
 }
 
-impl fmt::Display for ServiceBudget {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { budget, requests, granted, refused, .. } = self;
-        write!(f, "{budget} left, {requests} requests, granted: {granted}, refused: {refused}")
-    }
-}
-
 /// Retry budgets by service.
 #[derive(Debug)]
 pub(crate) struct RetryBudgets {
     template: RetryBudget,
     by_service: HashMap<ServiceName, ServiceBudget>,
+    /// Retries since the start of the process.
+    counts: Family<RetryLabels, Counter>,
 }
 
 impl RetryBudgets {
-    /// Creates budgets that start as copies of `template`.
-    pub(crate) fn new(template: RetryBudget) -> Self {
-        Self { template, by_service: HashMap::new() }
+    /// Creates budgets that start as copies of `template`, and count retries in `counts`.
+    pub(crate) fn new(template: RetryBudget, counts: Family<RetryLabels, Counter>) -> Self {
+        Self { template, by_service: HashMap::new(), counts }
     }
 
     /// Records a request for a service.
@@ -105,11 +75,14 @@
     ) -> bool {
         let budget = self.service(service);
         let is_granted = budget.budget.take();
-        let counts = if is_granted { &mut budget.granted } else { &mut budget.refused };
-        counts.add(retry_use);
-        if now >= budget.next_log {
+        let is_log_due = now >= budget.next_log;
+        if is_log_due {
             budget.next_log = now.after(LOG_INTERVAL);
-            log::info!(service:%, budget:%; "retry budget used");
+        }
+        self.count(service, retry_use, is_granted).inc();
+        if is_log_due {
+            let budget = self.describe(service, &self.by_service[service]);
+            log::info!(service:%, budget; "retry budget used");
         }
         is_granted
     }
@@ -129,8 +102,8 @@
 
     /// The budgets and their use, for the state dump.
     pub(crate) fn summary(&self) -> Vec<String> {
-        let lines = self.by_service.iter().map(|(service, budget)| format!("{service}: {budget}"));
-        let mut lines: Vec<_> = lines.collect();
+        let line = |(service, budget)| format!("{service}: {}", self.describe(service, budget));
+        let mut lines: Vec<_> = self.by_service.iter().map(line).collect();
         lines.sort_unstable();
         lines
     }
@@ -139,9 +112,24 @@
         self.by_service.entry(service.clone()).or_insert_with(|| ServiceBudget {
             budget: self.template.clone(),
             requests: 0,
-            granted: UseCounts::default(),
-            refused: UseCounts::default(),
             next_log: MonoTime::default(),
         })
     }
+
+    fn describe(&self, service: &ServiceName, budget: &ServiceBudget) -> String {
+        let ServiceBudget { budget, requests, .. } = budget;
+        let counts = |granted: bool| {
+            let count = |used_for: &RetryUse| {
+                format!("{used_for:?} {}", self.count(service, *used_for, granted).get())
+            };
+            RetryUse::ALL.iter().map(count).collect::<Vec<_>>().join(", ")
+        };
+        let (granted, refused) = (counts(true), counts(false));
+        format!("{budget} left, {requests} requests, granted: {granted}; refused: {refused}")
+    }
+
+    fn count(&self, service: &ServiceName, used_for: RetryUse, granted: bool) -> Counter {
+        let labels = RetryLabels { service: service.to_string(), used_for, granted };
+        self.counts.get_or_create(&labels).clone()
+    }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -111,6 +111,7 @@
         let duties = settings.duties.as_ref();
         let duties =
             duties.map(|duties| Duties::new(duties, settings.host.id.clone(), clock.now()));
+        let metrics = Metrics::default();
         let below_confidence = settings.step_up.below_confidence_percent.clone();
         Self {
             upstreams: Arc::new(Upstreams::new(&settings)),
@@ -119,7 +120,7 @@
                 settings.rollouts.max_exposure,
             ))),
             sessions: Mutex::new(Sessions::new(session_lifetime)),
-            retries: Mutex::new(RetryBudgets::new(budget)),
+            retries: Mutex::new(RetryBudgets::new(budget, metrics.retries.clone())),
             attempt_times: AttemptTimes::new(retries.budget_percent()),
             fatal: FatalRequestTracker::default(),
             step_up: StepUpConfig { below_confidence },
@@ -129,7 +130,7 @@
             listings: PendingListings::default(),
             feed_cache: FeedCache::default(),
             duties,
-            metrics: Metrics::default(),
+            metrics,
             decisions: DecisionLog::default(),
             suspend_recovery: SuspendRecovery::new(clock.clone()),
             clock,
