--- a/tests/all/gateway/attempts.rs
+++ b/tests/all/gateway/attempts.rs
@@ -162,6 +162,14 @@
     assert!(retries <= requests * 9 / 10 + 50, "{retries} retries of {requests} requests");
 });
 
+case!(a_restarted_gateway_repeats_its_first_request, async {
+    let mut world = World::start(PLAIN, &[Behaviour::answer("done")]).await;
+    world.restart_gateway().await;
+    world.upstreams[0].then([Behaviour::Fail]);
+    let answer = send(world.request(Method::GET, "/safe/x", "id-1")).await.expect("an answer");
+    assert_eq!(answer.status, 200);
+});
+
 // Guards against gateways that exceed the platform's limit together: its burst is divided among them, as 30
 // gateways with a burst of 8 each would exceed it.
 case!(the_burst_is_divided_among_gateways, async {
--- a/tests/all/soak/caller.rs
+++ b/tests/all/soak/caller.rs
@@ -12,10 +12,13 @@
 use reqwest::Method;
 use reqwest::RequestBuilder;
 
+use super::fragile;
 use super::gateway_status::Addrs;
 use super::gateway_status::GatewayStatus;
 use crate::gateway::world::Answer;
+use crate::gateway::world::ENGINE;
 use crate::gateway::world::KEY;
+use crate::gateway::world::PLAIN;
 use crate::gateway::world::send;
 
 /// The deadline that callers state in their requests.
@@ -56,6 +59,14 @@
         !matches!(self, Self::Safe | Self::Once)
     }
 
+    pub(super) fn service(self) -> &'static str {
+        match self {
+            Self::Safe | Self::Once => PLAIN,
+            Self::Stream | Self::OnceStream => ENGINE,
+            Self::Fragile | Self::Fatal => fragile::SERVICE,
+        }
+    }
+
     fn path(self) -> &'static str {
         match self {
             Self::Safe => "safe",
--- a/tests/all/soak/fleet.rs
+++ b/tests/all/soak/fleet.rs
@@ -5,6 +5,7 @@
 use parking_lot::Mutex;
 use serde_json::Value;
 use serde_json::json;
+use stallhoist_settings::GatewayRetrySettings;
 use stallhoist_standins::FaultProxy;
 use stallhoist_standins::users_platform::DutyPlatformStandin;
 use stallhoist_standins::users_platform::StoreStandin;
@@ -33,6 +34,7 @@
     pub(super) store: Arc<StoreStandin>,
     pub(super) duty_platform: Arc<DutyPlatformStandin>,
     pub(super) gateways: Vec<Arc<GatewayStatus>>,
+    pub(super) retries: GatewayRetrySettings,
     /// All upstreams, including those that have left.
     pub(super) upstreams: Arc<Mutex<Vec<Upstream>>>,
     /// Upstreams that some requests crash.
@@ -65,7 +67,11 @@
 }
 
 impl Fleet {
-    pub(super) async fn start(gateways: usize, violations: &Violations) -> Self {
+    pub(super) async fn start(
+        gateways: usize,
+        retries: GatewayRetrySettings,
+        violations: &Violations,
+    ) -> Self {
         let store = Arc::new(StoreStandin::start().await.expect("the store starts"));
         let duty_platform = DutyPlatformStandin::start().await.expect("the platform starts");
         let upstreams = upstream::start_all(&store).await;
@@ -74,6 +80,7 @@
             store,
             duty_platform: Arc::new(duty_platform),
             gateways: Vec::new(),
+            retries,
             upstreams: Arc::new(Mutex::new(upstreams)),
             fragile,
             series: 0,
@@ -104,7 +111,8 @@
             let link = FaultProxy::start(self.store.addr()).await.expect("a proxy starts");
             let duty_link = FaultProxy::start(self.duty_platform.addr()).await;
             let duty_link = duty_link.expect("a proxy starts");
-            let settings = gateway_settings(number, &link, &duty_link);
+            let mut settings = gateway_settings(number, &link, &duty_link);
+            settings["retries"] = json!(self.retries);
             links.push(link);
             duty_links.push(duty_link);
             let violations = violations.clone();
--- a/tests/all/soak/fragile.rs
+++ b/tests/all/soak/fragile.rs
@@ -20,7 +20,7 @@
 use crate::gateway::world::KEY;
 
 /// The service of these upstreams, and the route to it.
-const SERVICE: &str = "fragile";
+pub(super) const SERVICE: &str = "fragile";
 const UPSTREAMS: usize = 6;
 
 /// The prefix of a request body that crashes the upstream which runs it.
--- a/tests/all/soak/mod.rs
+++ b/tests/all/soak/mod.rs
@@ -6,7 +6,7 @@
 //! callers and upstreams recorded, and at the end against the gateways' state dumps.
 //!
 //! Begin with `plan`, which draws the faults, and `faults`, which injects them into the `fleet`.
-//! `invariants`, `fragile`, `zones` and `reports` check the recorded requests, `duties` the usage reports.
+//! `invariants`, `fragile`, `zones`, `reports` and `retries` check the recorded requests, `duties` the usage reports.
 //!
 //! By hand: `STALLHOIST_SOAK_SEEDS=1..51 STALLHOIST_SOAK_SECONDS=20 cargo test --release
 //! --test all soak -- --nocapture`, and `STALLHOIST_SOAK_GATEWAYS=40` for other than four. Without the
@@ -24,6 +24,7 @@
 mod period;
 mod plan;
 mod reports;
+mod retries;
 mod supervisor;
 mod upstream;
 mod violations;
@@ -69,7 +70,7 @@
     let _alone = ONE_AT_A_TIME.lock().await;
     let violations = Violations::default();
     let gateways = from_env("GATEWAYS").unwrap_or(DEFAULT_GATEWAYS);
-    let mut fleet = Fleet::start(gateways, &violations).await;
+    let mut fleet = Fleet::start(gateways, retries::settings(seed), &violations).await;
     wait_until("all gateways are ready", async || are_synced(&fleet).await).await;
     let stop = Arc::new(AtomicBool::new(false));
     let callers = start_callers(seed, &fleet, &stop);
@@ -89,6 +90,7 @@
     fragile::check(&fleet, &requests, &violations);
     zones::check(&fleet, &requests, &violations);
     reports::check(&fleet, &requests, &violations);
+    retries::check(&fleet, &requests, &violations);
     duties::check(&fleet, &violations);
     check_service(&requests, &violations);
     println!("{}", summary(seed, &fleet, &requests, &violations));
