--- a/tests/all/decisions/engine_time_budget.rs
+++ b/tests/all/decisions/engine_time_budget.rs
@@ -53,6 +53,12 @@
 allows!(repeats_go_before_step_ups, scarce(), [(StepUp, 500.0)], Repeat, 500.0, true);
 allows!(repeats_are_bounded_too, scarce(), [(Repeat, 450.0)], Repeat, 60.0, false);
 
+#[test]
+fn a_process_that_has_just_started_has_no_engine_time_for_second_attempts() {
+    let mut budget = EngineTimeBudget::new(50);
+    assert!(!budget.allows(at_ms(0), scarce(), Repeat, ms(1.0)));
+}
+
 #[test]
 fn only_recent_attempts_count() {
     let mut budget = budget(&[(StepUp, 500.0)]);
