--- a/crates/gateway/src/retry_budgets.rs
+++ b/crates/gateway/src/retry_budgets.rs
@@ -15,7 +15,8 @@
 /// Minimum time between two log lines on the budget of a service.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Retries that the first request at a new host may make, so that it has the usual three attempts.
+/// Retries of the first request at a new host: three attempts. No more are given, as a process that ends before it is
+/// listed counts as the first one again.
 const FIRST_REQUEST_RETRIES: u32 = 2;
 
 /// What a retry is made for.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -107,7 +107,11 @@
     ) -> Self {
         let session_lifetime = settings.session.as_duration() + SESSION_MARGIN;
         let retries = &settings.retries;
-        let budget = RetryBudget::restarted(retries.budget_percent(), retries.unlisted_burst());
+        let burst = match settings.seeds.as_slice() {
+            [] => retries.burst_per_gateway(1),
+            _ => retries.unlisted_burst(),
+        };
+        let budget = RetryBudget::restarted(retries.budget_percent(), burst);
         let duties = settings.duties.as_ref();
         let duties =
             duties.map(|duties| Duties::new(duties, settings.host.id.clone(), clock.now()));
--- a/crates/policy/src/retry/budget.rs
+++ b/crates/policy/src/retry/budget.rs
@@ -26,10 +26,9 @@
     /// Creates the same budget for a process whose predecessor may have spent the burst. If the ratio is high, it
     /// begins with just enough for one retry of the first request.
     pub fn restarted(percent: u32, burst: impl Into<f64>) -> Self {
-        let mut budget = Self { credits: 0, ..Self::new(percent, burst) };
-        budget.reserve(1);
-        budget.credits = budget.credits.min(MAX_RESTART_CREDITS);
-        budget
+        let full = Self::new(percent, burst);
+        let missing = CREDITS_PER_RETRY.saturating_sub(full.percent);
+        Self { credits: missing.min(MAX_RESTART_CREDITS).min(full.max_credits), ..full }
     }
 
     /// Raises what is saved to what `retries` retries of the next request cost in addition to its own credits.
--- a/crates/settings/src/gateway/retries.rs
+++ b/crates/settings/src/gateway/retries.rs
@@ -13,8 +13,8 @@
 /// One gateway gets at most the slack divided by this, as it may not know of others yet.
 const MIN_SLACK_DIVISOR: usize = 6;
 
-/// Most that a gateway saves before it is listed: enough for the three attempts of one request. Until then it cannot
-/// tell how many others have started with it.
+/// Most that a gateway of a fleet saves before it is listed: enough for the three attempts of one request. Until then
+/// it cannot tell how many others have started with it.
 const UNLISTED_BURST: f64 = 2.0;
 
 /// Values this high bound nothing, and higher ones are rejected as mistakes.
@@ -50,7 +50,7 @@
         (self.fleet_slack / entries.max(MIN_SLACK_DIVISOR) as f64).max(1.0)
     }
 
-    /// The same for a gateway that is not listed yet.
+    /// The same for a gateway that is not listed yet but has seeds, and so is not alone.
     pub fn unlisted_burst(&self) -> f64 {
         self.burst_per_gateway(1).min(UNLISTED_BURST)
     }
