Selecting an upstream and counting the request there are one step

What callers saw: two requests that arrive together were both sent on the one free slot of an upstream, so that one of them waited there, in the upstream's order instead of the gateway's. With waiting for room (`decisions.waits_for_room`, off by default) this breaks what it is for; without it, two requests could take the same last connection of the gateway's part, or be sent to the same "least busy" upstream.

Cause: check-then-act. `Upstreams::acquire` selected under the lock, `Upstreams::start` counted the request under a later one, and the decision to send was made on room read before both.

Why it works: `acquire` counts the request under the lock under which it selects, and a request that was to be sent for there being room finds it still there or waits for its turn again. Now 0 of 300 runs of the whole module failed, 12 at a time.

Ruled out: the load of the machine (it also fails at load 5, and the arrivals show two sends, not a late one); a late wake-up (the gaps are short, not long).

Not shown by a test: the connections and the balance, found by reading.

--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -88,9 +88,12 @@
 impl Attempt<'_> {
     /// Makes the attempt until `given_up` ends, and records its result for the upstream's health and its version's
     /// rollout.
-    pub(crate) async fn run(self, given_up: impl Future<Output = ()>) -> AttemptOutcome {
+    pub(crate) async fn run(
+        self,
+        work: WorkGuard,
+        given_up: impl Future<Output = ()>,
+    ) -> AttemptOutcome {
         let started = self.state.now();
-        let work = self.state.upstreams.start(self.chosen, self.state.running(self.call));
         let timings = &self.state.settings.upstream;
         let settings = ConnectSettings {
             connect_timeout: Duration::from_millis(timings.connect_timeout_ms),
--- a/crates/gateway/src/request/execution/admission.rs
+++ b/crates/gateway/src/request/execution/admission.rs
@@ -4,6 +4,7 @@
 
 use stallhoist_core::MonoTime;
 use stallhoist_policy::overload::AttemptDecision;
+use stallhoist_policy::overload::NewsValidity;
 use stallhoist_policy::overload::RejectReason;
 use stallhoist_policy::overload::ServiceRoom;
 use stallhoist_policy::overload::ShareStatus;
@@ -14,26 +15,29 @@
 use crate::admission::WaitTicket;
 use crate::metrics::AdmissionResult;
 use crate::request::AbandonReason;
+use crate::upstreams::RoomRequirement;
 
 /// Time before the end of a stopping process at which the last waiting requests are rejected, so that their
 /// callers receive the responses.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 
 impl Execution {
-    /// Waits until the next attempt may be sent.
+    /// Waits until the next attempt may be sent. Returns whether it may be sent only while there is still room.
     ///
     /// # Errors
     /// Fails when the request cannot be served within its time limit. Nothing has run then.
     pub(super) async fn wait_for_turn(
         &self,
         ticket: &mut Option<WaitTicket>,
-    ) -> Result<(), AbandonReason> {
+    ) -> Result<RoomRequirement, AbandonReason> {
         if !self.state.admission.is_enabled() || self.progress.is_delivered() {
-            return Ok(());
+            return Ok(RoomRequirement::None);
         }
         loop {
             let now = self.state.now();
-            match self.admit(now, ticket) {
+            let validity = self.state.admission.news_validity(&self.call.service_name);
+            let (room, first_chunk) = self.room(now, validity);
+            match self.admit(now, ticket, &room, first_chunk) {
                 AttemptDecision::WaitUntil(at) => {
                     if let Some(ticket) = ticket {
                         ticket.woken_until(now, at).await;
@@ -45,17 +49,27 @@
                     self.record_rejection(now, reason, retry_after);
                     return Err(AbandonReason::NotRun { retry_after });
                 }
-                AttemptDecision::Send | AttemptDecision::Reject { .. } => return Ok(()),
+                AttemptDecision::Send if room.has_room() => {
+                    return Ok(RoomRequirement::Free(validity));
+                }
+                AttemptDecision::Send | AttemptDecision::Reject { .. } => {
+                    return Ok(RoomRequirement::None);
+                }
             }
         }
     }
 
-    fn admit(&self, now: MonoTime, ticket: &mut Option<WaitTicket>) -> AttemptDecision {
+    fn admit(
+        &self,
+        now: MonoTime,
+        ticket: &mut Option<WaitTicket>,
+        room: &ServiceRoom,
+        first_chunk: Duration,
+    ) -> AttemptDecision {
         let admission = &self.state.admission;
-        let (room, first_chunk) = self.room(now);
         let deadline = self.latest_end();
         if let Some(ticket) = ticket {
-            return admission.ask(now, ticket, deadline, &room);
+            return admission.ask(now, ticket, deadline, room);
         }
         let waiter = Waiter {
             key: xxh3_64(self.call.head.id.as_bytes()),
@@ -67,7 +81,7 @@
             pool: self.pool(),
             size_bytes: self.call.body.len(),
         };
-        let (decision, new_ticket) = admission.offer(now, &self.call.service_name, waiter, &room);
+        let (decision, new_ticket) = admission.offer(now, &self.call.service_name, waiter, room);
         *ticket = new_ticket;
         decision
     }
@@ -83,10 +97,9 @@
     }
 
     /// The room at the upstreams that the next attempt may use, and the time to the first chunk there.
-    fn room(&self, now: MonoTime) -> (ServiceRoom, Duration) {
+    fn room(&self, now: MonoTime, validity: NewsValidity) -> (ServiceRoom, Duration) {
         let rule = self.version_rule();
         let placement = self.placement(&rule, self.models.chosen(), &[]);
-        let validity = self.state.admission.news_validity(&self.call.service_name);
         self.state.upstreams.room(now, &placement, validity)
     }
 
--- a/crates/gateway/src/request/execution/choice.rs
+++ b/crates/gateway/src/request/execution/choice.rs
@@ -11,9 +11,12 @@
 use crate::request::AbandonReason;
 use crate::request::Call;
 use crate::rollouts::VersionRule;
+use crate::upstreams::AcquireError;
 use crate::upstreams::Chosen;
 use crate::upstreams::Placement;
+use crate::upstreams::RoomRequirement;
 use crate::upstreams::UnavailableReason;
+use crate::upstreams::WorkGuard;
 
 /// How long a request waits for an upstream where none is listed: rows that expired while the store was
 /// unavailable are back in about two seconds.
@@ -27,24 +30,28 @@
 const NOT_ALLOWED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 impl Execution {
-    /// Selects the upstream of the next attempt; waits for one where there is none.
+    /// Selects the upstream of the next attempt and counts the attempt there; waits for one where there is none.
     ///
     /// # Errors
     /// Fails when the deadline has passed, or when no upstream becomes usable in time.
-    pub(super) async fn choose(&mut self) -> Result<Chosen, AbandonReason> {
+    pub(super) async fn choose(&mut self) -> Result<(Chosen, WorkGuard), AbandonReason> {
         let mut ticket = None;
         let mut until = None;
         let mut lacked_connection = false;
         loop {
-            self.wait_for_turn(&mut ticket).await?;
+            let requirement = self.wait_for_turn(&mut ticket).await?;
             let now = self.state.now();
             let until = *until.get_or_insert(now.after(WAIT_FOR_UPSTREAM));
             if now >= self.call.deadline {
                 return Err(self.abandon_reason());
             }
-            if let Some(chosen) = self.acquire() {
-                self.record_sent(now, ticket.as_ref());
-                return Ok(chosen);
+            match self.acquire(requirement) {
+                Ok(acquired) => {
+                    self.record_sent(now, ticket.as_ref());
+                    return Ok(acquired);
+                }
+                Err(AcquireError::NoRoom) => continue,
+                Err(AcquireError::NoneUsable) => {}
             }
             if !self.tried.is_empty() {
                 // An upstream that has failed before is better than none.
@@ -88,11 +95,12 @@
         self.state.upstreams.choose(self.state.now(), &self.placement(&rule, model, tried))
     }
 
-    /// Selects an untried upstream for the next attempt and reserves its capacity, if one is usable now.
-    fn acquire(&self) -> Option<Chosen> {
+    /// Selects an untried upstream for the next attempt and counts the attempt there, if one is usable now.
+    fn acquire(&self, requirement: RoomRequirement) -> Result<(Chosen, WorkGuard), AcquireError> {
         let rule = self.version_rule();
         let placement = self.placement(&rule, self.models.chosen(), &self.tried);
-        self.state.upstreams.acquire(self.state.now(), &placement)
+        let running = || self.state.running(&self.call);
+        self.state.upstreams.acquire(self.state.now(), &placement, requirement, running)
     }
 
     /// Why no upstream can be selected for the next attempt.
--- a/crates/gateway/src/request/execution/mod.rs
+++ b/crates/gateway/src/request/execution/mod.rs
@@ -42,6 +42,7 @@
 use crate::retry_budgets::RetryUse;
 use crate::state::GatewayState;
 use crate::upstreams::Chosen;
+use crate::upstreams::WorkGuard;
 
 /// Number of failed connection attempts after which a request is abandoned. They do not count as attempts, as
 /// nothing is sent.
@@ -162,9 +163,9 @@
     async fn next_response(&mut self) -> Result<AttemptResponse, AbandonReason> {
         loop {
             self.check_crashes().await?;
-            let chosen = self.choose().await?;
+            let (chosen, work) = self.choose().await?;
             let started = self.state.now();
-            let outcome = self.attempt(&chosen).await;
+            let outcome = self.attempt(&chosen, work).await;
             self.record_engine_time(&chosen, &outcome);
             let elapsed = self.state.now().since(started);
             self.count_run(started, &outcome);
@@ -324,7 +325,7 @@
         }
     }
 
-    async fn attempt(&self, chosen: &Chosen) -> AttemptOutcome {
+    async fn attempt(&self, chosen: &Chosen, work: WorkGuard) -> AttemptOutcome {
         let attempt = Attempt {
             state: &self.state,
             call: &self.call,
@@ -333,7 +334,7 @@
             last_event: self.last_event,
             purpose: self.purpose(),
         };
-        attempt.run(self.until_given_up(chosen)).await
+        attempt.run(work, self.until_given_up(chosen)).await
     }
 
     /// Counts the request for its workspace's usage when the first of its attempts has begun to run: a stream with
--- a/crates/gateway/src/upstreams/mod.rs
+++ b/crates/gateway/src/upstreams/mod.rs
@@ -2,8 +2,9 @@
 //!
 //! All state sits behind one lock, in [`UpstreamsState`]. It changes by the list of upstreams (`mod`), by
 //! responses (`reports`), by updates from peers (`peer_updates`) and by operators (`emptied_zones`);
-//! `choice` reads it to pick an upstream.
+//! `choice` reads it to pick an upstream, and `acquisition` counts the request there.
 
+mod acquisition;
 mod choice;
 mod cold;
 mod connections;
@@ -19,7 +20,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::sync::Arc;
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -58,6 +58,8 @@
 use tokio::sync::Notify;
 use tokio::sync::futures::Notified;
 
+pub(crate) use acquisition::AcquireError;
+pub(crate) use acquisition::RoomRequirement;
 pub(crate) use counts::UpstreamCounts;
 pub(crate) use placement::Chosen;
 pub(crate) use placement::GenerationWork;
@@ -67,7 +69,6 @@
 pub(crate) use work::WorkGuard;
 
 use self::placement::duration_of_ms;
-use crate::admission::RunningRequest;
 use crate::control_store::Change;
 use crate::members::Directory;
 use crate::members::Member;
@@ -271,15 +272,6 @@
         self.choice(&self.state.lock(), now, placement).best()
     }
 
-    /// Like [`choose`](Self::choose), and counts the request against the quotas of the chosen upstream.
-    pub(crate) fn acquire(&self, now: MonoTime, placement: &Placement<'_>) -> Option<Chosen> {
-        let mut state = self.state.lock();
-        let chosen = self.choice(&state, now, placement).best()?;
-        state.cold.record_sent(now, &chosen.start);
-        state.limits.record_sent(now, &chosen.start);
-        Some(chosen)
-    }
-
     /// The reason for which there is no upstream for a request.
     pub(crate) fn unavailable_reason(
         &self,
@@ -310,22 +302,6 @@
         duration_of_ms(sum_ms / f64::max(count, 1.0))
     }
 
-    /// Counts work sent to an upstream until the guard is dropped.
-    pub(crate) fn start(self: &Arc<Self>, chosen: &Chosen, running: RunningRequest) -> WorkGuard {
-        let mut state = self.state.lock();
-        state.load.request_started(&chosen.start, chosen.work);
-        state.load.generation_expected(&chosen.start, chosen.generation.engine_ms);
-        drop(state);
-        WorkGuard {
-            upstreams: Arc::clone(self),
-            start: chosen.start.clone(),
-            prefill: chosen.work,
-            generation_left_ms: chosen.generation.engine_ms,
-            generation_ms_per_event: chosen.generation.engine_ms_per_event,
-            running,
-        }
-    }
-
     /// Updates the health of an incarnation by a signal. Returns whether that shows its termination for
     /// the first time.
     pub(crate) fn observe(
--- a/crates/gateway/src/upstreams/room.rs
+++ b/crates/gateway/src/upstreams/room.rs
@@ -36,7 +36,7 @@
 }
 
 impl Choice<'_> {
-    fn room(&self, validity: NewsValidity) -> ServiceRoom {
+    pub(super) fn room(&self, validity: NewsValidity) -> ServiceRoom {
         let mut room = ServiceRoom::default();
         for member in self.candidates() {
             let occupancy = self.occupancy(member, validity);
--- a/tests/all/gateway/admission.rs
+++ b/tests/all/gateway/admission.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use reqwest::Method;
 use serde_json::json;
 use stallhoist_gateway::Gateway;
@@ -26,6 +27,12 @@
 /// How long the upstream works on a request.
 const WORK: Duration = Duration::from_millis(400);
 
+/// How long it works on a request of a burst.
+const SHORT_WORK: Duration = Duration::from_millis(5);
+
+const BURSTS: usize = 40;
+const BURST_REQUESTS: usize = 4;
+
 fn slow() -> Behaviour {
     Behaviour::Answer { body: "done".to_owned(), after: WORK }
 }
@@ -158,3 +165,20 @@
     assert!(apart.iter().all(|apart| *apart >= WORK), "{apart:?}");
     assert!(apart[1..].iter().all(|apart| *apart < WORK + Duration::from_millis(300)), "{apart:?}");
 });
+
+case!(requests_that_arrive_together_do_not_share_a_slot, async {
+    let world = one_slot().await;
+    world.upstreams[0].then(vec![Behaviour::Echo { after: SHORT_WORK }; BURSTS * BURST_REQUESTS]);
+    for burst in 0..BURSTS {
+        let requests = (0..BURST_REQUESTS)
+            .map(|n| world.request(Method::GET, "/safe/x", &format!("id-{burst}-{n}")));
+        let answers = join_all(requests.map(|request| tokio::spawn(send(request)))).await;
+        for answer in answers {
+            assert_eq!(answer.expect("no panic").expect("an answer").status, 200);
+        }
+    }
+    let arrivals = world.upstreams[0].arrivals();
+    let apart = arrivals.windows(2).map(|pair| pair[1].at - pair[0].at);
+    let shared = apart.filter(|apart| *apart < SHORT_WORK).count();
+    assert_eq!(shared, 0, "of {} requests", arrivals.len());
+});
