--- a/tests/all/soak/fleet.rs
+++ b/tests/all/soak/fleet.rs
@@ -7,6 +7,7 @@
 use serde_json::json;
 use stallhoist_settings::GatewayRetrySettings;
 use stallhoist_standins::FaultProxy;
+use stallhoist_standins::users_platform::Arrival;
 use stallhoist_standins::users_platform::DutyPlatformStandin;
 use stallhoist_standins::users_platform::StoreStandin;
 use stallhoist_standins::users_platform::UpstreamStandin;
@@ -127,6 +128,17 @@
         self.duty_links = Arc::new(duty_links);
     }
 
+    /// Calls `visit` with the id of each request that arrived at an upstream, and its arrival.
+    pub(super) fn visit_arrivals(&self, mut visit: impl FnMut(&str, &Arrival)) {
+        let mut visit_all = |upstream: &UpstreamStandin| {
+            for arrival in upstream.arrivals() {
+                visit(arrival.header("request-id"), &arrival);
+            }
+        };
+        self.upstreams.lock().iter().for_each(|upstream| visit_all(&upstream.standin));
+        self.fragile.iter().for_each(visit_all);
+    }
+
     fn supervise(&mut self, supervisor: Supervisor) {
         let (signals, received) = mpsc::unbounded_channel();
         self.signals.push(signals);
--- a/tests/all/soak/invariants.rs
+++ b/tests/all/soak/invariants.rs
@@ -6,8 +6,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use stallhoist_standins::users_platform::UpstreamStandin;
-
 use super::caller::DEADLINE;
 use super::caller::RequestKind;
 use super::caller::RequestRecord;
@@ -71,19 +69,12 @@
 
 fn seen(fleet: &Fleet) -> HashMap<String, Observations> {
     let mut seen: HashMap<String, Observations> = HashMap::new();
-    for upstream in fleet.upstreams.lock().iter() {
-        count_arrivals(&upstream.standin, &mut seen);
-    }
-    fleet.fragile.iter().for_each(|upstream| count_arrivals(upstream, &mut seen));
-    seen
-}
-
-fn count_arrivals(upstream: &UpstreamStandin, seen: &mut HashMap<String, Observations>) {
-    for arrival in upstream.arrivals() {
-        let of_request = seen.entry(arrival.header("request-id").to_owned()).or_default();
+    fleet.visit_arrivals(|id, arrival| {
+        let of_request = seen.entry(id.to_owned()).or_default();
         of_request.arrivals += 1;
         of_request.runs += usize::from(arrival.is_run);
-    }
+    });
+    seen
 }
 
 /// The requests that crash no upstream but were rejected as quarantined.
--- a/tests/all/soak/retries.rs
+++ b/tests/all/soak/retries.rs
@@ -4,7 +4,6 @@
 use std::time::Instant;
 
 use stallhoist_settings::GatewayRetrySettings;
-use stallhoist_standins::users_platform::UpstreamStandin;
 
 use super::caller::RequestRecord;
 use super::fleet::Fleet;
@@ -36,7 +35,8 @@
     let Some(began) = requests.iter().map(|request| request.sent).min() else {
         return HashMap::new();
     };
-    let arrivals = arrivals(fleet);
+    let mut arrivals: HashMap<String, Vec<Instant>> = HashMap::new();
+    fleet.visit_arrivals(|id, arrival| arrivals.entry(id.to_owned()).or_default().push(arrival.at));
     let mut traces: HashMap<_, RetryTrace> = HashMap::new();
     for request in requests {
         let trace = traces.entry(request.kind.service()).or_default();
@@ -52,16 +52,3 @@
     }
     traces
 }
-
-/// When each request arrived at upstreams.
-fn arrivals(fleet: &Fleet) -> HashMap<String, Vec<Instant>> {
-    let mut times: HashMap<String, Vec<Instant>> = HashMap::new();
-    let mut add = |upstream: &UpstreamStandin| {
-        for arrival in upstream.arrivals() {
-            times.entry(arrival.header("request-id").to_owned()).or_default().push(arrival.at);
-        }
-    };
-    fleet.upstreams.lock().iter().for_each(|upstream| add(&upstream.standin));
-    fleet.fragile.iter().for_each(add);
-    times
-}
