--- a/tests/all/gateway/attempts.rs
+++ b/tests/all/gateway/attempts.rs
@@ -10,6 +10,8 @@
 use super::world::PLAIN;
 use super::world::World;
 use super::world::send;
+use super::world::settings;
+use super::world::start_gateway_with;
 use crate::case::case;
 use crate::harness::wait_until;
 
@@ -170,6 +172,33 @@
     assert_eq!(answer.status, 200);
 });
 
+// Guards against gateways that start together and each take themselves to be alone, with the whole slack.
+case!(a_gateway_with_seeds_saves_few_retries_until_it_is_listed, async {
+    const SERVED: usize = 20;
+    const FAILED: usize = 8;
+    let mut world = World::start(PLAIN, &vec![Behaviour::answer("done"); 3]).await;
+    let mut settings = settings(&world.store);
+    settings.host.id = "unlisted".parse().expect("a name");
+    settings.seeds = vec!["127.0.0.1:1".to_owned()];
+    world.store.pin("stallhoist-entries", "unlisted", json!("not a row of a gateway"));
+    world.gateway = start_gateway_with(settings).await;
+    world.wait_until_ready().await;
+    for n in 0..SERVED {
+        let request = world.request(Method::GET, "/safe/x", &format!("served-{n}"));
+        assert_eq!(send(request).await.expect("an answer").status, 200);
+    }
+    for upstream in &world.upstreams {
+        upstream.then(vec![Behaviour::Fail; FAILED * 3]);
+    }
+    for n in 0..FAILED {
+        let request = world.request(Method::GET, "/safe/x", &format!("failed-{n}"));
+        assert_eq!(send(request).await.expect("an answer").status, 500);
+    }
+    // Two saved retries, and 0.855 for each request; those served paid for all 16.
+    let retries = world.runs() - SERVED - FAILED;
+    assert!(retries <= 2 + 7, "{retries} retries");
+});
+
 // Guards against gateways that exceed the platform's limit together: its burst is divided among them, as 30
 // gateways with a burst of 8 each would exceed it.
 case!(the_burst_is_divided_among_gateways, async {
