A new holder keeps its lease while it collects counts

Cause, from a trace of the calls to the store: a gateway takes the usage reports over because a window is late, and then collects for 1.2 s what others have counted without writing anything. With a lease of less than 1.2 s the next gateways, whose turns come 0.4 s apart meanwhile, read the record, see it unchanged for the lease, and take it over from a holder that is well: at 5.14 s the first holder's write of the windows and two takeovers met, three of the four were rejected, and each loser read the record again. On an idle machine the counts were complete a moment before the takeover.

For operators: with `duties.lease` under 1.2 s each first takeover may be followed by others, each of which delays the reports by another 1.2 s. With the default of 3 s, and in the deployments that we have, the lease outlasts the collecting. No report was counted twice: the fencing token holds.

Change: the holder renews its lease while it collects, if less than a quarter of it is left to act.

--- a/crates/policy/src/usage/duty/mod.rs
+++ b/crates/policy/src/usage/duty/mod.rs
@@ -34,6 +34,10 @@
 /// How long a new holder waits for the counts that others know, for windows that could have been fixed before.
 const COLLECT_TIME: Duration = Duration::from_millis(1_200);
 
+/// A new holder renews its lease when it may act for no more than this share of its duration. A lease of 2.2 s or more
+/// outlasts `COLLECT_TIME` without that.
+const RENEWAL_SHARE: f64 = 0.25;
+
 /// A report is sent only if the lease is valid for at least this share of its duration.
 const MIN_CALL_SHARE: f64 = 0.1;
 
@@ -162,8 +166,7 @@
             return DutyStep::Write(self.fix(context, fixable));
         }
         let Some(report) = self.next_unsent(record) else {
-            let end = self.schedule.end(record.fixed_through.next());
-            return DutyStep::Wait(end.saturating_sub(unix).max(COMPLETENESS_CHECK_INTERVAL));
+            return self.wait_for_counts(context, record);
         };
         let time_left = self.lease.time_left(now);
         if time_left < self.lease_duration.mul_f64(MIN_CALL_SHARE) {
@@ -174,12 +177,33 @@
         DutyStep::Send { call, within: time_left }
     }
 
+    /// Waits until the counts of another window may be complete. A new holder renews its lease meanwhile: it took over
+    /// because a window was late, so the turns of others come while it collects.
+    fn wait_for_counts(&self, context: DutyContext<'_>, record: &DutyRecord) -> DutyStep {
+        let DutyContext { now, unix, .. } = context;
+        let end = self.schedule.end(record.fixed_through.next());
+        let wait = end.saturating_sub(unix).max(COMPLETENESS_CHECK_INTERVAL);
+        if !self.is_collecting(now) {
+            return DutyStep::Wait(wait);
+        }
+        let until_renewal =
+            self.lease.time_left(now).saturating_sub(self.lease_duration.mul_f64(RENEWAL_SHARE));
+        if until_renewal.is_zero() {
+            return DutyStep::Write(self.write(record.clone(), self.lease.acquired(), unix));
+        }
+        DutyStep::Wait(wait.min(until_renewal))
+    }
+
+    /// Whether this process has become the holder so lately that others may still tell it counts.
+    fn is_collecting(&self, now: MonoTime) -> bool {
+        self.acquired_at.is_some_and(|at| now.since(at) < COLLECT_TIME)
+    }
+
     /// The last window that the holder can fix: one whose counts are complete, or that can wait no longer.
     fn last_fixable(&self, context: DutyContext<'_>) -> UsageWindow {
         let DutyContext { now, unix, .. } = context;
         let complete = context.complete_through().map(|through| self.schedule.last_ended(through));
-        let is_collecting = self.acquired_at.is_some_and(|at| now.since(at) < COLLECT_TIME);
-        let late = (!is_collecting).then(|| self.schedule.last_fixable(unix));
+        let late = (!self.is_collecting(now)).then(|| self.schedule.last_fixable(unix));
         complete.max(late).unwrap_or_default()
     }
 
--- /dev/null
+++ b/tests/all/decisions/duty_lease.rs
@@ -0,0 +1,64 @@
+//! The lease of a gateway that holds the duty of usage reports.
+
+use std::time::Duration;
+
+use stallhoist_core::HostId;
+use stallhoist_core::IncarnationId;
+use stallhoist_core::MonoTime;
+use stallhoist_core::StoreVersion;
+use stallhoist_policy::lease::Holder;
+use stallhoist_policy::usage::DutyContext;
+use stallhoist_policy::usage::DutyStep;
+use stallhoist_policy::usage::UsageCounts;
+use stallhoist_policy::usage::UsageDuty;
+use stallhoist_policy::usage::UsageSchedule;
+use stallhoist_policy::usage::UsageSource;
+
+use super::at_ms;
+
+const LEASE: Duration = Duration::from_millis(600);
+const SCHEDULE: UsageSchedule =
+    UsageSchedule { window_length: Duration::from_secs(1), due_after: Duration::from_secs(8) };
+
+/// The time of day at the start.
+const START: Duration = Duration::from_secs(1_000);
+
+/// Plays a gateway that hears from others, but lacks their counts, until `end_ms`. Returns when its writes of the
+/// record succeeded.
+fn write_times(end_ms: u64) -> Vec<MonoTime> {
+    let host: HostId = "entry-0".parse().expect("a name");
+    let holder = Holder { host, incarnation: IncarnationId::generate() };
+    let mut duty = UsageDuty::new(holder, SCHEDULE, LEASE, START);
+    let mut counts = UsageCounts::new(UsageSource(1), MonoTime::default(), START);
+    let mut writes = Vec::new();
+    let mut row = None;
+    for ms in (0..end_ms).step_by(10) {
+        let (now, unix) = (at_ms(ms), START + Duration::from_millis(ms));
+        counts.record_contact(now);
+        let context =
+            DutyContext { now, unix, rank: 0, is_alone: false, is_leaving: false, counts: &counts };
+        match duty.step(context) {
+            DutyStep::Read => {
+                duty.on_read(now, unix, Some((StoreVersion::of(writes.len() as u64), row.clone())));
+            }
+            DutyStep::Write(write) => {
+                writes.push(now);
+                row = Some(write.record.clone());
+                duty.on_written(now, now, write, Ok(StoreVersion::of(writes.len() as u64)));
+            }
+            DutyStep::Wait(_) | DutyStep::Send { .. } => {}
+        }
+    }
+    writes
+}
+
+// Guards against other gateways that take the duty over from one that is well, as their turns have come meanwhile.
+#[test]
+fn a_holder_keeps_its_lease_while_it_collects_counts() {
+    let writes = write_times(7_000);
+    let apart = writes.windows(2).map(|pair| pair[1].since(pair[0]));
+    let collecting: Vec<_> =
+        apart.take_while(|apart| *apart < SCHEDULE.window_length * 2).collect();
+    assert!(collecting.len() > 1, "{writes:?}");
+    assert!(collecting.iter().all(|apart| *apart < LEASE), "{collecting:?}");
+}
--- a/tests/all/decisions/mod.rs
+++ b/tests/all/decisions/mod.rs
@@ -4,6 +4,7 @@
 mod cold;
 mod connections;
 mod directory;
+mod duty_lease;
 mod duty_model;
 mod engine_backlog;
 mod engine_time_budget;
