A gateway that gets no answer waits for the list before it writes its own row

For operators: a fleet that starts together writes one row a gateway at the same moment to a store that takes some 200 writes a second.

Cause: a gateway asks a seed to list it and gave the request up after 0.4 s, as if it had not arrived. A seed that is slow because a whole fleet starts has received it, and lists the gateway with the others: each wrote its row as well, just when all did.

Change: a request without an answer gives the list 1 to 2 s, at random, to show the gateway. One that nobody has received (no peer, a refused connection) leads to an own row at once, as before.

--- a/crates/gateway/src/peers/listing.rs
+++ b/crates/gateway/src/peers/listing.rs
@@ -2,7 +2,7 @@
 //!
 //! A store takes only so many writes a second, and a whole fleet lists itself at once when it starts. A gateway
 //! therefore asks a seed, or later a relay, to list it; that one lists all that have asked in one write. A gateway that is
-//! still not listed after a while writes its own row.
+//! still not listed after a while writes its own row, at once if nobody has received its request.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -12,8 +12,10 @@
 use parking_lot::Mutex;
 use rand::RngExt;
 use stallhoist_core::HostId;
+use stallhoist_core::MonoTime;
 use tokio::sync::Notify;
 
+use super::connection::PeerError;
 use super::connection::request_once;
 use super::messages::PeerRequest;
 use super::poll_targets::listing_target;
@@ -36,6 +38,10 @@
 /// Timeout for a peer's response.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Time for the list to show a gateway whose request was not answered, and up to twice as long at random. A peer that is
+/// slow because a whole fleet starts lists it all the same.
+const UNANSWERED_TIME: Duration = Duration::from_secs(1);
+
 /// How long requests are collected for one write.
 const BATCH_TIME: Duration = Duration::from_millis(100);
 
@@ -47,6 +53,17 @@
 const RETRY_DELAY: Duration = Duration::from_millis(400);
 const MAX_FAILURES: u32 = 3;
 
+/// What became of the request to be listed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ListingRequest {
+    /// A peer will list this gateway.
+    Accepted,
+    /// A peer may have received it.
+    Unanswered,
+    /// No peer has taken it.
+    NotTaken,
+}
+
 /// A gateway that asks to be listed.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(super) struct ListingMessage {
@@ -118,7 +135,8 @@
     };
     let mut interval = INITIAL_CHECK_INTERVAL;
     let mut is_known_listed = false;
-    let mut requested_at = None;
+    let mut is_requested = false;
+    let mut patient_until = MonoTime::default();
     loop {
         tokio::time::sleep(interval).await;
         if !state.is_synced() || !state.feed_cache.has(Feed::Entries) {
@@ -129,33 +147,52 @@
             if !std::mem::replace(&mut is_known_listed, true) {
                 log::info!(peers_addr:% = peers_addr; "listed for other entries");
             }
-            requested_at = None;
+            is_requested = false;
+            patient_until = MonoTime::default();
             continue;
         }
         let now = state.now();
-        if requested_at.is_some_and(|at| now.since(at) < LISTING_TIME) {
+        if now < patient_until {
             continue;
         }
         state.upstreams.announce_self(now);
-        let is_first = requested_at.replace(now).is_none();
-        if !is_first || !request_listing(&state, &entry).await {
+        let result = match std::mem::replace(&mut is_requested, true) {
+            false => request_listing(&state, &entry).await,
+            true => ListingRequest::NotTaken,
+        };
+        if result == ListingRequest::NotTaken {
             state.listings.add([entry.clone()]);
         }
+        patient_until = now.after(patience(result));
     }
 }
 
-/// Asks a peer to list this gateway. Returns whether it will try.
-async fn request_listing(state: &GatewayState, entry: &ListedEntry) -> bool {
+/// Time for the list to show this gateway, after which it writes its own row.
+fn patience(result: ListingRequest) -> Duration {
+    match result {
+        ListingRequest::Accepted | ListingRequest::NotTaken => LISTING_TIME,
+        ListingRequest::Unanswered => {
+            UNANSWERED_TIME.mul_f64(rand::rng().random_range(1.0..2.0))
+        }
+    }
+}
+
+/// Asks a peer to list this gateway.
+async fn request_listing(state: &GatewayState, entry: &ListedEntry) -> ListingRequest {
     let Some(addr) = listing_target(state) else {
-        return false;
+        return ListingRequest::NotTaken;
     };
     let listing = Some(ListingMessage::of(entry));
     let request = PeerRequest { listing, ..PeerRequest::default() };
     match request_once(addr, &request, RESPONSE_TIMEOUT).await {
-        Ok(response) => response.is_listing,
+        Ok(response) if response.is_listing => ListingRequest::Accepted,
+        Ok(_) => ListingRequest::NotTaken,
         Err(error) => {
             log::debug!(addr:% = addr, error:% = error; "failed to ask a peer for the listing");
-            false
+            match error {
+                PeerError::Stalled { .. } => ListingRequest::Unanswered,
+                _ => ListingRequest::NotTaken,
+            }
         }
     }
 }
--- a/tests/all/gateway/fleet_start.rs
+++ b/tests/all/gateway/fleet_start.rs
@@ -20,6 +20,9 @@
 /// Each way: a response takes twice as long, more than a gateway waits for a silent host.
 const SEED_DELAY: Duration = Duration::from_millis(60);
 
+/// Each way: the seed's responses come after the others have given them up.
+const LONG_SEED_DELAY: Duration = Duration::from_millis(300);
+
 /// Gateways that start together; the seed of all has started before.
 struct Start {
     store: StoreStandin,
@@ -82,6 +85,14 @@
     assert!(writes <= ENTRIES / 2, "{writes} writes for {ENTRIES} gateways");
 });
 
+// Guards against gateways that each write their own row, all at once, when the seed that lists them is slow.
+case!(gateways_that_start_together_wait_for_the_list_of_a_slow_seed, async {
+    let start = Start::with_seed_delay(ENTRIES, LONG_SEED_DELAY).await;
+    start.wait_until_listed().await;
+    let writes = start.calls("rows-tx");
+    assert!(writes <= ENTRIES / 2, "{writes} writes for {ENTRIES} gateways");
+});
+
 // The seed is busy with the others. With a fixed delay of 60 ms before the store was queried as well, 154 of 385
 // gateways read all feeds there.
 case!(gateways_wait_for_a_busy_seed, async {
