--- a/crates/gateway/src/peers/listing.rs
+++ b/crates/gateway/src/peers/listing.rs
@@ -171,9 +171,7 @@
 fn patience(result: ListingRequest) -> Duration {
     match result {
         ListingRequest::Accepted | ListingRequest::NotTaken => LISTING_TIME,
-        ListingRequest::Unanswered => {
-            UNANSWERED_TIME.mul_f64(rand::rng().random_range(1.0..2.0))
-        }
+        ListingRequest::Unanswered => UNANSWERED_TIME.mul_f64(rand::rng().random_range(1.0..2.0)),
     }
 }
 
