A host whose row the store has lost begins with no saved retries

What callers' operators would see: retries beyond the budget (BUDGET) when the store is restored from a copy and all gateways start again, as after a loss of power: each begins with the three attempts of a new host, on top of what its predecessor had spent in the window.

A restored store may have lost the row.

Evidence: the new test fails on the code before, 32 retries where 26.4 are allowed (16 starts, one request each, slack of 12).

Change: a list of a later era of the store proves nothing; the process begins like a restarted one.

--- a/crates/gateway/src/follow/apply.rs
+++ b/crates/gateway/src/follow/apply.rs
@@ -16,8 +16,9 @@
             Feed::Members => self.apply_members(page),
             Feed::Operators => self.apply_operators(page),
             Feed::Entries => {
+                let era = page.version.era;
                 self.apply_changes(page);
-                self.state.set_has_gateways();
+                self.state.set_has_gateways(era);
             }
             Feed::FatalRequests => self.apply_fatal_requests(page),
             Feed::Rollouts => self.apply_rollouts(page),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -321,11 +321,12 @@
         }
     }
 
-    /// Records that the list of gateways has been read. The first list tells whether an earlier process at this host
-    /// listed itself.
-    pub(crate) fn set_has_gateways(&self) {
+    /// Records that the list of gateways has been read, of this era of the store. The first list tells whether an earlier
+    /// process at this host listed itself, unless the store was restored and may have lost its row.
+    pub(crate) fn set_has_gateways(&self, era: StoreEra) {
         let is_first = !self.has_gateways.swap(true, Ordering::SeqCst);
-        if is_first && !self.peers.lock().is_local_listed() {
+        let may_be_lost = era > StoreEra::default();
+        if is_first && !may_be_lost && !self.peers.lock().is_local_listed() {
             self.retries.lock().set_new_host();
         }
     }
--- a/tests/all/gateway/attempts.rs
+++ b/tests/all/gateway/attempts.rs
@@ -164,6 +164,27 @@
     assert!(retries <= requests * 9 / 10 + 50, "{retries} retries of {requests} requests");
 });
 
+// Guards against hosts that all count as new, with attempts to spare, after the store has lost their rows.
+case!(a_gateway_whose_row_the_store_has_lost_stays_within_the_retry_budget, async {
+    const STARTS: usize = 16;
+    const SLACK: f64 = 12.0;
+    let mut world = World::start(PLAIN, &[Behaviour::Fail, Behaviour::Fail, Behaviour::Fail]).await;
+    let copy = world.store.copy();
+    let mut settings = settings(&world.store);
+    settings.host.id = "lost".parse().expect("a name");
+    settings.retries.fleet_slack = SLACK;
+    for start in 0..STARTS {
+        world.store.restore_from(copy.clone());
+        world.gateway = start_gateway_with(settings.clone()).await;
+        world.wait_until_ready().await;
+        let request = world.request(Method::GET, "/safe/x", &format!("id-{start}"));
+        assert_eq!(send(request).await.expect("an answer").status, 500);
+    }
+    let retries = world.runs() - STARTS;
+    let allowed = 0.9 * STARTS as f64 + SLACK;
+    assert!(retries as f64 <= allowed, "{retries} retries, {allowed} allowed");
+});
+
 case!(a_restarted_gateway_repeats_its_first_request, async {
     let mut world = World::start(PLAIN, &[Behaviour::answer("done")]).await;
     world.restart_gateway().await;
