--- a/tests/all/soak/mod.rs
+++ b/tests/all/soak/mod.rs
@@ -94,7 +94,9 @@
     duties::check(&fleet, &violations);
     check_service(&requests, &violations);
     println!("{}", summary(seed, &fleet, &requests, &violations));
-    violations.all()
+    let violations = violations.all();
+    violations.iter().for_each(|violation| println!("seed {seed}: {violation}"));
+    violations
 }
 
 fn start_callers(
