--- a/crates/gateway/src/peers/listing.rs
+++ b/crates/gateway/src/peers/listing.rs
@@ -136,7 +136,7 @@
     let mut interval = INITIAL_CHECK_INTERVAL;
     let mut is_known_listed = false;
     let mut is_requested = false;
-    let mut patient_until = MonoTime::default();
+    let mut listing_deadline = MonoTime::default();
     loop {
         tokio::time::sleep(interval).await;
         if !state.is_synced() || !state.feed_cache.has(Feed::Entries) {
@@ -148,27 +148,28 @@
                 log::info!(peers_addr:% = peers_addr; "listed for other entries");
             }
             is_requested = false;
-            patient_until = MonoTime::default();
+            listing_deadline = MonoTime::default();
             continue;
         }
         let now = state.now();
-        if now < patient_until {
+        if now < listing_deadline {
             continue;
         }
         state.upstreams.announce_self(now);
-        let result = match std::mem::replace(&mut is_requested, true) {
-            false => request_listing(&state, &entry).await,
-            true => ListingRequest::NotTaken,
+        let result = if std::mem::replace(&mut is_requested, true) {
+            ListingRequest::NotTaken
+        } else {
+            request_listing(&state, &entry).await
         };
         if result == ListingRequest::NotTaken {
             state.listings.add([entry.clone()]);
         }
-        patient_until = now.after(patience(result));
+        listing_deadline = now.after(listing_timeout(result));
     }
 }
 
 /// Time for the list to show this gateway, after which it writes its own row.
-fn patience(result: ListingRequest) -> Duration {
+fn listing_timeout(result: ListingRequest) -> Duration {
     match result {
         ListingRequest::Accepted | ListingRequest::NotTaken => LISTING_TIME,
         ListingRequest::Unanswered => UNANSWERED_TIME.mul_f64(rand::rng().random_range(1.0..2.0)),
--- a/crates/gateway/src/upstreams/acquisition.rs
+++ b/crates/gateway/src/upstreams/acquisition.rs
@@ -37,6 +37,9 @@
     /// Selects the upstream of an attempt and counts the attempt as work there until the guard is dropped.
     ///
     /// `running` is called only if there is an upstream, as dropping its result wakes waiting requests.
+    ///
+    /// # Errors
+    /// Fails when no upstream is usable now, or when the requirement is not met any more. Nothing is counted then.
     pub(crate) fn acquire(
         self: &Arc<Self>,
         now: MonoTime,
