Gateways whose turn has come read nothing while they are told that the lease runs

For operators: calls to the store beside a holder that is well, most of them when leases are short.

Cause, from a trace of steps: a gateway whose turn has come reads the record once for each undone window, so it reads again when the report before is sent (three reads in 23 ms), and again whenever it is told of a newer version of the row, since what it knows of the row is then not whole. After each read it waits, as the holder has just renewed the lease. The renewals while a new holder collects made the second kind more frequent.

Change: the order of the two conditions. While the lease runs by what peers tell, a gateway waits; when that has ended it reads the row, once since its turn, and takes over if the row is the same. The write still depends on the version that was read.

Evidence: the new test fails on the code before (reads at 0, 100, 300 and 600 ms; now one, at the end of the lease).

--- a/crates/policy/src/usage/duty/mod.rs
+++ b/crates/policy/src/usage/duty/mod.rs
@@ -62,10 +62,8 @@
     unconfirmed: Option<UnconfirmedWrite>,
     /// Whether the record must be read before anything else.
     needs_read: bool,
-    /// The window for which the record was requested when it was this gateway's turn, and that for which it was
-    /// read.
-    requested_for: Option<UsageWindow>,
-    read_for: Option<UsageWindow>,
+    /// The time of day at which the record was last read.
+    read_at: Option<Duration>,
     /// The window in which this process began to count.
     started: UsageWindow,
     /// Windows before this one may have been reported from a record that the store has lost.
@@ -98,8 +96,7 @@
             summary: None,
             unconfirmed: None,
             needs_read: false,
-            requested_for: None,
-            read_for: None,
+            read_at: None,
             started: UsageWindow::containing(unix, schedule.window_length),
             first_of_era: UsageWindow::default(),
             acquired_at: None,
@@ -224,14 +221,12 @@
         if unix < turn_at {
             return DutyStep::Wait(turn_at.saturating_sub(unix));
         }
-        if self.read_for != Some(undone) || !self.knows_row() {
-            self.requested_for = Some(undone);
-            return DutyStep::Read;
-        }
+        let is_read = self.read_at.is_some_and(|read_at| read_at >= turn_at) && self.knows_row();
+        // While the lease runs by what peers tell, the row itself is not needed.
         match self.lease.takeover(now) {
-            None => DutyStep::Read,
             Some(Takeover::At(at)) => DutyStep::Wait(at.since(now)),
-            Some(Takeover::Now) => DutyStep::Write(self.acquire(unix)),
+            Some(Takeover::Now) if is_read => DutyStep::Write(self.acquire(unix)),
+            Some(Takeover::Now) | None => DutyStep::Read,
         }
     }
 
--- a/crates/policy/src/usage/duty/results.rs
+++ b/crates/policy/src/usage/duty/results.rs
@@ -55,7 +55,7 @@
             self.summarize(version, record);
         }
         self.record = record;
-        self.read_for = self.requested_for.take();
+        self.read_at = Some(unix);
     }
 
     /// Records the result of a write that was sent at `began`.
