A requested back-off holds when a later start of the upstream becomes known

For upstreams: requests that they had asked to be spared, at the moment when they come back.

A rejection of the later start is recorded for the earlier one, as which the upstream was chosen; when the gateway learns of the later start, it knows no back-off of it and sends at once.

Change: back-offs are kept by instance. A response does not say which start it comes from, so nothing that is told only once can be kept by start alone.

Price: an upstream that restarts after it has requested a back-off gets nothing until that has ended (60 s at most).

Evidence: the new test fails on the code before (33 requests in a back-off).

Elsewhere: limits, loads, warm-ups and announced ends are kept by start as well, but are told again with the next response.

--- a/crates/gateway/src/upstreams/mod.rs
+++ b/crates/gateway/src/upstreams/mod.rs
@@ -154,7 +154,7 @@
     /// back-off it requested.
     fn place(&self, now: MonoTime, member: &Member) -> SendQuota {
         let limit = self.limits.place(now, &member.start, &self.fleet);
-        let backoff = self.backoffs.place(now, &member.start);
+        let backoff = self.backoffs.place(now, &member.start.instance);
         self.cold_place(now, member).and(limit).and(backoff)
     }
 
--- a/crates/gateway/src/upstreams/reports.rs
+++ b/crates/gateway/src/upstreams/reports.rs
@@ -33,7 +33,7 @@
             state.directory.record_draining(now, incarnation);
         }
         if let Some(rest) = upstream_report.rest {
-            state.backoffs.record(now, incarnation, rest);
+            state.backoffs.record(now, &incarnation.instance, rest);
         }
         let has_limit_changed =
             state.limits.record_report(now, incarnation, sent, upstream_report.limit);
--- a/tests/all/gateway/requested_backoffs.rs
+++ b/tests/all/gateway/requested_backoffs.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use serde_json::json;
 use stallhoist_standins::users_platform::Arrival;
 use stallhoist_standins::users_platform::Behaviour;
 use stallhoist_standins::users_platform::UpstreamStandin;
@@ -17,6 +18,7 @@
 use super::callers_of_fleet::WORK;
 use super::callers_of_fleet::World;
 use super::callers_of_fleet::entry_of;
+use super::world::PLAIN;
 use super::world::send;
 use crate::case::case;
 use crate::harness::wait_until;
@@ -122,6 +124,28 @@
     assert!(most <= ALLOWED, "{most} in a back-off");
 });
 
+// News of a restart may be late: the process that requested the back-off may be the later one.
+case!(a_backoff_holds_when_a_later_start_of_the_upstream_becomes_known, async {
+    let world = World::start(1, 1).await;
+    list_start(&world, 1_000).await;
+    world.reject_all(0, "3");
+    world.ask_until(0, Instant::now() + Duration::from_millis(1)).await;
+    world.upstreams[0].clear_queued_behaviours();
+    list_start(&world, 2_000).await;
+    world.ask_until(0, Instant::now() + Duration::from_secs(2)).await;
+    let most = most_in_a_backoff(&world.upstreams[0].arrivals(), Duration::from_secs(3));
+    assert!(most <= ALLOWED, "{most} in a back-off");
+});
+
+/// Lists the upstream as started at this time and waits until the gateway knows.
+async fn list_start(world: &World, started_ms: u64) {
+    let mut row = world.upstreams[0].entry(PLAIN, "zone-1", "v1", "ready");
+    row["born"] = json!(started_ms);
+    world.fleet.store.put("servers", "i-0", row);
+    let known = format!("i-0@{started_ms}");
+    wait_until("the start is known", async || world.fleet.knows_upstream(&known).await).await;
+}
+
 // The time to retry is the end of the first back-off, and a request at that time is served.
 case!(with_all_backing_off_rejections_carry_the_time_to_retry, async {
     let world = World::start(1, 2).await;
