--- a/tests/all/decisions/duty_model/rules.rs
+++ b/tests/all/decisions/duty_model/rules.rs
@@ -5,10 +5,10 @@
 use stallhoist_core::FencingToken;
 use stallhoist_core::HostId;
 
-use super::Accepted;
-use super::LEASE;
-use super::TICK;
-use super::World;
+use super::world::Accepted;
+use super::world::LEASE;
+use super::world::TICK;
+use super::world::World;
 
 impl World {
     /// The rules of a single holder, as the platform sees them.
