--- a/tests/all/gateway/mod.rs
+++ b/tests/all/gateway/mod.rs
@@ -25,6 +25,7 @@
 mod peers;
 mod relay_changes;
 mod requested_backoffs;
+mod retry_budgets;
 mod rollout_loads;
 mod rollouts;
 mod slow_links;
