An attempt that begins while the link to its sidecar is lost learns of that

What callers saw: a request that got no response until its deadline, or 30 s, though two sidecars were well.

Cause: an entry looked at the connection of a link, and only then registered the attempt for its events. When the link was lost in between, the attempt was not told, the dispatch failed on the closed queue, which was ignored, as the loss was expected to be reported, and the request waited for events that never came.

Change: `Link::begin_attempt` registers the attempt first and then looks. A connection that is up then reports its loss to the attempt.

No deterministic test: the two steps have no seam in between.

Ruled out: the load alone. With the state printed, both sidecars were connected and idle while the requests hung.

Elsewhere: probes and bill confirmations register first, and handle a failed send.

--- a/crates/entry/src/mesh/link.rs
+++ b/crates/entry/src/mesh/link.rs
@@ -26,6 +26,7 @@
 use stallhoist_wire::request_from_wire;
 use stallhoist_wire::start_writer;
 use tokio::net::TcpStream;
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
@@ -281,6 +282,21 @@
         Ok(())
     }
 
+    /// Registers an attempt. Returns the connection on which to send it, and its events, or `None` while the
+    /// connection is down.
+    pub(crate) fn begin_attempt(
+        &self,
+        id: AttemptId,
+    ) -> Option<(Connected, UnboundedReceiver<AttemptEvent>)> {
+        // Registered before the connection is looked at: the loss of one that is up then is reported to the attempt.
+        let events = self.waiters.lock().add_attempt(id);
+        let connected = self.connected();
+        if connected.is_none() {
+            self.drop_attempt(id);
+        }
+        Some((connected?, events))
+    }
+
     pub(crate) fn drop_attempt(&self, id: AttemptId) {
         self.waiters.lock().drop_attempt(id);
     }
--- a/crates/entry/src/request/execution.rs
+++ b/crates/entry/src/request/execution.rs
@@ -203,13 +203,13 @@
             retry_after: RETRY_AFTER_NO_UPSTREAM,
         };
         let link = self.shared.links.get(&host).ok_or_else(no_upstream)?;
-        let connected = link.connected().ok_or_else(no_upstream)?;
-        self.progress.sent();
         // The second model of a cascade continues the numbering, so that its bill record replaces the
         // first.
-        let number = AttemptNumber(u64::from(self.order.prior.attempts + self.progress.attempts()));
-        let id = AttemptId { request: self.order.request, number };
-        let events = link.waiters.lock().add_attempt(id);
+        let number = self.order.prior.attempts + self.progress.attempts() + 1;
+        let id =
+            AttemptId { request: self.order.request, number: AttemptNumber(u64::from(number)) };
+        let (connected, events) = link.begin_attempt(id).ok_or_else(no_upstream)?;
+        self.progress.sent();
         let revision = self.shared.table.revision();
         let dispatch = self.order.dispatch(id, revision, self.shared.now());
         self.shared.metrics.attempts.inc();
