--- a/crates/entry/src/mesh/link.rs
+++ b/crates/entry/src/mesh/link.rs
@@ -290,11 +290,11 @@
     ) -> Option<(Connected, UnboundedReceiver<AttemptEvent>)> {
         // Registered before the connection is looked at: the loss of one that is up then is reported to the attempt.
         let events = self.waiters.lock().add_attempt(id);
-        let connected = self.connected();
-        if connected.is_none() {
+        let Some(connected) = self.connected() else {
             self.drop_attempt(id);
-        }
-        Some((connected?, events))
+            return None;
+        };
+        Some((connected, events))
     }
 
     pub(crate) fn drop_attempt(&self, id: AttemptId) {
--- a/tests/all/decisions/duty_lease.rs
+++ b/tests/all/decisions/duty_lease.rs
@@ -35,37 +35,68 @@
     Holder { host, incarnation: IncarnationId::generate() }
 }
 
-/// Plays a gateway that hears from others, but lacks their counts, until `end_ms`. Returns when its writes of the
-/// record succeeded.
-fn write_times(end_ms: u64) -> Vec<MonoTime> {
-    let mut duty = UsageDuty::new(holder("entry-0"), SCHEDULE, LEASE, START);
-    let mut counts = UsageCounts::new(UsageSource(1), MonoTime::default(), START);
-    let mut writes = Vec::new();
-    let mut row = None;
-    for ms in (0..end_ms).step_by(10) {
-        let (now, unix) = (at_ms(ms), START + Duration::from_millis(ms));
-        counts.record_contact(now);
-        let context =
-            DutyContext { now, unix, rank: 0, is_alone: false, is_leaving: false, counts: &counts };
-        match duty.step(context) {
-            DutyStep::Read => {
-                duty.on_read(now, unix, Some((StoreVersion::of(writes.len() as u64), row.clone())));
-            }
-            DutyStep::Write(write) => {
-                writes.push(now);
-                row = Some(write.record.clone());
-                duty.on_written(now, now, write, Ok(StoreVersion::of(writes.len() as u64)));
+/// A gateway that hears from others and is the first in turn.
+struct Gateway {
+    duty: UsageDuty,
+    counts: UsageCounts,
+}
+
+impl Gateway {
+    fn start() -> Self {
+        Self {
+            duty: UsageDuty::new(holder("entry-0"), SCHEDULE, LEASE, START),
+            counts: UsageCounts::new(UsageSource(1), MonoTime::default(), START),
+        }
+    }
+
+    fn step(&mut self, now: MonoTime, unix: Duration) -> DutyStep {
+        self.counts.record_contact(now);
+        let counts = &self.counts;
+        self.duty.step(DutyContext {
+            now,
+            unix,
+            rank: 0,
+            is_alone: false,
+            is_leaving: false,
+            counts,
+        })
+    }
+}
+
+/// The record in the store, which only one gateway writes.
+struct Store {
+    version: StoreVersion,
+    row: Option<DutyRecord>,
+}
+
+impl Store {
+    /// Plays a gateway from `from` on, all of whose calls succeed at once. Returns when it wrote the record.
+    fn play(&mut self, gateway: &mut Gateway, from: Duration, length_ms: u64) -> Vec<MonoTime> {
+        let mut writes = Vec::new();
+        for ms in (0..length_ms).step_by(10) {
+            let (now, unix) = (at_ms(ms), from + Duration::from_millis(ms));
+            match gateway.step(now, unix) {
+                DutyStep::Read => {
+                    gateway.duty.on_read(now, unix, Some((self.version, self.row.clone())));
+                }
+                DutyStep::Write(write) => {
+                    writes.push(now);
+                    self.version.number += 1;
+                    self.row = Some(write.record.clone());
+                    gateway.duty.on_written(now, now, write, Ok(self.version));
+                }
+                DutyStep::Wait(_) | DutyStep::Send { .. } => {}
             }
-            DutyStep::Wait(_) | DutyStep::Send { .. } => {}
         }
+        writes
     }
-    writes
 }
 
 // Guards against other gateways that take the duty over from one that is well, as their turns have come meanwhile.
 #[test]
 fn a_holder_keeps_its_lease_while_it_collects_counts() {
-    let writes = write_times(7_000);
+    let mut store = Store { version: StoreVersion::of(0), row: None };
+    let writes = store.play(&mut Gateway::start(), START, 7_000);
     let apart = writes.windows(2).map(|pair| pair[1].since(pair[0]));
     let collecting: Vec<_> =
         apart.take_while(|apart| *apart < SCHEDULE.window_length * 2).collect();
@@ -76,8 +107,7 @@
 /// Plays a gateway whose turn has come for two windows while another one collects counts: until 900 ms, it tells that it
 /// renews its lease each 300 ms, and that it has sent the first report. Returns when the gateway read the record.
 fn reads_beside_a_holder(end_ms: u64) -> Vec<MonoTime> {
-    let mut duty = UsageDuty::new(holder("entry-0"), SCHEDULE, LEASE, START);
-    let mut counts = UsageCounts::new(UsageSource(1), MonoTime::default(), START);
+    let mut gateway = Gateway::start();
     let lease = LeaseRecord::next(None, holder("entry-1"), StoreEra::default());
     let first = UsageWindow::containing(START, SCHEDULE.window_length);
     let pending = vec![UsageReport { window: first, counts: BTreeMap::new() }];
@@ -86,17 +116,14 @@
     let mut reads = Vec::new();
     for ms in (0..end_ms).step_by(10) {
         let (now, unix) = (at_ms(ms), turn + Duration::from_millis(ms));
-        counts.record_contact(now);
         let version = StoreVersion::of(1 + ms.min(899) / 300);
         let sent_through = if ms < 100 { first.previous() } else { first };
         let summary =
             DutySummary { version, lease: lease.clone(), fixed_through: first, sent_through };
-        duty.on_summary(now, unix, &summary);
-        let context =
-            DutyContext { now, unix, rank: 0, is_alone: false, is_leaving: false, counts: &counts };
-        if duty.step(context) == DutyStep::Read {
+        gateway.duty.on_summary(now, unix, &summary);
+        if gateway.step(now, unix) == DutyStep::Read {
             reads.push(now);
-            duty.on_read(now, unix, Some((version, Some(record.clone()))));
+            gateway.duty.on_read(now, unix, Some((version, Some(record.clone()))));
         }
     }
     reads
@@ -111,31 +138,14 @@
 /// Plays a gateway that reads the record in a later era of the store, in which nothing is fixed yet, while its turn has
 /// come for windows of which it has all counts. Returns the windows that it fixes.
 fn windows_fixed_in_a_later_era(read_at: Duration) -> Vec<UsageWindow> {
-    let mut duty = UsageDuty::new(holder("entry-0"), SCHEDULE, LEASE, START);
-    let mut counts = UsageCounts::new(UsageSource(1), MonoTime::default(), START);
-    let era = StoreEra(1);
     let first = UsageWindow::containing(START, SCHEDULE.window_length);
     let lease = LeaseRecord::next(None, holder("entry-1"), StoreEra::default());
-    let mut row = DutyRecord { lease, fixed_through: first.previous(), pending: Vec::new() };
-    let mut number = 1;
-    for ms in (0..6_000).step_by(10) {
-        let (now, unix) = (at_ms(ms), read_at + Duration::from_millis(ms));
-        counts.record_contact(now);
-        let context =
-            DutyContext { now, unix, rank: 0, is_alone: false, is_leaving: false, counts: &counts };
-        match duty.step(context) {
-            DutyStep::Read => {
-                duty.on_read(now, unix, Some((StoreVersion { era, number }, Some(row.clone()))));
-            }
-            DutyStep::Write(write) => {
-                number += 1;
-                row = write.record.clone();
-                duty.on_written(now, now, write, Ok(StoreVersion { era, number }));
-            }
-            DutyStep::Wait(_) | DutyStep::Send { .. } => {}
-        }
-    }
-    row.pending.iter().map(|report| report.window).collect()
+    let copy = DutyRecord { lease, fixed_through: first.previous(), pending: Vec::new() };
+    let version = StoreVersion { era: StoreEra(1), number: 1 };
+    let mut store = Store { version, row: Some(copy) };
+    store.play(&mut Gateway::start(), read_at, 6_000);
+    let pending = store.row.expect("a record").pending;
+    pending.iter().map(|report| report.window).collect()
 }
 
 // Guards against two different reports of a window that was fixed and sent right before the store was restored.
