Logs of a roll-out: failures by route, and what each step rests on

Whether a version is completed for want of answers, or against a rate of the old version that is too high, could not be told from the logs: they named no route, and what was known at a step only within 2 s.

--- a/crates/gateway/src/rollouts/step_writer.rs
+++ b/crates/gateway/src/rollouts/step_writer.rs
@@ -11,6 +11,7 @@
 use stallhoist_core::MonoTime;
 use stallhoist_core::ServiceName;
 
+use super::watch::log_evidence_of;
 use crate::control_store::ControlStore;
 use crate::control_store::ControlStoreError;
 use crate::control_store::RolloutChange;
@@ -53,6 +54,7 @@
             }
             let pause = RETRY_DELAY.mul_f64(rand::rng().random_range(1.0..2.0));
             not_before.insert(change.service.clone(), now.after(pause));
+            log_evidence_of(&state, &change.service);
             commit(store.as_ref(), &change).await;
         }
     }
--- a/crates/gateway/src/rollouts/watch.rs
+++ b/crates/gateway/src/rollouts/watch.rs
@@ -1,10 +1,13 @@
 //! The task that reports how close the evidence of each rollout is to a decision.
 
+use std::cmp::Reverse;
 use std::sync::Arc;
 use std::time::Duration;
 
+use stallhoist_core::RouteName;
 use stallhoist_core::ServiceName;
 use stallhoist_policy::rollout::EvidenceStatus;
+use stallhoist_policy::rollout::RouteCounts;
 use stallhoist_policy::rollout::VersionCounts;
 
 use crate::metrics::EvidenceLabels;
@@ -16,6 +19,9 @@
 /// How often the evidence is reported: a rollout of 16 s, the shortest in use, gets eight lines.
 const REPORT_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Number of routes in a line of the log.
+const MAX_LOGGED_ROUTES: usize = 4;
+
 /// Reports the evidence of each rollout in progress. Never returns.
 pub(crate) async fn watch(state: Arc<GatewayState>) {
     loop {
@@ -28,6 +34,14 @@
     }
 }
 
+/// Reports the evidence that a step of a service's rollout rests on.
+pub(super) fn log_evidence_of(state: &GatewayState, service: &ServiceName) {
+    let statuses = state.rollouts.lock().statuses();
+    for (_, status, entries_told) in statuses.iter().filter(|(of, ..)| of == service) {
+        log_status(service, status, *entries_told);
+    }
+}
+
 fn update_metrics(metrics: &Metrics, service: &ServiceName, status: &EvidenceStatus) {
     for (test, strength) in &status.strengths {
         let labels = EvidenceLabels { service: service.to_string(), test: format!("{test:?}") };
@@ -52,11 +66,26 @@
         own_new = counts(status.own.new),
         old_load = format!("{:.1}", status.old_load.requests()),
         new_load = format!("{:.1}", status.new_load.requests()),
+        routes = routes(status),
         entries_told;
         "evidence of the roll-out"
     );
 }
 
+/// The responses on the routes with the most requests.
+fn routes(status: &EvidenceStatus) -> String {
+    let mut routes: Vec<_> = status.all.routes.iter().collect();
+    routes.sort_by_key(|(_, counts)| Reverse(counts.old.answers + counts.new.answers));
+    let text = |(route, RouteCounts { old, new }): (&RouteName, &RouteCounts)| {
+        let (old_failures, new_failures) = (old.failures, new.failures);
+        format!(
+            "{route}: new {new_failures} failed of {}, old {old_failures} of {}",
+            new.answers, old.answers
+        )
+    };
+    routes.into_iter().take(MAX_LOGGED_ROUTES).map(text).collect::<Vec<_>>().join("; ")
+}
+
 fn counts(counts: VersionCounts) -> String {
     let VersionCounts { answers, failures, first_parts, paces } = counts;
     format!(
