--- a/tests/all/decisions/mod.rs
+++ b/tests/all/decisions/mod.rs
@@ -34,6 +34,7 @@
 mod rollout_evidence;
 mod rollout_plan;
 mod rollout_rules;
+mod rollout_small_services;
 mod rollout_times;
 mod routing;
 mod sessions;
