A gateway's own answers, returned by a relay, are not counted twice

What callers saw: nothing by itself; verdicts on a new version rested on fewer answers than they claimed, so that a good one could be called worse, and a bad one judged, on half of the evidence. Cause: each relay passes on what it was told directly, to every other relay, also to the one that counted. There the report is merged as a peer's. In a fleet of three all are relays. Why this works: a report of this process's run is ignored wherever it comes from; those of its earlier runs still count. The test fails without the check (2 answers in place of 1).

--- a/crates/gateway/src/rollouts/state.rs
+++ b/crates/gateway/src/rollouts/state.rs
@@ -19,6 +19,7 @@
 
 use super::BaselineUpdate;
 use super::EvidenceReport;
+use super::ProcessRun;
 use super::ReportPath;
 use super::ReportPosition;
 use super::RolloutDecision;
@@ -32,6 +33,8 @@
 #[derive(Debug, Default)]
 pub struct Rollouts {
     config: RolloutConfig,
+    /// The run of this process; none in a model without one.
+    local_run: Option<ProcessRun>,
     services: BTreeMap<ServiceName, ServiceRollout>,
     /// The position of the last report of a peer.
     last_report: ReportPosition,
@@ -47,6 +50,12 @@
         Self { config, ..Self::default() }
     }
 
+    /// Sets the run of this process, whose own counts may be returned by peers.
+    #[must_use]
+    pub fn of_run(self, run: ProcessRun) -> Self {
+        Self { local_run: Some(run), ..self }
+    }
+
     /// Sets the store's clock.
     pub fn set_store_clock(&mut self, now: MonoTime, store_now_ms: u64) {
         self.clock_offset_ms = Some(store_now_ms.cast_signed() - local_ms(now));
@@ -153,8 +162,12 @@
         canaries.map(canary).collect()
     }
 
-    /// Merges the total counts of a peer since an order.
+    /// Merges the total counts of a peer since an order. Relays pass on what they were told, also to the
+    /// gateway that counted: its own counts are ignored.
     pub fn apply_peer_evidence(&mut self, report: &EvidenceReport, path: ReportPath) {
+        if self.local_run == Some(report.run) {
+            return;
+        }
         if let Some(rollout) = self.services.get_mut(&report.service) {
             self.last_report = self.last_report.next();
             rollout.apply_peer_evidence(report, path, self.last_report);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -117,12 +117,12 @@
             duties.map(|duties| Duties::new(duties, settings.host.id.clone(), clock.now()));
         let metrics = Metrics::default();
         let below_confidence = settings.step_up.below_confidence_percent.clone();
+        let run = ProcessRun::random();
+        let rollout_config = RolloutConfig::within(settings.rollouts.max_exposure);
         Self {
             upstreams: Arc::new(Upstreams::new(&settings)),
-            run: ProcessRun::random(),
-            rollouts: Mutex::new(Rollouts::new(RolloutConfig::within(
-                settings.rollouts.max_exposure,
-            ))),
+            run,
+            rollouts: Mutex::new(Rollouts::new(rollout_config).of_run(run)),
             sessions: Mutex::new(Sessions::new(session_lifetime)),
             retries: Mutex::new(RetryBudgets::new(budget, metrics.retries.clone())),
             attempt_times: AttemptTimes::new(retries.budget_percent()),
--- a/tests/all/decisions/rollout_rules.rs
+++ b/tests/all/decisions/rollout_rules.rs
@@ -265,6 +265,19 @@
     assert_eq!(rollouts.statuses()[0].1.all.new, totals_of(3, 1).new);
 }
 
+#[test]
+fn own_counts_that_a_relay_returns_are_not_counted_twice() {
+    let mut rollouts = rollouts(RolloutPhase::Canary).of_run(ProcessRun(7));
+    let answer = Observation::Answered(Duration::from_millis(20));
+    let kind = RequestKind { route: None, model: None, part: LatencyKind::First };
+    rollouts.observe(&service(), &version("v2"), &kind, 1, answer);
+    let own = rollouts.local_evidence()[0].2.clone();
+    rollouts.apply_peer_evidence(&report("entry-1", 7, 10, own), ReportPath::PassedOn);
+    assert_eq!(rollouts.statuses()[0].1.all.new.answers, 1);
+    rollouts.apply_peer_evidence(&report("entry-1", 6, 10, totals_of(3, 1)), ReportPath::PassedOn);
+    assert_eq!(rollouts.statuses()[0].1.all.new.answers, 4, "those before a restart count");
+}
+
 /// The hosts whose counts are passed on after a position, and the position up to which they go.
 fn passed_on(
     rollouts: &Rollouts,
