A request whose attempts all fail is one failure in the evidence of a roll-out

What callers saw: nothing by itself; a bad version of the small service stayed unjudged, as the old one seemed to fail nearly as often, and a good version seemed bad when a few requests that fail on any version came its way. Cause: every attempt counted as a response of its own. A request that fails by itself fails again when it is repeated, so that its failures come in groups, while the tests take responses to be independent. Why this works: a repeat is not observed, neither its result nor its time. Added: metric rollout_responses, by version and result.

--- a/crates/gateway/src/metrics/labels.rs
+++ b/crates/gateway/src/metrics/labels.rs
@@ -133,6 +133,21 @@
     pub(crate) side: RolloutSide,
 }
 
+/// What became of a response of a rollout.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub(crate) enum RolloutResult {
+    Answered,
+    Failed,
+}
+
+/// Labels of the responses that a rollout is judged by.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct RolloutResponseLabels {
+    pub(crate) service: String,
+    pub(crate) side: RolloutSide,
+    pub(crate) result: RolloutResult,
+}
+
 /// Labels of the bytes received of feeds.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct FeedLabels {
--- a/crates/gateway/src/metrics/mod.rs
+++ b/crates/gateway/src/metrics/mod.rs
@@ -29,6 +29,8 @@
 pub(crate) use labels::RequestLabels;
 pub(crate) use labels::RequestOutcome;
 pub(crate) use labels::RetryLabels;
+pub(crate) use labels::RolloutResponseLabels;
+pub(crate) use labels::RolloutResult;
 pub(crate) use labels::RolloutSide;
 pub(crate) use labels::SlowdownLabels;
 pub(crate) use labels::SlowdownRank;
@@ -72,6 +74,7 @@
     pub(crate) first_part_s: Histogram,
     pub(crate) rollout_evidence: Family<EvidenceLabels, FractionGauge>,
     pub(crate) rollout_load: Family<LoadLabels, FractionGauge>,
+    pub(crate) rollout_responses: Family<RolloutResponseLabels, Gauge>,
     pub(crate) upstream_slowdown: Family<SlowdownLabels, FractionGauge>,
     pub(crate) load_figures_rejected: Counter,
     pub(crate) usage_reports: Family<UsageLabels, Counter>,
@@ -115,6 +118,7 @@
             first_part_s: Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS)),
             rollout_evidence: Family::default(),
             rollout_load: Family::default(),
+            rollout_responses: Family::default(),
             upstream_slowdown: Family::default(),
             load_figures_rejected: Counter::default(),
             usage_reports: Family::default(),
@@ -180,6 +184,9 @@
         r.register("rollout_evidence", help, self.rollout_evidence.clone());
         let help = "Mean of the requests in progress at the upstreams whose times were compared";
         r.register("rollout_load", help, self.rollout_load.clone());
+        let help =
+            "Responses of all entries that a roll-out is judged by, as far as they are known";
+        r.register("rollout_responses", help, self.rollout_responses.clone());
         let help =
             "Duration of work at an upstream relative to its service's usual one, as learned";
         r.register("upstream_slowdown", help, self.upstream_slowdown.clone());
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -83,6 +83,8 @@
     pub(crate) last_event: Option<u64>,
     /// What its engine time is used for if its response is forwarded.
     pub(crate) purpose: EngineTimeUse,
+    /// Whether an earlier attempt of the request failed.
+    pub(crate) is_repeat: bool,
 }
 
 impl Attempt<'_> {
@@ -184,7 +186,12 @@
         }
     }
 
+    /// Records an observation for the rollout of the upstream's version. Repeats don't count: a request that
+    /// fails by itself fails again, on any version, and the tests take responses to be independent.
     pub(super) fn observe(&self, observation: Observation) {
+        if self.is_repeat {
+            return;
+        }
         let version = &self.chosen.version;
         let kind = self.kind();
         let service = &self.call.service_name;
--- a/crates/gateway/src/request/execution/mod.rs
+++ b/crates/gateway/src/request/execution/mod.rs
@@ -333,6 +333,7 @@
             model: self.models.chosen(),
             last_event: self.last_event,
             purpose: self.purpose(),
+            is_repeat: self.second == Some(SecondAttempt::Repeat),
         };
         attempt.run(work, self.until_given_up(chosen)).await
     }
--- a/crates/gateway/src/rollouts/watch.rs
+++ b/crates/gateway/src/rollouts/watch.rs
@@ -13,6 +13,8 @@
 use crate::metrics::EvidenceLabels;
 use crate::metrics::LoadLabels;
 use crate::metrics::Metrics;
+use crate::metrics::RolloutResponseLabels;
+use crate::metrics::RolloutResult;
 use crate::metrics::RolloutSide;
 use crate::state::GatewayState;
 
@@ -47,6 +49,16 @@
         let labels = EvidenceLabels { service: service.to_string(), test: format!("{test:?}") };
         metrics.rollout_evidence.get_or_create(&labels).set(*strength);
     }
+    for (side, counts) in [(RolloutSide::Old, status.all.old), (RolloutSide::New, status.all.new)] {
+        let answered = counts.answers - counts.failures;
+        let results =
+            [(RolloutResult::Answered, answered), (RolloutResult::Failed, counts.failures)];
+        for (result, responses) in results {
+            let labels = RolloutResponseLabels { service: service.to_string(), side, result };
+            let responses = i64::try_from(responses).unwrap_or(i64::MAX);
+            metrics.rollout_responses.get_or_create(&labels).set(responses);
+        }
+    }
     let loads = [(RolloutSide::Old, status.old_load), (RolloutSide::New, status.new_load)];
     for (side, load) in loads {
         let labels = LoadLabels { service: service.to_string(), side };
--- a/tests/all/gateway/rollouts.rs
+++ b/tests/all/gateway/rollouts.rs
@@ -75,6 +75,32 @@
     assert_eq!(world.upstreams[0].runs() + world.upstreams[1].runs(), before);
 });
 
+/// The failures of the old version that a rollout is judged by; none before they are reported.
+async fn old_failures(world: &World) -> Option<usize> {
+    let name = format!(r#"stallhoist_rollout_responses{{service="{ENGINE}",side="Old",result="Failed"}} "#);
+    let metrics = world.metrics().await;
+    let line = metrics.lines().find_map(|line| line.strip_prefix(&name))?;
+    Some(line.parse().expect("a number"))
+}
+
+case!(a_request_whose_attempts_all_fail_is_one_failure_of_its_version, async {
+    const REQUESTS: usize = 12;
+    let world = World::start(ENGINE, &[Behaviour::Fail, Behaviour::Fail]).await;
+    order(&world, 600.0);
+    wait_for_status(&world, "running").await;
+    wait_for_rollout_record(&world).await;
+    for n in 0..REQUESTS {
+        let answer = send(world.stream(&format!("id-{n}"))).await.expect("an answer");
+        assert_eq!(answer.status, 500);
+    }
+    assert!(world.runs() > REQUESTS, "{} attempts: they are repeated", world.runs());
+    wait_until("the failures are reported", async || {
+        old_failures(&world).await.is_some_and(|failures| failures >= REQUESTS)
+    })
+    .await;
+    assert_eq!(old_failures(&world).await, Some(REQUESTS));
+});
+
 // Requests that fail on the bad version succeed on the old one, and the rollout is rolled back long
 // before it was to be completed.
 case!(a_bad_version_is_rolled_back, async {
