A new version is completed only if it is known to be good, and gets more requests where they are few

Cause: the clock completed what nothing had found bad. At 12 to 15 requests a second and 16 s, 3 in 100 are 5 to 11 answers, and the test that finds a version bad needs tens. No evidence was read as good evidence. Change: next_step asks for a judgement (worse, unproven, probable, proven) in place of 'is bad'. It rests on the harm to be expected: how much likelier the answers are of a version that is bad by a quarter, half or all, everywhere or on one route, times what that would do to as many requests as were ordered for; the answers are compared within the same time. What is not proven by 0.98 of the time goes back.

--- a/crates/gateway/src/rollouts/peer_counts.rs
+++ b/crates/gateway/src/rollouts/peer_counts.rs
@@ -1,6 +1,7 @@
 //! The counts that peers have reported on one rollout.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 
 use stallhoist_core::HostId;
 use stallhoist_policy::rollout::EvidenceTotals;
@@ -40,6 +41,11 @@
         self.records.len()
     }
 
+    /// Number of hosts that have reported.
+    pub(super) fn hosts(&self) -> usize {
+        self.records.keys().map(|(host, _)| host).collect::<HashSet<_>>().len()
+    }
+
     pub(super) fn clear(&mut self) {
         self.records.clear();
     }
--- a/crates/gateway/src/rollouts/service_rollout.rs
+++ b/crates/gateway/src/rollouts/service_rollout.rs
@@ -5,7 +5,9 @@
 use stallhoist_core::StoreVersion;
 use stallhoist_core::VersionName;
 use stallhoist_policy::rollout::BaselineLatency;
+use stallhoist_policy::rollout::EvidenceStatus;
 use stallhoist_policy::rollout::EvidenceTotals;
+use stallhoist_policy::rollout::Judgement;
 use stallhoist_policy::rollout::Observation;
 use stallhoist_policy::rollout::RateTrend;
 use stallhoist_policy::rollout::RequestKind;
@@ -14,6 +16,7 @@
 use stallhoist_policy::rollout::RolloutPhase;
 use stallhoist_policy::rollout::RolloutRecord;
 use stallhoist_policy::rollout::RolloutStep;
+use stallhoist_policy::rollout::canary_share;
 use stallhoist_policy::rollout::new_version_share;
 use stallhoist_policy::rollout::next_step;
 
@@ -180,7 +183,7 @@
         if self.is_found_bad {
             return VersionRule::except(&record.target);
         }
-        let share = new_version_share(config, record, now_ms);
+        let share = self.share(config, record, now_ms);
         let is_new = match session_version {
             Some(version) if *version == record.target => true,
             // Until everything moves, a session stays on the old version.
@@ -195,6 +198,18 @@
         }
     }
 
+    /// The new version's share of the requests. While it is observed, it gets no more than its allowance,
+    /// also if requests become more frequent after the share was chosen.
+    fn share(&self, config: &RolloutConfig, record: &RolloutRecord, now_ms: u64) -> f64 {
+        let EvidenceTotals { old, new, .. } = self.evidence.all();
+        let allowance = config.allowance((old.answers + new.answers) as f64);
+        let share = new_version_share(config, record, now_ms);
+        if record.phase == RolloutPhase::Canary && new.answers as f64 >= allowance {
+            return share.min(config.canary_share);
+        }
+        share
+    }
+
     /// The control rule, if there is no baseline that the new version's token intervals could be
     /// compared with.
     fn control(&self, record: &RolloutRecord, share: f64, unit: f64) -> Option<ControlRule> {
@@ -301,14 +316,33 @@
         }
     }
 
+    /// The requests to be expected in the ordered time, if known. If some of the gateways have not reported
+    /// theirs, they are assumed to have as many as the others.
+    fn requests(&self, duration_ms: u64, gateways: usize) -> Option<f64> {
+        let known = self.peers.hosts() + 1;
+        let unknown_factor = gateways.max(known) as f64 / known as f64;
+        Some(self.trend.expected(duration_ms)? * unknown_factor)
+    }
+
+    /// How close the evidence is to a decision.
+    pub(super) fn status(&self, gateways: usize) -> EvidenceStatus {
+        let duration_ms = self.known.order().map(RolloutOrder::duration_ms);
+        self.evidence.status(duration_ms.and_then(|duration| self.requests(duration, gateways)))
+    }
+
+    fn judgement(&self, requests: Option<f64>) -> Judgement {
+        if self.is_found_bad { Judgement::Worse } else { self.evidence.judgement(requests) }
+    }
+
     /// The write that is due, if any. `now_ms` is the store's clock; `records_era` is the era in which
-    /// the records were read last. If the order was read in a later era, the store's record is not
-    /// known.
+    /// the records were read last: if the order was read in a later era, the store's record is not known.
+    /// `gateways` is the number of gateways in the fleet.
     pub(super) fn due(
         &self,
         config: &RolloutConfig,
         now_ms: u64,
         records_era: StoreEra,
+        gateways: usize,
     ) -> Option<RolloutChange> {
         let order = self.known.order()?;
         let service = order.service.clone();
@@ -322,6 +356,7 @@
                 started_ms: now_ms,
                 duration_ms: order.duration_ms(),
                 phase: RolloutPhase::Canary,
+                canary_share: None,
             };
             return Some(RolloutChange { service, expected, record });
         };
@@ -331,9 +366,16 @@
         if self.is_completed() {
             return None;
         }
+        let requests = self.requests(stored.record.duration_ms, gateways);
+        let received = self.evidence.all().new.answers;
+        let share = requests
+            .and_then(|requests| canary_share(config, &stored.record, now_ms, requests, received));
         let config = config.at_rate(self.trend.relative_rate());
-        match next_step(&config, &stored.record, now_ms, self.is_found_bad) {
-            RolloutStep::Wait => None,
+        match next_step(&config, &stored.record, now_ms, self.judgement(requests)) {
+            RolloutStep::Wait => share.map(|share| {
+                let record = RolloutRecord { canary_share: Some(share), ..stored.record.clone() };
+                RolloutChange { service, expected, record }
+            }),
             RolloutStep::Enter(phase) => {
                 let record = RolloutRecord { phase, ..stored.record.clone() };
                 Some(RolloutChange { service, expected, record })
--- a/crates/gateway/src/rollouts/state.rs
+++ b/crates/gateway/src/rollouts/state.rs
@@ -16,6 +16,7 @@
 use stallhoist_policy::rollout::RolloutConfig;
 use stallhoist_policy::rollout::RolloutPhase;
 use stallhoist_policy::rollout::RolloutRecord;
+use stallhoist_policy::rollout::observed_share;
 
 use super::BaselineUpdate;
 use super::EvidenceReport;
@@ -33,6 +34,8 @@
 #[derive(Debug, Default)]
 pub struct Rollouts {
     config: RolloutConfig,
+    /// Number of gateways in the fleet.
+    gateways: usize,
     /// The run of this process; none in a model without one.
     local_run: Option<ProcessRun>,
     services: BTreeMap<ServiceName, ServiceRollout>,
@@ -56,6 +59,11 @@
         Self { local_run: Some(run), ..self }
     }
 
+    /// Sets the number of gateways in the fleet.
+    pub fn set_gateways(&mut self, gateways: usize) {
+        self.gateways = gateways;
+    }
+
     /// Sets the store's clock.
     pub fn set_store_clock(&mut self, now: MonoTime, store_now_ms: u64) {
         self.clock_offset_ms = Some(store_now_ms.cast_signed() - local_ms(now));
@@ -147,7 +155,7 @@
     pub fn statuses(&self) -> Vec<(ServiceName, EvidenceStatus, usize)> {
         let running = self.services.iter().filter(|(_, rollout)| rollout.is_running());
         let status = |(service, rollout): (&ServiceName, &ServiceRollout)| {
-            (service.clone(), rollout.evidence.status(), rollout.peers.len())
+            (service.clone(), rollout.status(self.gateways), rollout.peers.len())
         };
         running.map(status).collect()
     }
@@ -157,7 +165,8 @@
         let current = self.services.values().filter_map(ServiceRollout::current);
         let canaries = current.filter(|stored| stored.record.phase == RolloutPhase::Canary);
         let canary = |stored: &StoredRollout| {
-            (stored.service.clone(), stored.record.target.clone(), self.config.canary_share)
+            let share = observed_share(&self.config, &stored.record);
+            (stored.service.clone(), stored.record.target.clone(), share)
         };
         canaries.map(canary).collect()
     }
@@ -230,7 +239,9 @@
         }
         let now_ms = self.store_now_ms(now);
         self.services.values_mut().for_each(|rollout| rollout.record_rate(now_ms));
-        let due = |rollout: &ServiceRollout| rollout.due(&self.config, now_ms, self.records_era);
+        let due = |rollout: &ServiceRollout| {
+            rollout.due(&self.config, now_ms, self.records_era, self.gateways)
+        };
         self.services.values().filter_map(due).collect()
     }
 
--- a/crates/gateway/src/rollouts/step_writer.rs
+++ b/crates/gateway/src/rollouts/step_writer.rs
@@ -40,7 +40,12 @@
             continue;
         }
         let now = state.now();
-        let due = state.rollouts.lock().due(now);
+        let gateways = state.peers.lock().count();
+        let due = {
+            let mut rollouts = state.rollouts.lock();
+            rollouts.set_gateways(gateways);
+            rollouts.due(now)
+        };
         due_since.retain(|service, _| due.iter().any(|change| change.service == *service));
         if due.is_empty() {
             continue;
--- a/crates/gateway/src/rollouts/watch.rs
+++ b/crates/gateway/src/rollouts/watch.rs
@@ -69,10 +69,14 @@
 fn log_status(service: &ServiceName, status: &EvidenceStatus, entries_told: usize) {
     let strengths: Vec<_> =
         status.strengths.iter().map(|(test, value)| format!("{test:?} {value:.1}")).collect();
+    let harms: Vec<_> =
+        status.harms.iter().map(|(test, harm)| format!("{test:?} {harm:.2}")).collect();
     log::info!(
         service:% = service,
         strengths = strengths.join(", "),
         needed = format!("{:.1}", status.needed_strength),
+        harms = harms.join(", "),
+        judgement:? = status.judgement,
         old = counts(status.all.old),
         new = counts(status.all.new),
         own_new = counts(status.own.new),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -23,6 +23,7 @@
 use stallhoist_policy::retry::RetryBudget;
 use stallhoist_policy::rollout::RolloutConfig;
 use stallhoist_settings::GatewaySettings;
+use stallhoist_settings::RolloutSettings;
 use tokio::sync::Notify;
 
 use crate::admission::Admission;
@@ -118,7 +119,8 @@
         let metrics = Metrics::default();
         let below_confidence = settings.step_up.below_confidence_percent.clone();
         let run = ProcessRun::random();
-        let rollout_config = RolloutConfig::within(settings.rollouts.max_exposure);
+        let RolloutSettings { max_exposure, exposure_slack } = settings.rollouts;
+        let rollout_config = RolloutConfig::within(max_exposure).with_slack(exposure_slack);
         Self {
             upstreams: Arc::new(Upstreams::new(&settings)),
             run,
--- a/crates/policy/src/rollout/counts.rs
+++ b/crates/policy/src/rollout/counts.rs
@@ -18,6 +18,11 @@
         Self { timed: 1, slow: u64::from(is_slow) }
     }
 
+    /// The same as responses, of which the slow ones are bad.
+    pub(super) fn as_answers(self) -> AnswerCounts {
+        AnswerCounts { answers: self.timed, failures: self.slow }
+    }
+
     fn add(&mut self, more: Self) {
         self.timed += more.timed;
         self.slow += more.slow;
@@ -64,12 +69,12 @@
 }
 
 impl RouteCounts {
-    fn add(&mut self, more: Self) {
+    pub(super) fn add(&mut self, more: Self) {
         self.old.add(more.old);
         self.new.add(more.new);
     }
 
-    fn since(self, earlier: Self) -> Self {
+    pub(super) fn since(self, earlier: Self) -> Self {
         Self { old: self.old.since(earlier.old), new: self.new.since(earlier.new) }
     }
 }
--- a/crates/policy/src/rollout/evidence.rs
+++ b/crates/policy/src/rollout/evidence.rs
@@ -10,6 +10,7 @@
 use super::EvidenceStatus;
 use super::EvidenceTest;
 use super::EvidenceTotals;
+use super::Judgement;
 use super::LatencyBaseline;
 use super::LatencyKind;
 use super::MeanLoad;
@@ -19,6 +20,7 @@
 use super::TimedCounts;
 use super::VersionCounts;
 use super::comparison::Comparison;
+use super::harm::HarmEvidence;
 use super::route_failures::RouteFailures;
 
 /// A response that takes this many times the old version's baseline latency at the same load counts as
@@ -45,6 +47,7 @@
     route_failures: RouteFailures,
     first_parts: Comparison,
     paces: Comparison,
+    harm: HarmEvidence,
     own: EvidenceTotals,
     all: EvidenceTotals,
     old_load: MeanLoad,
@@ -124,6 +127,7 @@
     /// Adds counts of a peer, which were not included before.
     pub fn add_peer_counts(&mut self, counts: &EvidenceTotals) {
         self.all.add(counts);
+        self.harm.add(counts);
         let EvidenceTotals { old, new, routes } = counts;
         self.failures.old_version(old.answers, old.failures);
         self.first_parts.old_version(old.first_parts.timed, old.first_parts.slow);
@@ -141,13 +145,26 @@
         self.strengths().iter().any(|(_, strength)| *strength >= Comparison::needed_strength())
     }
 
-    /// How close the tests are to a decision.
-    pub fn status(&self) -> EvidenceStatus {
+    /// What is to be thought of the new version if the service gets this many requests in the ordered time;
+    /// none if that is not known.
+    pub fn judgement(&self, requests: Option<f64>) -> Judgement {
+        if self.is_bad() {
+            return Judgement::Worse;
+        }
+        let harms = self.harm.expected(requests).map(|(_, harm)| harm);
+        Judgement::of_harm(harms.into_iter().fold(0.0, f64::max))
+    }
+
+    /// How close the tests are to a decision if the service gets this many requests in the ordered time;
+    /// none if that is not known.
+    pub fn status(&self, requests: Option<f64>) -> EvidenceStatus {
         EvidenceStatus {
             own: self.own.clone(),
             all: self.all.clone(),
             strengths: self.strengths().to_vec(),
             needed_strength: Comparison::needed_strength(),
+            harms: self.harm.expected(requests).to_vec(),
+            judgement: self.judgement(requests),
             old_load: self.old_load,
             new_load: self.new_load,
         }
--- a/crates/policy/src/rollout/evidence_status.rs
+++ b/crates/policy/src/rollout/evidence_status.rs
@@ -1,6 +1,7 @@
 //! How close the tests of a rollout are to a decision.
 
 use super::EvidenceTotals;
+use super::Judgement;
 
 /// A test of the new version against the old one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -47,6 +48,10 @@
     pub strengths: Vec<(EvidenceTest, f64)>,
     /// The strength from which on the version counts as worse.
     pub needed_strength: f64,
+    /// For each test, the harm to be expected if the new version is completed, as a fraction of an outage.
+    pub harms: Vec<(EvidenceTest, f64)>,
+    /// What follows from the strengths and the harms.
+    pub judgement: Judgement,
     /// The load at which this gateway observed the old version's token intervals.
     pub old_load: MeanLoad,
     /// The load at which this gateway observed the new version's token intervals.
--- a/crates/policy/src/rollout/rate_trend.rs
+++ b/crates/policy/src/rollout/rate_trend.rs
@@ -40,6 +40,13 @@
         }
     }
 
+    /// The number of requests within `duration_ms` at the mean rate; none before the rate is known.
+    pub fn expected(&self, duration_ms: u64) -> Option<f64> {
+        let (first, last) = (self.first?, *self.recent.back()?);
+        let is_known = last.at_ms >= first.at_ms.saturating_add(RECENT_MS / 2);
+        is_known.then(|| rate(first, last) * duration_ms as f64)
+    }
+
     /// The recent request rate relative to the mean since the rollout began: at least 1, and no more than
     /// is taken into account.
     pub fn relative_rate(&self) -> f64 {
--- a/crates/policy/src/rollout/record.rs
+++ b/crates/policy/src/rollout/record.rs
@@ -4,6 +4,8 @@
 use serde::Serialize;
 use stallhoist_core::VersionName;
 
+use super::Permille;
+
 /// The phase of a rollout. Phases only follow in the order below.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -44,6 +46,9 @@
     pub duration_ms: u64,
     /// The current phase.
     pub phase: RolloutPhase,
+    /// The new version's share of the requests while it is observed, if it is not the usual one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub canary_share: Option<Permille>,
 }
 
 impl RolloutRecord {
--- a/tests/all/decisions/mod.rs
+++ b/tests/all/decisions/mod.rs
@@ -32,6 +32,7 @@
 mod retry_budget;
 mod rollout_eras;
 mod rollout_evidence;
+mod rollout_model;
 mod rollout_plan;
 mod rollout_rules;
 mod rollout_small_services;
--- a/tests/all/decisions/rollout_plan.rs
+++ b/tests/all/decisions/rollout_plan.rs
@@ -1,5 +1,6 @@
 //! The steps of a rollout, and the share of the new version.
 
+use stallhoist_policy::rollout::Judgement;
 use stallhoist_policy::rollout::RateTrend;
 use stallhoist_policy::rollout::RolloutConfig;
 use stallhoist_policy::rollout::RolloutPhase;
@@ -12,51 +13,86 @@
 
 fn record(phase: RolloutPhase) -> RolloutRecord {
     let target = "v2".parse().expect("a name");
-    RolloutRecord { target, started_ms: STARTED_MS, duration_ms: 20_000, phase }
+    RolloutRecord { target, started_ms: STARTED_MS, duration_ms: 20_000, phase, canary_share: None }
 }
 
 const SHIFTING: RolloutPhase = RolloutPhase::Shifting { since_ms: STARTED_MS + 17_700 };
 
 /// Checks the next step at a time after the start, in a phase.
 macro_rules! step {
-    ($name:ident, $phase:expr, $elapsed_ms:expr, $is_bad:expr, $expected:expr) => {
+    ($name:ident, $phase:expr, $elapsed_ms:expr, $judgement:expr, $expected:expr) => {
         #[test]
         fn $name() {
             let now_ms = STARTED_MS + $elapsed_ms;
-            let step = next_step(&RolloutConfig::default(), &record($phase), now_ms, $is_bad);
+            let step = next_step(&RolloutConfig::default(), &record($phase), now_ms, $judgement);
             assert_eq!(step, $expected);
         }
     };
 }
 
-step!(observed_first, RolloutPhase::Canary, 17_699, false, RolloutStep::Wait);
+step!(observed_first, RolloutPhase::Canary, 17_699, Judgement::Proven, RolloutStep::Wait);
 step!(
     moved_near_the_end,
     RolloutPhase::Canary,
     17_700,
-    false,
+    Judgement::Proven,
     RolloutStep::Enter(RolloutPhase::Shifting { since_ms: STARTED_MS + 17_700 })
 );
 step!(
     bad_while_observed,
     RolloutPhase::Canary,
     1,
-    true,
+    Judgement::Worse,
     RolloutStep::Enter(RolloutPhase::RolledBack)
 );
-step!(bad_while_moved, SHIFTING, 18_000, true, RolloutStep::Enter(RolloutPhase::RolledBack));
-step!(not_completed_early, SHIFTING, 19_099, false, RolloutStep::Wait);
-step!(completed, SHIFTING, 19_100, false, RolloutStep::Enter(RolloutPhase::Completed));
+step!(
+    bad_while_moved,
+    SHIFTING,
+    18_000,
+    Judgement::Worse,
+    RolloutStep::Enter(RolloutPhase::RolledBack)
+);
+step!(not_completed_early, SHIFTING, 19_099, Judgement::Proven, RolloutStep::Wait);
+step!(completed, SHIFTING, 19_100, Judgement::Proven, RolloutStep::Enter(RolloutPhase::Completed));
 step!(
     a_late_move_is_given_its_time,
     RolloutPhase::Shifting { since_ms: STARTED_MS + 19_300 },
     20_000,
-    false,
+    Judgement::Proven,
+    RolloutStep::Wait
+);
+step!(completed_stays, RolloutPhase::Completed, 50_000, Judgement::Worse, RolloutStep::Wait);
+step!(rolled_back_stays, RolloutPhase::RolledBack, 50_000, Judgement::Unproven, RolloutStep::Wait);
+step!(
+    moved_if_probably_good,
+    RolloutPhase::Canary,
+    17_700,
+    Judgement::Probable,
+    RolloutStep::Enter(RolloutPhase::Shifting { since_ms: STARTED_MS + 17_700 })
+);
+step!(not_moved_unproven, RolloutPhase::Canary, 17_700, Judgement::Unproven, RolloutStep::Wait);
+step!(not_completed_if_probably_good, SHIFTING, 19_599, Judgement::Probable, RolloutStep::Wait);
+step!(
+    back_in_time_if_probably_good,
+    SHIFTING,
+    19_600,
+    Judgement::Probable,
+    RolloutStep::Enter(RolloutPhase::RolledBack)
+);
+step!(
+    back_in_time_if_unproven,
+    RolloutPhase::Canary,
+    19_600,
+    Judgement::Unproven,
+    RolloutStep::Enter(RolloutPhase::RolledBack)
+);
+step!(
+    a_clock_that_jumped_back_waits,
+    RolloutPhase::Canary,
+    0,
+    Judgement::Proven,
     RolloutStep::Wait
 );
-step!(completed_stays, RolloutPhase::Completed, 50_000, true, RolloutStep::Wait);
-step!(rolled_back_stays, RolloutPhase::RolledBack, 50_000, false, RolloutStep::Wait);
-step!(a_clock_that_jumped_back_waits, RolloutPhase::Canary, 0, false, RolloutStep::Wait);
 
 /// The share of all requests that a version gets within the ordered duration if nothing shows that it
 /// is bad.
@@ -65,7 +101,9 @@
     let mut exposed_ms = 0.0;
     for ms in 0..20_000 {
         let now_ms = STARTED_MS + ms;
-        if let RolloutStep::Enter(next) = next_step(config, &record(phase), now_ms, false) {
+        if let RolloutStep::Enter(next) =
+            next_step(config, &record(phase), now_ms, Judgement::Proven)
+        {
             phase = next;
         }
         exposed_ms += new_version_share(config, &record(phase), now_ms);
@@ -116,7 +154,9 @@
         responses += per_ms;
         trend.record(now_ms, responses as u64);
         let scheduled = config.at_rate(trend.relative_rate());
-        if let RolloutStep::Enter(next) = next_step(&scheduled, &record(phase), now_ms, false) {
+        if let RolloutStep::Enter(next) =
+            next_step(&scheduled, &record(phase), now_ms, Judgement::Proven)
+        {
             phase = next;
         }
         exposed += per_ms * new_version_share(config, &record(phase), now_ms);
--- a/tests/all/decisions/rollout_rules.rs
+++ b/tests/all/decisions/rollout_rules.rs
@@ -47,8 +47,13 @@
 }
 
 pub(super) fn stored(phase: RolloutPhase, row_version: u64) -> StoredRollout {
-    let record =
-        RolloutRecord { target: version("v2"), started_ms: 1_000, duration_ms: 20_000, phase };
+    let record = RolloutRecord {
+        target: version("v2"),
+        started_ms: 1_000,
+        duration_ms: 20_000,
+        phase,
+        canary_share: None,
+    };
     StoredRollout { service: service(), record, row_version: StoreVersion::of(row_version) }
 }
 
--- a/tests/all/decisions/rollout_times.rs
+++ b/tests/all/decisions/rollout_times.rs
@@ -151,7 +151,7 @@
     for _ in 0..15 {
         evidence.new_version(&PACE, 1, Observation::Paced(3 * pause(1)));
     }
-    assert!(evidence.is_bad(), "{:?}", evidence.status());
+    assert!(evidence.is_bad(), "{:?}", evidence.status(None));
 }
 
 // After the move, the new version has all the load and the old one none.
@@ -164,7 +164,7 @@
     for load in (0..400).map(|n| 1 + n % 90) {
         evidence.new_version(&PACE, load, Observation::Paced(pause(load)));
     }
-    assert!(!evidence.is_bad(), "{:?}", evidence.status());
+    assert!(!evidence.is_bad(), "{:?}", evidence.status(None));
 }
 
 // An order may come in the middle of a burst: baselines from before it must be kept, as only they show
@@ -176,7 +176,7 @@
     for _ in 0..15 {
         evidence.new_version(&PACE, 1, Observation::Paced(3 * pause(1)));
     }
-    assert!(evidence.is_bad(), "{:?}", evidence.status());
+    assert!(evidence.is_bad(), "{:?}", evidence.status(None));
 }
 
 /// A burst since the start of a gateway: the old version is observed only at 40 or more requests in
@@ -202,13 +202,13 @@
 #[test]
 fn a_slow_version_is_found_though_the_old_one_was_never_observed_idle() {
     let evidence = in_a_burst_since_the_start(3);
-    assert!(evidence.is_bad(), "{:?}", evidence.status());
+    assert!(evidence.is_bad(), "{:?}", evidence.status(None));
 }
 
 #[test]
 fn a_good_version_is_not_called_worse_for_the_control() {
     let evidence = in_a_burst_since_the_start(1);
-    assert!(!evidence.is_bad(), "{:?}", evidence.status());
+    assert!(!evidence.is_bad(), "{:?}", evidence.status(None));
 }
 
 #[test]
--- a/tests/all/gateway/template.rs
+++ b/tests/all/gateway/template.rs
@@ -24,7 +24,7 @@
     "{{#limits.link_mbps}}, \"link\": \"{{limits.link_mbps}} Mbit/s\"{{/limits.link_mbps}}";
 
 /// The values of a usual deployment. The addresses are the test's own.
-const PLACEHOLDERS: [(&str, &str); 30] = [
+const PLACEHOLDERS: [(&str, &str); 33] = [
     ("{{node|json}}", "\"front-a-1\""),
     ("{{zone|json}}", "\"a\""),
     (LINK_PLACEHOLDER, ", \"link\": \"10 Mbit/s\""),
@@ -41,6 +41,9 @@
     ("{{#bounds.expose_share}}", ""),
     ("{{bounds.expose_share|json}}", "0.0975"),
     ("{{/bounds.expose_share}}", ""),
+    ("{{#bounds.expose_slack}}", ""),
+    ("{{bounds.expose_slack|json}}", "20"),
+    ("{{/bounds.expose_slack}}", ""),
     ("{{#bounds.cold_overage}}", ""),
     ("{{bounds.cold_overage|json}}", "1.5"),
     ("{{bounds.cold_slack|json}}", "5"),
@@ -89,6 +92,7 @@
     let (zone, region) = settings.regions.first_key_value().expect("a zone");
     assert_eq!((zone.as_str(), region.as_str()), ("a", "r"));
     assert_eq!(settings.rollouts.max_exposure, 0.0975);
+    assert_eq!(settings.rollouts.exposure_slack, 20.0);
     let cold = settings.cold_upstreams.expect("settings of cold upstreams");
     assert_eq!((cold.overage, cold.slack_per_s), (1.5, 5.0));
     let duties = settings.duties.expect("settings of duties");
