A request that failed on a version on trial is repeated on the old one

What callers saw: on a bad version on trial a repeat went to another upstream of the same version, and failed again; the caller got the failure although the old version was well. Cause: the version is chosen by the request's number, which a repeat shares. Why this works: a repeat whose session is on no version goes where the last requests would move. The test gives 500 in place of 200 without the change. A session on the new version stays there, as it must not change its version.

--- a/crates/gateway/src/rollouts/service_rollout.rs
+++ b/crates/gateway/src/rollouts/service_rollout.rs
@@ -27,6 +27,7 @@
 use super::ReportPosition;
 use super::RolloutDecision;
 use super::RolloutOutcome;
+use super::VersionFilter;
 use super::VersionRule;
 use super::order_and_record::OrderAndRecord;
 use super::peer_counts::PeerCounts;
@@ -34,6 +35,9 @@
 use crate::control_store::RolloutOrder;
 use crate::control_store::StoredRollout;
 
+/// The number of a request that goes to the old version as long as there is one.
+const LAST_TO_MOVE: f64 = 1.0;
+
 /// The state of the rollout of one service at this gateway.
 #[derive(Debug, Default)]
 pub(super) struct ServiceRollout {
@@ -198,6 +202,19 @@
         }
     }
 
+    /// The versions that a repeat may go to, of a request that belongs to no session of a version.
+    pub(super) fn rule_of_repeat(&self, config: &RolloutConfig, now_ms: u64) -> VersionRule {
+        let rule = self.rule(config, now_ms, LAST_TO_MOVE, None);
+        let is_moving = |stored: &StoredRollout| {
+            matches!(stored.record.phase, RolloutPhase::Shifting { .. }) && !self.is_found_bad
+        };
+        if self.current().is_some_and(is_moving) {
+            // The old version may be gone before this gateway knows that the rollout is completed.
+            return VersionRule { fallback: Some(VersionFilter::Any), ..rule };
+        }
+        rule
+    }
+
     /// The new version's share of the requests. While it is observed, it gets no more than its allowance,
     /// also if requests become more frequent after the share was chosen.
     fn share(&self, config: &RolloutConfig, record: &RolloutRecord, now_ms: u64) -> f64 {
--- a/crates/gateway/src/rollouts/state.rs
+++ b/crates/gateway/src/rollouts/state.rs
@@ -115,6 +115,16 @@
         rollout.rule(&self.config, self.store_now_ms(now), unit, session_version)
     }
 
+    /// The versions that a repeat may go to, of a request that belongs to no session of a version. It is not
+    /// sent to a version on trial: on a bad one it would fail again, and count once more as one of the few
+    /// requests that such a version may get.
+    pub fn rule_of_repeat(&self, now: MonoTime, service: &ServiceName) -> VersionRule {
+        let Some(rollout) = self.services.get(service) else {
+            return VersionRule::any();
+        };
+        rollout.rule_of_repeat(&self.config, self.store_now_ms(now))
+    }
+
     /// Records the result of an attempt on a service's upstream.
     pub fn observe(
         &mut self,
--- a/tests/all/decisions/rollout_rules.rs
+++ b/tests/all/decisions/rollout_rules.rs
@@ -98,6 +98,27 @@
 goes_to!(all_at_the_end, RolloutPhase::Completed, 0.99, Some("v1"), new());
 goes_to!(nobody_after_a_roll_back, RolloutPhase::RolledBack, 0.01, Some("v2"), old());
 
+/// Checks what a repeat goes to, in a phase, of a request that belongs to no session of a version.
+macro_rules! a_repeat_goes_to {
+    ($name:ident, $phase:expr, $wanted:expr, $fallback:expr) => {
+        #[test]
+        fn $name() {
+            let rule = rollouts($phase).rule_of_repeat(at_ms(13_000), &service());
+            assert_eq!((rule.wanted, rule.fallback), ($wanted, $fallback));
+        }
+    };
+}
+
+a_repeat_goes_to!(a_repeat_avoids_a_version_on_trial, RolloutPhase::Canary, old(), None);
+a_repeat_goes_to!(a_repeat_moves_last, SHIFTING, old(), Some(VersionFilter::Any));
+a_repeat_goes_to!(
+    a_repeat_goes_to_a_completed_version,
+    RolloutPhase::Completed,
+    new(),
+    Some(VersionFilter::Any)
+);
+a_repeat_goes_to!(a_repeat_avoids_a_rolled_back_version, RolloutPhase::RolledBack, old(), None);
+
 #[test]
 fn a_rolled_back_version_is_not_used_even_without_another() {
     assert_eq!(rule(&rollouts(RolloutPhase::RolledBack), 0.5, None).fallback, None);
--- a/tests/all/gateway/rollouts.rs
+++ b/tests/all/gateway/rollouts.rs
@@ -5,6 +5,7 @@
 use futures_util::future::join_all;
 use serde_json::Value;
 use serde_json::json;
+use stallhoist_gateway::sessions::SessionKey;
 use stallhoist_settings::TimeSpan;
 use stallhoist_standins::users_platform::Behaviour;
 use stallhoist_standins::users_platform::StoreFault;
@@ -77,7 +78,9 @@
 
 /// The failures of the old version that a rollout is judged by; none before they are reported.
 async fn old_failures(world: &World) -> Option<usize> {
-    let name = format!(r#"stallhoist_rollout_responses{{service="{ENGINE}",side="Old",result="Failed"}} "#);
+    let name = format!(
+        r#"stallhoist_rollout_responses{{service="{ENGINE}",side="Old",result="Failed"}} "#
+    );
     let metrics = world.metrics().await;
     let line = metrics.lines().find_map(|line| line.strip_prefix(&name))?;
     Some(line.parse().expect("a number"))
@@ -116,6 +119,30 @@
     assert_eq!(world.upstreams[2].runs(), seen);
 });
 
+case!(a_request_that_failed_on_a_version_on_trial_is_repeated_on_the_old_one, async {
+    let good = Behaviour::stream(2);
+    let world = World::start(ENGINE, &[good.clone(), good, Behaviour::Fail, Behaviour::Fail]).await;
+    for n in 2..4 {
+        let entry = world.upstreams[n].entry(ENGINE, "zone-1", "v2", "ready");
+        world.store.put("servers", &format!("i-{n}"), entry);
+    }
+    order(&world, 600.0);
+    wait_for_status(&world, "running").await;
+    wait_for_rollout_record(&world).await;
+    let runs_on_new = || world.upstreams[2].runs() + world.upstreams[3].runs();
+    wait_until("the new version's upstreams are known", async || {
+        world.dump().await["upstreams"].to_string().matches(" v2 ").count() == 2
+    })
+    .await;
+    let before = runs_on_new();
+    let is_of_new = |name: &String| SessionKey::of(name).unit() < 0.03;
+    let names = (0..).map(|n| format!("id-{n}")).filter(is_of_new).take(3);
+    for name in names {
+        assert_eq!(send(world.stream(&name)).await.expect("an answer").status, 200, "{name}");
+    }
+    assert_eq!(runs_on_new() - before, 3, "each reached the new version once");
+});
+
 case!(an_order_is_followed_although_replies_to_writes_are_lost, async {
     let world = world(Behaviour::stream(2)).await;
     world.store.set_fault(Some(StoreFault::LoseWriteAnswers));
