--- a/tests/days/make_days.py
+++ b/tests/days/make_days.py
@@ -229,6 +229,19 @@
     ("zone-emptied", "zone-emptied-warm", 1.0),
 ]
 
+# Roll-outs of the service with few requests, in a short time.
+SMALL_VERSIONS = {
+    "good": "kind = 'rollout_good'",
+    "errors": "kind = 'rollout_bad', share = 0.3, how = 'errors'",
+    "slow": "kind = 'rollout_bad', how = 'slow', x = 3.0, share = 1.0",
+    "late": "kind = 'rollout_bad', share = 0.5, how = 'late', gap_s = 5.0",
+    "class": "kind = 'rollout_bad', share = 0.5, how = 'one_class'",
+}
+SMALL_ROLLOUTS = {
+    f"small-rollout-{name}": ("plan", f"{fields}, for_s = 16.0, service = '@s1'")
+    for name, fields in SMALL_VERSIONS.items()
+}
+
 # More work than the upstreams bear: what is lost, and what comes on top of it.
 HEAVY_DAYS = {
     "heavy-engines-lost": [
@@ -267,7 +280,7 @@
 
 
 def entry(name, at, engine):
-    section, fields = (TROUBLES | ZONE_TROUBLES | GROWTH)[name]
+    section, fields = (TROUBLES | ZONE_TROUBLES | GROWTH | SMALL_ROLLOUTS)[name]
     if "kind =" not in fields:
         fields = f"kind = '{name}', {fields}"
     return section, f"  {{ at = {at}, {fields.format(engine=engine)} }},".replace("'", '"')
@@ -358,6 +371,8 @@
         yield name, [(name, 4.0), (name, 16.0)]
     for first, second, gap in ZONE_PAIRS:
         yield f"{first}+{second}", [(first, 4.0), (second, 4.0 + gap)]
+    for name in SMALL_ROLLOUTS:
+        yield name, [(name, 2.0)]
 
 
 def heavy_days():
