--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! `state` holds the rollouts of all services and `service_rollout` that of one; `order_and_record`
 //! relates the order to the stored record, `evidence_report` and `peer_counts` hold what peers have counted, and
-//! `version_rule` is the resulting choice. The tasks are `step_writer` and `watch`.
+//! `version_choice` makes the resulting choice, a `version_rule`. The tasks are `step_writer` and `watch`.
 
 mod baseline_update;
 mod decision;
@@ -12,6 +12,7 @@
 mod service_rollout;
 mod state;
 mod step_writer;
+mod version_choice;
 mod version_rule;
 mod watch;
 
--- a/crates/gateway/src/rollouts/service_rollout.rs
+++ b/crates/gateway/src/rollouts/service_rollout.rs
@@ -17,27 +17,20 @@
 use stallhoist_policy::rollout::RolloutRecord;
 use stallhoist_policy::rollout::RolloutStep;
 use stallhoist_policy::rollout::canary_share;
-use stallhoist_policy::rollout::new_version_share;
 use stallhoist_policy::rollout::next_step;
 
 use super::BaselineUpdate;
-use super::ControlRule;
 use super::EvidenceReport;
 use super::ReportPath;
 use super::ReportPosition;
 use super::RolloutDecision;
 use super::RolloutOutcome;
-use super::VersionFilter;
-use super::VersionRule;
 use super::order_and_record::OrderAndRecord;
 use super::peer_counts::PeerCounts;
 use crate::control_store::RolloutChange;
 use crate::control_store::RolloutOrder;
 use crate::control_store::StoredRollout;
 
-/// The number of a request that goes to the old version as long as there is one.
-const LAST_TO_MOVE: f64 = 1.0;
-
 /// The state of the rollout of one service at this gateway.
 #[derive(Debug, Default)]
 pub(super) struct ServiceRollout {
@@ -47,7 +40,7 @@
     /// The request rate since the order.
     trend: RateTrend,
     /// Whether the target of the record was found bad, here or by a peer.
-    is_found_bad: bool,
+    pub(super) is_found_bad: bool,
     /// Whether a peer has sent baselines of the old version.
     has_peer_baselines: bool,
     /// Whether a peer has read that the order is completed.
@@ -66,7 +59,7 @@
         !self.is_completed() && self.current().is_some_and(|stored| !stored.record.is_settled())
     }
 
-    fn is_completed(&self) -> bool {
+    pub(super) fn is_completed(&self) -> bool {
         let is_completed = |stored: &StoredRollout| stored.record.phase == RolloutPhase::Completed;
         self.is_completed_at_peer || self.current().is_some_and(is_completed)
     }
@@ -160,81 +153,6 @@
         self.known.order_version().is_some_and(|local| local.number == peer_version.number)
     }
 
-    /// The versions that a request may go to. `now_ms` is the store's clock.
-    pub(super) fn rule(
-        &self,
-        config: &RolloutConfig,
-        now_ms: u64,
-        unit: f64,
-        session_version: Option<&VersionName>,
-    ) -> VersionRule {
-        let Some(stored) = self.current() else {
-            // The record of the order is not known: the new version is used only if there is no other,
-            // as after a rollout that was completed before this process began.
-            return match self.known.order() {
-                Some(order) => VersionRule::prefer_except(&order.target),
-                None => VersionRule::any(),
-            };
-        };
-        let record = &stored.record;
-        if record.phase == RolloutPhase::RolledBack {
-            return VersionRule::except(&record.target);
-        }
-        // Takes precedence over a local finding: the old version is being stopped.
-        if self.is_completed() {
-            return VersionRule::prefer_only(&record.target);
-        }
-        if self.is_found_bad {
-            return VersionRule::except(&record.target);
-        }
-        let share = self.share(config, record, now_ms);
-        let is_new = match session_version {
-            Some(version) if *version == record.target => true,
-            // Until everything moves, a session stays on the old version.
-            Some(_) if record.phase == RolloutPhase::Canary => false,
-            _ => unit < share,
-        };
-        if is_new {
-            VersionRule::prefer_then_except(&record.target)
-        } else {
-            let control = self.control(record, share, unit);
-            VersionRule { control, ..VersionRule::except(&record.target) }
-        }
-    }
-
-    /// The versions that a repeat may go to, of a request that belongs to no session of a version.
-    pub(super) fn rule_of_repeat(&self, config: &RolloutConfig, now_ms: u64) -> VersionRule {
-        let rule = self.rule(config, now_ms, LAST_TO_MOVE, None);
-        let is_moving = |stored: &StoredRollout| {
-            matches!(stored.record.phase, RolloutPhase::Shifting { .. }) && !self.is_found_bad
-        };
-        if self.current().is_some_and(is_moving) {
-            // The old version may be gone before this gateway knows that the rollout is completed.
-            return VersionRule { fallback: Some(VersionFilter::Any), ..rule };
-        }
-        rule
-    }
-
-    /// The new version's share of the requests. While it is observed, it gets no more than its allowance,
-    /// also if requests become more frequent after the share was chosen.
-    fn share(&self, config: &RolloutConfig, record: &RolloutRecord, now_ms: u64) -> f64 {
-        let EvidenceTotals { old, new, .. } = self.evidence.all();
-        let allowance = config.allowance((old.answers + new.answers) as f64);
-        let share = new_version_share(config, record, now_ms);
-        if record.phase == RolloutPhase::Canary && new.answers as f64 >= allowance {
-            return share.min(config.canary_share);
-        }
-        share
-    }
-
-    /// The control rule, if there is no baseline that the new version's token intervals could be
-    /// compared with.
-    fn control(&self, record: &RolloutRecord, share: f64, unit: f64) -> Option<ControlRule> {
-        let is_needed = record.phase == RolloutPhase::Canary && self.evidence.needs_control();
-        let target = record.target.clone();
-        is_needed.then_some(ControlRule { target, canary_share: share, place: unit - share })
-    }
-
     /// Merges the total counts of a peer since an order.
     pub(super) fn apply_peer_evidence(
         &mut self,
--- a/tests/all/decisions/rollout_plan.rs
+++ b/tests/all/decisions/rollout_plan.rs
@@ -1,11 +1,13 @@
 //! The steps of a rollout, and the share of the new version.
 
 use stallhoist_policy::rollout::Judgement;
+use stallhoist_policy::rollout::Permille;
 use stallhoist_policy::rollout::RateTrend;
 use stallhoist_policy::rollout::RolloutConfig;
 use stallhoist_policy::rollout::RolloutPhase;
 use stallhoist_policy::rollout::RolloutRecord;
 use stallhoist_policy::rollout::RolloutStep;
+use stallhoist_policy::rollout::canary_share;
 use stallhoist_policy::rollout::new_version_share;
 use stallhoist_policy::rollout::next_step;
 
@@ -112,6 +114,27 @@
     exposed_ms / 20_000.0
 }
 
+/// Checks the share, in thousandths, of a version that is observed in a service with `requests` in the ordered time,
+/// of which it had `received`.
+macro_rules! observed_with {
+    ($name:ident, $requests:expr, $received:expr, $elapsed_ms:expr, $expected:expr) => {
+        #[test]
+        fn $name() {
+            let config = RolloutConfig::default().with_slack(30.0);
+            let now_ms = STARTED_MS + $elapsed_ms;
+            let record = record(RolloutPhase::Canary);
+            let share = canary_share(&config, &record, now_ms, $requests, $received);
+            assert_eq!(share, $expected.map(Permille::of));
+        }
+    };
+}
+
+observed_with!(nothing_more_before_the_rate_is_known, 240.0, 1, 2_900, None::<f64>);
+observed_with!(more_where_requests_are_few, 240.0, 1, 3_000, Some(0.15));
+observed_with!(a_quarter_at_most, 60.0, 0, 3_000, Some(0.25));
+observed_with!(nothing_more_where_they_are_many, 4_000.0, 18, 3_000, None::<f64>);
+observed_with!(nothing_more_once_the_allowance_is_spent, 240.0, 27, 3_000, None::<f64>);
+
 // A version that is bad only under a load that it did not get during observation must not get more than
 // the allowed share. Without a bound, such a version got a third of all requests; with the default
 // schedule, another got 0.112 where 0.0975 was allowed in place of 0.15.
--- a/tests/all/decisions/rollout_rules.rs
+++ b/tests/all/decisions/rollout_rules.rs
@@ -19,6 +19,7 @@
 use stallhoist_policy::rollout::EvidenceTotals;
 use stallhoist_policy::rollout::LatencyKind;
 use stallhoist_policy::rollout::Observation;
+use stallhoist_policy::rollout::Permille;
 use stallhoist_policy::rollout::RequestKind;
 use stallhoist_policy::rollout::RolloutConfig;
 use stallhoist_policy::rollout::RolloutPhase;
@@ -59,10 +60,16 @@
 
 /// An order at row version 10 and its record at 11, at 13 s of the store's clock.
 pub(super) fn rollouts(phase: RolloutPhase) -> Rollouts {
-    let mut rollouts = Rollouts::new(RolloutConfig::default());
+    let mut rollouts = ordered(RolloutConfig::default());
+    rollouts.stored(stored(phase, 11));
+    rollouts
+}
+
+/// An order at row version 10, without a record.
+fn ordered(config: RolloutConfig) -> Rollouts {
+    let mut rollouts = Rollouts::new(config);
     rollouts.set_store_clock(at_ms(0), 0);
     rollouts.apply_order(order(10));
-    rollouts.stored(stored(phase, 11));
     rollouts
 }
 
@@ -440,3 +447,55 @@
     answers(&mut rollouts, "v3", 100);
     assert!(rollouts.decisions().iter().any(|decision| decision.outcome == RolloutOutcome::Bad));
 }
+
+/// The phases stored near the end of a rollout in which this gateway, one of `gateways`, had ten answers of the
+/// old version and one of the new, all good.
+fn phases_with_few_answers(gateways: usize) -> Vec<RolloutPhase> {
+    let mut rollouts = rollouts(SHIFTING);
+    rollouts.set_gateways(gateways);
+    let kind = RequestKind { route: None, model: None, part: LatencyKind::First };
+    let mut phases = Vec::new();
+    for ms in (1_000..21_000).step_by(100) {
+        phases.extend(rollouts.due(at_ms(ms)).into_iter().map(|change| change.record.phase));
+        if ms % 2_000 == 0 {
+            let answer = Observation::Answered(Duration::from_millis(20));
+            let versions = if ms == 18_000 { &["v1", "v2"][..] } else { &["v1"] };
+            for name in versions {
+                rollouts.observe(&service(), &version(name), &kind, 1, answer);
+            }
+        }
+    }
+    phases.dedup();
+    phases
+}
+
+#[test]
+fn a_version_that_can_harm_few_requests_is_completed_with_few_answers() {
+    assert_eq!(phases_with_few_answers(1), [RolloutPhase::Completed]);
+}
+
+#[test]
+fn requests_of_gateways_that_have_not_reported_may_be_harmed_too() {
+    assert_eq!(phases_with_few_answers(40), [RolloutPhase::RolledBack]);
+}
+
+// The share was chosen for fewer requests than there are now.
+#[test]
+fn a_version_that_has_had_its_allowance_goes_back_to_the_usual_share() {
+    let mut raised = stored(RolloutPhase::Canary, 12);
+    raised.record.canary_share = Some(Permille::of(0.2));
+    let mut rollouts = ordered(RolloutConfig::default().with_slack(30.0));
+    rollouts.stored(raised);
+    assert_eq!(rule(&rollouts, 0.1, None).wanted, new());
+    apply_counts(&mut rollouts, "entry-1", 10, totals_of(25, 0));
+    assert_eq!(rule(&rollouts, 0.1, None).wanted, old());
+    assert_eq!(rule(&rollouts, 0.02, None).wanted, new());
+}
+
+#[test]
+fn records_of_an_earlier_release_have_the_usual_share() {
+    let record = r#"{"target":"v2","started_ms":1,"duration_ms":2,"phase":"canary"}"#;
+    let parsed: RolloutRecord = serde_json::from_str(record).expect("it is understood");
+    assert_eq!(parsed.canary_share, None);
+    assert_eq!(serde_json::to_string(&parsed).expect("JSON"), record);
+}
