A gateway that lists others writes twice a second at most

What operators saw: two tests of a fleet's start, listed in KNOWN-RED.txt, failed beside busy processes with 13 to 26 writes for 24 gateways. Cause: requests to be listed are collected for 0.1 s before the first write, and not at all before the next ones. On busy hosts the requests come over some seconds, one by one, and each took a write. Why this works: writes that are not full (100 gateways) are half a second apart, the first after 0.1 s as before; a gateway waits for 1 s at least before it writes its own row. Not played: the whole fleet's start.

--- a/crates/gateway/src/peers/listing.rs
+++ b/crates/gateway/src/peers/listing.rs
@@ -14,6 +14,7 @@
 use stallhoist_core::HostId;
 use stallhoist_core::MonoTime;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 use super::connection::PeerError;
 use super::connection::request_once;
@@ -45,6 +46,9 @@
 /// How long requests are collected for one write.
 const BATCH_TIME: Duration = Duration::from_millis(100);
 
+/// The minimum time between two writes that are not full. Hosts that are busy start their gateways over some seconds.
+const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Maximum number of gateways in one write, as many rows as the store accepts. A larger fleet takes more writes.
 const MAX_BATCH: usize = 100;
 
@@ -112,6 +116,17 @@
         self.added.notify_one();
     }
 
+    /// Collects requests for a write that may be made from `not_before` on, or as soon as it is full.
+    async fn collect(&self, not_before: Instant) {
+        let until_full = async {
+            while self.entries.lock().len() < MAX_BATCH {
+                self.added.notified().await;
+            }
+        };
+        let end = not_before.max(Instant::now() + BATCH_TIME);
+        let _ = tokio::time::timeout_at(end, until_full).await;
+    }
+
     fn take(&self) -> Vec<ListedEntry> {
         let mut entries = self.entries.lock();
         let mut taken = Vec::new();
@@ -212,10 +227,12 @@
 /// Writes the requested listings, forever.
 pub(crate) async fn write_listings<S: ControlStore>(state: Arc<GatewayState>, store: Arc<S>) {
     let mut failures = 0;
+    let mut next_write = Instant::now();
     loop {
         state.listings.added.notified().await;
-        tokio::time::sleep(BATCH_TIME).await;
         loop {
+            state.listings.collect(next_write).await;
+            next_write = Instant::now() + MIN_WRITE_INTERVAL;
             let entries = state.listings.take();
             if entries.is_empty() {
                 break;
--- a/tests/all/gateway/fleet_start.rs
+++ b/tests/all/gateway/fleet_start.rs
@@ -10,6 +10,7 @@
 use stallhoist_standins::users_platform::StoreStandin;
 
 use super::world::config;
+use super::world::readiness;
 use super::world::settings;
 use super::world::start_gateway_with;
 use crate::case::case;
@@ -85,6 +86,28 @@
     assert!(writes <= ENTRIES / 2, "{writes} writes for {ENTRIES} gateways");
 });
 
+// Guards against a write of its own for each gateway whose request comes while others' are written.
+case!(gateways_that_start_one_after_the_other_are_listed_together, async {
+    let store = StoreStandin::start().await.expect("the store starts");
+    store.put("op", "config", config(1));
+    let mut gateways = vec![start_gateway_with(numbered(&store, 0, Vec::new())).await];
+    wait_until("the seed is listed", async || seed_row(&store).is_some()).await;
+    let seeds = vec![seed_row(&store).expect("it is listed").to_string()];
+    let http = reqwest::Client::builder().no_proxy().build().expect("a client");
+    for n in 1..ENTRIES {
+        let gateway = start_gateway_with(numbered(&store, n, seeds.clone())).await;
+        let readiness_addr = gateway.readiness_addr().to_string();
+        wait_until("it is ready", async || readiness(&http, &readiness_addr).await == 200).await;
+        gateways.push(gateway);
+    }
+    wait_until("all gateways are listed", async || {
+        store.table("stallhoist-entries").len() == ENTRIES
+    })
+    .await;
+    let writes = store.calls().iter().filter(|call| call.contains("rows-tx")).count();
+    assert!(writes <= ENTRIES / 2, "{writes} writes for {ENTRIES} gateways");
+});
+
 // Guards against gateways that each write their own row, all at once, when the seed that lists them is slow.
 case!(gateways_that_start_together_wait_for_the_list_of_a_slow_seed, async {
     let start = Start::with_seed_delay(ENTRIES, LONG_SEED_DELAY).await;
