One formula of the old version's rate; no judgement once a roll-out is over

Change: AnswerCounts::failure_rate serves both; due returns at once unless the roll-out runs; strata without new answers are left out. Nothing was measured.

--- a/crates/gateway/src/rollouts/service_rollout.rs
+++ b/crates/gateway/src/rollouts/service_rollout.rs
@@ -298,7 +298,7 @@
         if self.known.needs_rewrite() {
             return Some(RolloutChange { service, expected, record: stored.record.clone() });
         }
-        if self.is_completed() {
+        if !self.is_running() {
             return None;
         }
         let requests = self.requests(stored.record.duration_ms, gateways);
--- a/crates/policy/src/rollout/counts.rs
+++ b/crates/policy/src/rollout/counts.rs
@@ -46,6 +46,13 @@
 }
 
 impl AnswerCounts {
+    /// The rate of failures, if `prior_rate` is assumed before the first response and counts as
+    /// `prior_responses`.
+    pub(super) fn failure_rate(self, prior_rate: f64, prior_responses: f64) -> f64 {
+        (self.failures as f64 + prior_rate * prior_responses)
+            / (self.answers as f64 + prior_responses)
+    }
+
     pub(super) fn add(&mut self, more: Self) {
         self.answers += more.answers;
         self.failures += more.failures;
--- a/crates/policy/src/rollout/harm.rs
+++ b/crates/policy/src/rollout/harm.rs
@@ -14,8 +14,8 @@
 use super::RouteCounts;
 use super::TimedCounts;
 use super::comparison::ALLOWED_EXCESS;
+use super::comparison::PRIOR_RATE;
 use super::strata::Strata;
-use super::strata::rate;
 
 /// The fractions of good responses that a bad version turns into bad ones, equally likely. Smaller ones
 /// cannot be told from a good version in a few dozen responses.
@@ -27,9 +27,7 @@
 /// Number of bad responses that are a whole outage: fewer in the ordered time harm less.
 const OUTAGE_RESPONSES: f64 = 50.0;
 
-/// The rate that is assumed of the old version before its first response, and the number of responses that
-/// it counts as.
-const PRIOR_RATE: f64 = 0.02;
+/// The number of responses that the rate assumed of the old version counts as.
 const PRIOR_RESPONSES: f64 = 2.0;
 
 /// The highest rate of bad responses that is considered.
@@ -76,7 +74,7 @@
 
     /// The old version's rate of failures.
     fn old_rate(&self) -> f64 {
-        rate(self.all.old, PRIOR_RATE, PRIOR_RESPONSES)
+        self.all.old.failure_rate(PRIOR_RATE, PRIOR_RESPONSES)
     }
 
     /// How many of all responses these are.
@@ -99,7 +97,7 @@
     fn by_route_failures(&self, requests: f64) -> f64 {
         let of_route = |strata: &Strata| {
             let part = self.part_of_all(strata);
-            let old_rate = rate(strata.total().old, self.old_rate(), PRIOR_RESPONSES);
+            let old_rate = strata.total().old.failure_rate(self.old_rate(), PRIOR_RESPONSES);
             let good_requests = part * requests * (1.0 - old_rate);
             let strata: Vec<_> = strata.iter(self.old_rate(), PRIOR_RESPONSES).collect();
             part * expected_harm(&ROUTE_INCREASES, good_requests, &strata)
@@ -110,7 +108,7 @@
 
 /// The harm of a version that is slow, if there will be this many requests.
 fn by_times(times: &Strata, requests: f64) -> f64 {
-    let old_rate = rate(times.total().old, PRIOR_RATE, PRIOR_RESPONSES);
+    let old_rate = times.total().old.failure_rate(PRIOR_RATE, PRIOR_RESPONSES);
     let strata: Vec<_> = times.iter(PRIOR_RATE, PRIOR_RESPONSES).collect();
     expected_harm(&INCREASES, requests * (1.0 - old_rate), &strata)
 }
--- a/crates/policy/src/rollout/strata.rs
+++ b/crates/policy/src/rollout/strata.rs
@@ -47,16 +47,17 @@
         self.total
     }
 
-    /// For each stratum, the old version's rate of bad responses and the counts of the new one. `prior_rate`
+    /// For each stratum with responses of the new version, the old version's rate of bad responses and the counts of the new one. `prior_rate`
     /// is assumed before the old version's first response, and counts as `prior_responses`.
     pub(super) fn iter(
         &self,
         prior_rate: f64,
         prior_responses: f64,
     ) -> impl Iterator<Item = (f64, AnswerCounts)> {
-        let total_rate = rate(self.total.old, prior_rate, prior_responses);
-        self.strata.iter().map(move |RouteCounts { old, new }| {
-            (rate(*old, total_rate, TOTAL_RATE_RESPONSES), *new)
+        let total_rate = self.total.old.failure_rate(prior_rate, prior_responses);
+        let compared = self.strata.iter().filter(|counts| counts.new.answers > 0);
+        compared.map(move |RouteCounts { old, new }| {
+            (old.failure_rate(total_rate, TOTAL_RATE_RESPONSES), *new)
         })
     }
 
@@ -70,8 +71,3 @@
         self.strata = joined.collect();
     }
 }
-
-/// The rate of bad responses, if `prior` is assumed before the first one and counts as `prior_responses`.
-pub(super) fn rate(counts: AnswerCounts, prior: f64, prior_responses: f64) -> f64 {
-    (counts.failures as f64 + prior * prior_responses) / (counts.answers as f64 + prior_responses)
-}
