One question whether an attempt is a repeat; counts of peers that do not add up cannot overflow

Cause, read in the diff: two places compared the second attempt's reason, and a peer's report with more failures than answers would have overflowed in the metrics. Nothing was measured.

--- a/crates/gateway/src/request/execution/choice.rs
+++ b/crates/gateway/src/request/execution/choice.rs
@@ -5,7 +5,6 @@
 use stallhoist_core::ModelName;
 use stallhoist_core::MonoTime;
 use stallhoist_core::UpstreamIncarnation;
-use stallhoist_policy::retry::SecondAttempt;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::Execution;
@@ -179,9 +178,8 @@
         let session = Call::session(&self.call.head);
         let session_version =
             session.and_then(|session| self.state.sessions.lock().version(now, service, session));
-        let is_repeat = self.second == Some(SecondAttempt::Repeat);
         let rollouts = self.state.rollouts.lock();
-        if is_repeat && session_version.is_none() {
+        if self.is_repeat() && session_version.is_none() {
             return rollouts.rule_of_repeat(now, service);
         }
         rollouts.rule(now, service, Call::unit(&self.call.head), session_version.as_ref())
--- a/crates/gateway/src/request/execution/mod.rs
+++ b/crates/gateway/src/request/execution/mod.rs
@@ -325,6 +325,11 @@
         }
     }
 
+    /// Whether an earlier attempt failed.
+    fn is_repeat(&self) -> bool {
+        self.second == Some(SecondAttempt::Repeat)
+    }
+
     async fn attempt(&self, chosen: &Chosen, work: WorkGuard) -> AttemptOutcome {
         let attempt = Attempt {
             state: &self.state,
@@ -333,7 +338,7 @@
             model: self.models.chosen(),
             last_event: self.last_event,
             purpose: self.purpose(),
-            is_repeat: self.second == Some(SecondAttempt::Repeat),
+            is_repeat: self.is_repeat(),
         };
         attempt.run(work, self.until_given_up(chosen)).await
     }
--- a/crates/gateway/src/rollouts/watch.rs
+++ b/crates/gateway/src/rollouts/watch.rs
@@ -50,7 +50,7 @@
         metrics.rollout_evidence.get_or_create(&labels).set(*strength);
     }
     for (side, counts) in [(RolloutSide::Old, status.all.old), (RolloutSide::New, status.all.new)] {
-        let answered = counts.answers - counts.failures;
+        let answered = counts.answers.saturating_sub(counts.failures);
         let results =
             [(RolloutResult::Answered, answered), (RolloutResult::Failed, counts.failures)];
         for (result, responses) in results {
