--- a/crates/standins/src/users_platform/mod.rs
+++ b/crates/standins/src/users_platform/mod.rs
@@ -15,6 +15,7 @@
 mod upstream_reply;
 
 pub use crash_rule::CrashRule;
+pub use crash_rule::CrashTrigger;
 pub use duty_platform::AcceptedReport;
 pub use duty_platform::DutyFault;
 pub use duty_platform::DutyPlatformStandin;
--- a/crates/standins/src/users_platform/upstream.rs
+++ b/crates/standins/src/users_platform/upstream.rs
@@ -27,12 +27,14 @@
 
 use super::Behaviour;
 use super::CrashRule;
+use super::CrashTrigger;
 use super::StoreWriter;
 use super::server::Body;
 use super::server::Server;
 use super::upstream_reply::EventInterval;
 use super::upstream_reply::EventStream;
 use super::upstream_reply::cut_body;
+use super::upstream_reply::head_only;
 use super::upstream_reply::not_executed;
 use super::upstream_reply::plain;
 use super::upstream_reply::sealed;
@@ -62,13 +64,19 @@
     pub fn header(&self, name: &str) -> &str {
         self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
     }
+
+    /// Whether the prompt has a part with this id.
+    pub fn has_part(&self, id: &str) -> bool {
+        let parts = self.header("prompt-prefix").split(',');
+        parts.filter_map(|part| part.split_once(':')).any(|(of, _)| of == id)
+    }
 }
 
 /// A crash of an upstream's process, caused by a request.
 #[derive(Debug, Clone)]
 pub struct Crash {
-    /// Body of the request.
-    pub body: Bytes,
+    /// The request.
+    pub arrival: Arrival,
     /// Time of the crash.
     pub at: Instant,
 }
@@ -244,16 +252,16 @@
     }
 
     /// Crashes because of a request, and restarts as the rule says.
-    fn crash(self: Arc<Self>, rule: CrashRule, body: Bytes) -> BoxFuture<'static, ()> {
+    fn crash(self: Arc<Self>, rule: CrashRule, arrival: Arrival) -> BoxFuture<'static, ()> {
         Box::pin(async move {
             tokio::time::sleep(rule.after).await;
             if rule.keeps_listening {
-                self.state.lock().ends.push(Crash { body, at: Instant::now() });
+                self.state.lock().ends.push(Crash { arrival, at: Instant::now() });
             } else {
                 let Some(server) = self.server.lock().take() else {
                     return;
                 };
-                self.state.lock().ends.push(Crash { body, at: Instant::now() });
+                self.state.lock().ends.push(Crash { arrival, at: Instant::now() });
                 server.end().await;
             }
             tokio::time::sleep(rule.restart_after).await;
@@ -270,11 +278,14 @@
     }
 
     /// Returns the rule if this request crashes the process.
-    fn crash_rule(&self, body: &Bytes) -> Option<CrashRule> {
+    fn crash_rule(&self, arrival: &Arrival) -> Option<CrashRule> {
         let rule =
             self.state.lock().crash_setup.as_ref().map(|crash_setup| crash_setup.rule.clone())?;
-        let matches_prefix = body.starts_with(&rule.body_prefix);
-        (matches_prefix && rand::random_bool(rule.chance)).then_some(rule)
+        let is_fatal = match &rule.trigger {
+            CrashTrigger::BodyPrefix(prefix) => arrival.body.starts_with(prefix),
+            CrashTrigger::PromptPart(part) => arrival.has_part(part),
+        };
+        (arrival.is_run && is_fatal && rand::random_bool(rule.chance)).then_some(rule)
     }
 }
 
@@ -323,15 +334,19 @@
         Arrival { line, headers: head.headers, body, at, is_run: false, asked_for_rest: false };
     let behaviour = record_arrival(&state, &mut arrival, &process.instance);
     let mut running = Running::new(state);
-    if let Some(rule) = process.crash_rule(&arrival.body).filter(|_| arrival.is_run) {
+    if let Some(rule) = process.crash_rule(&arrival) {
         let (is_immediate, keeps_listening) = (rule.after.is_zero(), rule.keeps_listening);
-        tokio::spawn(Arc::clone(&process).crash(rule, arrival.body.clone()));
+        let stops_at_head = matches!(rule.trigger, CrashTrigger::PromptPart(_));
+        tokio::spawn(Arc::clone(&process).crash(rule, arrival.clone()));
         if keeps_listening {
             return Err(io::Error::other("the process has crashed"));
         }
         if is_immediate {
             return pending().await;
         }
+        if stops_at_head {
+            return Ok(head_only(arrival.header("request-id")));
+        }
     }
     drop(process);
     let id = arrival.header("request-id");
--- a/crates/standins/src/users_platform/upstream_reply.rs
+++ b/crates/standins/src/users_platform/upstream_reply.rs
@@ -60,6 +60,13 @@
     response
 }
 
+/// Builds a response of which nothing follows the head.
+pub(super) fn head_only(id: &str) -> Response<Body> {
+    let mut response = sealed(StatusCode::OK, id, "");
+    *response.body_mut() = StreamBody::new(stream::pending()).boxed_unsync();
+    response
+}
+
 /// Time before each event of a stream.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct EventInterval {
--- a/tests/all/gateway/fatal_requests.rs
+++ b/tests/all/gateway/fatal_requests.rs
@@ -147,7 +147,7 @@
     /// The crashes under a request, in order.
     fn ends(&self, body: &str) -> Vec<Crash> {
         let ends = self.upstreams.iter().flat_map(UpstreamStandin::ends);
-        let mut ends: Vec<_> = ends.filter(|end| end.body == body).collect();
+        let mut ends: Vec<_> = ends.filter(|end| end.arrival.body == body).collect();
         ends.sort_by_key(|end| end.at);
         ends
     }
--- a/tests/all/soak/fragile.rs
+++ b/tests/all/soak/fragile.rs
@@ -97,7 +97,7 @@
     for number in 0..fleet.series {
         let body = format!("{FATAL} {number}");
         let mut ends: Vec<_> = fleet.fragile.iter().flat_map(UpstreamStandin::ends).collect();
-        ends.retain(|end| end.body == body);
+        ends.retain(|end| end.arrival.body == body);
         ends.sort_by_key(|end| end.at);
         let Some(known) = ends.get(CRASHES_UNTIL_KNOWN - 1).map(|end| end.at) else {
             continue;
