Parts of prompts that crash upstreams are quarantined, as requests are

Callers saw most long streams of a service fail for half a minute at a time: requests that share one prompt part crashed each upstream that began to answer them.

Cause: crashes were counted by the fingerprint of a whole request. No two of these requests were alike, so each was sent as if nothing were known, up to three times. Refuted: that news were late (no fingerprint was sent on after its third crash); that bystanders hide the cause (there was no cause among the fingerprints to hide).

Change: what may crash an upstream is a subject, a request or a part of prompts at a service; the tracker, the news between gateways, the rows of the store and the trials serve both. A part is in many requests at once, so its evidence differs: - A crash weighs by how far the response had come: most just after the head, least while it was awaited (nothing where another had just begun); a response written for 0.5 s is a witness, and clears its parts at every gateway. - A part that went well here within a minute takes twice the evidence. - Crashes within 0.1 s of each other are one occasion; three are needed. - A crash is explained by a quarantined subject with more weight, if it weighs no less against that one. Of a request and a part with as much, the request is the cause. - Only a trial whose response had begun proves a part fatal.

Why it works: the fatal part is in every crash and never goes well; sound parts of the same requests go well elsewhere or are known.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod bill_record;
 mod cost;
+mod crash_subject;
 mod engine_time;
 mod instant;
 mod key_digest;
@@ -31,6 +32,9 @@
 pub use attempt::AttemptId;
 pub use bill_record::BillRecord;
 pub use cost::CostMicros;
+pub use crash_subject::CrashSubject;
+pub use crash_subject::CrashSubjectError;
+pub use crash_subject::PartFingerprint;
 pub use engine_time::EngineTime;
 pub use instant::MonoTime;
 pub use key_digest::KeyDigest;
--- a/crates/gateway/src/callers/handler.rs
+++ b/crates/gateway/src/callers/handler.rs
@@ -111,6 +111,7 @@
         body,
         route,
         fingerprint: OnceLock::new(),
+        parts: OnceLock::new(),
     })
 }
 
--- a/crates/gateway/src/control_store.rs
+++ b/crates/gateway/src/control_store.rs
@@ -7,10 +7,10 @@
 
 use bytes::Bytes;
 use displaydoc::Display;
+use stallhoist_core::CrashSubject;
 use stallhoist_core::HostId;
 use stallhoist_core::InstanceId;
 use stallhoist_core::LinkRate;
-use stallhoist_core::RequestFingerprint;
 use stallhoist_core::ServiceName;
 use stallhoist_core::StoreVersion;
 use stallhoist_core::VersionName;
@@ -89,16 +89,16 @@
     pub row_version: StoreVersion,
 }
 
-/// A record of a quarantined request, with the row version that a change of it must name.
+/// A record of a quarantined request or prompt part, with the row version that a change of it must name.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct StoredFatalRequest {
-    /// The request.
-    pub request: RequestFingerprint,
+pub struct StoredFatalSubject {
+    /// The request, or the part.
+    pub subject: CrashSubject,
     /// The record.
     pub record: FatalRecord,
     /// The version of its row.
     pub row_version: StoreVersion,
-    /// Whether it was written so long ago that the request is no longer tracked.
+    /// Whether it was written so long ago that the subject is no longer tracked.
     pub is_expired: bool,
 }
 
@@ -123,10 +123,10 @@
     Rollout(StoredRollout),
     /// A gateway that serves its peers is listed.
     EntryListed(ListedEntry),
-    /// A request is quarantined.
-    FatalRequest(StoredFatalRequest),
-    /// A request is no longer quarantined.
-    FatalRequestGone(RequestFingerprint),
+    /// A request or a prompt part is quarantined.
+    FatalRequest(StoredFatalSubject),
+    /// A request or a prompt part is no longer quarantined.
+    FatalRequestGone(CrashSubject),
 }
 
 /// A row of the list of upstreams that cannot be read. It may be another writer's.
@@ -258,10 +258,10 @@
         change: &RolloutChange,
     ) -> impl Future<Output = Result<(), ControlStoreError>> + Send;
 
-    /// Changes the record of a quarantined request.
+    /// Changes the record of a quarantined request or prompt part.
     fn commit_fatal(
         &self,
-        request: RequestFingerprint,
+        subject: CrashSubject,
         change: &FatalChange,
     ) -> impl Future<Output = Result<(), ControlStoreError>> + Send;
 
--- a/crates/gateway/src/fatal/store_writer.rs
+++ b/crates/gateway/src/fatal/store_writer.rs
@@ -1,4 +1,4 @@
-//! The task that writes quarantined requests to the store.
+//! The task that writes quarantined requests and prompt parts to the store.
 //!
 //! The store is needed for two things: gateways must agree on the number of trials, and a quarantine
 //! must outlast a power failure of all gateways. A gateway reads the stored rows when it starts. Each
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use stallhoist_core::RequestFingerprint;
+use stallhoist_core::CrashSubject;
 use stallhoist_policy::fatal::FatalChange;
 use tokio::sync::mpsc;
 
@@ -21,7 +21,7 @@
 /// How often the task checks for pending writes.
 const CHECK_EVERY: Duration = Duration::from_millis(200);
 
-/// How long after the quarantine a request is stored: peer updates that explain its crashes have
+/// How long after the quarantine a subject is stored: peer updates that explain its crashes have
 /// arrived by then.
 const STORE_DELAY: Duration = Duration::from_millis(500);
 
@@ -43,13 +43,13 @@
             continue;
         }
         let settled = if follows_store(&state) { STORE_DELAY } else { FALLBACK_STORE_DELAY };
-        let changes = state.fatal.change(|requests| {
-            requests.expire(state.now());
-            requests.changes(state.now(), settled)
+        let changes = state.fatal.change(|subjects| {
+            subjects.expire(state.now());
+            subjects.changes(state.now(), settled)
         });
         pause = if changes.is_empty() { CHECK_EVERY } else { FEED_LAG };
-        for (request, change) in changes {
-            commit(store.as_ref(), request, &change).await;
+        for (subject, change) in changes {
+            commit(store.as_ref(), subject, &change).await;
         }
     }
 }
@@ -62,7 +62,7 @@
 ) {
     let answering = async {
         while let Some(claim) = claims.recv().await {
-            let is_accepted = commit(store, claim.request, &claim.change).await;
+            let is_accepted = commit(store, claim.subject, &claim.change).await;
             // The caller may have gone in the meantime.
             let _ = claim.answer.send(is_accepted);
         }
@@ -71,22 +71,18 @@
 }
 
 /// Commits a change and returns whether the store accepted it.
-async fn commit<S: ControlStore>(
-    store: &S,
-    request: RequestFingerprint,
-    change: &FatalChange,
-) -> bool {
-    let committed = store.commit_fatal(request, change).await;
+async fn commit<S: ControlStore>(store: &S, subject: CrashSubject, change: &FatalChange) -> bool {
+    let committed = store.commit_fatal(subject, change).await;
     match &committed {
         Ok(()) => {
-            log::info!(fingerprint:% = request, record:? = change.record; "held-back request stored");
+            log::info!(fingerprint:% = subject, record:? = change.record; "held-back request stored");
         }
         Err(ControlStoreError::Conflict) => {
-            log::info!(fingerprint:% = request; "held-back request not stored: another gateway stored it first");
+            log::info!(fingerprint:% = subject; "held-back request not stored: another gateway stored it first");
         }
         Err(error) => {
             log::warn!(
-                fingerprint:% = request,
+                fingerprint:% = subject,
                 error:% = error;
                 "held-back request not stored; will be retried"
             );
--- a/crates/gateway/src/fatal/tracker.rs
+++ b/crates/gateway/src/fatal/tracker.rs
@@ -1,25 +1,27 @@
-//! The shared state of a gateway's tasks on requests under which upstreams crashed.
+//! The shared state of a gateway's tasks on what upstreams crashed under: requests, and parts of prompts.
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
 use parking_lot::Mutex;
+use stallhoist_core::CrashSubject;
 use stallhoist_core::MonoTime;
-use stallhoist_core::RequestFingerprint;
+use stallhoist_core::PartFingerprint;
 use stallhoist_core::UpstreamIncarnation;
 use stallhoist_policy::balance::UpstreamKey;
 use stallhoist_policy::fatal::CrashUpdate;
 use stallhoist_policy::fatal::Disposition;
+use stallhoist_policy::fatal::Exposure;
 use stallhoist_policy::fatal::FatalChange;
 use stallhoist_policy::fatal::FatalConfig;
-use stallhoist_policy::fatal::FatalRequests;
+use stallhoist_policy::fatal::FatalSubjects;
 use tokio::sync::Notify;
 use tokio::sync::futures::Notified;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
-use crate::control_store::StoredFatalRequest;
+use crate::control_store::StoredFatalSubject;
 use crate::log_limit::LogLimit;
 use crate::state::GatewayState;
 
@@ -29,16 +31,16 @@
 /// A request to the store task to commit a trial.
 #[derive(Debug)]
 pub(super) struct Claim {
-    pub(super) request: RequestFingerprint,
+    pub(super) subject: CrashSubject,
     pub(super) change: FatalChange,
     pub(super) answer: oneshot::Sender<bool>,
 }
 
-/// The shared state of a gateway's tasks on requests under which upstreams crashed.
+/// The shared state of a gateway's tasks on what upstreams crashed under: requests, and parts of prompts.
 #[derive(Debug)]
-pub(crate) struct FatalRequestTracker {
-    requests: Mutex<FatalRequests>,
-    /// Whether any request is tracked: if not, requests need no fingerprint.
+pub(crate) struct FatalSubjectTracker {
+    subjects: Mutex<FatalSubjects>,
+    /// Whether any subject is tracked: if not, requests need no fingerprint.
     is_used: AtomicBool,
     has_unexplained_broken_streams: AtomicBool,
     /// Notified when there are updates to send to peers at once.
@@ -50,11 +52,11 @@
     claimed: Mutex<Option<mpsc::Receiver<Claim>>>,
 }
 
-impl Default for FatalRequestTracker {
+impl Default for FatalSubjectTracker {
     fn default() -> Self {
         let (claims, claimed) = mpsc::channel(MAX_PENDING_CLAIMS);
         Self {
-            requests: Mutex::new(FatalRequests::new(FatalConfig::default())),
+            subjects: Mutex::new(FatalSubjects::new(FatalConfig::default())),
             is_used: AtomicBool::new(false),
             has_unexplained_broken_streams: AtomicBool::new(false),
             updates_available: Notify::new(),
@@ -65,8 +67,8 @@
     }
 }
 
-impl FatalRequestTracker {
-    /// Whether any request is tracked.
+impl FatalSubjectTracker {
+    /// Whether any subject is tracked.
     pub(crate) fn is_used(&self) -> bool {
         self.is_used.load(Ordering::Relaxed)
     }
@@ -76,34 +78,27 @@
         self.has_unexplained_broken_streams.load(Ordering::Relaxed)
     }
 
-    /// How a request may be handled now.
-    pub(crate) fn disposition(&self, now: MonoTime, request: RequestFingerprint) -> Disposition {
-        self.requests.lock().disposition(now, request)
-    }
-
-    /// Records the crash of an upstream while it ran a request.
-    pub(crate) fn record_crash(
+    /// How requests with these subjects may be handled now.
+    pub(crate) fn dispositions(
         &self,
         now: MonoTime,
-        request: RequestFingerprint,
-        incarnation: &UpstreamIncarnation,
-    ) {
-        if self.change(|requests| requests.record_crash(now, request, UpstreamKey::of(incarnation)))
-        {
-            self.publish_crash(now, request, incarnation);
-        }
+        subjects: impl Iterator<Item = CrashSubject>,
+    ) -> Vec<(CrashSubject, Disposition)> {
+        let tracked = self.subjects.lock();
+        subjects.map(|subject| (subject, tracked.disposition(now, subject))).collect()
     }
 
-    /// Publishes and logs a new crash.
-    fn publish_crash(
+    /// Records the crash of an upstream while it ran a request.
+    pub(crate) fn record_crash(
         &self,
         now: MonoTime,
-        request: RequestFingerprint,
+        exposure: &Exposure,
         incarnation: &UpstreamIncarnation,
     ) {
-        self.updates_available.notify_one();
-        if matches!(self.disposition(now, request), Disposition::HeldBack { .. }) {
-            log::warn!(fingerprint:% = request, instance:% = incarnation; "request held back: it ends upstreams");
+        let upstream = UpstreamKey::of(incarnation);
+        let new = self.change(|subjects| subjects.record_crash(now, exposure, upstream));
+        if !new.is_empty() {
+            self.updates_available.notify_one();
         }
     }
 
@@ -111,12 +106,11 @@
     pub(crate) fn record_broken_stream(
         &self,
         now: MonoTime,
-        request: RequestFingerprint,
+        exposure: Exposure,
         incarnation: &UpstreamIncarnation,
     ) {
-        self.change(|requests| {
-            requests.record_broken_stream(now, request, UpstreamKey::of(incarnation))
-        });
+        let upstream = UpstreamKey::of(incarnation);
+        self.change(|subjects| subjects.record_broken_stream(now, exposure, upstream));
     }
 
     /// Records that an upstream incarnation has terminated without announcing that it leaves.
@@ -124,29 +118,46 @@
         if !self.has_unexplained_broken_streams() {
             return;
         }
-        let crashed =
-            self.change(|requests| requests.record_termination(now, UpstreamKey::of(incarnation)));
-        for request in crashed {
-            log::info!(fingerprint:% = request, instance:% = incarnation; "upstream terminated after the response of this request broke");
-            self.publish_crash(now, request, incarnation);
+        let upstream = UpstreamKey::of(incarnation);
+        let crashed = self.change(|subjects| subjects.record_termination(now, upstream));
+        for subject in &crashed {
+            log::info!(fingerprint:% = subject, instance:% = incarnation; "upstream terminated after the response of this request broke");
+        }
+        if !crashed.is_empty() {
+            self.updates_available.notify_one();
         }
     }
 
-    /// Records a complete response.
-    pub(crate) fn answered(&self, now: MonoTime, request: RequestFingerprint) {
-        if self.change(|requests| requests.answered(now, request)) {
+    /// Records a complete response to a request.
+    pub(crate) fn answered(&self, now: MonoTime, request: CrashSubject) {
+        if self.change(|subjects| subjects.answered(now, request)) {
             self.updates_available.notify_one();
             log::info!(fingerprint:% = request; "request cleared: it was answered whole");
         }
     }
 
+    /// Records that a response to a request with these parts in its prompt is complete, or has been written for a
+    /// while.
+    pub(crate) fn survived(&self, now: MonoTime, parts: &[PartFingerprint]) {
+        if parts.is_empty() {
+            return;
+        }
+        let cleared = self.change(|subjects| subjects.survived(now, parts));
+        for part in &cleared {
+            log::info!(fingerprint:% = part; "part cleared: a response to a request with it went well");
+        }
+        if !cleared.is_empty() {
+            self.updates_available.notify_one();
+        }
+    }
+
     /// Merges crashes received from a peer.
     pub(crate) fn apply_peer_update(
         &self,
         now: MonoTime,
         updates: impl Iterator<Item = CrashUpdate>,
     ) {
-        let new = self.change(|requests| requests.apply_peer_update(now, updates));
+        let new = self.change(|subjects| subjects.apply_peer_update(now, updates));
         if new > 0 {
             self.updates_available.notify_one();
         }
@@ -160,12 +171,12 @@
     }
 
     /// Applies a stored quarantine.
-    pub(crate) fn stored(&self, now: MonoTime, stored: &StoredFatalRequest) {
-        let StoredFatalRequest { request, record, row_version, is_expired } = *stored;
-        self.change(|requests| {
-            requests.stored(now, request, row_version, record);
+    pub(crate) fn stored(&self, now: MonoTime, stored: &StoredFatalSubject) {
+        let StoredFatalSubject { subject, record, row_version, is_expired } = *stored;
+        self.change(|subjects| {
+            subjects.stored(now, subject, row_version, record);
             if is_expired {
-                requests.answered(now, request);
+                subjects.answered(now, subject);
             }
         });
     }
@@ -180,27 +191,41 @@
         if !self.is_used() {
             return Vec::new();
         }
-        self.requests.lock().peer_updates(now).collect()
+        self.subjects.lock().peer_updates(now)
     }
 
     /// Crashes to send to a peer that has just started.
     pub(crate) fn startup_peer_updates(&self) -> Vec<CrashUpdate> {
-        self.requests.lock().startup_peer_updates().collect()
+        self.subjects.lock().startup_peer_updates().collect()
     }
 
-    /// Changes the tracked requests and updates the flags that tell whether there are any.
-    pub(crate) fn change<T>(&self, change: impl FnOnce(&mut FatalRequests) -> T) -> T {
-        let mut requests = self.requests.lock();
-        let result = change(&mut requests);
-        self.is_used.store(!requests.is_empty(), Ordering::Relaxed);
-        self.has_unexplained_broken_streams
-            .store(requests.has_unexplained_broken_streams(), Ordering::Relaxed);
+    /// Changes the tracked subjects, updates the flags that tell whether there are any, and logs those that are
+    /// quarantined by this.
+    pub(crate) fn change<T>(&self, change: impl FnOnce(&mut FatalSubjects) -> T) -> T {
+        let (result, quarantined) = {
+            let mut subjects = self.subjects.lock();
+            let result = change(&mut subjects);
+            self.is_used.store(!subjects.is_empty(), Ordering::Relaxed);
+            self.has_unexplained_broken_streams
+                .store(subjects.has_unexplained_broken_streams(), Ordering::Relaxed);
+            (result, subjects.take_quarantined())
+        };
+        for subject in quarantined {
+            match subject {
+                CrashSubject::Request(request) => {
+                    log::warn!(fingerprint:% = request; "request held back: it ends upstreams");
+                }
+                CrashSubject::Part(PartFingerprint { part, .. }) => {
+                    log::warn!(fingerprint:% = subject, part = format!("{part:x}"); "requests with a part held back: they end upstreams");
+                }
+            }
+        }
         result
     }
 
-    /// One line for each tracked request, for the state dump.
+    /// One line for each tracked subject, for the state dump.
     pub(crate) fn summary(&self) -> Vec<String> {
-        self.requests.lock().summary()
+        self.subjects.lock().summary()
     }
 
     /// Takes the receiver of trial claims. Returns it once, to the store task.
@@ -209,31 +234,32 @@
     }
 }
 
-/// A request on trial. The trial ends when this is dropped.
+/// A trial of a quarantined subject. It ends when this is dropped.
 #[derive(Debug)]
 pub(crate) struct Trial {
     state: Arc<GatewayState>,
-    request: RequestFingerprint,
+    subject: CrashSubject,
 }
 
 impl Trial {
     /// Begins a trial, if the store accepts it.
-    pub(crate) async fn begin(
-        state: &Arc<GatewayState>,
-        request: RequestFingerprint,
-    ) -> Option<Self> {
+    pub(crate) async fn begin(state: &Arc<GatewayState>, subject: CrashSubject) -> Option<Self> {
         let tracker = &state.fatal;
-        let change = tracker.change(|requests| requests.begin_trial(state.now(), request))?;
-        let begun = Self { state: Arc::clone(state), request };
+        let change = tracker.change(|subjects| subjects.begin_trial(state.now(), subject))?;
+        let begun = Self { state: Arc::clone(state), subject };
         let (answer, answered) = oneshot::channel();
-        tracker.claims.try_send(Claim { request, change, answer }).ok()?;
+        tracker.claims.try_send(Claim { subject, change, answer }).ok()?;
         answered.await.unwrap_or(false).then_some(begun)
     }
+
+    pub(crate) fn subject(&self) -> CrashSubject {
+        self.subject
+    }
 }
 
 impl Drop for Trial {
     fn drop(&mut self) {
         let now = self.state.now();
-        self.state.fatal.change(|requests| requests.end_trial(now, self.request));
+        self.state.fatal.change(|subjects| subjects.end_trial(now, self.subject));
     }
 }
--- a/crates/gateway/src/follow/apply.rs
+++ b/crates/gateway/src/follow/apply.rs
@@ -74,16 +74,16 @@
         changes.into_iter().for_each(|change| self.apply(change));
     }
 
-    /// Applies all quarantined requests; no other one is quarantined any more.
+    /// Applies all quarantined subjects; no other one is quarantined any more.
     fn apply_fatal_requests(&mut self, page: FeedPage) {
         let changes = self.decode(&page);
         let listed = changes.iter().filter_map(|change| match change {
-            Change::FatalRequest(stored) => Some(stored.request),
+            Change::FatalRequest(stored) => Some(stored.subject),
             _ => None,
         });
         let (state, listed) = (&self.state, listed.collect());
         let version = page.version;
-        state.fatal.change(|requests| requests.retain_stored(state.now(), version, &listed));
+        state.fatal.change(|subjects| subjects.retain_stored(state.now(), version, &listed));
         changes.into_iter().for_each(|change| self.apply(change));
         self.state.set_has_fatal_requests();
     }
@@ -162,8 +162,8 @@
             }
             Change::EntryListed(entry) => state.gateway_listed(entry),
             Change::FatalRequest(stored) => state.fatal.stored(state.now(), &stored),
-            Change::FatalRequestGone(request) => {
-                state.fatal.change(|requests| requests.unstored(state.now(), request));
+            Change::FatalRequestGone(subject) => {
+                state.fatal.change(|subjects| subjects.unstored(state.now(), subject));
             }
         }
     }
--- a/crates/gateway/src/follow/change_log.rs
+++ b/crates/gateway/src/follow/change_log.rs
@@ -31,12 +31,12 @@
             log::info!(instance:% = instance; "upstream's entry has gone");
         }
         Change::FatalRequest(stored) => log::info!(
-            fingerprint:% = stored.request,
+            fingerprint:% = stored.subject,
             record:? = stored.record;
             "request is held back"
         ),
-        Change::FatalRequestGone(request) => {
-            log::info!(fingerprint:% = request; "request is no longer held back");
+        Change::FatalRequestGone(subject) => {
+            log::info!(fingerprint:% = subject; "request is no longer held back");
         }
         Change::ZoneEmptied(zone) => {
             log::info!(zone:% = zone; "availability zone is emptied; no new requests go there");
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -74,6 +74,9 @@
     /// The sender, if it asks to be listed in the store.
     #[prost(message, optional, tag = "19")]
     pub(super) listing: Option<ListingMessage>,
+    /// Upstreams that crashed while they ran requests with a part in their prompts.
+    #[prost(message, repeated, tag = "20")]
+    pub(super) part_ends: Vec<PartCrashMessage>,
 }
 
 /// A rate limit that an upstream has reported.
@@ -104,6 +107,29 @@
     pub(super) is_cleared: bool,
 }
 
+/// An upstream crashed while it ran requests with a part in their prompts.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct PartCrashMessage {
+    /// Hash of the service's name.
+    #[prost(fixed64, tag = "1")]
+    pub(super) service: u64,
+    /// Id of the part.
+    #[prost(fixed64, tag = "2")]
+    pub(super) part: u64,
+    /// Hash of the upstream's incarnation.
+    #[prost(fixed64, tag = "3")]
+    pub(super) upstream: u64,
+    /// Whether a response to a request with the part has gone well since.
+    #[prost(bool, tag = "4")]
+    pub(super) is_cleared: bool,
+    /// How far a response to a request with the part had come there, as `crashes` numbers it.
+    #[prost(uint32, tag = "5")]
+    pub(super) phase: u32,
+    /// Time since that response broke.
+    #[prost(uint32, tag = "6")]
+    pub(super) age_ms: u32,
+}
+
 /// An unhealthy incarnation of an upstream.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(super) struct HealthMessage {
--- a/crates/gateway/src/peers/relayed_store/control_store.rs
+++ b/crates/gateway/src/peers/relayed_store/control_store.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use stallhoist_core::RequestFingerprint;
+use stallhoist_core::CrashSubject;
 use stallhoist_core::StoreVersion;
 use stallhoist_policy::fatal::FatalChange;
 use stallhoist_policy::usage::DutyWrite;
@@ -78,10 +78,10 @@
 
     async fn commit_fatal(
         &self,
-        request: RequestFingerprint,
+        subject: CrashSubject,
         change: &FatalChange,
     ) -> Result<(), ControlStoreError> {
-        self.store.commit_fatal(request, change).await
+        self.store.commit_fatal(subject, change).await
     }
 
     async fn read_duty(&self) -> Result<StoredDuty, ControlStoreError> {
--- a/crates/gateway/src/peers/relayed_store/mod.rs
+++ b/crates/gateway/src/peers/relayed_store/mod.rs
@@ -297,7 +297,7 @@
         response.unpack(feed, &self.state.feed_cache).map_err(PeerError::Unpackable)?;
         apply_sessions(&self.state, &response.sessions);
         apply_baselines(&self.state, &response.baselines);
-        apply_crashes(&self.state, &response.ends);
+        apply_crashes(&self.state, &response.ends, &response.part_ends);
         Ok(ReceivedResponse { response, travelled_bytes })
     }
 
--- a/crates/gateway/src/peers/response.rs
+++ b/crates/gateway/src/peers/response.rs
@@ -15,6 +15,7 @@
 use super::messages::HealthMessage;
 use super::messages::HeldRow;
 use super::messages::LimitMessage;
+use super::messages::PartCrashMessage;
 use super::messages::PeerRequest;
 use super::messages::Session;
 use super::messages::WorkMessage;
@@ -82,6 +83,9 @@
     /// Whether the sender is about to stop: it should not be polled any more.
     #[prost(bool, tag = "17")]
     pub(super) is_leaving: bool,
+    /// Upstreams that crashed while they ran requests with a part in their prompts, told as the other crashes are.
+    #[prost(message, repeated, tag = "18")]
+    pub(super) part_ends: Vec<PartCrashMessage>,
 }
 
 /// Rows of a feed.
--- a/crates/gateway/src/peers/server.rs
+++ b/crates/gateway/src/peers/server.rs
@@ -127,7 +127,7 @@
     apply_sessions(state, &request.sessions);
     apply_decisions(state, &request.rollout_decisions);
     apply_health(state, &request.health);
-    apply_crashes(state, &request.ends);
+    apply_crashes(state, &request.ends, &request.part_ends);
     apply_limits(state, &request.limits);
     let work = exchange_work(state, &request);
     let baselines = local_baselines(state, request.needs_baselines);
@@ -135,14 +135,15 @@
     // A request without a feed only exchanges state.
     let Some(feed) = feed_of(request.feed) else {
         let (rollout_decisions, health) = (local_decisions(state), local_health(state));
-        let ends = local_crashes(state);
+        let crashes = local_crashes(state);
         let limits = if request.is_starting { all_limits(state) } else { local_limits(state) };
         return PeerResponse {
             work,
             rollout_decisions,
             health,
             baselines,
-            ends,
+            ends: crashes.of_requests,
+            part_ends: crashes.of_parts,
             limits,
             duties,
             is_listing: handle_listing(state, &request),
@@ -171,7 +172,9 @@
             ..response
         },
         Feed::FatalRequests if request.after.is_none() => {
-            PeerResponse { ends: all_crashes(state), ..response }
+            let crashes = all_crashes(state);
+            let (ends, part_ends) = (crashes.of_requests, crashes.of_parts);
+            PeerResponse { ends, part_ends, ..response }
         }
         _ => response,
     }
--- a/crates/gateway/src/peers/work.rs
+++ b/crates/gateway/src/peers/work.rs
@@ -88,12 +88,14 @@
         let work = group_work(&self.state);
         self.state.upstreams.record_work_told();
         let sent_items = work.upstreams.len();
+        let crashes = local_crashes(&self.state);
         let request = PeerRequest {
             host: self.state.settings.host.id.to_string(),
             work: Some(work),
             rollout_decisions: local_decisions(&self.state),
             health: local_health(&self.state),
-            ends: local_crashes(&self.state),
+            ends: crashes.of_requests,
+            part_ends: crashes.of_parts,
             limits: local_limits(&self.state),
             ..PeerRequest::default()
         };
@@ -113,7 +115,7 @@
                 apply_work(&self.state, host, response.work.as_ref());
                 apply_decisions(&self.state, &response.rollout_decisions);
                 apply_health(&self.state, &response.health);
-                apply_crashes(&self.state, &response.ends);
+                apply_crashes(&self.state, &response.ends, &response.part_ends);
                 apply_limits(&self.state, &response.limits);
                 response.work.map_or(0, |work| work.upstreams.len())
             }
--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -7,8 +7,11 @@
 use http::HeaderMap;
 use http::Method;
 use http::Uri;
+use stallhoist_core::CrashSubject;
 use stallhoist_core::ModelName;
 use stallhoist_core::MonoTime;
+use stallhoist_core::PartFingerprint;
+use stallhoist_core::Prompt;
 use stallhoist_core::RequestFingerprint;
 use stallhoist_core::ServiceName;
 use stallhoist_core::WorkspaceName;
@@ -41,6 +44,8 @@
     pub(crate) deadline: MonoTime,
     /// Identifies the request across the caller's tries; computed on first use.
     pub(crate) fingerprint: OnceLock<RequestFingerprint>,
+    /// The shared parts of its prompt, which identify it among requests that crash upstreams; computed on first use.
+    pub(crate) parts: OnceLock<Arc<[PartFingerprint]>>,
 }
 
 impl Call {
@@ -53,6 +58,22 @@
         *self.fingerprint.get_or_init(compute)
     }
 
+    /// The parts of its prompt that other requests may share.
+    pub(crate) fn parts(&self) -> &Arc<[PartFingerprint]> {
+        self.parts.get_or_init(|| {
+            let prompt = self.head.prompt.as_ref();
+            let shared = prompt.map_or(&[][..], Prompt::shared_parts);
+            let ids = shared.iter().map(|part| part.id);
+            PartFingerprint::of_all(&self.service_name, ids).collect()
+        })
+    }
+
+    /// What may crash an upstream that runs the request.
+    pub(crate) fn crash_subjects(&self) -> impl Iterator<Item = CrashSubject> {
+        let parts = self.parts().iter().copied().map(CrashSubject::from);
+        std::iter::once(self.fingerprint().into()).chain(parts)
+    }
+
     /// The session that the request belongs to, if any.
     pub(crate) fn session(head: &CallHead) -> Option<SessionKey> {
         head.session.as_deref().map(SessionKey::of)
--- a/crates/gateway/src/request/execution/after_broken_response.rs
+++ b/crates/gateway/src/request/execution/after_broken_response.rs
@@ -1,11 +1,14 @@
 //! Handling of a broken response: distinguishes a crash of the upstream from a broken connection.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use stallhoist_core::MonoTime;
 use stallhoist_core::Prompt;
 use stallhoist_core::UpstreamIncarnation;
 use stallhoist_policy::balance::Evidence;
+use stallhoist_policy::fatal::Exposure;
 use stallhoist_policy::fatal::ResponsePhase;
 
 use super::Execution;
@@ -30,16 +33,21 @@
         phase: ResponsePhase,
     ) -> bool {
         let state = &self.state;
+        let broke_at = state.now();
         let has_crashed = cause.is_crash_of(state, incarnation, addr).await;
         if has_crashed {
             let now = state.now();
             state.metrics.upstream_ends.inc();
             state.metrics.record_broken_by_crash(phase);
             state.upstreams.observe(now, incarnation, Evidence::Ended);
-            state.fatal.record_crash(now, self.call.fingerprint(), incarnation);
+            state.fatal.record_crash(now, &self.exposure(broke_at, phase), incarnation);
             state.confirm_termination(incarnation);
         } else if cause.may_be_confirmed_later() && !state.suspend_recovery.is_resyncing() {
-            state.fatal.record_broken_stream(state.now(), self.call.fingerprint(), incarnation);
+            state.fatal.record_broken_stream(
+                state.now(),
+                self.exposure(broke_at, phase),
+                incarnation,
+            );
         }
         self.log_broken_response(incarnation, phase, has_crashed);
         if has_crashed && state.peers.lock().count() > 1 {
@@ -48,6 +56,17 @@
         has_crashed
     }
 
+    /// What the upstream of the broken response was given.
+    fn exposure(&self, broke_at: MonoTime, phase: ResponsePhase) -> Exposure {
+        Exposure {
+            request: self.call.fingerprint(),
+            parts: Arc::clone(self.call.parts()),
+            broke_at,
+            phase,
+            is_trial: !self.trials.is_empty(),
+        }
+    }
+
     /// Records a crash of the upstream in the middle of a response.
     pub(in crate::request) fn record_crash(&mut self) {
         self.progress.upstream_ended();
--- a/crates/gateway/src/request/execution/mod.rs
+++ b/crates/gateway/src/request/execution/mod.rs
@@ -65,8 +65,8 @@
     last_event: Option<u64>,
     /// Seed that selects the upstream of a request suspected of crashing upstreams, instead of the cost.
     isolation_seed: Option<u64>,
-    /// The trial of a quarantined request, which allows a single attempt.
-    trial: Option<Trial>,
+    /// The trials of its quarantined subjects, which allow a single attempt.
+    trials: Vec<Trial>,
     /// Whether the request is counted for its workspace's usage.
     is_counted: bool,
     /// Why the next attempt is made, unless it is the first.
@@ -94,7 +94,7 @@
             last_failure: None,
             last_event,
             isolation_seed: None,
-            trial: None,
+            trials: Vec::new(),
             is_counted: false,
             second: None,
             last_expectation: Expectation::default(),
@@ -215,6 +215,7 @@
             }
             AttemptOutcome::Whole(reply) => {
                 self.record_response();
+                self.record_survival();
                 self.progress.sent();
                 Ok(Some(AttemptResponse::Whole(reply)))
             }
@@ -301,7 +302,7 @@
             (!is_repeat || self.has_engine_time(SecondAttempt::Repeat, first_chunk, engine_time))
                 && self.take_retry(retry_use)
         };
-        let may_retry = self.trial.is_none() && self.progress.may_retry(true, take_budget);
+        let may_retry = self.trials.is_empty() && self.progress.may_retry(true, take_budget);
         if may_retry && is_repeat {
             self.second = Some(SecondAttempt::Repeat);
         }
--- a/crates/gateway/src/request/execution/quarantine.rs
+++ b/crates/gateway/src/request/execution/quarantine.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use stallhoist_core::CrashSubject;
 use stallhoist_core::MonoTime;
 use stallhoist_policy::fatal::Disposition;
 
@@ -16,7 +17,8 @@
 const UNKNOWN_RETRY_AFTER: Duration = Duration::from_secs(5);
 
 impl Execution {
-    /// Applies what is known of crashes during this request, before each attempt.
+    /// Applies what is known of crashes during this request, and during others with the same parts in their prompts,
+    /// before each attempt.
     ///
     /// Crashes count across all tries of a request. Where each try was judged alone, each crashed up to three
     /// more upstreams: 38 in a quarter of a minute, in whose worst ten seconds 228 of 233 long streams
@@ -30,24 +32,37 @@
         if !self.state.fatal.is_used() {
             return Ok(());
         }
-        let request = self.call.fingerprint();
-        let disposition = self.state.fatal.disposition(self.state.now(), request);
-        match disposition {
-            Disposition::Free => return Ok(()),
-            Disposition::Suspect => {}
-            Disposition::HeldBack { .. } if self.trial.is_some() => {}
-            Disposition::HeldBack { due } => return Err(self.reject_quarantined(due)),
-            Disposition::MayTry => {
-                if self.progress.attempts() > 0 {
-                    return Err(self.reject_quarantined(None));
-                }
-                self.trial = Trial::begin(&self.state, request).await;
-                if self.trial.is_none() {
-                    return Err(self.reject_quarantined(None));
+        let now = self.state.now();
+        let mut is_isolated = false;
+        for (subject, disposition) in self.state.fatal.dispositions(now, self.call.crash_subjects())
+        {
+            match disposition {
+                Disposition::Free => {}
+                Disposition::Suspect => is_isolated |= !subject.is_part(),
+                Disposition::HeldBack { .. } if self.is_on_trial(subject) => is_isolated = true,
+                Disposition::HeldBack { due } => return Err(self.reject_quarantined(due)),
+                Disposition::MayTry => {
+                    self.begin_trial(subject).await?;
+                    is_isolated = true;
                 }
             }
         }
-        self.isolation_seed = Some(request.seed());
+        self.isolation_seed = is_isolated.then(|| self.call.fingerprint().seed());
+        Ok(())
+    }
+
+    fn is_on_trial(&self, subject: CrashSubject) -> bool {
+        self.trials.iter().any(|trial| trial.subject() == subject)
+    }
+
+    async fn begin_trial(&mut self, subject: CrashSubject) -> Result<(), AbandonReason> {
+        let is_first_attempt = self.progress.attempts() == 0;
+        let trial = if is_first_attempt { Trial::begin(&self.state, subject).await } else { None };
+        let Some(trial) = trial else {
+            self.trials.clear();
+            return Err(self.reject_quarantined(None));
+        };
+        self.trials.push(trial);
         Ok(())
     }
 
@@ -64,7 +79,13 @@
     /// Records that the request got a complete response, which clears it of crashes.
     pub(in crate::request) fn record_response(&self) {
         if self.state.fatal.is_used() {
-            self.state.fatal.answered(self.state.now(), self.call.fingerprint());
+            let request = self.call.fingerprint().into();
+            self.state.fatal.answered(self.state.now(), request);
         }
     }
+
+    /// Records that a response was written for a while, or is complete, which clears the parts of the prompt.
+    pub(in crate::request) fn record_survival(&self) {
+        self.state.fatal.survived(self.state.now(), self.call.parts());
+    }
 }
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -9,6 +9,7 @@
 use http::HeaderMap;
 use http::StatusCode;
 use stallhoist_policy::balance::Evidence;
+use stallhoist_policy::fatal::ResponsePhase;
 
 use super::BrokenResponse;
 use super::Execution;
@@ -99,6 +100,9 @@
                     self.event_monitor.stream_ended();
                     self.record_length();
                     self.execution.record_response();
+                    if self.stream.progress.phase() < ResponsePhase::Written {
+                        self.execution.record_survival();
+                    }
                     self.ended(RequestOutcome::Answered, "complete");
                     return Ok(None);
                 }
@@ -143,7 +147,9 @@
         };
         let events = read.map_err(|_| BrokenResponse::IdleTimeout)?;
         if let Ok(Some(events)) = &events {
-            self.stream.progress.record_part(state.now());
+            if self.stream.progress.record_part(state.now()) {
+                self.execution.record_survival();
+            }
             state.attempt_times.record_sign(state.now(), &self.stream.incarnation);
             self.token_interval.record_interval(state.now().since(began));
             if let Some(last_id) = events.last_id {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -34,7 +34,7 @@
 use crate::decision_log::DecisionLog;
 use crate::dialect::Dialect;
 use crate::duties::Duties;
-use crate::fatal::FatalRequestTracker;
+use crate::fatal::FatalSubjectTracker;
 use crate::metrics::Metrics;
 use crate::peers::FeedCache;
 use crate::peers::PeerList;
@@ -67,7 +67,7 @@
     pub(crate) retries: Mutex<RetryBudgets>,
     pub(crate) attempt_times: AttemptTimes,
     /// Requests during which upstreams crashed.
-    pub(crate) fatal: FatalRequestTracker,
+    pub(crate) fatal: FatalSubjectTracker,
     pub(crate) step_up: StepUpConfig,
     /// Requests that wait for room at the upstreams.
     pub(crate) admission: Arc<Admission>,
@@ -128,7 +128,7 @@
             sessions: Mutex::new(Sessions::new(session_lifetime)),
             retries: Mutex::new(RetryBudgets::new(budget, metrics.retries.clone())),
             attempt_times: AttemptTimes::new(retries.budget_percent()),
-            fatal: FatalRequestTracker::default(),
+            fatal: FatalSubjectTracker::default(),
             step_up: StepUpConfig { below_confidence },
             admission: Arc::new(Admission::new(&settings.decisions)),
             peers: Mutex::new(PeerList::new(settings.host.id.clone(), settings.host.zone.clone())),
--- a/crates/policy/src/fatal/broken_streams.rs
+++ b/crates/policy/src/fatal/broken_streams.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use stallhoist_core::MonoTime;
-use stallhoist_core::RequestFingerprint;
 
+use super::Exposure;
 use crate::balance::UpstreamKey;
 
 /// How long after a stream broke a crash of its upstream is attributed to its request. The host list
@@ -18,7 +18,7 @@
 /// A request whose response stream broke.
 #[derive(Debug)]
 struct BrokenStream {
-    request: RequestFingerprint,
+    exposure: Exposure,
     at: MonoTime,
 }
 
@@ -41,26 +41,26 @@
     pub(super) fn record_broken_stream(
         &mut self,
         now: MonoTime,
-        request: RequestFingerprint,
+        exposure: Exposure,
         upstream: UpstreamKey,
     ) {
         if self.count < MAX_BROKEN_STREAMS {
-            self.by_upstream.entry(upstream).or_default().push(BrokenStream { request, at: now });
+            self.by_upstream.entry(upstream).or_default().push(BrokenStream { exposure, at: now });
             self.count += 1;
         }
     }
 
-    /// Takes the requests whose streams broke recently on an upstream that has terminated. Each is
+    /// Takes what an upstream that has terminated was given with requests whose streams broke recently. Each is
     /// returned once.
     pub(super) fn take_recent(
         &mut self,
         now: MonoTime,
         upstream: UpstreamKey,
-    ) -> impl Iterator<Item = RequestFingerprint> + use<> {
+    ) -> impl Iterator<Item = Exposure> + use<> {
         let broken_streams = self.by_upstream.remove(&upstream).unwrap_or_default();
         self.count -= broken_streams.len();
         let recent = broken_streams.into_iter().filter(move |stream| is_recent(now, stream));
-        recent.map(|stream| stream.request)
+        recent.map(|stream| stream.exposure)
     }
 
     pub(super) fn expire(&mut self, now: MonoTime) {
--- a/crates/policy/src/fatal/record.rs
+++ b/crates/policy/src/fatal/record.rs
@@ -1,4 +1,4 @@
-//! The crash record of one request.
+//! The crash record of one subject.
 
 use std::collections::BTreeMap;
 
@@ -6,36 +6,44 @@
 use stallhoist_core::StoreVersion;
 
 use super::FatalConfig;
-use super::request_state::Cleared;
-use super::request_state::RequestState;
-use super::request_state::Suspect;
+use super::ResponsePhase;
+use super::subject_state::Cleared;
+use super::subject_state::SubjectState;
+use super::subject_state::Suspect;
 use crate::balance::UpstreamKey;
 
-/// A crash of an upstream while it ran a request.
+/// A crash is published for this many times its time at most: by the gateway that saw it, by a relay and by a gateway that
+/// was told by that relay.
+const PUBLICATIONS: u32 = 3;
+
+/// A crash of an upstream while it ran a subject.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Crash {
     /// When the crash, or its clearance, was recorded.
     pub(super) learnt_at: MonoTime,
-    /// Whether the crash counts: false after a complete response to the request.
+    /// When the response broke.
+    pub(super) at: MonoTime,
+    /// Whether the crash counts: false after a response with the subject went well.
     pub(super) counts: bool,
+    /// How far the response had come; of several, that which weighs most.
+    pub(super) phase: ResponsePhase,
 }
 
-/// The stored row of a request.
+/// The stored row of a subject.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Row {
     pub(super) version: StoreVersion,
-    /// How often the request had been tried again when the row was written.
+    /// How often the subject had been tried again when the row was written.
     pub(super) tries: u32,
 }
 
-/// The crash record of one request.
+/// The crash record of one subject.
 #[derive(Debug)]
 pub(super) struct Record {
     ends: BTreeMap<UpstreamKey, Crash>,
-    /// The number of crashes that count. Cached, as each peer update needs it for every request on the
-    /// same upstreams.
+    /// The number of crashes that count. Cached, as each update needs it for every subject.
     crash_count: usize,
-    pub(super) state: RequestState,
+    pub(super) state: SubjectState,
     /// The stored row, if there is one.
     pub(super) row: Option<Row>,
     pub(super) changed_at: MonoTime,
@@ -43,7 +51,7 @@
 
 impl Record {
     pub(super) fn new(now: MonoTime) -> Self {
-        let state = RequestState::Suspect(Suspect);
+        let state = SubjectState::Suspect(Suspect);
         Self { ends: BTreeMap::new(), crash_count: 0, state, row: None, changed_at: now }
     }
 
@@ -52,7 +60,7 @@
         self.ends.iter().filter(|(_, crash)| crash.counts).map(|(upstream, _)| *upstream)
     }
 
-    /// Whether the request has a crash of this upstream that counts.
+    /// Whether the subject has a crash of this upstream that counts.
     pub(super) fn has_counted_crash(&self, upstream: UpstreamKey) -> bool {
         self.ends.get(&upstream).is_some_and(|crash| crash.counts)
     }
@@ -62,8 +70,25 @@
     }
 
     /// All crashes, including cleared ones.
-    pub(super) fn ends(&self) -> &BTreeMap<UpstreamKey, Crash> {
-        &self.ends
+    pub(super) fn crashes(&self) -> impl Iterator<Item = (UpstreamKey, Crash)> {
+        self.ends.iter().map(|(upstream, crash)| (*upstream, *crash))
+    }
+
+    pub(super) fn crash_of(&self, upstream: UpstreamKey) -> Option<Crash> {
+        self.ends.get(&upstream).copied()
+    }
+
+    /// Whether there is room for one more crash. Evicts the oldest cleared one, if no peer publishes it any more.
+    pub(super) fn has_room(&mut self, now: MonoTime, config: &FatalConfig) -> bool {
+        if self.ends.len() < config.max_crashes_per_subject {
+            return true;
+        }
+        let is_stale =
+            |crash: &Crash| now.since(crash.learnt_at) >= PUBLICATIONS * config.publish_for;
+        let cleared = self.ends.iter().filter(|(_, crash)| !crash.counts && is_stale(crash));
+        let oldest =
+            cleared.min_by_key(|(_, crash)| crash.learnt_at).map(|(upstream, _)| *upstream);
+        oldest.is_some_and(|oldest| self.ends.remove(&oldest).is_some())
     }
 
     /// Adds or replaces a crash.
@@ -80,10 +105,10 @@
     /// Clears all crashes so far.
     pub(super) fn clear(&mut self, now: MonoTime) {
         for crash in self.ends.values_mut().filter(|crash| crash.counts) {
-            *crash = Crash { learnt_at: now, counts: false };
+            *crash = Crash { learnt_at: now, counts: false, ..*crash };
         }
         self.crash_count = 0;
-        self.state = RequestState::Cleared(Cleared::at(now));
+        self.state = SubjectState::Cleared(Cleared::at(now));
         self.changed_at = now;
     }
 
@@ -92,9 +117,9 @@
         let age = now.since(self.changed_at);
         self.row.is_none()
             && match self.state {
-                RequestState::Cleared(cleared) => now.since(cleared.since()) >= config.cleared_ttl,
-                RequestState::Suspect(_) => age >= config.suspect_ttl,
-                RequestState::HeldBack(_) | RequestState::Trying(_) => false,
+                SubjectState::Cleared(cleared) => now.since(cleared.since()) >= config.cleared_ttl,
+                SubjectState::Suspect(_) => age >= config.suspect_ttl,
+                SubjectState::HeldBack(_) | SubjectState::Trying(_) => false,
             }
     }
 }
--- a/crates/policy/src/fatal/response_progress.rs
+++ b/crates/policy/src/fatal/response_progress.rs
@@ -9,13 +9,15 @@
 /// write does so within a tenth of a second, or some tenths if the upstream is busy.
 const WRITTEN_AFTER: Duration = Duration::from_millis(500);
 
-/// How far a response had come.
+/// How far a response had come: nothing was received, the head, parts of the body, or parts of the body for a while.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
 pub enum ResponsePhase {
     /// awaited
     Awaited,
     /// begun
     Begun,
+    /// started
+    Started,
     /// written
     Written,
 }
@@ -33,9 +35,11 @@
         self.begun_at = Some(now);
     }
 
-    /// A part of the body was received.
-    pub fn record_part(&mut self, now: MonoTime) {
+    /// A part of the body was received. Returns whether the response counts as written from now on.
+    pub fn record_part(&mut self, now: MonoTime) -> bool {
+        let previous = self.phase();
         self.last_part_at = Some(now);
+        previous < ResponsePhase::Written && self.phase() == ResponsePhase::Written
     }
 
     /// How far the response has come.
@@ -43,7 +47,10 @@
         let Some(begun_at) = self.begun_at else {
             return ResponsePhase::Awaited;
         };
-        let is_written = self.last_part_at.is_some_and(|at| at.since(begun_at) >= WRITTEN_AFTER);
-        if is_written { ResponsePhase::Written } else { ResponsePhase::Begun }
+        match self.last_part_at {
+            None => ResponsePhase::Begun,
+            Some(at) if at.since(begun_at) < WRITTEN_AFTER => ResponsePhase::Started,
+            Some(_) => ResponsePhase::Written,
+        }
     }
 }
--- a/crates/policy/src/fatal/request_state.rs
+++ b/crates/policy/src/fatal/subject_state.rs
@@ -32,7 +32,7 @@
 
 /// The state of a request. Each state has only the transitions that are possible from it.
 #[derive(Debug, Clone, Copy)]
-pub(super) enum RequestState {
+pub(super) enum SubjectState {
     Suspect(Suspect),
     HeldBack(HeldBack),
     Trying(Trying),
@@ -100,7 +100,7 @@
     }
 }
 
-impl RequestState {
+impl SubjectState {
     /// The quarantine, which lasts during a trial.
     pub(super) fn quarantined(self) -> Option<HeldBack> {
         match self {
--- a/crates/standins/src/users_platform/store.rs
+++ b/crates/standins/src/users_platform/store.rs
@@ -123,6 +123,11 @@
         self.shared.state.lock().values(table)
     }
 
+    /// Returns the keys of all rows of a table.
+    pub fn keys(&self, table: &str) -> Vec<String> {
+        self.shared.state.lock().keys(table)
+    }
+
     /// Sets or clears a fault.
     pub fn set_fault(&self, fault: Option<StoreFault>) {
         self.shared.state.lock().fault = fault;
--- a/crates/standins/src/users_platform/store_state.rs
+++ b/crates/standins/src/users_platform/store_state.rs
@@ -130,6 +130,12 @@
         rows_of_table.filter_map(|(_, row)| row.value.clone()).collect()
     }
 
+    /// Returns the keys of all rows of a table.
+    pub(super) fn keys(&self, table: &str) -> Vec<String> {
+        let rows = self.rows.iter().filter(|((t, _), row)| t == table && row.value.is_some());
+        rows.map(|((_, key), _)| key.clone()).collect()
+    }
+
     /// Drops the history, so that followers have to read the tables anew.
     pub(super) fn clear_history(&mut self) {
         self.history_from = self.version + 1;
--- a/tests/all/decisions/mod.rs
+++ b/tests/all/decisions/mod.rs
@@ -12,6 +12,7 @@
 mod event_frames;
 mod fair_shares;
 mod fatal;
+mod fatal_parts;
 mod first_chunk_delay;
 mod fleet_clock;
 mod generation_times;
