A stream that ends with its connection and without an event has been broken off

Callers would get an empty stream as a whole one: an upstream that marks the end of a stream by the end of its connection, and crashes just after the head of its response, closes the connection as it would at the end. So do the requests of a fatal part, which the empty stream would clear as well.

Cause: the end of a body that has neither a length nor chunks was taken for the end of the stream unless it fell into an event. Found by cutting the responses of an upstream at each byte, in each framing (length, chunks, until the end), by a close and by a reset: streams_until_the_end failed at the byte after the head, the other eleven passed. Now such a stream counts as cut, as one that ends inside an event; one that says its length or ends its chunks may be empty. A resumed stream is held to the same.

Ruled out as faults by the same tests: half a whole response passed on as one (only where it ends with its connection, which nothing can tell), resets that pass for an end, a second event spliced to half of one. Not told from a whole one: a stream whose connection is closed between two events.

--- a/crates/gateway/src/request/broken_response.rs
+++ b/crates/gateway/src/request/broken_response.rs
@@ -21,7 +21,7 @@
     Connection(String),
     /// the upstream's host stopped responding: {0}
     HostUnresponsive(String),
-    /// the stream ended inside an event
+    /// the stream ended inside an event, or without any
     IncompleteEvent,
     /// the response is too long
     TooLong,
--- a/crates/gateway/src/upstream/call.rs
+++ b/crates/gateway/src/upstream/call.rs
@@ -6,6 +6,8 @@
 use http::Method;
 use http::Request;
 use http::Uri;
+use http::header::CONTENT_LENGTH;
+use http::header::TRANSFER_ENCODING;
 use http::response;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -34,13 +36,16 @@
     pub(crate) head: response::Parts,
     pub(crate) body: Incoming,
     driver: Driver,
+    /// Whether an event has been received.
+    has_event: bool,
 }
 
 impl OpenResponse {
     /// Waits until at least one more event is complete. None at the end of the stream.
     ///
     /// # Errors
-    /// Fails when the connection breaks, or the stream ends inside an event.
+    /// Fails when the connection breaks, or the stream ends inside an event. A stream that ends with its connection and
+    /// before its first event was cut as well: nothing else tells a whole one from one whose upstream has crashed.
     pub(crate) async fn next_events(
         &mut self,
         events: &mut EventBuffer,
@@ -49,10 +54,20 @@
             let frame = frame.map_err(StreamError::Broken)?;
             let complete = frame.data_ref().and_then(|data| events.push(data));
             if complete.is_some() {
+                self.has_event = true;
                 return Ok(complete);
             }
         }
-        if events.is_inside_event() { Err(StreamError::IncompleteEvent) } else { Ok(None) }
+        if events.is_inside_event() || !self.has_event && self.ends_with_connection() {
+            return Err(StreamError::IncompleteEvent);
+        }
+        Ok(None)
+    }
+
+    /// Whether the body has neither a length nor chunks.
+    fn ends_with_connection(&self) -> bool {
+        let headers = &self.head.headers;
+        !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
     }
 
     /// Reads the whole body.
@@ -63,7 +78,7 @@
         self,
         max_bytes: usize,
     ) -> Result<(response::Parts, Bytes), ReadError> {
-        let Self { head, body, driver } = self;
+        let Self { head, body, driver, .. } = self;
         let collected = Limited::new(body, max_bytes).collect().await?;
         drop(driver);
         Ok((head, collected.to_bytes()))
@@ -78,7 +93,7 @@
 pub(crate) enum StreamError {
     /// the connection broke: {0}
     Broken(hyper::Error),
-    /// the stream ended inside an event
+    /// the stream ended inside an event, or without any
     IncompleteEvent,
 }
 
@@ -97,7 +112,7 @@
     match connection.sender.try_send_request(request).await {
         Ok(response) => {
             let (head, body) = response.into_parts();
-            Ok(OpenResponse { head, body, driver: connection.driver })
+            Ok(OpenResponse { head, body, driver: connection.driver, has_event: false })
         }
         Err(mut error) => match error.take_message() {
             Some(_) => Err(SendError::NotSent),
--- a/tests/all/gateway/mod.rs
+++ b/tests/all/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod fatal_requests;
 mod fleet;
 mod fleet_start;
+mod framing;
 mod going_away;
 mod headers;
 mod incarnations;
