--- a/review/standins/cut_at_stop.rs
+++ b/review/standins/cut_at_stop.rs
@@ -111,7 +111,9 @@
         let answer = http::call(place.front, &request, Duration::from_millis(LIMIT_MS));
         let end = match (answer.status, answer.is_closed) {
             (Some(status), false) => format!("gets {status}, whole: {}", answer.is_whole),
-            (Some(status), true) => format!("gets {status}, and its channel is closed before the end"),
+            (Some(status), true) => {
+                format!("gets {status}, and its channel is closed before the end")
+            }
             (None, true) => "has its channel closed without an answer".to_owned(),
             (None, false) => "is given up by its caller".to_owned(),
         };
