A poor response of a request that may run once is delivered, not replaced

What callers saw: nothing, the answer was whole.

Cause: three decisions lead to another attempt, a retry, a resumed stream and a step-up to the best model. The first two ask RequestProgress::may_retry, which knows whether the request may run again; the step-up asked only whether an attempt was left. It also passed over the single attempt that a quarantined request has on trial.

Evidence: the record shows the second run 1 ms after the first event of a response of confidence 20, with the best model named; none with confident responses. Ruled out: that the route was read as repeatable (a broken response is not repeated), that the attempt was given up for being slow.

Change: Execution::may_attempt_again decides on every further attempt; RequestProgress no longer tells whether an attempt is left, so no decision can go round it.

--- a/crates/gateway/src/request/execution/mod.rs
+++ b/crates/gateway/src/request/execution/mod.rs
@@ -302,13 +302,18 @@
             (!is_repeat || self.has_engine_time(SecondAttempt::Repeat, first_chunk, engine_time))
                 && self.take_retry(retry_use)
         };
-        let may_retry = self.trials.is_empty() && self.progress.may_retry(true, take_budget);
+        let may_retry = self.may_attempt_again(take_budget);
         if may_retry && is_repeat {
             self.second = Some(SecondAttempt::Repeat);
         }
         may_retry
     }
 
+    /// Whether a request that was sent may be sent again, for whatever reason. `take_budget` is called last.
+    fn may_attempt_again(&self, take_budget: impl FnOnce() -> bool) -> bool {
+        self.trials.is_empty() && self.progress.may_retry(true, take_budget)
+    }
+
     /// Whether the retry budget allows a retry; if so, it is deducted.
     fn take_retry(&self, retry_use: RetryUse) -> bool {
         let now = self.state.now();
--- a/crates/gateway/src/request/execution/step_up.rs
+++ b/crates/gateway/src/request/execution/step_up.rs
@@ -14,17 +14,16 @@
 
 impl Execution {
     /// Whether the response is dropped and the best model tried instead.
-    pub(super) fn should_step_up(&mut self, stream: &OpenStream) -> bool {
-        let is_possible = !self.progress.is_delivered()
-            && self.models.has_better()
-            && self.progress.has_attempt_left();
+    pub(super) fn should_step_up(&self, stream: &OpenStream) -> bool {
         // The route's priority, not the workspace's: the worth of a better response depends on the kind of
         // request.
         let priority = self.call.route.priority;
-        is_possible
+        !self.progress.is_delivered()
+            && self.models.has_better()
             && self.state.step_up.is_poor(priority, stream.reply_head.confidence)
-            && self.is_better_worthwhile()
-            && self.take_retry(RetryUse::StepUp)
+            && self.may_attempt_again(|| {
+                self.is_better_worthwhile() && self.take_retry(RetryUse::StepUp)
+            })
     }
 
     /// Whether a response of the best model is expected in time, and there is engine time for it.
--- a/crates/policy/src/retry/progress.rs
+++ b/crates/policy/src/retry/progress.rs
@@ -105,19 +105,15 @@
         self.unproved_attempts > 0
     }
 
-    /// Whether fewer attempts were made than the maximum.
-    pub fn has_attempt_left(&self) -> bool {
-        self.attempts < self.rules.max_attempts
-    }
-
     /// Whether the next attempt is the last.
     pub fn is_next_last(&self) -> bool {
         self.attempts + 1 >= self.rules.max_attempts
     }
 
-    /// Whether the request may be sent to another upstream after an attempt without a complete
-    /// response. `has_cost` says whether the attempt used an upstream; only then `take_budget` is
-    /// called, and only if a retry is otherwise allowed.
+    /// Whether the request may be sent to another upstream, after an attempt without a complete
+    /// response or in place of one whose response is dropped. `has_cost` says whether the attempt
+    /// used an upstream; only then `take_budget` is called, and only if a retry is otherwise
+    /// allowed.
     pub fn may_retry(&self, has_cost: bool, take_budget: impl FnOnce() -> bool) -> bool {
         let outcome = AttemptOutcome {
             is_repeatable: self.rules.is_repeatable,
--- a/tests/all/gateway/streams.rs
+++ b/tests/all/gateway/streams.rs
@@ -123,6 +123,14 @@
     wait_until("the poor response is abandoned before its end", is_abandoned).await;
 });
 
+// A response of low confidence was dropped and the request run again, although its route allows a single run.
+case!(a_poor_response_of_a_request_that_may_run_once_is_delivered, async {
+    let world = World::start(ENGINE, &[with_confidence(10)]).await;
+    let answer = send(world.once_stream_within("id-1", 4_000).header("Model", "*")).await;
+    assert_eq!(answer.expect("an answer").body, events(1, EVENTS));
+    assert_eq!(world.runs(), 1);
+});
+
 case!(streams_are_counted_and_timed, async {
     let world = World::start(ENGINE, &[Behaviour::stream(EVENTS)]).await;
     send(world.stream("id-1")).await.expect("an answer");
--- a/tests/all/gateway/world.rs
+++ b/tests/all/gateway/world.rs
@@ -44,6 +44,7 @@
     stream["sizes"] = json!(["small", "middle", "large"]);
     let mut once_stream = route("once-stream", "streaming", ENGINE, 3);
     once_stream["resumable"] = json!(false);
+    once_stream["sizes"] = json!(["small", "middle", "large"]);
     json!({
         "version": version,
         "routes": [
