A request that has one attempt asks the best model at once

Cause: since a poor response of a request that may run once is no longer replaced, the smallest model's response is final however poor it is. The last attempt of other requests already asks the best model, if its response is expected in time.

Change: the same rule before the first attempt. The next attempt counts as the last where the request may run once only.

The new tests failed before.

--- a/crates/gateway/src/request/execution/mod.rs
+++ b/crates/gateway/src/request/execution/mod.rs
@@ -123,6 +123,7 @@
     ///
     /// Returns itself as well, unless the outcome is a stream, whose relay needs it.
     pub(crate) async fn run(mut self) -> (Outcome, Option<Self>) {
+        self.choose_model_of_last_attempt();
         let response = self.next_response().await;
         if response.is_ok() {
             let time = self.state.now().since(self.call.arrived);
@@ -281,16 +282,20 @@
     /// Fails unless another attempt is allowed.
     fn require_another(&mut self) -> Result<(), AbandonReason> {
         if self.may_retry() {
-            // With a single attempt left, a poor response of the small model could not be replaced.
-            let is_last = self.progress.is_next_last() && !self.progress.is_delivered();
-            if is_last && self.is_better_in_time() {
-                self.models.choose_best();
-            }
+            self.choose_model_of_last_attempt();
             return Ok(());
         }
         Err(self.abandon_reason())
     }
 
+    /// With a single attempt left, a poor response of the small model could not be replaced.
+    fn choose_model_of_last_attempt(&mut self) {
+        let is_last = self.progress.is_next_last() && !self.progress.is_delivered();
+        if is_last && self.models.has_better() && self.is_better_in_time() {
+            self.models.choose_best();
+        }
+    }
+
     /// Whether another attempt is allowed. Each takes from the retry budget: the platform counts rejected
     /// requests as well.
     fn may_retry(&mut self) -> bool {
--- a/crates/gateway/src/request/execution/waits.rs
+++ b/crates/gateway/src/request/execution/waits.rs
@@ -28,7 +28,7 @@
     pub(super) async fn until_given_up(&self, chosen: &Chosen) {
         let sent = self.state.now();
         let remaining = self.call.deadline.since(sent);
-        if !self.call.route.is_repeatable() || self.progress.is_next_last() {
+        if self.progress.is_next_last() {
             return std::future::pending().await;
         }
         let max_silence = remaining.mul_f64(MAX_SHARE_OF_REMAINING);
--- a/crates/policy/src/retry/progress.rs
+++ b/crates/policy/src/retry/progress.rs
@@ -105,9 +105,9 @@
         self.unproved_attempts > 0
     }
 
-    /// Whether the next attempt is the last.
+    /// Whether the next attempt is the last if it runs.
     pub fn is_next_last(&self) -> bool {
-        self.attempts + 1 >= self.rules.max_attempts
+        !self.rules.is_repeatable || self.attempts + 1 >= self.rules.max_attempts
     }
 
     /// Whether the request may be sent to another upstream, after an attempt without a complete
--- a/tests/all/decisions/request_progress.rs
+++ b/tests/all/decisions/request_progress.rs
@@ -110,6 +110,20 @@
 );
 progress_case!(a_partly_delivered_response_is_resumed, RESUMABLE, [Failed, Delivered], true, true);
 
+/// A name, the rules, the events, and whether the next attempt is the last.
+macro_rules! last_attempt {
+    ($name:ident, $rules:expr, $events:expr, $is_last:expr) => {
+        #[test]
+        fn $name() {
+            assert_eq!(after($rules, &$events).is_next_last(), $is_last);
+        }
+    };
+}
+
+last_attempt!(the_first_of_three_attempts, REPEATABLE, [], false);
+last_attempt!(the_third_of_three_attempts, REPEATABLE, [Failed, Failed], true);
+last_attempt!(the_first_attempt_of_a_request_that_may_run_once, AT_MOST_ONCE, [], true);
+
 #[test]
 fn a_proof_counts_once_per_attempt() {
     let mut progress = after(REPEATABLE, &[Failed, ProvedNotRun]);
--- a/tests/all/gateway/streams.rs
+++ b/tests/all/gateway/streams.rs
@@ -131,6 +131,16 @@
     assert_eq!(world.runs(), 1);
 });
 
+// Its response cannot be replaced if it is poor.
+case!(a_request_that_may_run_once_uses_the_best_model, async {
+    let world = World::start(ENGINE, &[with_confidence(90)]).await;
+    let request = world.once_stream_within("id-1", 4_000).header("Model", "*");
+    send(request.header("Token-Usage", "100,20").header("Prompt-Prefix", "a1:60,b2:40"))
+        .await
+        .expect("an answer");
+    assert_eq!(world.upstreams[0].arrivals()[0].header("model"), "large");
+});
+
 case!(streams_are_counted_and_timed, async {
     let world = World::start(ENGINE, &[Behaviour::stream(EVENTS)]).await;
     send(world.stream("id-1")).await.expect("an answer");
