A stopping gateway sends its last responses whole

What callers saw: a large response that its caller reads slowly was cut off by a stop.

Cause: the process ended 0.1 s after the last response was made. A request counted as in progress until then, not until its response was sent.

Change: connections that have received a request are counted; once idle ones are closed, each of them has a response to make or to send, and the process waits for them, at most until its planned end.

--- a/crates/gateway/src/callers/accept.rs
+++ b/crates/gateway/src/callers/accept.rs
@@ -44,7 +44,7 @@
     addr: SocketAddr,
     close: watch::Sender<bool>,
     stop_accepting: watch::Sender<bool>,
-    open: Arc<AtomicUsize>,
+    connections: Arc<ConnectionCounts>,
     /// Owns the tasks of the connections.
     accepting: JoinHandle<()>,
 }
@@ -59,9 +59,10 @@
         let addr = listener.local_addr()?;
         let (close, closing) = watch::channel(false);
         let (stop_accepting, stopped) = watch::channel(false);
-        let open = Arc::new(AtomicUsize::new(0));
-        let accepting = tokio::spawn(accept(listener, state, closing, stopped, Arc::clone(&open)));
-        Ok(Self { addr, close, stop_accepting, open, accepting })
+        let connections = Arc::<ConnectionCounts>::default();
+        let counts = Arc::clone(&connections);
+        let accepting = tokio::spawn(accept(listener, state, closing, stopped, counts));
+        Ok(Self { addr, close, stop_accepting, connections, accepting })
     }
 
     /// The bound address.
@@ -87,7 +88,13 @@
 
     /// Number of open connections.
     pub(crate) fn open(&self) -> usize {
-        self.open.load(Ordering::SeqCst)
+        self.connections.open.load(Ordering::SeqCst)
+    }
+
+    /// Number of open connections that have received a request. Once idle connections are closed, these have a response
+    /// to make or to send.
+    pub(crate) fn used(&self) -> usize {
+        self.connections.used.load(Ordering::SeqCst)
     }
 }
 
@@ -96,7 +103,7 @@
     state: Arc<GatewayState>,
     closing: watch::Receiver<bool>,
     mut stopped: watch::Receiver<bool>,
-    open: Arc<AtomicUsize>,
+    counts: Arc<ConnectionCounts>,
 ) {
     let mut connections = JoinSet::new();
     loop {
@@ -107,13 +114,9 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                let counted = OpenConnection::count(&open);
+                let counted = OpenConnection::count(&counts);
                 let state = Arc::clone(&state);
-                let closing = closing.clone();
-                connections.spawn(async move {
-                    serve(stream, state, closing).await;
-                    drop(counted);
-                });
+                connections.spawn(serve(stream, state, closing.clone(), counted));
             }
             Err(error) => {
                 log::warn!(error:% = error; "failed to accept a connection");
@@ -125,15 +128,18 @@
     while connections.join_next().await.is_some() {}
 }
 
-async fn serve(stream: TcpStream, state: Arc<GatewayState>, mut closing: watch::Receiver<bool>) {
+async fn serve(
+    stream: TcpStream,
+    state: Arc<GatewayState>,
+    mut closing: watch::Receiver<bool>,
+    counted: OpenConnection,
+) {
     if let Err(error) = set_socket_options(&stream, CALLER_SILENCE_LIMITS) {
         log::debug!(error:% = error; "failed to set socket options of a caller's connection");
     }
     let bounds = state.config().map_or_else(CallerBounds::default, |c| c.bounds.clone());
-    let has_received_request = Arc::new(AtomicBool::new(false));
-    let received_request = Arc::clone(&has_received_request);
-    let service = service_fn(move |request| {
-        received_request.store(true, Ordering::SeqCst);
+    let service = service_fn(|request| {
+        counted.record_request();
         let state = Arc::clone(&state);
         async move { Ok::<_, Infallible>(handle(state, request).await) }
     });
@@ -150,7 +156,7 @@
         _ = close_requested => {
             // On a new connection the first request may be in transit, and hyper would close the connection
             // without reading it. The response to that request closes the connection.
-            if has_received_request.load(Ordering::SeqCst) {
+            if counted.is_used() {
                 connection.as_mut().graceful_shutdown();
             }
             connection.await
@@ -161,19 +167,44 @@
     }
 }
 
+/// Numbers of connections.
+#[derive(Debug, Default)]
+struct ConnectionCounts {
+    open: AtomicUsize,
+    /// Open ones that have received a request.
+    used: AtomicUsize,
+}
+
 /// Counts an open connection until dropped.
 #[derive(Debug)]
-struct OpenConnection(Arc<AtomicUsize>);
+struct OpenConnection {
+    counts: Arc<ConnectionCounts>,
+    is_used: AtomicBool,
+}
 
 impl OpenConnection {
-    fn count(open: &Arc<AtomicUsize>) -> Self {
-        open.fetch_add(1, Ordering::SeqCst);
-        Self(Arc::clone(open))
+    fn count(counts: &Arc<ConnectionCounts>) -> Self {
+        counts.open.fetch_add(1, Ordering::SeqCst);
+        Self { counts: Arc::clone(counts), is_used: AtomicBool::new(false) }
+    }
+
+    /// Records that the connection has received a request.
+    fn record_request(&self) {
+        if !self.is_used.swap(true, Ordering::SeqCst) {
+            self.counts.used.fetch_add(1, Ordering::SeqCst);
+        }
+    }
+
+    fn is_used(&self) -> bool {
+        self.is_used.load(Ordering::SeqCst)
     }
 }
 
 impl Drop for OpenConnection {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::SeqCst);
+        if self.is_used() {
+            self.counts.used.fetch_sub(1, Ordering::SeqCst);
+        }
+        self.counts.open.fetch_sub(1, Ordering::SeqCst);
     }
 }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -185,7 +185,8 @@
     /// Completes requests in progress and ends before the platform's kill.
     pub async fn finish(mut self) {
         let end = self.state.planned_end();
-        while self.state.in_progress() > 0 && self.state.now() < end {
+        let has_work = || self.state.in_progress() > 0 || self.callers.used() > 0;
+        while has_work() && self.state.now() < end {
             tokio::time::sleep(CHECK_INTERVAL).await;
         }
         self.callers.stop_accepting();
--- a/tests/all/gateway/stops.rs
+++ b/tests/all/gateway/stops.rs
@@ -245,3 +245,37 @@
         drop(store);
     }
 });
+
+// The process ended 0.1 s after the last response was made, however much of it the caller had still to receive.
+case!(a_response_that_is_received_slowly_is_completed_by_a_stop, async {
+    const BODY_BYTES: usize = 6 << 20;
+    const PART_BYTES: usize = 256 << 10;
+    const READ_EVERY: Duration = Duration::from_millis(50);
+    let world = World::start(PLAIN, &[Behaviour::answer(&"x".repeat(BODY_BYTES))]).await;
+    let mut caller = TcpStream::connect(world.gateway.callers_addr()).await.expect("it connects");
+    let head = format!(
+        "GET /safe/x HTTP/1.1\r\nHost: test.example\r\nRequest-Id: id-1\r\n\
+         Authorization: Bearer {KEY}\r\n\r\n"
+    );
+    caller.write_all(head.as_bytes()).await.expect("it is sent");
+    wait_until("the request runs", async || world.runs() == 1).await;
+    let http = reqwest::Client::builder().no_proxy().build().expect("a client");
+    let ready_addr = world.gateway.readiness_addr().to_string();
+    let World { gateway, store, upstreams, .. } = world;
+    let leaving = gateway.leave();
+    fail_readiness_twice(&http, &ready_addr).await;
+    let stop = tokio::spawn(async { leaving.wait_for_balancer().await.finish().await });
+    let mut ticks = tokio::time::interval(READ_EVERY);
+    let mut part = vec![0; PART_BYTES];
+    let mut received_bytes = 0;
+    loop {
+        ticks.tick().await;
+        match caller.read(&mut part).await {
+            Ok(0) | Err(_) => break,
+            Ok(count) => received_bytes += count,
+        }
+    }
+    assert!(received_bytes > BODY_BYTES, "{received_bytes} bytes were received");
+    stop.await.expect("no panic");
+    drop((store, upstreams));
+});
