An event without end is broken off, and does not hang the gateway

What callers would see: an upstream in trouble that sends one event of a stream without end, in small parts, hung the gateway for all callers, for over 60 s, and its memory grew.

Cause: the buffer of an incomplete event had no limit, and was searched from its beginning with each part: time grew with the square of the length, without a point at which other tasks or time-outs could run.

Change: 1 MiB for an incomplete event, and each byte is searched once. What is longer counts as a broken response, so that the request is tried elsewhere.

--- a/crates/gateway/src/request/broken_response.rs
+++ b/crates/gateway/src/request/broken_response.rs
@@ -85,6 +85,7 @@
         match error {
             StreamError::Broken(error) => Self::connection(&error),
             StreamError::IncompleteEvent => Self::IncompleteEvent,
+            StreamError::TooLong(_) => Self::TooLong,
         }
     }
 }
--- a/crates/gateway/src/upstream/call.rs
+++ b/crates/gateway/src/upstream/call.rs
@@ -19,6 +19,7 @@
 use super::connection::Driver;
 use crate::event_frames::EventBuffer;
 use crate::event_frames::EventFrames;
+use crate::event_frames::EventTooLong;
 
 /// A request to an upstream.
 #[derive(Debug)]
@@ -44,7 +45,7 @@
     /// Waits until at least one more event is complete. None at the end of the stream.
     ///
     /// # Errors
-    /// Fails when the connection breaks, or the stream ends inside an event. A stream that ends with its connection and
+    /// Fails when the connection breaks, an event is too long, or the stream ends inside one. A stream that ends with its connection and
     /// before its first event was cut as well: nothing else tells a whole one from one whose upstream has crashed.
     pub(crate) async fn next_events(
         &mut self,
@@ -52,7 +53,10 @@
     ) -> Result<Option<EventFrames>, StreamError> {
         while let Some(frame) = self.body.frame().await {
             let frame = frame.map_err(StreamError::Broken)?;
-            let complete = frame.data_ref().and_then(|data| events.push(data));
+            let complete = match frame.data_ref() {
+                Some(data) => events.push(data)?,
+                None => None,
+            };
             if complete.is_some() {
                 self.has_event = true;
                 return Ok(complete);
@@ -95,6 +99,14 @@
     Broken(hyper::Error),
     /// the stream ended inside an event, or without any
     IncompleteEvent,
+    /// {0}
+    TooLong(EventTooLong),
+}
+
+impl From<EventTooLong> for StreamError {
+    fn from(error: EventTooLong) -> Self {
+        Self::TooLong(error)
+    }
 }
 
 /// Sends a request and waits for the head of the response.
--- a/tests/all/decisions/event_frames.rs
+++ b/tests/all/decisions/event_frames.rs
@@ -11,7 +11,7 @@
             let mut bytes = Vec::new();
             let mut last_id = None;
             for piece in $pieces {
-                if let Some(frames) = buffer.push(piece.as_bytes()) {
+                if let Some(frames) = buffer.push(piece.as_bytes()).expect("short events") {
                     bytes.extend_from_slice(&frames.bytes);
                     last_id = frames.last_id.or(last_id);
                 }
@@ -31,3 +31,19 @@
 frames!(without_an_id, ["data: x\n\n"], "data: x\n\n", None, false);
 frames!(another_field_first, ["versions: 2\nid: 4\n\n"], "versions: 2\nid: 4\n\n", Some(4), false);
 frames!(a_non_numeric_id, ["id: x\n\n"], "id: x\n\n", None, false);
+frames!(
+    the_end_of_the_third_in_another_part,
+    ["id: 1\n\nid: 2\n", "\nid: 3\n", "da", "ta: x\n\n"],
+    "id: 1\n\nid: 2\n\nid: 3\ndata: x\n\n",
+    Some(3),
+    false
+);
+
+// What was buffered, and the time to search it, had no limit.
+#[test]
+fn an_event_without_end_is_not_buffered() {
+    let mut buffer = EventBuffer::default();
+    let part = [b'x'; 1 << 10];
+    let taken = (0..2_000).take_while(|_| buffer.push(&part) == Ok(None)).count();
+    assert_eq!(taken, 1_024);
+}
--- a/tests/all/gateway/framing.rs
+++ b/tests/all/gateway/framing.rs
@@ -42,7 +42,7 @@
 
 /// How an upstream marks the end of its responses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Framing {
+pub(super) enum Framing {
     Length,
     Chunks,
     Close,
@@ -50,40 +50,60 @@
 
 /// How a connection ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Ending {
+pub(super) enum Ending {
     Close,
     Reset,
 }
 
 /// What the upstream does with the next request: it sends so many bytes of the response only.
 #[derive(Debug, Clone, Copy)]
-struct Cut {
+pub(super) struct Cut {
     framing: Framing,
     bytes: usize,
     ending: Ending,
 }
 
+/// Bytes that an upstream sends until the other end closes.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Endless {
+    /// Whether a head and the start of a body come first, in this framing.
+    pub(super) after_head: Option<Framing>,
+    pub(super) start: &'static str,
+    pub(super) repeated: &'static str,
+}
+
+/// What the upstream does with its next request.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum Fault {
+    Cut(Cut),
+    Endless(Endless),
+}
+
 /// An upstream that sends responses byte by byte as told.
-struct RawUpstream {
+pub(super) struct RawUpstream {
     addr: SocketAddr,
-    next: Arc<Mutex<Option<Cut>>>,
-    requests: Arc<AtomicUsize>,
+    next: Arc<Mutex<Option<Fault>>>,
+    pub(super) requests: Arc<AtomicUsize>,
+    /// Bytes of endless responses that were sent until the other end closed.
+    pub(super) endless_bytes: Arc<Mutex<Option<usize>>>,
 }
 
 impl RawUpstream {
     async fn start(is_stream: bool) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let addr = listener.local_addr().expect("it is bound");
-        let next: Arc<Mutex<Option<Cut>>> = Arc::default();
+        let next: Arc<Mutex<Option<Fault>>> = Arc::default();
         let requests: Arc<AtomicUsize> = Arc::default();
-        let (cuts, counted) = (Arc::clone(&next), Arc::clone(&requests));
+        let endless_bytes: Arc<Mutex<Option<usize>>> = Arc::default();
+        let (faults, counted) = (Arc::clone(&next), Arc::clone(&requests));
+        let sent = Arc::clone(&endless_bytes);
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                let (cuts, counted) = (Arc::clone(&cuts), Arc::clone(&counted));
-                tokio::spawn(serve(stream, is_stream, cuts, counted));
+                let (faults, counted) = (Arc::clone(&faults), Arc::clone(&counted));
+                tokio::spawn(serve(stream, is_stream, faults, counted, Arc::clone(&sent)));
             }
         });
-        Self { addr, next, requests }
+        Self { addr, next, requests, endless_bytes }
     }
 }
 
@@ -91,8 +111,9 @@
 async fn serve(
     stream: TcpStream,
     is_stream: bool,
-    next: Arc<Mutex<Option<Cut>>>,
+    next: Arc<Mutex<Option<Fault>>>,
     requests: Arc<AtomicUsize>,
+    endless_bytes: Arc<Mutex<Option<usize>>>,
 ) -> io::Result<()> {
     let mut reader = BufReader::new(stream);
     let (mut id, mut from, mut length) = (String::new(), 1, 0);
@@ -117,10 +138,19 @@
     reader.read_exact(&mut body).await?;
     requests.fetch_add(1, Ordering::SeqCst);
     let body = if is_stream { events(from, EVENTS) } else { WHOLE.to_owned() };
-    let cut = next.lock().take();
+    let fault = next.lock().take();
+    let mut stream = reader.into_inner();
+    let cut = match fault {
+        Some(Fault::Endless(endless)) => {
+            let sent = send_endlessly(&mut stream, endless, &id, is_stream).await;
+            *endless_bytes.lock() = Some(sent);
+            return Ok(());
+        }
+        Some(Fault::Cut(cut)) => Some(cut),
+        None => None,
+    };
     let framing = cut.map_or(Framing::Length, |cut| cut.framing);
     let response = response(framing, &id, is_stream, &body);
-    let mut stream = reader.into_inner();
     let bytes = cut.map_or(response.len(), |cut| cut.bytes);
     stream.write_all(&response[..bytes]).await?;
     match cut.map(|cut| cut.ending) {
@@ -133,15 +163,36 @@
     }
 }
 
+/// Sends bytes until the other end closes. Returns how many it has taken.
+async fn send_endlessly(
+    stream: &mut TcpStream,
+    endless: Endless,
+    id: &str,
+    is_stream: bool,
+) -> usize {
+    let head = endless.after_head.map(|framing| {
+        let length = if framing == Framing::Length { "content-length: 1000000000\r\n" } else { "" };
+        let chunks = if framing == Framing::Chunks { "transfer-encoding: chunked\r\n" } else { "" };
+        format!("{}{length}{chunks}\r\n", head(id, is_stream))
+    });
+    let mut bytes = format!("{}{}", head.unwrap_or_default(), endless.start).into_bytes();
+    let mut sent = 0;
+    let part = endless.repeated.repeat(ENDLESS_PART_BYTES / endless.repeated.len());
+    while stream.write_all(&bytes).await.is_ok() {
+        sent += bytes.len();
+        bytes = part.clone().into_bytes();
+    }
+    sent
+}
+
+/// Bytes of an endless response that are written at once.
+const ENDLESS_PART_BYTES: usize = 16 << 10;
+
 /// Time in which what was sent before a reset is read.
 const RESET_DELAY: Duration = Duration::from_millis(10);
 
 /// The bytes of a response. The first two chunks of a body in chunks are not whole events.
 fn response(framing: Framing, id: &str, is_stream: bool, body: &str) -> Vec<u8> {
-    let kind = if is_stream { "text/event-stream" } else { "text/plain" };
-    let head = format!(
-        "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nresponse-seal: seal.1\r\ncontent-type: {kind}\r\n"
-    );
     let framed = match framing {
         Framing::Length => format!("content-length: {}\r\n\r\n{body}", body.len()),
         Framing::Close => format!("\r\n{body}"),
@@ -151,20 +202,28 @@
             format!("transfer-encoding: chunked\r\n\r\n{}{}0\r\n\r\n", chunk(first), chunk(rest))
         }
     };
-    (head + &framed).into_bytes()
+    (head(id, is_stream) + &framed).into_bytes()
+}
+
+/// The head of a response, without the fields that tell its end.
+fn head(id: &str, is_stream: bool) -> String {
+    let kind = if is_stream { "text/event-stream" } else { "text/plain" };
+    format!(
+        "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nresponse-seal: seal.1\r\ncontent-type: {kind}\r\n"
+    )
 }
 
 /// A gateway before one such upstream.
-struct World {
+pub(super) struct World {
     _store: StoreStandin,
     gateway: Gateway,
-    upstream: RawUpstream,
+    pub(super) upstream: RawUpstream,
     http: Client,
     is_stream: bool,
 }
 
 impl World {
-    async fn start(is_stream: bool) -> Self {
+    pub(super) async fn start(is_stream: bool) -> Self {
         let store = StoreStandin::start().await.expect("the store starts");
         store.put("op", "config", config(1));
         let upstream = RawUpstream::start(is_stream).await;
@@ -195,14 +254,14 @@
         send(request.body("a request")).await.expect("an answer")
     }
 
-    fn whole(&self) -> String {
+    pub(super) fn whole(&self) -> String {
         if self.is_stream { events(1, EVENTS) } else { WHOLE.to_owned() }
     }
 
-    /// Sends a request whose first response is cut. Returns what the caller got, and how many requests the upstream had.
-    async fn ask_with(&self, cut: Cut) -> (Answer, usize) {
+    /// Sends a request whose first response is faulty. Returns what the caller got, and how many requests the upstream had.
+    pub(super) async fn ask_with(&self, fault: Fault) -> (Answer, usize) {
         let before = self.upstream.requests.load(Ordering::SeqCst);
-        *self.upstream.next.lock() = Some(cut);
+        *self.upstream.next.lock() = Some(fault);
         let answer = self.ask().await;
         (answer, self.upstream.requests.load(Ordering::SeqCst) - before)
     }
@@ -229,12 +288,12 @@
         if is_ambiguous(cut, head_bytes, is_stream, &body) {
             continue;
         }
-        let (answer, requests) = world.ask_with(cut).await;
+        let (answer, requests) = world.ask_with(Fault::Cut(cut)).await;
         assert_eq!((answer.status, answer.is_whole, requests), (200, true, 2), "{cut:?}");
         assert_eq!(answer.body, body, "{cut:?}");
     }
     let whole = Cut { framing, bytes: full.len(), ending: Ending::Close };
-    let (answer, requests) = world.ask_with(whole).await;
+    let (answer, requests) = world.ask_with(Fault::Cut(whole)).await;
     assert_eq!((answer.body, answer.is_whole, requests), (body, true, 1));
 }
 
--- a/tests/all/gateway/mod.rs
+++ b/tests/all/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod draining_upstreams;
 mod duties;
 mod emptied_zones;
+mod endless_responses;
 mod fatal_parts;
 mod fatal_requests;
 mod fleet;
