Interim responses without end are broken off

What callers would see: an upstream in trouble that sends interim responses (100 Continue) without end kept its attempt until it was given up or until the deadline, and the gateway read at full speed meanwhile.

Cause: the HTTP library passes over interim responses and limits only a single head; only time bounded the attempt.

Change: 256 KiB may be read of a connection before the head of the response.

Evidence: gateway::endless_responses::interim_responses_without_end failed before (more than 8 MiB were taken, or no second attempt) and passes.

--- a/crates/gateway/src/upstream/call.rs
+++ b/crates/gateway/src/upstream/call.rs
@@ -123,6 +123,7 @@
     *request.headers_mut() = outgoing.headers;
     match connection.sender.try_send_request(request).await {
         Ok(response) => {
+            connection.head_limit.lift();
             let (head, body) = response.into_parts();
             Ok(OpenResponse { head, body, driver: connection.driver, has_event: false })
         }
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -8,11 +8,13 @@
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
 use super::ConnectError;
 use super::counted_io::CountedIo;
+use super::counted_io::HeadLimit;
 use super::counted_io::WrittenBytes;
 use crate::tcp::TcpTimeouts;
 use crate::tcp::set_socket_options;
@@ -47,6 +49,8 @@
     pub(super) driver: Driver,
     /// Bytes that the host's network stack has taken.
     pub(super) written_bytes: WrittenBytes,
+    /// The limit of what is read before the head of the response.
+    pub(super) head_limit: HeadLimit,
 }
 
 /// The task that performs a connection's I/O. Dropping it closes the connection.
@@ -85,8 +89,9 @@
     };
     set_socket_options(&stream, limits).map_err(ConnectError::Refused)?;
     let written_bytes = WrittenBytes::default();
-    let io = CountedIo::new(stream, written_bytes.clone());
-    let handshake = http1::handshake(io).await;
+    let head_limit = HeadLimit::default();
+    let io = CountedIo::new(stream, written_bytes.clone(), head_limit.clone());
+    let handshake = http1::handshake(TokioIo::new(io)).await;
     let (sender, connection) = handshake.map_err(ConnectError::Handshake)?;
     let driver = tokio::spawn(async move {
         if let Err(error) = connection.await {
@@ -94,7 +99,7 @@
             log::debug!(addr:% = addr, error:% = error; "connection to an upstream closed");
         }
     });
-    Ok(Connection { sender, driver: Driver(driver), written_bytes })
+    Ok(Connection { sender, driver: Driver(driver), written_bytes, head_limit })
 }
 
 /// Waits whether the upstream closes or resets a connection on which nothing was sent.
--- a/crates/gateway/src/upstream/counted_io.rs
+++ b/crates/gateway/src/upstream/counted_io.rs
@@ -1,4 +1,7 @@
-//! A connection whose written bytes are counted.
+//! A connection whose bytes are counted.
+//!
+//! An upstream in trouble may send bytes without end in place of the head of a response, also interim responses, which are
+//! passed over.
 //!
 //! An upstream that has more connections than it accepts resets the surplus ones. Where the reset arrives before the
 //! first byte was written, the write fails, and the request provably did not run.
@@ -12,10 +15,9 @@
 use std::task::Context;
 use std::task::Poll;
 
-use hyper::rt::Read;
-use hyper::rt::ReadBufCursor;
-use hyper::rt::Write;
-use hyper_util::rt::TokioIo;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
 /// Whether bytes were written to a connection.
@@ -35,30 +37,63 @@
     }
 }
 
-/// A connection that records whether bytes were written to it.
+/// The bytes that may be read before the head of a response is complete. Some of its body may be among them.
+const MAX_HEAD_BYTES: usize = 256 << 10;
+
+/// The limit of what is read before the head of the response.
+#[derive(Debug, Clone, Default)]
+pub(super) struct HeadLimit {
+    is_lifted: Arc<AtomicBool>,
+}
+
+impl HeadLimit {
+    /// The head is there.
+    pub(super) fn lift(&self) {
+        self.is_lifted.store(true, Ordering::Release);
+    }
+
+    fn is_exceeded_by(&self, bytes: usize) -> bool {
+        bytes > MAX_HEAD_BYTES && !self.is_lifted.load(Ordering::Acquire)
+    }
+}
+
+/// A connection that records whether bytes were written to it, and limits what is read before the head of the response.
 #[derive(Debug)]
 pub(super) struct CountedIo {
-    io: TokioIo<TcpStream>,
+    io: TcpStream,
     written_bytes: WrittenBytes,
+    head_limit: HeadLimit,
+    read_bytes: usize,
 }
 
 impl CountedIo {
-    pub(super) fn new(stream: TcpStream, written_bytes: WrittenBytes) -> Self {
-        Self { io: TokioIo::new(stream), written_bytes }
+    pub(super) fn new(
+        stream: TcpStream,
+        written_bytes: WrittenBytes,
+        head_limit: HeadLimit,
+    ) -> Self {
+        Self { io: stream, written_bytes, head_limit, read_bytes: 0 }
     }
 }
 
-impl Read for CountedIo {
+impl AsyncRead for CountedIo {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-        buffer: ReadBufCursor<'_>,
+        buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_read(context, buffer)
+        if self.head_limit.is_exceeded_by(self.read_bytes) {
+            let error = "the upstream sent too much before the head of a response";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, error)));
+        }
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.io).poll_read(context, buffer);
+        self.read_bytes = self.read_bytes.saturating_add(buffer.filled().len() - before);
+        read
     }
 }
 
-impl Write for CountedIo {
+impl AsyncWrite for CountedIo {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
--- a/tests/all/gateway/endless_responses.rs
+++ b/tests/all/gateway/endless_responses.rs
@@ -41,6 +41,14 @@
 broken_off!(bytes_that_are_no_head, false, None, "", "\0garbage", SMALL_BYTES);
 broken_off!(a_line_of_a_head_without_end, false, None, "HTTP/1.1 200 OK\r\na: ", "b", SMALL_BYTES);
 broken_off!(fields_of_a_head_without_end, false, None, HEAD, "a: b\r\n", SMALL_BYTES);
+broken_off!(
+    interim_responses_without_end,
+    false,
+    None,
+    "",
+    "HTTP/1.1 100 Continue\r\n\r\n",
+    SMALL_BYTES
+);
 broken_off!(a_body_without_end, false, Some(Framing::Close), "", "garbage", BODY_BYTES);
 broken_off!(a_body_of_the_stated_length, false, Some(Framing::Length), "", "garbage", BODY_BYTES);
 broken_off!(chunks_without_end, false, Some(Framing::Chunks), "", "7\r\ngarbage\r\n", BODY_BYTES);
