A stream past its deadline is cut even if there is always something to read

Cause: past the deadline a read of a stream had a time-out of zero, which still lets a read succeed that finds something at once. A stream of events without end would be passed on beyond its time limit for as long as its upstream is quick enough. Found by reading; the new test, with an upstream at full speed on loopback, passed before as well, as its reads did have to wait now and then. It guards the behaviour.

Change: no time left ends the stream before the next read.

--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -131,6 +131,10 @@
     /// is recorded before it has ended.
     async fn read(&mut self) -> Result<Option<EventFrames>, BrokenResponse> {
         let silence_limit = self.silence_limit();
+        // A time-out does not end a read that always finds something.
+        if silence_limit.is_zero() {
+            return Err(BrokenResponse::IdleTimeout);
+        }
         let state = Arc::clone(self.execution.state());
         let began = state.now();
         let next = self.stream.reply.next_events(&mut self.stream.events);
--- a/tests/all/gateway/endless_responses.rs
+++ b/tests/all/gateway/endless_responses.rs
@@ -70,3 +70,15 @@
     "9\r\ndata: ab\n\r\n",
     SMALL_BYTES
 );
+
+// The deadline was not checked while there was always something to read.
+case!(events_without_end_stop_at_the_deadline, async {
+    let world = World::start(true).await;
+    let endless =
+        Endless { after_head: Some(Framing::Close), start: "", repeated: "id: 1\ndata: a\n\n" };
+    let started = std::time::Instant::now();
+    let (answer, _) = world.ask_with(Fault::Endless(endless)).await;
+    assert!(!answer.is_whole);
+    let elapsed = started.elapsed();
+    assert!(elapsed < std::time::Duration::from_millis(4_500), "it took {elapsed:?}");
+});
