Tests of endless responses measure the gateway, not the hosts' buffers

Cause: the upstream counted what its host had taken. At full speed up to 37 MB of that lie in the buffers of the two hosts (rmem up to 32 MB here), and how much depends on their luck; the gateway had read 1 MiB of events. The check was wrong, not narrowed: bounds stay, and the upstream now sends at a pace that reaches the bound in half a second, so that what is taken is what was read.

An event may have 256 KiB in place of 1 MiB, as a head: a hundred streams of such upstreams at once would otherwise take the memory of a small host.

--- a/crates/gateway/src/event_frames.rs
+++ b/crates/gateway/src/event_frames.rs
@@ -8,7 +8,7 @@
 use displaydoc::Display;
 
 /// The longest event that is buffered: an upstream in trouble may send one without end.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+const MAX_EVENT_BYTES: usize = 256 << 10;
 
 const ID_FIELD: &[u8] = b"id:";
 
@@ -21,7 +21,7 @@
     pub last_id: Option<u64>,
 }
 
-/// an event is longer than 1 MiB
+/// an event is longer than 256 KiB
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, thiserror::Error)]
 pub struct EventTooLong;
 
--- a/tests/all/decisions/event_frames.rs
+++ b/tests/all/decisions/event_frames.rs
@@ -45,5 +45,5 @@
     let mut buffer = EventBuffer::default();
     let part = [b'x'; 1 << 10];
     let taken = (0..2_000).take_while(|_| buffer.push(&part) == Ok(None)).count();
-    assert_eq!(taken, 1_024);
+    assert_eq!(taken, 256);
 }
--- a/tests/all/gateway/endless_responses.rs
+++ b/tests/all/gateway/endless_responses.rs
@@ -7,12 +7,15 @@
 use crate::case::case;
 use crate::harness::wait_until;
 
-/// What a gateway reads of a head or of one event at most, and what the hosts' buffers hold besides.
+/// Bytes of a head or of one event after which a gateway has broken it off.
 const SMALL_BYTES: usize = 8 << 20;
 
 /// The same of a body.
 const BODY_BYTES: usize = 32 << 20;
 
+/// Parts in which the most that is taken is sent: in about half a second.
+const PARTS: usize = 256;
+
 /// Checks that an endless response is broken off early enough for another attempt, and that no more of it was taken than
 /// this.
 async fn is_broken_off(is_stream: bool, endless: Endless, max_bytes: usize) {
@@ -30,7 +33,12 @@
 macro_rules! broken_off {
     ($name:ident, $is_stream:expr, $after_head:expr, $start:expr, $repeated:expr, $max_bytes:expr) => {
         case!($name, {
-            let endless = Endless { after_head: $after_head, start: $start, repeated: $repeated };
+            let endless = Endless {
+                after_head: $after_head,
+                start: $start,
+                repeated: $repeated,
+                part_bytes: $max_bytes / PARTS,
+            };
             is_broken_off($is_stream, endless, $max_bytes)
         });
     };
@@ -74,8 +82,12 @@
 // The deadline was not checked while there was always something to read.
 case!(events_without_end_stop_at_the_deadline, async {
     let world = World::start(true).await;
-    let endless =
-        Endless { after_head: Some(Framing::Close), start: "", repeated: "id: 1\ndata: a\n\n" };
+    let endless = Endless {
+        after_head: Some(Framing::Close),
+        start: "",
+        repeated: "id: 1\ndata: a\n\n",
+        part_bytes: SMALL_BYTES,
+    };
     let started = std::time::Instant::now();
     let (answer, _) = world.ask_with(Fault::Endless(endless)).await;
     assert!(!answer.is_whole);
--- a/tests/all/gateway/framing.rs
+++ b/tests/all/gateway/framing.rs
@@ -23,6 +23,7 @@
 use tokio::io::BufReader;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::time::MissedTickBehavior;
 
 use super::world::Answer;
 use super::world::ENGINE;
@@ -70,6 +71,8 @@
     pub(super) after_head: Option<Framing>,
     pub(super) start: &'static str,
     pub(super) repeated: &'static str,
+    /// Bytes that are sent in each `ENDLESS_PART_INTERVAL`.
+    pub(super) part_bytes: usize,
 }
 
 /// What the upstream does with its next request.
@@ -177,16 +180,20 @@
     });
     let mut bytes = format!("{}{}", head.unwrap_or_default(), endless.start).into_bytes();
     let mut sent = 0;
-    let part = endless.repeated.repeat(ENDLESS_PART_BYTES / endless.repeated.len());
+    let part = endless.repeated.repeat(endless.part_bytes / endless.repeated.len());
+    let mut ticks = tokio::time::interval(ENDLESS_PART_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     while stream.write_all(&bytes).await.is_ok() {
         sent += bytes.len();
         bytes = part.clone().into_bytes();
+        ticks.tick().await;
     }
     sent
 }
 
-/// Bytes of an endless response that are written at once.
-const ENDLESS_PART_BYTES: usize = 16 << 10;
+/// Interval between the parts of an endless response: hosts' buffers would hide how much the gateway has read of what
+/// comes at full speed.
+const ENDLESS_PART_INTERVAL: Duration = Duration::from_millis(2);
 
 /// Time in which what was sent before a reset is read.
 const RESET_DELAY: Duration = Duration::from_millis(10);
