Intervals between tokens are slow beyond the old version's own spread

Cause: an interval counted as slow from twice the usual on, however little intervals vary (19.4 to 19.6 ms at a load of 1). Evidence, and what was ruled out (a tail of slow requests, counts not pooled, completion on Probable): docs/incidents/slightly-slower-version-kept.md.

Change: each load level keeps the variance of its intervals besides their mean. At a load at which the old version was observed, an interval is slow beyond three standard deviations (more where these are known from few intervals), between 1.15 and 2 times the usual. Gateways tell each other the variance; of one that does not, twice the usual holds as before.

--- a/crates/gateway/src/peers/baselines.rs
+++ b/crates/gateway/src/peers/baselines.rs
@@ -50,6 +50,7 @@
         is_pause: time.kind.part == LatencyKind::Pause,
         load: time.known.load,
         usual_ms: time.known.usual_ms,
+        log_variance: Some(time.known.log_variance),
     }
 }
 
@@ -63,6 +64,10 @@
         service: message.service.parse()?,
         order_version: StoreVersion::of(message.order_version),
         kind,
-        known: BaselineLatency { load: message.load, usual_ms: message.usual_ms },
+        known: BaselineLatency {
+            load: message.load,
+            usual_ms: message.usual_ms,
+            log_variance: message.log_variance.unwrap_or(BaselineLatency::UNKNOWN_LOG_VARIANCE),
+        },
     })
 }
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -261,6 +261,9 @@
     /// The latency, in milliseconds.
     #[prost(double, tag = "7")]
     pub(super) usual_ms: f64,
+    /// Variance of the latencies' logarithms; none from a gateway that does not tell it.
+    #[prost(double, optional, tag = "8")]
+    pub(super) log_variance: Option<f64>,
 }
 
 /// The number of a feed in messages.
--- a/crates/policy/src/rollout/evidence.rs
+++ b/crates/policy/src/rollout/evidence.rs
@@ -30,6 +30,10 @@
 /// slow.
 const SLOW_FACTOR: f64 = 2.0;
 
+/// The lowest such factor for token intervals, at a load at which the old version's hardly vary. An engine that generates
+/// all tokens 1.6 times as slowly has no interval of twice the baseline.
+const MIN_SLOW_FACTOR: f64 = 1.15;
+
 /// An upstream with fewer requests in progress is comparable to those of a new version, which gets few
 /// requests: 9 of 10 recorded streams on such upstreams ran with 1 to 3 requests in progress.
 const IDLE_LOAD: f64 = 4.0;
@@ -99,7 +103,8 @@
 
     /// The latency above which a response counts as slow; none while there is no baseline.
     pub fn slow_threshold(&self, kind: &RequestKind, load: u32) -> Option<Duration> {
-        Some(self.baselines.get(kind)?.at(load)?.mul_f64(SLOW_FACTOR))
+        let baseline = self.baselines.get(kind)?;
+        Some(baseline.at(load)?.mul_f64(slow_factor(kind, baseline, load)))
     }
 
     /// Whether the old version was never observed at a load as low as the new one's. If a burst lasts
@@ -220,6 +225,15 @@
     }
 }
 
+/// How many times the baseline a latency must exceed to count as slow: less than `SLOW_FACTOR` where the old version was
+/// observed at the same load, and its token intervals vary by less.
+fn slow_factor(kind: &RequestKind, baseline: &LatencyBaseline, load: u32) -> f64 {
+    match (kind.part, baseline.usual_spread(load)) {
+        (LatencyKind::Pause, Some(spread)) => spread.clamp(MIN_SLOW_FACTOR, SLOW_FACTOR),
+        _ => SLOW_FACTOR,
+    }
+}
+
 /// Counts of the route of a kind of requests; nothing if it has none or there is no response.
 fn of_route(kind: &RequestKind, counts: RouteCounts) -> BTreeMap<RouteName, RouteCounts> {
     let route = kind.route.iter().filter(|_| counts != RouteCounts::default());
--- a/crates/policy/src/rollout/latency_baseline.rs
+++ b/crates/policy/src/rollout/latency_baseline.rs
@@ -6,6 +6,12 @@
 /// Responses at a load before its baseline is trusted.
 const MIN_RESPONSES: u64 = 5;
 
+/// Latencies within this many standard deviations are usual.
+const USUAL_DEVIATIONS: f64 = 3.0;
+
+/// The number of responses whose standard deviation may be as little as half of the true one.
+const UNCERTAIN_RESPONSES: f64 = 8.0;
+
 /// The lowest weight of the newest latency in the baseline.
 const NEWEST_WEIGHT: f64 = 0.05;
 
@@ -27,6 +33,8 @@
     pub load: f64,
     /// The baseline latency, in milliseconds.
     pub usual_ms: f64,
+    /// Variance of the latencies' natural logarithms.
+    pub log_variance: f64,
 }
 
 impl BaselineLatency {
@@ -35,9 +43,16 @@
     /// The longest valid latency: no request is waited for longer.
     const MAX_MS: f64 = 600_000.0;
 
-    /// Whether load and latency are within limits.
+    /// The highest valid variance: of latencies that differ by a factor of `e` to the tenth.
+    const MAX_LOG_VARIANCE: f64 = 100.0;
+    /// The variance where it is not known: usual latencies may reach twice the baseline.
+    pub const UNKNOWN_LOG_VARIANCE: f64 = 0.5;
+
+    /// Whether load, latency and variance are within limits.
     pub fn is_plausible(self) -> bool {
-        (0.0..=Self::MAX_LOAD).contains(&self.load) && (0.0..=Self::MAX_MS).contains(&self.usual_ms)
+        (0.0..=Self::MAX_LOAD).contains(&self.load)
+            && (0.0..=Self::MAX_MS).contains(&self.usual_ms)
+            && (0.0..=Self::MAX_LOG_VARIANCE).contains(&self.log_variance)
     }
 }
 
@@ -48,6 +63,7 @@
     mean_load: f64,
     /// The geometric mean: a few very long latencies hardly change it.
     mean_log_ms: f64,
+    log_variance: f64,
 }
 
 impl LoadLevel {
@@ -55,7 +71,10 @@
         self.answers += 1;
         let weight = NEWEST_WEIGHT.max(1.0 / self.answers as f64);
         self.mean_load += weight * (load - self.mean_load);
-        self.mean_log_ms += weight * (log_ms - self.mean_log_ms);
+        let before = self.mean_log_ms;
+        self.mean_log_ms += weight * (log_ms - before);
+        let square = (log_ms - before) * (log_ms - self.mean_log_ms);
+        self.log_variance += weight * (square - self.log_variance);
     }
 
     fn is_trusted(&self) -> bool {
@@ -99,6 +118,7 @@
         known.map(|level| BaselineLatency {
             load: level.mean_load,
             usual_ms: level.mean_log_ms.exp(),
+            log_variance: level.log_variance,
         })
     }
 
@@ -114,6 +134,7 @@
                 answers: MIN_RESPONSES,
                 mean_load: known.load,
                 mean_log_ms: known.usual_ms.max(1.0).ln(),
+                log_variance: known.log_variance,
             };
         }
     }
@@ -128,6 +149,13 @@
         self.levels.values().any(|level| level.is_trusted() && level.mean_load < load)
     }
 
+    /// How many times the baseline a usual latency reaches at a load; none where the load was not observed.
+    pub fn usual_spread(&self, load: u32) -> Option<f64> {
+        let level = self.levels.get(&level_of(load)).filter(|level| level.is_trusted())?;
+        let uncertainty = 1.0 + UNCERTAIN_RESPONSES / level.answers as f64;
+        Some((USUAL_DEVIATIONS * uncertainty * level.log_variance.sqrt()).exp())
+    }
+
     /// The baseline at a load; none if it cannot be derived from the observed loads.
     pub fn at(&self, load: u32) -> Option<Duration> {
         let load = f64::from(load);
--- a/tests/all/decisions/rollout_times.rs
+++ b/tests/all/decisions/rollout_times.rs
@@ -91,7 +91,7 @@
 fn implausible_baselines_are_ignored() {
     let mut baseline = LatencyBaseline::default();
     for (load, usual_ms) in [(f64::NAN, 1.0), (1.0, f64::INFINITY), (-1.0, 5.0), (1e12, 5.0)] {
-        baseline.apply_peer_update(BaselineLatency { load, usual_ms });
+        baseline.apply_peer_update(BaselineLatency { load, usual_ms, log_variance: 0.0 });
     }
     assert_eq!(baseline.known().count(), 0);
 }
