One way of telling why a stream's part could not be read

Cause: two errors of one function were converted in two ways, one by a From that nothing else used; a comment line was longer than the others. Change: both by map_err. No behaviour changed.

--- a/crates/gateway/src/upstream/call.rs
+++ b/crates/gateway/src/upstream/call.rs
@@ -45,8 +45,9 @@
     /// Waits until at least one more event is complete. None at the end of the stream.
     ///
     /// # Errors
-    /// Fails when the connection breaks, an event is too long, or the stream ends inside one. A stream that ends with its connection and
-    /// before its first event was cut as well: nothing else tells a whole one from one whose upstream has crashed.
+    /// Fails when the connection breaks, an event is too long, or the stream ends inside one. A stream that ends with
+    /// its connection and before its first event was cut as well: nothing else tells a whole one from one whose upstream
+    /// has crashed.
     pub(crate) async fn next_events(
         &mut self,
         events: &mut EventBuffer,
@@ -54,7 +55,7 @@
         while let Some(frame) = self.body.frame().await {
             let frame = frame.map_err(StreamError::Broken)?;
             let complete = match frame.data_ref() {
-                Some(data) => events.push(data)?,
+                Some(data) => events.push(data).map_err(StreamError::TooLong)?,
                 None => None,
             };
             if complete.is_some() {
@@ -103,12 +104,6 @@
     TooLong(EventTooLong),
 }
 
-impl From<EventTooLong> for StreamError {
-    fn from(error: EventTooLong) -> Self {
-        Self::TooLong(error)
-    }
-}
-
 /// Sends a request and waits for the head of the response.
 ///
 /// # Errors
