--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -2,6 +2,8 @@
 //!
 //! Lock order: no task holds two of these locks at once.
 
+mod in_progress;
+
 use std::collections::BTreeMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -49,6 +51,8 @@
 use crate::suspend_recovery::SuspendRecovery;
 use crate::upstreams::Upstreams;
 
+pub(crate) use in_progress::InProgressGuard;
+
 /// Sessions are remembered for a little longer than they last, as the caller counts from when it
 /// has the response.
 const SESSION_MARGIN: Duration = Duration::from_millis(500);
@@ -384,22 +388,3 @@
         self.in_progress.load(Ordering::SeqCst)
     }
 }
-
-/// Counts a request as in progress until dropped.
-#[derive(Debug)]
-pub(crate) struct InProgressGuard(Arc<GatewayState>);
-
-impl InProgressGuard {
-    pub(crate) fn count(state: &Arc<GatewayState>) -> Self {
-        state.in_progress.fetch_add(1, Ordering::SeqCst);
-        state.metrics.in_progress.inc();
-        Self(Arc::clone(state))
-    }
-}
-
-impl Drop for InProgressGuard {
-    fn drop(&mut self) {
-        self.0.in_progress.fetch_sub(1, Ordering::SeqCst);
-        self.0.metrics.in_progress.dec();
-    }
-}
