review: a preempted stream is closed although its engine is at work

Cause: a read of a resumable stream ends after twice the route's pause, and the stream is given up before it is known whether another attempt is allowed. Without one the caller's connection is closed in the middle of the answer.

--- /dev/null
+++ b/review/standins-2/preempted.rs
@@ -0,0 +1,85 @@
+//! LOST: streams that engines preempt in their middle, around a SIGHUP.
+
+use std::collections::HashMap;
+use std::io;
+use std::thread;
+use std::time::Duration;
+
+use crate::Verdict;
+use crate::consumer::Call;
+use crate::consumer::send;
+use crate::record::Record;
+use crate::worker::Behaviour;
+use crate::worker::Preemption;
+use crate::world::LASTING_KEY;
+use crate::world::World;
+
+/// Number of streams that are preempted: the newest of the least urgent.
+const STREAMS: usize = 4;
+
+/// An engine makes an event in this time.
+const EVENT_TIME: Duration = Duration::from_millis(200);
+
+const LAST_EVENT: u64 = 20;
+
+/// The full engines preempt a stream once, for this long. Consumers bear silence for eight times the pause of the
+/// route, 9.6 s.
+const PREEMPTION: Preemption =
+    Preemption { after_events: 5, is_first_run_only: false, pause: Duration::from_millis(4_000) };
+
+const PATIENCE: Duration = Duration::from_millis(9_600);
+const DEADLINE: Duration = Duration::from_millis(20_000);
+
+/// The time limit of a request counts as reached when this little is left of it.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(500);
+
+/// Runs the case.
+///
+/// # Errors
+/// Fails if it cannot run.
+pub fn run(record: &Record, has_trouble: bool) -> io::Result<Verdict> {
+    let ids: Vec<_> = (0..STREAMS).map(|number| format!("brief-{number}")).collect();
+    let preempted = if has_trouble {
+        ids.iter().map(|id| (id.clone(), PREEMPTION)).collect()
+    } else {
+        HashMap::new()
+    };
+    let engines = Behaviour { last_event: LAST_EVENT, event_time: EVENT_TIME, preempted };
+    let mut world = World::start(&engines, record)?;
+    let addr = world.gateways[0].addresses.callers;
+    let consumers: Vec<_> = ids
+        .into_iter()
+        .map(|id| {
+            let record = record.clone();
+            let call = Call {
+                id,
+                path: "/brief/2f".to_owned(),
+                key: LASTING_KEY.to_owned(),
+                deadline: DEADLINE,
+                is_generation: true,
+                patience: PATIENCE,
+            };
+            thread::spawn(move || send(addr, &call, &record))
+        })
+        .collect();
+    // All have been passed on to an engine.
+    thread::sleep(Duration::from_millis(500));
+    world.gateways[0].hang_up()?;
+    let hung_up = record.line("gateway 0 gets SIGHUP");
+    let mut lost = 0;
+    for consumer in consumers {
+        let outcome = consumer.join().map_err(|_| io::Error::other("a consumer ended"))??;
+        let is_around = outcome.sent < hung_up && outcome.ended > hung_up;
+        let is_in_time = outcome.ended < outcome.sent + DEADLINE - DEADLINE_MARGIN;
+        if is_around && is_in_time && !outcome.is_whole && !outcome.has_given_up {
+            lost += 1;
+        }
+    }
+    if !world.gateways[0].is_running() {
+        return Err(io::Error::other("the gateway has ended"));
+    }
+    record.line(format!(
+        "{lost} of {STREAMS} streams, passed on to engines that went on working, were closed without their end"
+    ));
+    Ok(if lost > 0 { Verdict::Broken } else { Verdict::Held })
+}
--- /dev/null
+++ b/review/standins-2/world.rs
@@ -0,0 +1,104 @@
+//! A small deployment: three gateways, three engines and a plain worker in three zones.
+
+use std::fs;
+use std::io;
+use std::path::PathBuf;
+use std::process;
+use std::thread;
+use std::time::Duration;
+
+use crate::gateway::Addresses;
+use crate::gateway::Gateway;
+use crate::gateway::zone;
+use crate::record::Record;
+use crate::store::Store;
+use crate::store::StoreAccess;
+use crate::worker::Behaviour;
+use crate::worker::Runs;
+use crate::worker::Worker;
+
+/// Number of gateways, engines and zones.
+const ZONES: usize = 3;
+
+/// Traffic starts this long after the machines do.
+const LEAD: Duration = Duration::from_secs(10);
+
+/// A key that the first configuration has and the second has not.
+pub const FIRST_KEY: &str = "n2ctnfzs989anu6wsjnb";
+
+/// A key that all configurations have.
+pub const LASTING_KEY: &str = "anfqasnmgkcuyj8pjbvk";
+
+/// The folder of settings and logs. It is removed when dropped.
+struct Folder(PathBuf);
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+/// The deployment. All processes end when it is dropped.
+pub struct World {
+    /// The gateways.
+    pub gateways: Vec<Gateway>,
+    /// Each gateway's view of the store.
+    pub views: Vec<StoreAccess>,
+    /// The store.
+    pub store: Store,
+    /// The runs of all workers.
+    pub runs: Runs,
+    _folder: Folder,
+}
+
+impl World {
+    /// Starts it, and waits until traffic may start.
+    ///
+    /// # Errors
+    /// Fails if it does not become ready.
+    pub fn start(engines: &Behaviour, record: &Record) -> io::Result<Self> {
+        let folder = std::env::temp_dir().join(format!("stallhoist-review-{}", process::id()));
+        fs::create_dir_all(&folder)?;
+        let folder = Folder(folder);
+        let store = Store::new(record);
+        let runs = Runs::default();
+        for number in 0..ZONES {
+            let engine = Worker::start(&format!("i-engine-{number}"), engines, &runs, record)?;
+            store.put("servers", &engine.id, &engine.row("underwrite-lm", zone(number), 32));
+        }
+        let plain = Worker::start("i-ledger-0", engines, &runs, record)?;
+        store.put("servers", &plain.id, &plain.row("ledger-app", zone(0), 6));
+        store.put("op", "config", &config(4, &[FIRST_KEY, LASTING_KEY]));
+        let fleet: Vec<_> = (0..ZONES).map(|_| Addresses::free()).collect::<Result<_, _>>()?;
+        let mut gateways = Vec::new();
+        let mut views = Vec::new();
+        for number in 0..ZONES {
+            let view = store.open(&format!("gateway {number}"))?;
+            gateways.push(Gateway::start(number, &fleet, &view, &folder.0, record)?);
+            views.push(view);
+        }
+        for gateway in &gateways {
+            gateway.wait_until_ready()?;
+        }
+        record.line("all gateways are ready");
+        thread::sleep(LEAD.saturating_sub(record.elapsed()));
+        Ok(Self { gateways, views, store, runs, _folder: folder })
+    }
+}
+
+/// A configuration: a route for generations, one for lookups, and the keys of the only tenant.
+pub fn config(version: u64, keys: &[&str]) -> String {
+    let keys: Vec<_> = keys.iter().map(|key| format!("\"{key}\"")).collect();
+    let keys = keys.join(",");
+    format!(
+        r#"{{"version":{version},
+"routes":[
+{{"name":"r-brief","host":"desk.example","path_prefix":"/brief/","kind":"streaming","timeout_ms":20000,"target_latency_ms":1500,"priority":0,"sizes":["m0","m1","m2"],"service":"underwrite-lm","max_attempts":3,"auth_exempt":false,"sticky":true,"resumable":true,"gap_aim_ms":1200}},
+{{"name":"r-post","host":"desk.example","path_prefix":"/post/","kind":"safe","timeout_ms":4000,"target_latency_ms":300,"priority":2,"service":"ledger-app","max_attempts":2,"auth_exempt":false}}],
+"services":[
+{{"name":"underwrite-lm","health_path":"/health","max_conns":230,"protocol":"h1","tls":false,"engine":{{"slots":32,"kv_capacity_tokens":761808,"models":[{{"name":"m0","cost":0.015}},{{"name":"m1","cost":0.11}},{{"name":"m2","cost":0.22}}]}}}},
+{{"name":"ledger-app","health_path":"/health","max_conns":96,"protocol":"h1","tls":false}}],
+"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},
+"tenants":[{{"name":"hule930","api_keys":[{keys}],"priority":1}}]}}"#
+    )
+}
