--- a/review/standins-2/lost_news.rs
+++ b/review/standins-2/lost_news.rs
@@ -1,5 +1,5 @@
-//! CONFIG: a key that was taken away is still accepted after a moment in which the store left one machine's calls
-//! without a response.
+//! CONFIG: requests still run on the old service of a route after a moment in which the store left one machine's
+//! calls without a response.
 
 use std::collections::HashMap;
 use std::io;
@@ -12,8 +12,9 @@
 use crate::consumer::send;
 use crate::record::Record;
 use crate::worker::Behaviour;
-use crate::world::FIRST_KEY;
-use crate::world::LASTING_KEY;
+use crate::world::KEY;
+use crate::world::NEW_LEDGER;
+use crate::world::OLD_LEDGER;
 use crate::world::World;
 use crate::world::config;
 
@@ -25,9 +26,9 @@
 const OUTAGE: Duration = Duration::from_millis(300);
 
 /// How long after the machine's last follow call the outage begins.
-const CALL_AGE: Duration = Duration::from_millis(300);
+const CALL_AGE: Duration = Duration::from_millis(100);
 
-/// The requests with the key, from the moment on from which none may run.
+/// The requests on the route, from the moment on from which none may run on the old service.
 const PROBE_INTERVAL: Duration = Duration::from_millis(50);
 const PROBE_TIME: Duration = Duration::from_millis(2_000);
 
@@ -42,25 +43,24 @@
     let engines = Behaviour {
         last_event: 1,
         event_time: Duration::from_millis(100),
-        preempted: HashMap::new(),
+        delayed: HashMap::new(),
+        lost: None,
     };
     let world = World::start(&engines, record)?;
     let addr = world.gateways[0].addresses.callers;
-    let probe = |id: String, key: &str| {
+    let probe = |id: String| {
         let call = Call {
             id,
             path: "/post/2f".to_owned(),
-            key: key.to_owned(),
+            key: KEY.to_owned(),
             deadline: Duration::from_secs(4),
             is_generation: false,
             patience: Duration::from_secs(5),
         };
         send(addr, &call, record)
     };
-    for key in [FIRST_KEY, LASTING_KEY] {
-        if probe(format!("before-{key}"), key)?.status != 200 {
-            return Err(io::Error::other("the keys are not accepted at first"));
-        }
+    if probe("before".to_owned())?.status != 200 {
+        return Err(io::Error::other("the route does not work at first"));
     }
     let view = &world.views[0];
     let (calls, _) = view.operators_calls();
@@ -79,7 +79,7 @@
     }
     let begun = Instant::now();
     sleep_until(begun + Duration::from_millis(50));
-    world.store.put("op", "config", &config(7, &[LASTING_KEY]));
+    world.store.put("op", "config", &config(7, NEW_LEDGER));
     let confirmed = Instant::now();
     sleep_until(begun + OUTAGE);
     if has_trouble {
@@ -88,21 +88,21 @@
     let bound_from = (Instant::now() + CONTACT).max(confirmed + CONFIG_APPLY) + MARGIN;
     sleep_until(bound_from);
     record.line("from now on gateway 0 is in touch, and the configuration is to be in force");
-    let mut ran = 0;
     let mut number = 0;
     let until = Instant::now() + PROBE_TIME;
     while Instant::now() < until {
         number += 1;
-        let outcome = probe(format!("after-{number}"), FIRST_KEY)?;
-        ran += usize::from(outcome.status == 200);
+        if probe(format!("after-{number}"))?.status != 200 {
+            return Err(io::Error::other("the route does not work any more"));
+        }
         thread::sleep(PROBE_INTERVAL);
     }
-    let lasting = probe("after-lasting".to_owned(), LASTING_KEY)?;
-    if lasting.status != 200 {
-        return Err(io::Error::other("the lasting key is not accepted any more"));
-    }
-    record.line(format!("{ran} of {number} requests with the key that was taken away were run"));
-    Ok(if ran > 0 { Verdict::Broken } else { Verdict::Held })
+    let runs = world.runs.lock().expect("no holder panics").clone();
+    let is_late = |request: &str| request.starts_with("after-");
+    let on_old = |worker: &str| worker.ends_with(OLD_LEDGER);
+    let late = runs.iter().filter(|run| is_late(&run.request) && on_old(&run.worker)).count();
+    record.line(format!("{late} of {number} requests were run on {OLD_LEDGER}"));
+    Ok(if late > 0 { Verdict::Broken } else { Verdict::Held })
 }
 
 fn sleep_until(at: Instant) {
--- a/review/standins-2/preempted.rs
+++ b/review/standins-2/preempted.rs
@@ -10,8 +10,8 @@
 use crate::consumer::send;
 use crate::record::Record;
 use crate::worker::Behaviour;
-use crate::worker::Preemption;
-use crate::world::LASTING_KEY;
+use crate::worker::Delay;
+use crate::world::KEY;
 use crate::world::World;
 
 /// Number of streams that are preempted: the newest of the least urgent.
@@ -24,8 +24,12 @@
 
 /// The full engines preempt a stream once, for this long. Consumers bear silence for eight times the pause of the
 /// route, 9.6 s.
-const PREEMPTION: Preemption =
-    Preemption { after_events: 5, is_first_run_only: false, pause: Duration::from_millis(4_000) };
+const PREEMPTION: Delay = Delay {
+    after_events: 5,
+    time: Duration::from_millis(4_000),
+    is_first_run_only: false,
+    reason: "it is preempted, and read anew",
+};
 
 const PATIENCE: Duration = Duration::from_millis(9_600);
 const DEADLINE: Duration = Duration::from_millis(20_000);
@@ -39,12 +43,12 @@
 /// Fails if it cannot run.
 pub fn run(record: &Record, has_trouble: bool) -> io::Result<Verdict> {
     let ids: Vec<_> = (0..STREAMS).map(|number| format!("brief-{number}")).collect();
-    let preempted = if has_trouble {
+    let delayed = if has_trouble {
         ids.iter().map(|id| (id.clone(), PREEMPTION)).collect()
     } else {
         HashMap::new()
     };
-    let engines = Behaviour { last_event: LAST_EVENT, event_time: EVENT_TIME, preempted };
+    let engines = Behaviour { last_event: LAST_EVENT, event_time: EVENT_TIME, delayed, lost: None };
     let mut world = World::start(&engines, record)?;
     let addr = world.gateways[0].addresses.callers;
     let consumers: Vec<_> = ids
@@ -54,7 +58,7 @@
             let call = Call {
                 id,
                 path: "/brief/2f".to_owned(),
-                key: LASTING_KEY.to_owned(),
+                key: KEY.to_owned(),
                 deadline: DEADLINE,
                 is_generation: true,
                 patience: PATIENCE,
--- a/review/standins-2/two_runs.rs
+++ b/review/standins-2/two_runs.rs
@@ -10,22 +10,32 @@
 use crate::consumer::send;
 use crate::record::Record;
 use crate::worker::Behaviour;
-use crate::worker::Preemption;
+use crate::worker::Delay;
 use crate::worker::Run;
-use crate::world::LASTING_KEY;
+use crate::world::KEY;
 use crate::world::World;
 
 /// The rule's bound: how long the worker before may still be at work.
 const BOUND: Duration = Duration::from_millis(400);
 
-/// An engine makes an event in this time: half of the pause with which a stream is still in time.
-const EVENT_TIME: Duration = Duration::from_millis(600);
+/// An engine makes an event in this time.
+const EVENT_TIME: Duration = Duration::from_millis(200);
 
-const LAST_EVENT: u64 = 8;
+const LAST_EVENT: u64 = 40;
 
+/// The stream that is preempted once. It is the newest of the least urgent.
 const ID: &str = "brief-0";
-const PREEMPTION: Preemption =
-    Preemption { after_events: 3, is_first_run_only: true, pause: Duration::from_millis(6_000) };
+
+/// It is read anew, and goes on.
+const PREEMPTION: Delay = Delay {
+    after_events: 5,
+    time: Duration::from_millis(3_000),
+    is_first_run_only: true,
+    reason: "it is preempted, read anew, and goes on after that",
+};
+
+/// Number of streams beside it, whose answers all arrive.
+const OTHERS: usize = 9;
 
 const PATIENCE: Duration = Duration::from_millis(9_600);
 const DEADLINE: Duration = Duration::from_millis(20_000);
@@ -35,26 +45,42 @@
 /// # Errors
 /// Fails if it cannot run.
 pub fn run(record: &Record, has_trouble: bool) -> io::Result<Verdict> {
-    let preempted =
-        if has_trouble { HashMap::from([(ID.to_owned(), PREEMPTION)]) } else { HashMap::new() };
-    let engines = Behaviour { last_event: LAST_EVENT, event_time: EVENT_TIME, preempted };
-    let world = World::start(&engines, record)?;
-    let call = Call {
-        id: ID.to_owned(),
-        path: "/brief/2f".to_owned(),
-        key: LASTING_KEY.to_owned(),
-        deadline: DEADLINE,
-        is_generation: true,
-        patience: PATIENCE,
+    let engines = Behaviour {
+        last_event: LAST_EVENT,
+        event_time: EVENT_TIME,
+        delayed: HashMap::from([(ID.to_owned(), PREEMPTION)]),
+        lost: has_trouble.then(|| ID.to_owned()),
     };
-    send(world.gateways[0].addresses.callers, &call, record)?;
+    let world = World::start(&engines, record)?;
+    let ids = (0..OTHERS).map(|number| format!("other-{number}"));
+    let consumers: Vec<_> = ids
+        .chain([ID.to_owned()])
+        .enumerate()
+        .map(|(number, id)| {
+            let addr = world.gateways[number % world.gateways.len()].addresses.callers;
+            let record = record.clone();
+            let call = Call {
+                id,
+                path: "/brief/2f".to_owned(),
+                key: KEY.to_owned(),
+                deadline: DEADLINE,
+                is_generation: true,
+                patience: PATIENCE,
+            };
+            thread::spawn(move || send(addr, &call, &record))
+        })
+        .collect();
+    for consumer in consumers {
+        consumer.join().map_err(|_| io::Error::other("a consumer ended"))??;
+    }
     thread::sleep(Duration::from_millis(300));
     let runs = world.runs.lock().expect("no holder panics").clone();
+    let runs: Vec<_> = runs.into_iter().filter(|run| run.request == ID).collect();
     let mut verdict = Verdict::Held;
     for (before, after) in runs.iter().zip(runs.iter().skip(1)) {
         let overlap = overlap(before, after, record.elapsed());
         record.line(format!(
-            "{} was at work for {} ms more after {} had begun to run the request",
+            "{} was at work on {ID} for {} ms more after {} had begun to run it",
             before.worker,
             overlap.as_millis(),
             after.worker,
--- a/review/standins-2/worker.rs
+++ b/review/standins-2/worker.rs
@@ -20,15 +20,17 @@
 /// How often a worker looks whether the channel of a run was closed.
 const CHANNEL_CHECK: Duration = Duration::from_millis(5);
 
-/// A pause in the middle of a run: its memory was taken for a more urgent request, and it is read anew.
+/// A time in the middle of a run in which it makes no event.
 #[derive(Debug, Clone, Copy)]
-pub struct Preemption {
+pub struct Delay {
     /// Number of events that the run makes before.
     pub after_events: u64,
-    /// Whether it happens in the first run of the request alone; else once in each of its runs.
+    /// How much longer the next event takes.
+    pub time: Duration,
+    /// Whether it is in the first run of the request alone; else once in each of its runs.
     pub is_first_run_only: bool,
-    /// How long the run makes none.
-    pub pause: Duration,
+    /// The reason, for the record.
+    pub reason: &'static str,
 }
 
 /// How a worker runs requests.
@@ -38,8 +40,10 @@
     pub last_event: u64,
     /// Time that the tokens of one event take, from the first token on.
     pub event_time: Duration,
-    /// The requests that are preempted, by their ids.
-    pub preempted: HashMap<String, Preemption>,
+    /// The requests that are delayed, by their ids.
+    pub delayed: HashMap<String, Delay>,
+    /// The request of whose second run the answer is lost: it runs, and nothing of it arrives.
+    pub lost: Option<String>,
 }
 
 /// One run of a request.
@@ -145,30 +149,38 @@
     /// Runs a generation, event by event, and drops it when its channel closes.
     fn stream(&self, channel: &mut Channel, request: &Request) -> io::Result<()> {
         let run = self.begin(request);
-        let result = self.make_events(channel, request);
+        let result = if self.is_lost(request, run) {
+            self.record.line(format!("{}: the answer of this run is lost", self.id));
+            let Behaviour { last_event, event_time, .. } = self.behaviour;
+            wait_while_open(&channel.stream, event_time * last_event as u32)
+        } else {
+            self.make_events(channel, request)
+        };
         self.end(run, result.is_ok());
         result
     }
 
     fn make_events(&self, channel: &mut Channel, request: &Request) -> io::Result<()> {
-        let Behaviour { last_event, event_time, preempted } = &self.behaviour;
+        let Behaviour { last_event, event_time, delayed, .. } = &self.behaviour;
         let headers = self.headers(request);
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{headers}Confidence: 90\r\nTransfer-Encoding: chunked\r\n\r\n"
         );
         channel.stream.write_all(head.as_bytes())?;
+        let id = request.header("request-id");
         let first = request.header("last-event-id").parse().unwrap_or(0) + 1;
-        let preemption = preempted.get(request.header("request-id"));
-        let preemption = preemption.filter(|p| first == 1 || !p.is_first_run_only);
+        let delay = delayed.get(id).filter(|delay| first == 1 || !delay.is_first_run_only);
         for event in first..=*last_event {
             let made = event - first;
-            if let Some(preemption) = preemption.filter(|p| p.after_events == made) {
-                let id = request.header("request-id");
-                self.record.line(format!("{}: {id} is preempted after {made} events", self.id));
-                wait_while_open(&channel.stream, preemption.pause)?;
-                self.record.line(format!("{}: {id} runs again", self.id));
+            if let Some(delay) = delay.filter(|delay| delay.after_events == made) {
+                let reason = delay.reason;
+                self.record.line(format!("{}: {id} after {made} events: {reason}", self.id));
+                wait_while_open(&channel.stream, delay.time)?;
+            }
+            // The first event comes with the first token.
+            if made > 0 {
+                wait_while_open(&channel.stream, *event_time)?;
             }
-            wait_while_open(&channel.stream, *event_time)?;
             let text = format!("id: {event}\ndata: event {event}\n\n");
             let chunk = format!("{:x}\r\n{text}\r\n", text.len());
             channel.stream.write_all(chunk.as_bytes())?;
@@ -176,6 +188,14 @@
         channel.stream.write_all(b"0\r\n\r\n")
     }
 
+    /// Whether the answer of a run is lost.
+    fn is_lost(&self, request: &Request, run: usize) -> bool {
+        let id = request.header("request-id");
+        let runs = self.runs.lock().expect("no holder panics");
+        let earlier = runs[..run].iter().filter(|earlier| earlier.request == id).count();
+        self.behaviour.lost.as_deref() == Some(id) && earlier == 1
+    }
+
     fn headers(&self, request: &Request) -> String {
         let id = request.header("request-id");
         format!("Request-Id: {id}\r\nResponse-Seal: 3e1b.{}\r\n", self.id)
--- a/review/standins-2/world.rs
+++ b/review/standins-2/world.rs
@@ -1,4 +1,4 @@
-//! A small deployment: three gateways, three engines and a plain worker in three zones.
+//! A small deployment: three gateways, three engines and two plain services in three zones.
 
 use std::fs;
 use std::io;
@@ -23,11 +23,12 @@
 /// Traffic starts this long after the machines do.
 const LEAD: Duration = Duration::from_secs(10);
 
-/// A key that the first configuration has and the second has not.
-pub const FIRST_KEY: &str = "n2ctnfzs989anu6wsjnb";
+/// The service of the lookups in the first configuration, and the one that the route is moved to.
+pub const OLD_LEDGER: &str = "ledger-app";
+pub const NEW_LEDGER: &str = "ledger-next";
 
-/// A key that all configurations have.
-pub const LASTING_KEY: &str = "anfqasnmgkcuyj8pjbvk";
+/// The key of the only tenant.
+pub const KEY: &str = "anfqasnmgkcuyj8pjbvk";
 
 /// The folder of settings and logs. It is removed when dropped.
 struct Folder(PathBuf);
@@ -66,9 +67,11 @@
             let engine = Worker::start(&format!("i-engine-{number}"), engines, &runs, record)?;
             store.put("servers", &engine.id, &engine.row("underwrite-lm", zone(number), 32));
         }
-        let plain = Worker::start("i-ledger-0", engines, &runs, record)?;
-        store.put("servers", &plain.id, &plain.row("ledger-app", zone(0), 6));
-        store.put("op", "config", &config(4, &[FIRST_KEY, LASTING_KEY]));
+        for service in [OLD_LEDGER, NEW_LEDGER] {
+            let plain = Worker::start(&format!("i-{service}"), engines, &runs, record)?;
+            store.put("servers", &plain.id, &plain.row(service, zone(0), 6));
+        }
+        store.put("op", "config", &config(4, OLD_LEDGER));
         let fleet: Vec<_> = (0..ZONES).map(|_| Addresses::free()).collect::<Result<_, _>>()?;
         let mut gateways = Vec::new();
         let mut views = Vec::new();
@@ -86,19 +89,18 @@
     }
 }
 
-/// A configuration: a route for generations, one for lookups, and the keys of the only tenant.
-pub fn config(version: u64, keys: &[&str]) -> String {
-    let keys: Vec<_> = keys.iter().map(|key| format!("\"{key}\"")).collect();
-    let keys = keys.join(",");
+/// A configuration: a route for generations, and one for lookups, which leads to the service `ledger`.
+pub fn config(version: u64, ledger: &str) -> String {
     format!(
         r#"{{"version":{version},
 "routes":[
 {{"name":"r-brief","host":"desk.example","path_prefix":"/brief/","kind":"streaming","timeout_ms":20000,"target_latency_ms":1500,"priority":0,"sizes":["m0","m1","m2"],"service":"underwrite-lm","max_attempts":3,"auth_exempt":false,"sticky":true,"resumable":true,"gap_aim_ms":1200}},
-{{"name":"r-post","host":"desk.example","path_prefix":"/post/","kind":"safe","timeout_ms":4000,"target_latency_ms":300,"priority":2,"service":"ledger-app","max_attempts":2,"auth_exempt":false}}],
+{{"name":"r-post","host":"desk.example","path_prefix":"/post/","kind":"safe","timeout_ms":4000,"target_latency_ms":300,"priority":2,"service":"{ledger}","max_attempts":2,"auth_exempt":false}}],
 "services":[
 {{"name":"underwrite-lm","health_path":"/health","max_conns":230,"protocol":"h1","tls":false,"engine":{{"slots":32,"kv_capacity_tokens":761808,"models":[{{"name":"m0","cost":0.015}},{{"name":"m1","cost":0.11}},{{"name":"m2","cost":0.22}}]}}}},
-{{"name":"ledger-app","health_path":"/health","max_conns":96,"protocol":"h1","tls":false}}],
+{{"name":"{OLD_LEDGER}","health_path":"/health","max_conns":96,"protocol":"h1","tls":false}},
+{{"name":"{NEW_LEDGER}","health_path":"/health","max_conns":96,"protocol":"h1","tls":false}}],
 "limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},
-"tenants":[{{"name":"hule930","api_keys":[{keys}],"priority":1}}]}}"#
+"tenants":[{{"name":"hule930","api_keys":["{KEY}"],"priority":1}}]}}"#
     )
 }
