A lost answer to a follow call is noticed before the gateway counts as in touch

Cause: a follow call could be unanswered for its wait (3 s) and the time limit of any call (1.2 s) before its loss was noticed. Neither knew of the time within which changes must be known again.

Evidence: the case's record has no call on the feed from 12.011 to 16.391; the store answered all others from 12.412 on. Ruled out: retries too far apart (there was none), a late application (no answer before 16.391).

Change: `store.catch_up`, filled from the platform's bound, limits the wait. A call that is not answered 0.4 s after its wait is repeated beside the pending one; the first answer counts.

--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -217,8 +217,14 @@
         if self.is_reached == Some(false) {
             return RETRY_WAIT;
         }
-        let wait = Duration::from_millis(self.state.settings.store.follow_wait_ms);
-        if self.feed == Feed::FatalRequests { wait.max(FATAL_REQUESTS_WAIT) } else { wait }
+        let store = &self.state.settings.store;
+        match self.feed {
+            Feed::Operators | Feed::Members | Feed::Rollouts => store.bounded_follow_wait(),
+            // No freshness bound.
+            Feed::Entries => store.follow_wait(),
+            // Peers tell of the crashes themselves.
+            Feed::FatalRequests => store.follow_wait().max(FATAL_REQUESTS_WAIT),
+        }
     }
 
     /// How long changes are collected for one call.
--- a/crates/gateway/src/metrics/mod.rs
+++ b/crates/gateway/src/metrics/mod.rs
@@ -73,6 +73,8 @@
     pub(crate) resting_upstreams: Gauge,
     pub(crate) emptied_zones: Gauge,
     pub(crate) store_failures: Counter,
+    /// Calls to the store that were repeated before they timed out.
+    pub(crate) store_calls_repeated: Counter,
     pub(crate) unreadable_rows: Counter,
     pub(crate) news_bytes: Family<FeedLabels, Counter>,
     pub(crate) first_part_s: Histogram,
@@ -118,6 +120,7 @@
             resting_upstreams: Gauge::default(),
             emptied_zones: Gauge::default(),
             store_failures: Counter::default(),
+            store_calls_repeated: Counter::default(),
             unreadable_rows: Counter::default(),
             news_bytes: Family::default(),
             first_part_s: Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS)),
@@ -182,6 +185,8 @@
         let help = "Availability zones whose upstreams get nothing more";
         r.register("emptied_zones", help, self.emptied_zones.clone());
         r.register("store_failures", "Failed calls to the store", self.store_failures.clone());
+        let help = "Calls to the store repeated for lack of an answer, before they timed out";
+        r.register("store_calls_repeated", help, self.store_calls_repeated.clone());
         let help = "Rows of the store that cannot be read";
         r.register("unreadable_rows", help, self.unreadable_rows.clone());
         let help = "Bytes of news from other entries as they travel, and of values from the store";
--- a/crates/gateway/src/peers/relayed_store/control_store.rs
+++ b/crates/gateway/src/peers/relayed_store/control_store.rs
@@ -57,7 +57,7 @@
         let is_reached = self.state.feed_cache.is_from_store(feed);
         let wait = if is_reached { wait } else { wait.min(FIRST_DIRECT_WAIT) };
         let pending = self.state.feed_cache.begin_follow(feed);
-        let page = self.store.follow(feed, after, wait).await;
+        let page = self.follow_store(feed, after, wait).await;
         drop(pending);
         let page = self.record_store_result(feed, page).await?;
         self.cache_store_page(feed, &page, false);
--- a/crates/gateway/src/peers/relayed_store/mod.rs
+++ b/crates/gateway/src/peers/relayed_store/mod.rs
@@ -4,6 +4,7 @@
 //! `control_store` has the calls; this module selects the peer, or the store, that answers.
 
 mod control_store;
+mod follow_store;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/tests/all/gateway/mod.rs
+++ b/tests/all/gateway/mod.rs
@@ -23,6 +23,7 @@
 mod going_away;
 mod headers;
 mod incarnations;
+mod lost_answers;
 mod members;
 mod named_limits;
 mod peers;
--- a/tests/all/gateway/template.rs
+++ b/tests/all/gateway/template.rs
@@ -24,7 +24,7 @@
     "{{#limits.link_mbps}}, \"link\": \"{{limits.link_mbps}} Mbit/s\"{{/limits.link_mbps}}";
 
 /// The values of a usual deployment. The addresses are the test's own.
-const PLACEHOLDERS: [(&str, &str); 33] = [
+const PLACEHOLDERS: [(&str, &str); 36] = [
     ("{{node|json}}", "\"front-a-1\""),
     ("{{zone|json}}", "\"a\""),
     (LINK_PLACEHOLDER, ", \"link\": \"10 Mbit/s\""),
@@ -35,6 +35,9 @@
     ("{{listen.control|json}}", "\"127.0.0.1:0\""),
     ("{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}", ""),
     ("{{platform.address|json}}", "\"127.0.0.1:1\""),
+    ("{{#bounds.contact_ms}}", ""),
+    ("{{bounds.contact_ms}}", "4000"),
+    ("{{/bounds.contact_ms}}", ""),
     ("{{bounds.retry_budget_ratio|json}}", "0.9"),
     ("{{bounds.budget_slack|json}}", "52"),
     ("{{zones|json}}", "{\"a\":\"r\"}"),
@@ -101,6 +104,7 @@
     assert_eq!(duties.addr, "127.0.0.1:2");
     assert_eq!(settings.peers_addr, "10.1.0.40:8229");
     assert_eq!(settings.store.addr, "127.0.0.1:1");
+    assert_eq!(settings.store.catch_up, TimeSpan::from_secs(4));
     assert_eq!(settings.seeds, ["10.2.0.29:8229", "10.3.0.19:8229"]);
 }
 
@@ -147,6 +151,7 @@
 );
 accepts!(any_slack_is_accepted, "{{bounds.budget_slack|json}}", ["52", "52.5", "0", "1000000000"]);
 accepts!(any_usage_window_is_accepted, "{{bounds.report_window_s}}", ["5", "1", "2.5", "3600"]);
+accepts!(any_contact_time_is_accepted, "{{bounds.contact_ms}}", ["3000", "0", "250.5", "60000"]);
 accepts!(any_lease_is_accepted, "{{bounds.lease_ms}}", ["3000", "500", "1500.5"]);
 accepts!(any_ratio_is_accepted, "{{bounds.retry_budget_ratio|json}}", ["0.9", "0", "1", "25"]);
 
--- a/tests/all/gateway/world.rs
+++ b/tests/all/gateway/world.rs
@@ -221,6 +221,7 @@
             addr: store.addr().to_string(),
             follow_wait_ms: 500,
             call_timeout_ms: 500,
+            ..StoreSettings::default()
         },
         ..GatewaySettings::default()
     }
--- a/tests/all/settings.rs
+++ b/tests/all/settings.rs
@@ -1,12 +1,14 @@
 //! Settings files: the examples are valid, and each problem is reported with its location.
 
 use std::path::Path;
+use std::time::Duration;
 
 use expect_test::Expect;
 use expect_test::expect;
 use stallhoist_settings::EntrySettings;
 use stallhoist_settings::GatewaySettings;
 use stallhoist_settings::SidecarSettings;
+use stallhoist_settings::StoreSettings;
 use stallhoist_settings::Validate;
 use stallhoist_settings::load;
 use stallhoist_settings::parse;
@@ -199,3 +201,19 @@
         r#"gateway.jsonc: line 7: key 'readiness_path', value "ready": must begin with a slash"#
     ]]
 );
+
+/// Checks how long a follow call waits by the time in which changes must be known.
+macro_rules! follow_wait {
+    ($name:ident, $catch_up:expr, $expected:expr) => {
+        #[test]
+        fn $name() {
+            let store = format!(r#"{{ "addr": "127.0.0.1:1", "catch_up": "{}" }}"#, $catch_up);
+            let store = parse::<StoreSettings>("store.jsonc", &store).expect("accepted");
+            assert_eq!(store.bounded_follow_wait(), Duration::from_millis($expected));
+        }
+    };
+}
+
+follow_wait!(a_follow_call_leaves_time_to_catch_up, "3 s", 2_000);
+follow_wait!(a_follow_call_waits_no_longer_than_its_own_limit, "6 s", 3_000);
+follow_wait!(a_follow_call_waits_without_time_to_catch_up, "500 ms", 100);
