A silent stream is closed soon after another upstream was given it

Cause: the open response was kept while upstreams were chosen, the request sent and its first event awaited, however many attempts that took. The class: a connection stays open as long as its owner, not as long as its work is wanted.

Ruled out: a close that does not reach the engine.

Change: the stream that an attempt is to replace is closed 0.2 s after that attempt was sent, or as soon as it may have run and has failed. Until then it can be waited for, as an upstream that rejects does so within milliseconds. A stream that broke with its connection open is closed before the next attempt.

--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -54,8 +54,24 @@
     pub(crate) version: VersionName,
     /// Counts its engine time.
     pub(crate) meter: Option<EngineTimeMeter>,
-    /// Counts the work on the upstream until the stream is dropped.
-    pub(crate) work: WorkGuard,
+    /// Counts the work on the upstream until the stream is closed.
+    pub(crate) work: Option<WorkGuard>,
+}
+
+impl OpenStream {
+    /// Whether it was not closed by this gateway.
+    pub(crate) fn is_open(&self) -> bool {
+        self.work.is_some()
+    }
+
+    /// Closes the connection, by which the upstream learns that its work is no longer wanted.
+    pub(crate) fn close(&mut self) {
+        self.reply.close();
+        self.work = None;
+        if let Some(meter) = self.meter.take() {
+            meter.ended(EngineTimeUse::GivenUp);
+        }
+    }
 }
 
 /// Result of an attempt.
@@ -79,6 +95,13 @@
     Stopped,
 }
 
+impl AttemptOutcome {
+    /// Whether the request may have run on the upstream.
+    pub(crate) fn may_have_run(&self) -> bool {
+        !matches!(self, Self::NotSent(_) | Self::NotRun(_))
+    }
+}
+
 /// One attempt of a request on one upstream.
 #[derive(Debug)]
 pub(crate) struct Attempt<'a> {
@@ -315,7 +338,7 @@
             addr: self.chosen.addr,
             version: self.chosen.version.clone(),
             meter: meter.take(),
-            work,
+            work: Some(work),
         }))
     }
 
--- a/crates/gateway/src/request/execution/mod.rs
+++ b/crates/gateway/src/request/execution/mod.rs
@@ -48,6 +48,10 @@
 /// nothing is sent.
 const MAX_CONNECT_FAILURES: u32 = 8;
 
+/// How long a stream that another attempt is to replace stays open after that attempt was sent. An upstream that rejects
+/// the attempt does so sooner, and one that accepts it may begin at once: two must not be at work for over 400 ms.
+const HANDOVER_TIME: Duration = Duration::from_millis(200);
+
 /// `Retry-After` of a request that has not run.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -128,7 +132,7 @@
     /// Returns itself as well, unless the outcome is a stream, whose relay needs it.
     pub(crate) async fn run(mut self) -> (Outcome, Option<Self>) {
         self.choose_model_of_last_attempt();
-        let response = self.next_response().await;
+        let response = self.next_response(None).await;
         if response.is_ok() {
             let time = self.state.now().since(self.call.arrived);
             self.state.metrics.first_part_s.observe(time.as_secs_f64());
@@ -154,30 +158,23 @@
         &mut self,
         last_event: Option<u64>,
     ) -> Result<Box<OpenStream>, AbandonReason> {
-        self.last_event = last_event.or(self.last_event);
-        if !self.may_retry() {
-            return Err(AbandonReason::Lost);
-        }
-        match self.next_response().await? {
-            AttemptResponse::Stream(stream) => Ok(stream),
-            AttemptResponse::Whole(_) => Err(AbandonReason::Lost),
-        }
+        self.resume_beside(last_event, None).await
     }
 
-    /// Continues a silent stream on another upstream. The stream stays open meanwhile, as its upstream may be at work
-    /// on it.
+    /// Continues a silent stream on another upstream. It stays open until an attempt may be at work on the request there,
+    /// so that it can be waited for if there is none: see [`OpenStream::is_open`].
     ///
     /// # Errors
     /// Fails when there is no other upstream, no attempt is left, or none of them gives a stream.
     pub(crate) async fn resume_elsewhere(
         &mut self,
         last_event: Option<u64>,
-        silent: &UpstreamIncarnation,
+        silent: &mut OpenStream,
     ) -> Result<Box<OpenStream>, AbandonReason> {
-        self.replaced = Some(silent.clone());
-        self.tried.push(silent.clone());
-        let result = if self.has_another_upstream(silent) {
-            self.resume(last_event).await
+        self.replaced = Some(silent.incarnation.clone());
+        self.tried.push(silent.incarnation.clone());
+        let result = if self.has_another_upstream(&silent.incarnation) {
+            self.resume_beside(last_event, Some(silent)).await
         } else {
             Err(AbandonReason::Lost)
         };
@@ -185,13 +182,38 @@
         result
     }
 
-    /// Makes attempts until one gets a response.
-    async fn next_response(&mut self) -> Result<AttemptResponse, AbandonReason> {
+    async fn resume_beside(
+        &mut self,
+        last_event: Option<u64>,
+        replaced: Option<&mut OpenStream>,
+    ) -> Result<Box<OpenStream>, AbandonReason> {
+        self.last_event = last_event.or(self.last_event);
+        if !self.may_retry() {
+            return Err(AbandonReason::Lost);
+        }
+        match self.next_response(replaced).await? {
+            AttemptResponse::Stream(stream) => Ok(stream),
+            AttemptResponse::Whole(_) => Err(AbandonReason::Lost),
+        }
+    }
+
+    /// Makes attempts until one gets a response. The stream that they are to replace is closed as soon as one of them may
+    /// be at work on the request.
+    async fn next_response(
+        &mut self,
+        mut replaced: Option<&mut OpenStream>,
+    ) -> Result<AttemptResponse, AbandonReason> {
         loop {
             self.check_crashes().await?;
             let (chosen, work) = self.choose().await?;
             let started = self.state.now();
-            let outcome = self.attempt(&chosen, work).await;
+            let outcome = self.attempt(&chosen, work, replaced.as_deref_mut()).await;
+            if outcome.may_have_run()
+                && let Some(replaced) = replaced.take()
+            {
+                replaced.close();
+                self.replaced = None;
+            }
             self.record_engine_time(&chosen, &outcome);
             let elapsed = self.state.now().since(started);
             self.count_run(started, &outcome);
@@ -396,7 +418,12 @@
         self.second == Some(SecondAttempt::Repeat)
     }
 
-    async fn attempt(&self, chosen: &Chosen, work: WorkGuard) -> AttemptOutcome {
+    async fn attempt(
+        &self,
+        chosen: &Chosen,
+        work: WorkGuard,
+        replaced: Option<&mut OpenStream>,
+    ) -> AttemptOutcome {
         let attempt = Attempt {
             state: &self.state,
             call: &self.call,
@@ -406,7 +433,13 @@
             purpose: self.purpose(),
             is_repeat: self.is_repeat(),
         };
-        attempt.run(work, self.until_given_up(chosen)).await
+        let given_up = async {
+            tokio::select! {
+                () = self.until_given_up(chosen) => {}
+                () = close_after_handover(replaced) => {}
+            }
+        };
+        attempt.run(work, given_up).await
     }
 
     /// Counts the request for its workspace's usage when the first of its attempts has begun to run: a stream with
@@ -445,6 +478,15 @@
     }
 }
 
+/// Closes a stream that an attempt is to replace once that attempt was sent `HANDOVER_TIME` ago. Does not return.
+async fn close_after_handover(replaced: Option<&mut OpenStream>) {
+    if let Some(replaced) = replaced {
+        tokio::time::sleep(HANDOVER_TIME).await;
+        replaced.close();
+    }
+    std::future::pending().await
+}
+
 /// Response of an attempt.
 #[derive(Debug)]
 enum AttemptResponse {
--- a/crates/gateway/src/request/execution/waits.rs
+++ b/crates/gateway/src/request/execution/waits.rs
@@ -89,7 +89,7 @@
 
     /// Records the engine time of an attempt that may have run.
     pub(super) fn record_engine_time(&mut self, chosen: &Chosen, outcome: &AttemptOutcome) {
-        if matches!(outcome, AttemptOutcome::NotSent(_) | AttemptOutcome::NotRun(_)) {
+        if !outcome.may_have_run() {
             return;
         }
         self.last_expectation = chosen.expectation();
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -12,6 +12,7 @@
 use stallhoist_policy::balance::Evidence;
 use stallhoist_policy::fatal::ResponsePhase;
 
+use super::AbandonReason;
 use super::BrokenResponse;
 use super::Execution;
 use super::attempt::OpenStream;
@@ -19,7 +20,6 @@
 use super::token_interval::MonitoredStream;
 use super::token_interval::TokenIntervalMonitor;
 use crate::event_frames::EventFrames;
-use crate::metrics::EngineTimeUse;
 use crate::metrics::RequestOutcome;
 
 /// A resumable stream is resumed on another upstream once it is silent for this many times the route's target
@@ -120,7 +120,7 @@
                     self.ended(RequestOutcome::Answered, "complete");
                     return Ok(None);
                 }
-                Err(ReadFailure::Silent) => self.leave_silent_upstream().await,
+                Err(ReadFailure::Silent) => self.leave_silent_upstream().await?,
                 Err(ReadFailure::Broken(cause)) => self.resume(cause).await?,
             }
         }
@@ -184,7 +184,9 @@
             self.token_interval.record_interval(state.now().since(began));
             if let Some(last_id) = events.last_id {
                 let count = self.event_monitor.events_read(began, last_id);
-                self.stream.work.events_received(count);
+                if let Some(work) = &mut self.stream.work {
+                    work.events_received(count);
+                }
             }
         }
         events.map_err(|error| ReadFailure::Broken(error.into()))
@@ -199,42 +201,56 @@
 
     /// Continues a silent stream on another upstream. Where none may or can take it, this one is waited for, as it may
     /// be at work on the stream: silence ends no response.
-    async fn leave_silent_upstream(&mut self) {
+    ///
+    /// # Errors
+    /// Fails when another upstream was given the stream and did not continue it.
+    async fn leave_silent_upstream(&mut self) -> Result<(), RelayError> {
         let state = self.execution.state().clone();
         let is_first_time = !std::mem::replace(&mut self.is_silent, true);
         if is_first_time {
             state.upstreams.observe(state.now(), &self.stream.incarnation, Evidence::Failed);
         }
-        let silent = &self.stream.incarnation;
-        match self.execution.resume_elsewhere(self.last_event, silent).await {
-            Ok(stream) => {
-                self.log_left(&BrokenResponse::IdleTimeout);
-                self.replace(*stream);
-            }
-            Err(reason) if is_first_time => {
-                state.metrics.streams_awaited.inc();
-                log::info!(
-                    request = self.execution.call().head.id,
-                    instance:% = silent,
-                    last_event = self.last_event.unwrap_or(0),
-                    reason:% = reason;
-                    "a silent stream is waited for"
-                );
-            }
-            Err(_) => {}
+        let resumed = self.execution.resume_elsewhere(self.last_event, &mut self.stream).await;
+        if resumed.is_ok() || !self.stream.is_open() {
+            self.log_left(&BrokenResponse::IdleTimeout);
+            return self.continue_with(resumed);
         }
+        if let (Err(reason), true) = (resumed, is_first_time) {
+            state.metrics.streams_awaited.inc();
+            log::info!(
+                request = self.execution.call().head.id,
+                instance:% = self.stream.incarnation,
+                last_event = self.last_event.unwrap_or(0),
+                reason:% = reason;
+                "a silent stream is waited for"
+            );
+        }
+        Ok(())
     }
 
-    /// Reads from another upstream's stream from now on.
-    fn replace(&mut self, stream: OpenStream) {
-        if let Some(meter) = self.stream.meter.take() {
-            meter.ended(EngineTimeUse::GivenUp);
+    /// Reads from another upstream's stream from now on, or ends the response if there is none.
+    fn continue_with(
+        &mut self,
+        resumed: Result<Box<OpenStream>, AbandonReason>,
+    ) -> Result<(), RelayError> {
+        let state = self.execution.state().clone();
+        match resumed {
+            Ok(stream) => {
+                state.metrics.streams_resumed.inc();
+                self.stream.close();
+                self.stream = *stream;
+                self.awaited_since = None;
+                self.is_silent = false;
+                (self.token_interval, self.event_monitor) =
+                    monitors_for(&self.execution, &self.stream);
+                Ok(())
+            }
+            Err(reason) => {
+                state.metrics.streams_broken.inc();
+                self.ended(RequestOutcome::Failed, &reason.to_string());
+                Err(RelayError)
+            }
         }
-        self.execution.state().metrics.streams_resumed.inc();
-        self.stream = stream;
-        self.awaited_since = None;
-        self.is_silent = false;
-        (self.token_interval, self.event_monitor) = monitors_for(&self.execution, &self.stream);
     }
 
     fn log_left(&self, cause: &BrokenResponse) {
@@ -250,26 +266,16 @@
     async fn resume(&mut self, cause: BrokenResponse) -> Result<(), RelayError> {
         let state = self.execution.state().clone();
         state.upstreams.observe(state.now(), &self.stream.incarnation, Evidence::Failed);
-        if let Some(meter) = self.stream.meter.take() {
-            meter.ended(EngineTimeUse::GivenUp);
-        }
+        // Some breaks leave the connection open, with the upstream at work.
+        self.stream.close();
         self.log_left(&cause);
         let OpenStream { incarnation, addr, progress, .. } = &self.stream;
         let phase = progress.phase();
         if self.execution.after_broken_response(incarnation, *addr, &cause, phase).await {
             self.execution.record_crash();
         }
-        match self.execution.resume(self.last_event).await {
-            Ok(stream) => {
-                self.replace(*stream);
-                Ok(())
-            }
-            Err(abandon_reason) => {
-                state.metrics.streams_broken.inc();
-                self.ended(RequestOutcome::Failed, &abandon_reason.to_string());
-                Err(RelayError)
-            }
-        }
+        let resumed = self.execution.resume(self.last_event).await;
+        self.continue_with(resumed)
     }
 
     /// Learns the length of the route's streams. Events are numbered from 1.
--- a/crates/gateway/src/upstream/call.rs
+++ b/crates/gateway/src/upstream/call.rs
@@ -69,6 +69,11 @@
         Ok(None)
     }
 
+    /// Closes the connection. What has not been read is lost.
+    pub(crate) fn close(&self) {
+        self.driver.close();
+    }
+
     /// Whether the body has neither a length nor chunks.
     fn ends_with_connection(&self) -> bool {
         let headers = &self.head.headers;
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -57,9 +57,16 @@
 #[derive(Debug)]
 pub(crate) struct Driver(JoinHandle<()>);
 
+impl Driver {
+    /// Closes the connection.
+    pub(super) fn close(&self) {
+        self.0.abort();
+    }
+}
+
 impl Drop for Driver {
     fn drop(&mut self) {
-        self.0.abort();
+        self.close();
     }
 }
 
--- a/tests/all/gateway/silent_streams.rs
+++ b/tests/all/gateway/silent_streams.rs
@@ -1,6 +1,7 @@
 //! Upstreams that are silent for longer than another attempt waits, and go on with their work after that.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use reqwest::Method;
 use serde_json::Value;
@@ -111,3 +112,19 @@
     let answer = send(world.request(Method::GET, "/safe/x", "id-1")).await.expect("an answer");
     assert_eq!((answer.status, answer.body.as_str()), (200, "done"));
 });
+
+// It went on for 3 s beside the next one, whose response was lost.
+case!(a_silent_upstream_is_not_at_work_beside_the_next_one, async {
+    const MAX_OVERLAP: Duration = Duration::from_millis(400);
+    let world = world_of(ENGINE, &[preempted(), preempted()], 3).await;
+    let request = tokio::spawn(send(world.stream_within("id-1", 15_000)));
+    wait_until("the stream runs", async || world.runs() == 1).await;
+    let (silent, other) = if world.upstreams[0].runs() == 1 { (0, 1) } else { (1, 0) };
+    world.upstreams[other].then([Behaviour::Hang]);
+    wait_until("the next one runs", async || world.upstreams[other].runs() == 1).await;
+    let began = Instant::now();
+    wait_until("the silent one has stopped", async || world.upstreams[silent].abandoned() == 1)
+        .await;
+    assert!(began.elapsed() < MAX_OVERLAP, "both were at work for {:?}", began.elapsed());
+    request.abort();
+});
