--- a/crates/gateway/src/request/execution/mod.rs
+++ b/crates/gateway/src/request/execution/mod.rs
@@ -1,8 +1,9 @@
 //! The attempts of one request, until its final response.
 //!
 //! Read `Execution::run` first. `admission` decides when an attempt is sent, `choice` selects its upstream and
-//! `step_up` its model, `waits` when it is given up, `after_broken_response` handles its crash, `quarantine` holds
-//! back requests that crash upstreams, `attempt_log` writes the log lines.
+//! `step_up` its model, `waits` when it is given up, `retries` whether another one follows, `resume` continues streams,
+//! `after_broken_response` handles a crash, `quarantine` holds back requests that crash upstreams, `attempt_log` writes
+//! the log lines.
 //!
 //! Invariant: a request that may run once only is never sent again after an attempt that may have run.
 
@@ -11,6 +12,8 @@
 mod attempt_log;
 mod choice;
 mod quarantine;
+mod resume;
+mod retries;
 mod step_up;
 mod waits;
 
@@ -48,10 +51,6 @@
 /// nothing is sent.
 const MAX_CONNECT_FAILURES: u32 = 8;
 
-/// How long a stream that another attempt is to replace stays open after that attempt was sent. An upstream that rejects
-/// the attempt does so sooner, and one that accepts it may begin at once: two must not be at work for over 400 ms.
-const HANDOVER_TIME: Duration = Duration::from_millis(200);
-
 /// `Retry-After` of a request that has not run.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -150,53 +149,6 @@
         }
     }
 
-    /// Resumes a broken stream on another upstream, after the last event that the caller has received.
-    ///
-    /// # Errors
-    /// Fails when no attempt is left, or when none of them gives a stream.
-    pub(crate) async fn resume(
-        &mut self,
-        last_event: Option<u64>,
-    ) -> Result<Box<OpenStream>, AbandonReason> {
-        self.resume_beside(last_event, None).await
-    }
-
-    /// Continues a silent stream on another upstream. It stays open until an attempt may be at work on the request there,
-    /// so that it can be waited for if there is none: see [`OpenStream::is_open`].
-    ///
-    /// # Errors
-    /// Fails when there is no other upstream, no attempt is left, or none of them gives a stream.
-    pub(crate) async fn resume_elsewhere(
-        &mut self,
-        last_event: Option<u64>,
-        silent: &mut OpenStream,
-    ) -> Result<Box<OpenStream>, AbandonReason> {
-        self.replaced = Some(silent.incarnation.clone());
-        self.tried.push(silent.incarnation.clone());
-        let result = if self.has_another_upstream(&silent.incarnation) {
-            self.resume_beside(last_event, Some(silent)).await
-        } else {
-            Err(AbandonReason::Lost)
-        };
-        self.replaced = None;
-        result
-    }
-
-    async fn resume_beside(
-        &mut self,
-        last_event: Option<u64>,
-        replaced: Option<&mut OpenStream>,
-    ) -> Result<Box<OpenStream>, AbandonReason> {
-        self.last_event = last_event.or(self.last_event);
-        if !self.may_retry() {
-            return Err(AbandonReason::Lost);
-        }
-        match self.next_response(replaced).await? {
-            AttemptResponse::Stream(stream) => Ok(stream),
-            AttemptResponse::Whole(_) => Err(AbandonReason::Lost),
-        }
-    }
-
     /// Makes attempts until one gets a response. The stream that they are to replace is closed as soon as one of them may
     /// be at work on the request.
     async fn next_response(
@@ -354,54 +306,6 @@
         }
     }
 
-    /// Whether another attempt is allowed. Each takes from the retry budget: the platform counts rejected
-    /// requests as well.
-    fn may_retry(&mut self) -> bool {
-        let is_repeat = self.progress.may_have_run();
-        let take_budget = || {
-            if is_repeat {
-                self.take_repeat(self.last_expectation)
-            } else {
-                self.take_retry(self.retry_use())
-            }
-        };
-        let may_retry = self.may_attempt_again(take_budget);
-        if may_retry && is_repeat {
-            self.second = Some(SecondAttempt::Repeat);
-        }
-        may_retry
-    }
-
-    /// Whether an attempt that has no response yet may be repeated elsewhere; if so, the retry is deducted.
-    fn take_repeat_of(&self, chosen: &Chosen) -> bool {
-        let has_retry = || self.state.retries.lock().has_retry(&self.call.service_name);
-        self.may_attempt_again(|| has_retry() && self.take_repeat(chosen.expectation()))
-    }
-
-    /// Whether there is engine time and budget for a repeat of an attempt with this expectation; if so, it is deducted.
-    fn take_repeat(&self, expectation: Expectation) -> bool {
-        let Expectation { first_chunk, engine_time, .. } = expectation;
-        self.has_engine_time(SecondAttempt::Repeat, first_chunk, engine_time)
-            && self.take_retry(self.retry_use())
-    }
-
-    fn retry_use(&self) -> RetryUse {
-        if self.progress.is_delivered() { RetryUse::Resume } else { RetryUse::Repeat }
-    }
-
-    /// Whether a request that was sent may be sent again, for whatever reason. `take_budget` is called last.
-    fn may_attempt_again(&self, take_budget: impl FnOnce() -> bool) -> bool {
-        self.state.now() < self.latest_end()
-            && self.trials.is_empty()
-            && self.progress.may_retry(true, take_budget)
-    }
-
-    /// Whether the retry budget allows a retry; if so, it is deducted.
-    fn take_retry(&self, retry_use: RetryUse) -> bool {
-        let now = self.state.now();
-        self.state.retries.lock().try_acquire(now, &self.call.service_name, retry_use)
-    }
-
     fn abandon_reason(&self) -> AbandonReason {
         if !self.progress.may_have_run() {
             return AbandonReason::NotRun { retry_after: RETRY_AFTER };
@@ -436,7 +340,7 @@
         let given_up = async {
             tokio::select! {
                 () = self.until_given_up(chosen) => {}
-                () = close_after_handover(replaced) => {}
+                () = resume::close_after_handover(replaced) => {}
             }
         };
         attempt.run(work, given_up).await
@@ -478,15 +382,6 @@
     }
 }
 
-/// Closes a stream that an attempt is to replace once that attempt was sent `HANDOVER_TIME` ago. Does not return.
-async fn close_after_handover(replaced: Option<&mut OpenStream>) {
-    if let Some(replaced) = replaced {
-        tokio::time::sleep(HANDOVER_TIME).await;
-        replaced.close();
-    }
-    std::future::pending().await
-}
-
 /// Response of an attempt.
 #[derive(Debug)]
 enum AttemptResponse {
