Test: a gateway without retries starts at a new host

Two tests of gateway::silent_streams waited for the use of a retry that the gateway may not have had: it took the host of the world's first gateway, and whether that one had listed itself yet decides on the first retry.

--- a/tests/all/gateway/silent_streams.rs
+++ b/tests/all/gateway/silent_streams.rs
@@ -29,6 +29,8 @@
 
 const EVENTS: u64 = 2;
 
+const HOST: &str = "a-new-host";
+
 /// A stream that is silent before each of its events.
 fn preempted() -> Behaviour {
     Behaviour::Stream { events: EVENTS, pause: SILENCE, confidence: None, truncate_after: None }
@@ -57,8 +59,13 @@
 async fn world_without_retries(service: &str, behaviours: &[Behaviour]) -> World {
     let mut world = World::start(service, behaviours).await;
     let retries = GatewayRetrySettings { fleet_ratio: 0.0, fleet_slack: 0.0 };
-    world.gateway = start_gateway_with(GatewaySettings { retries, ..settings(&world.store) }).await;
+    let mut settings = GatewaySettings { retries, ..settings(&world.store) };
+    // Only a new host starts with a retry.
+    settings.host.id = HOST.parse().expect("a name");
+    world.gateway = start_gateway_with(settings).await;
     world.wait_until_ready().await;
+    let is_listed = async || world.store.get("stallhoist-entries", HOST).is_some();
+    wait_until("the gateway is listed", is_listed).await;
     put_config(&world, 3).await;
     world.upstreams.iter().for_each(|upstream| upstream.then([Behaviour::Fail]));
     let request = if service == ENGINE {
