The upstream that a resumed stream avoids follows from the stream itself

Read once more: the execution kept the incarnation of the stream that an attempt is to replace beside the stream, set and cleared in three places. `choose` is given it now, and the field is gone. Deadlines and breaks share one arm again. Comments say what ANSWER_GRACE and CATCH_UP_RESERVE do not scale with. No behaviour changes.

--- a/crates/gateway/src/peers/relayed_store/follow_store.rs
+++ b/crates/gateway/src/peers/relayed_store/follow_store.rs
@@ -16,7 +16,7 @@
 use crate::control_store::FeedPage;
 
 /// How long after its wait has ended a follow call may be unanswered before it is repeated. A store that is well takes
-/// milliseconds.
+/// milliseconds; with one that takes longer than this each call is made twice, which `store_calls_repeated` shows.
 const ANSWER_GRACE: Duration = Duration::from_millis(400);
 
 /// Wait requested by the repeated call, whose answer must come soon.
--- a/crates/gateway/src/request/execution/choice.rs
+++ b/crates/gateway/src/request/execution/choice.rs
@@ -31,10 +31,14 @@
 
 impl Execution {
     /// Selects the upstream of the next attempt and counts the attempt there; waits for one where there is none.
+    /// `excluded`, which is among those tried, may be at work on the request and is not selected in any case.
     ///
     /// # Errors
     /// Fails when the deadline has passed, or when no upstream becomes usable in time.
-    pub(super) async fn choose(&mut self) -> Result<(Chosen, WorkGuard), AbandonReason> {
+    pub(super) async fn choose(
+        &mut self,
+        excluded: Option<&UpstreamIncarnation>,
+    ) -> Result<(Chosen, WorkGuard), AbandonReason> {
         let mut ticket = None;
         let mut until = None;
         let mut lacked_connection = false;
@@ -53,7 +57,7 @@
                 Err(AcquireError::NoRoom) => continue,
                 Err(AcquireError::NoneUsable) => {}
             }
-            if self.forget_tried() {
+            if self.forget_tried(excluded) {
                 continue;
             }
             if now >= until {
@@ -84,10 +88,9 @@
     }
 
     /// Allows upstreams that have failed before, which are better than none. Returns whether there are any.
-    fn forget_tried(&mut self) -> bool {
+    fn forget_tried(&mut self, excluded: Option<&UpstreamIncarnation>) -> bool {
         let before = self.tried.len();
-        let replaced = self.replaced.as_ref();
-        self.tried.retain(|tried| Some(tried) == replaced);
+        self.tried.retain(|tried| Some(tried) == excluded);
         self.tried.len() < before
     }
 
--- a/crates/gateway/src/request/execution/mod.rs
+++ b/crates/gateway/src/request/execution/mod.rs
@@ -61,9 +61,6 @@
     call: Call,
     models: ModelChoice,
     tried: Vec<UpstreamIncarnation>,
-    /// The upstream of the open stream that another attempt is to replace. No attempt is made there, as it may be at
-    /// work on the request.
-    replaced: Option<UpstreamIncarnation>,
     progress: RequestProgress,
     /// The last failure response of an upstream.
     last_failure: Option<CompleteResponse>,
@@ -96,7 +93,6 @@
             state,
             models,
             tried: Vec::new(),
-            replaced: None,
             progress,
             last_failure: None,
             last_event,
@@ -157,14 +153,14 @@
     ) -> Result<AttemptResponse, AbandonReason> {
         loop {
             self.check_crashes().await?;
-            let (chosen, work) = self.choose().await?;
+            let excluded = replaced.as_deref().map(|stream| &stream.incarnation);
+            let (chosen, work) = self.choose(excluded).await?;
             let started = self.state.now();
             let outcome = self.attempt(&chosen, work, replaced.as_deref_mut()).await;
             if outcome.may_have_run()
                 && let Some(replaced) = replaced.take()
             {
                 replaced.close();
-                self.replaced = None;
             }
             self.record_engine_time(&chosen, &outcome);
             let elapsed = self.state.now().since(started);
@@ -220,11 +216,7 @@
                 Ok(Some(AttemptResponse::Whole(reply)))
             }
             AttemptOutcome::Stream(stream) => Ok(self.after_stream_begin(stream)),
-            AttemptOutcome::Broken(..) | AttemptOutcome::Stopped => {
-                self.after_failure(incarnation)?;
-                Ok(None)
-            }
-            AttemptOutcome::TimedOut => {
+            AttemptOutcome::Broken(..) | AttemptOutcome::TimedOut | AttemptOutcome::Stopped => {
                 self.after_failure(incarnation)?;
                 Ok(None)
             }
--- a/crates/gateway/src/request/execution/resume.rs
+++ b/crates/gateway/src/request/execution/resume.rs
@@ -33,15 +33,11 @@
         last_event: Option<u64>,
         silent: &mut OpenStream,
     ) -> Result<Box<OpenStream>, AbandonReason> {
-        self.replaced = Some(silent.incarnation.clone());
         self.tried.push(silent.incarnation.clone());
-        let result = if self.has_another_upstream(&silent.incarnation) {
-            self.resume_replacing(last_event, Some(silent)).await
-        } else {
-            Err(AbandonReason::Lost)
-        };
-        self.replaced = None;
-        result
+        if !self.has_another_upstream(&silent.incarnation) {
+            return Err(AbandonReason::Lost);
+        }
+        self.resume_replacing(last_event, Some(silent)).await
     }
 
     async fn resume_replacing(
--- a/crates/gateway/src/request/execution/waits.rs
+++ b/crates/gateway/src/request/execution/waits.rs
@@ -23,7 +23,7 @@
 /// latencies.
 const MAX_SHARE_OF_REMAINING: f64 = 0.6;
 
-/// Interval at which an attempt that is to be given up asks for a retry again.
+/// Interval at which an attempt that is to be given up asks for a retry again: budgets grow with other requests.
 const RETRY_POLL_INTERVAL: Duration = Duration::from_millis(500);
 
 impl Execution {
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -65,6 +65,7 @@
     is_ended: bool,
     /// Since when the next event is awaited.
     awaited_since: Option<MonoTime>,
+    /// Whether the upstream has been silent for the silence limit since then.
     is_silent: bool,
     token_interval: TokenIntervalMonitor,
     event_monitor: EventMonitor,
--- a/crates/settings/src/gateway/store.rs
+++ b/crates/settings/src/gateway/store.rs
@@ -9,7 +9,8 @@
 use crate::TimeSpan;
 use crate::Validate;
 
-/// Part of `catch_up` that is left for a repeated call and for applying the changes that it returns.
+/// Part of `catch_up` that is left for a repeated call and for applying the changes that it returns. It does not grow with
+/// the configuration: one that takes longer to transfer is late.
 const CATCH_UP_RESERVE: Duration = Duration::from_secs(1);
 
 /// Shortest wait of a follow call, however little time there is to catch up: each call is charged.
--- a/tests/all/gateway/silent_streams.rs
+++ b/tests/all/gateway/silent_streams.rs
@@ -29,6 +29,7 @@
 
 const EVENTS: u64 = 2;
 
+/// A host that no gateway has been listed for.
 const HOST: &str = "a-new-host";
 
 /// A stream that is silent before each of its events.
@@ -104,9 +105,7 @@
 case!(a_silent_stream_that_others_reject_is_completed, async {
     let world = world_of(ENGINE, &[preempted(), preempted()], 2).await;
     let request = tokio::spawn(send(world.stream_within("id-1", 15_000)));
-    let first = async || world.upstreams.iter().position(|upstream| upstream.runs() > 0);
-    wait_until("the stream runs", async || first().await.is_some()).await;
-    let other = 1 - first().await.expect("it runs");
+    let (_, other) = world.wait_for_only_run().await;
     world.upstreams[other].then([Behaviour::NotExecuted]);
     let answer = request.await.expect("it ends").expect("an answer");
     assert_eq!((answer.body, answer.is_whole), (events(1, EVENTS), true));
@@ -125,8 +124,7 @@
     const MAX_OVERLAP: Duration = Duration::from_millis(400);
     let world = world_of(ENGINE, &[preempted(), preempted()], 3).await;
     let request = tokio::spawn(send(world.stream_within("id-1", 15_000)));
-    wait_until("the stream runs", async || world.runs() == 1).await;
-    let (silent, other) = if world.upstreams[0].runs() == 1 { (0, 1) } else { (1, 0) };
+    let (silent, other) = world.wait_for_only_run().await;
     world.upstreams[other].then([Behaviour::Hang]);
     wait_until("the next one runs", async || world.upstreams[other].runs() == 1).await;
     let began = Instant::now();
--- a/tests/all/gateway/streams.rs
+++ b/tests/all/gateway/streams.rs
@@ -104,9 +104,7 @@
     wait_until("the configuration is in force", async || world.dump().await["config_version"] == 2)
         .await;
     let request = tokio::spawn(send(world.stream_within("id-1", 15_000)));
-    wait_until("the stream runs", async || world.runs() == 1).await;
-    let is_first_silent = world.upstreams[0].runs() == 1;
-    let (silent, other) = if is_first_silent { (0, 1) } else { (1, 0) };
+    let (silent, other) = world.wait_for_only_run().await;
     world.upstreams[other].then([Behaviour::stream(EVENTS)]);
     let answer = request.await.expect("it ends").expect("an answer");
     assert_eq!((answer.body, answer.is_whole), (events(1, EVENTS), true));
--- a/tests/all/gateway/world.rs
+++ b/tests/all/gateway/world.rs
@@ -199,6 +199,12 @@
         self.upstreams.iter().map(UpstreamStandin::runs).sum()
     }
 
+    /// Waits until one of two upstreams runs the only request. Returns its index, and that of the other.
+    pub(super) async fn wait_for_only_run(&self) -> (usize, usize) {
+        wait_until("the request runs", async || self.runs() == 1).await;
+        if self.upstreams[0].runs() == 1 { (0, 1) } else { (1, 0) }
+    }
+
     /// The state dump.
     pub(super) async fn dump(&self) -> Value {
         let url = format!("http://{}/state", self.gateway.operators_addr());
