Request bodies share the memory of the host

Callers saw: a gateway that ran out of memory under many bodies of the largest legal size, whole or in pieces, announced or in chunks, most of them stopping short of their end.

Cause: each body was bounded by the configuration (4 MiB), all together by nothing, and nothing gave way to others.

Why this works: a body has a claim on a common limit, by the capacity of its buffer, until the buffer is freed. Without room the claims give way that were not read in full, those of the workspace that holds the most first, by size and age. A request that gives way has not run: 503 with Retry-After. What was read in full never gives way.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod attempt;
 mod bill_record;
+mod byte_size;
 mod cost;
 mod crash_subject;
 mod engine_time;
@@ -31,6 +32,8 @@
 
 pub use attempt::AttemptId;
 pub use bill_record::BillRecord;
+pub use byte_size::ByteSize;
+pub use byte_size::ByteSizeError;
 pub use cost::CostMicros;
 pub use crash_subject::CrashSubject;
 pub use crash_subject::CrashSubjectError;
--- a/crates/gateway/src/callers/handler.rs
+++ b/crates/gateway/src/callers/handler.rs
@@ -77,8 +77,10 @@
     }
     let route = Arc::clone(find_route(&config, &parts).ok_or(Rejection::NoRoute)?);
     let head = state.dialect.read_call(&parts).map_err(Rejection::Unreadable)?;
-    find_workspace(&config, &route, &head)?;
-    let body = read_body(body, config.bounds.max_body_bytes).await?;
+    let workspace = find_workspace(&config, &route, &head)?;
+    let claim = state.memory.open_request();
+    claim.set_workspace(workspace.map(|workspace| workspace.name.clone()));
+    let body = read_body(body, config.bounds.max_body_bytes, claim).await?;
     // The configuration may have changed while the body was read: the newest one decides.
     let config = state.config().unwrap_or(config);
     let route = Arc::clone(find_route(&config, &parts).ok_or(Rejection::NoRoute)?);
--- a/crates/gateway/src/callers/rejection.rs
+++ b/crates/gateway/src/callers/rejection.rs
@@ -35,6 +35,8 @@
     ConfigUnknown,
     /// this entry is stopping
     Stopping,
+    /// this entry has no memory for the request
+    NoMemory,
 }
 
 /// `Retry-After` of a gateway that is stopping. Callers that still reach it do so because no other gateway is ready,
@@ -45,6 +47,9 @@
 /// `Retry-After` of a gateway that does not know the configuration.
 const CONFIG_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// `Retry-After` of a gateway without memory for a request: about the time that the large bodies of others take.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 impl Rejection {
     pub(crate) fn response(&self) -> Response<ResponseBody> {
         let status = match self {
@@ -53,18 +58,24 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
-            Self::ConfigUnknown | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+            Self::ConfigUnknown | Self::Stopping | Self::NoMemory => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
         };
         let mut response = text_response(status, &self.to_string());
         match self {
             Self::ConfigUnknown => set_retry_after(&mut response, CONFIG_RETRY_AFTER),
             Self::Stopping => set_retry_after(&mut response, STOPPING_RETRY_AFTER),
+            Self::NoMemory => {
+                set_retry_after(&mut response, MEMORY_RETRY_AFTER);
+                set_close(&mut response);
+            }
             // The following bytes on the connection may belong to the request that was not read.
             Self::Unreadable(_)
             | Self::HeadTooLarge
             | Self::BodyTooLarge
             | Self::BodyIncomplete => {
-                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                set_close(&mut response);
             }
             Self::NoRoute | Self::NoKey => {}
         }
@@ -95,6 +106,10 @@
     response
 }
 
+fn set_close(response: &mut Response<ResponseBody>) {
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+}
+
 fn set_retry_after(response: &mut Response<ResponseBody>, after: Duration) {
     // Rounded up: a caller that retries too early is rejected again.
     let hundredths = (after.as_secs_f64() * 100.0).ceil();
--- a/crates/gateway/src/metrics/mod.rs
+++ b/crates/gateway/src/metrics/mod.rs
@@ -67,6 +67,7 @@
     /// Connections to upstreams that were established.
     pub(crate) connections_opened: Counter,
     pub(crate) in_progress: Gauge,
+    pub(crate) caller_memory_bytes: Gauge,
     pub(crate) config_version: Gauge,
     pub(crate) store_era: Gauge,
     pub(crate) upstreams: Gauge,
@@ -115,6 +116,7 @@
             connection_waits: Counter::default(),
             connections_opened: Counter::default(),
             in_progress: Gauge::default(),
+            caller_memory_bytes: Gauge::default(),
             config_version: Gauge::default(),
             store_era: Gauge::default(),
             upstreams: Gauge::default(),
@@ -174,6 +176,8 @@
         let help = "Connections to upstreams that were established";
         r.register("connections_opened", help, self.connections_opened.clone());
         r.register("in_progress", "Requests in progress", self.in_progress.clone());
+        let help = "Memory that requests and responses of callers hold";
+        r.register("caller_memory_bytes", help, self.caller_memory_bytes.clone());
         r.register("config_version", "Configuration in force", self.config_version.clone());
         r.register(
             "store_era",
@@ -281,6 +285,11 @@
         set(&self.waiting, waiting);
     }
 
+    /// Sets the memory that requests and responses of callers hold.
+    pub(crate) fn set_caller_memory(&self, bytes: usize) {
+        set(&self.caller_memory_bytes, bytes);
+    }
+
     pub(crate) fn record_broken_by_crash(&self, phase: ResponsePhase) {
         let labels = PhaseLabels { phase: phase.to_string() };
         self.responses_broken_by_crashes.get_or_create(&labels).inc();
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -285,6 +285,7 @@
         state.metrics.set_upstream_counts(&state.upstreams.counts(now));
         state.metrics.set_slowdowns(state.upstreams.slowdowns(now));
         state.metrics.set_waiting(state.admission.waiting());
+        state.metrics.set_caller_memory(state.memory.used_bytes());
     }
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -22,6 +22,7 @@
 use stallhoist_core::UpstreamIncarnation;
 use stallhoist_core::WorkspaceName;
 use stallhoist_policy::cascade::StepUpConfig;
+use stallhoist_policy::memory::MemoryLimits;
 use stallhoist_policy::retry::RetryBudget;
 use stallhoist_policy::rollout::RolloutConfig;
 use stallhoist_settings::GatewaySettings;
@@ -31,12 +32,14 @@
 use crate::admission::Admission;
 use crate::admission::RunningRequest;
 use crate::attempt_times::AttemptTimes;
+use crate::caller_memory::CallerMemory;
 use crate::control_store::Feed;
 use crate::control_store::ListedEntry;
 use crate::decision_log::DecisionLog;
 use crate::dialect::Dialect;
 use crate::duties::Duties;
 use crate::fatal::FatalSubjectTracker;
+use crate::host_limits::HostLimits;
 use crate::metrics::Metrics;
 use crate::peers::FeedCache;
 use crate::peers::PeerList;
@@ -74,6 +77,8 @@
     pub(crate) step_up: StepUpConfig,
     /// Requests that wait for room at the upstreams.
     pub(crate) admission: Arc<Admission>,
+    /// The memory that requests and responses of callers hold.
+    pub(crate) memory: Arc<CallerMemory>,
     /// The gateways of the system.
     pub(crate) peers: Mutex<PeerList>,
     /// Where the latest data of each feed came from; `None` means the store.
@@ -122,6 +127,8 @@
             duties.map(|duties| Duties::new(duties, settings.host.id.clone(), clock.now()));
         let metrics = Metrics::default();
         let below_confidence = settings.step_up.below_confidence_percent.clone();
+        let host = HostLimits::of(&settings.host);
+        let memory_limits = MemoryLimits::of_host(host.memory_bytes);
         let run = ProcessRun::random();
         let RolloutSettings { max_exposure, exposure_slack } = settings.rollouts;
         let rollout_config = RolloutConfig::within(max_exposure).with_slack(exposure_slack);
@@ -135,6 +142,7 @@
             fatal: FatalSubjectTracker::default(),
             step_up: StepUpConfig { below_confidence },
             admission: Arc::new(Admission::new(&settings.decisions)),
+            memory: Arc::new(CallerMemory::new(memory_limits, clock.clone())),
             peers: Mutex::new(PeerList::new(settings.host.id.clone(), settings.host.zone.clone())),
             news_from: Mutex::default(),
             listings: PendingListings::default(),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod guard;
 pub mod lease;
 pub mod limits;
+pub mod memory;
 pub mod named_limits;
 pub mod overload;
 pub mod peer_sums;
--- /dev/null
+++ b/crates/policy/src/memory/limits.rs
@@ -0,0 +1,29 @@
+//! Limits of the memory for callers' requests and responses.
+
+/// Memory of the process besides what it holds for callers.
+const PROCESS_BYTES: usize = 32_000_000;
+
+/// The least memory for callers: a few of the largest bodies.
+const MIN_CALLER_BYTES: usize = 24_000_000;
+
+/// Limits of the memory for callers' requests and responses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MemoryLimits {
+    /// All claims together.
+    pub total_bytes: usize,
+    /// All claims together when a large one grows: small ones find room beside large ones.
+    pub large_bytes: usize,
+    /// The requests of one workspace together when a large one grows: other workspaces find room as well.
+    pub workspace_bytes: usize,
+}
+
+impl MemoryLimits {
+    /// The limits at a host with this memory. A quarter of what the process itself does not need is left to connections
+    /// and the allocator.
+    pub fn of_host(memory_bytes: usize) -> Self {
+        let caller_bytes = memory_bytes.saturating_sub(PROCESS_BYTES);
+        let total_bytes = (caller_bytes / 4 * 3).max(MIN_CALLER_BYTES);
+        let large_bytes = total_bytes / 4 * 3;
+        Self { total_bytes, large_bytes, workspace_bytes: large_bytes / 4 * 3 }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/memory/mod.rs
@@ -0,0 +1,16 @@
+//! Divides the memory for callers' requests and responses among them.
+//!
+//! Each request and each response that is held has a claim, which grows with what is read. Where there is no room, claims
+//! of the workspace that holds the most give way first, and of these the ones that have held the most for the longest: a
+//! caller whose bytes come without delay outlasts those that stall. A request that is read in full is owed a response and
+//! does not give way.
+//!
+//! `MemoryLimits` derives the limits from the host's memory, `MemoryLedger` decides.
+
+mod ledger;
+mod limits;
+
+pub use ledger::ClaimId;
+pub use ledger::Growth;
+pub use ledger::MemoryLedger;
+pub use limits::MemoryLimits;
--- a/crates/settings/src/gateway/host.rs
+++ b/crates/settings/src/gateway/host.rs
@@ -1,7 +1,8 @@
-//! Host of a gateway: its name, availability zone and link.
+//! Host of a gateway: its name, availability zone and limits.
 
 use serde::Deserialize;
 use serde::Serialize;
+use stallhoist_core::ByteSize;
 use stallhoist_core::HostId;
 use stallhoist_core::LinkRate;
 use stallhoist_core::ZoneName;
@@ -17,6 +18,9 @@
     /// Capacity of the network link: the hosts with the fastest links follow the store for all gateways.
     #[serde(default)]
     pub link: LinkRate,
+    /// Memory that the process may use; the host's if absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub memory: Option<ByteSize>,
 }
 
 impl Default for GatewayHost {
@@ -26,6 +30,7 @@
             id: "host-1".parse().expect("a valid name"),
             zone: "zone-1".parse().expect("a valid name"),
             link: LinkRate::default(),
+            memory: None,
         }
     }
 }
--- /dev/null
+++ b/tests/all/decisions/caller_memory.rs
@@ -0,0 +1,110 @@
+//! Who gets the memory for requests and responses, and who gives way.
+
+use stallhoist_core::MonoTime;
+use stallhoist_core::WorkspaceName;
+use stallhoist_policy::memory::ClaimId;
+use stallhoist_policy::memory::Growth;
+use stallhoist_policy::memory::MemoryLedger;
+use stallhoist_policy::memory::MemoryLimits;
+
+const MB: usize = 1_000_000;
+
+/// A host of 64 MB: 24 MB in all, 18 for large claims, 13.5 for those of one workspace.
+fn ledger() -> MemoryLedger {
+    MemoryLedger::new(MemoryLimits::of_host(64 * MB))
+}
+
+fn at(second: u64) -> MonoTime {
+    MonoTime(second * 1_000_000)
+}
+
+fn request(ledger: &mut MemoryLedger, second: u64, workspace: &str) -> ClaimId {
+    let id = ledger.open_request(at(second));
+    ledger.set_workspace(id, Some(workspace.parse::<WorkspaceName>().expect("a name")));
+    id
+}
+
+fn granted(ledger: &mut MemoryLedger, second: u64, workspace: &str, bytes: usize) -> ClaimId {
+    let id = request(ledger, second, workspace);
+    assert_eq!(ledger.grow(at(second), id, bytes), Growth::Granted);
+    id
+}
+
+#[test]
+fn the_limits_follow_the_hosts_memory() {
+    let large = MemoryLimits::of_host(260 * MB);
+    assert_eq!((large.total_bytes, large.large_bytes), (171 * MB, 128_250_000));
+    let least = MemoryLimits::of_host(0);
+    assert!(least.workspace_bytes > 4 << 20, "a body of the largest size finds room");
+}
+
+#[test]
+fn the_claim_that_held_the_most_for_the_longest_gives_way() {
+    let mut ledger = ledger();
+    let stalled = granted(&mut ledger, 0, "a", 4 * MB);
+    let small = granted(&mut ledger, 0, "a", 4_000);
+    let recent = granted(&mut ledger, 9, "a", 8 * MB);
+    let new = request(&mut ledger, 10, "a");
+    let given_up = vec![stalled];
+    assert_eq!(ledger.grow(at(10), new, 2 * MB), Growth::Pending { given_up });
+    assert_eq!(ledger.grow(at(10), stalled, 5 * MB), Growth::Refused);
+    ledger.close(stalled);
+    assert_eq!(ledger.grow(at(10), new, 2 * MB), Growth::Granted);
+    assert!(ledger.keep(recent) && ledger.keep(small));
+    assert_eq!(ledger.used_bytes(), 10 * MB + 4_000);
+}
+
+#[test]
+fn requests_that_were_read_do_not_give_way() {
+    let mut ledger = ledger();
+    for _ in 0..3 {
+        let id = granted(&mut ledger, 0, "a", 4 * MB);
+        assert!(ledger.keep(id));
+    }
+    let large = request(&mut ledger, 1, "a");
+    assert_eq!(ledger.grow(at(1), large, 4 * MB), Growth::Refused);
+    granted(&mut ledger, 1, "b", 4 * MB);
+    granted(&mut ledger, 1, "a", 60_000);
+}
+
+#[test]
+fn the_workspace_that_holds_the_most_gives_way() {
+    let mut ledger = ledger();
+    let first = granted(&mut ledger, 0, "a", 12 * MB);
+    let other = granted(&mut ledger, 0, "b", 5 * MB);
+    let new = request(&mut ledger, 1, "b");
+    let given_up = vec![first];
+    assert_eq!(ledger.grow(at(1), new, 2 * MB), Growth::Pending { given_up });
+    ledger.close(first);
+    assert_eq!(ledger.grow(at(1), new, 2 * MB), Growth::Granted);
+    // A workspace with less never gives way to one with more.
+    let least = granted(&mut ledger, 2, "c", 2 * MB);
+    assert!(ledger.keep(other) && ledger.keep(new));
+    let more = request(&mut ledger, 3, "b");
+    assert_eq!(ledger.grow(at(3), more, 10 * MB), Growth::Refused);
+    assert!(ledger.keep(least));
+}
+
+#[test]
+fn nobody_gives_way_in_vain() {
+    let mut ledger = ledger();
+    let kept = granted(&mut ledger, 0, "a", 13 * MB);
+    assert!(ledger.keep(kept));
+    let optional = granted(&mut ledger, 0, "b", 2 * MB);
+    let new = request(&mut ledger, 1, "c");
+    assert_eq!(ledger.grow(at(1), new, 8 * MB), Growth::Refused);
+    assert_eq!(ledger.grow(at(1), optional, 3 * MB), Growth::Granted);
+}
+
+#[test]
+fn small_claims_find_room_beside_large_ones() {
+    let mut ledger = ledger();
+    let response = ledger.open_response(at(0), None);
+    assert_eq!(ledger.grow(at(0), response, 18 * MB), Growth::Granted);
+    assert!(ledger.keep(response));
+    for _ in 0..93 {
+        granted(&mut ledger, 0, "a", 64_000);
+    }
+    let new = request(&mut ledger, 0, "a");
+    assert_eq!(ledger.grow(at(0), new, 65 << 10), Growth::Refused);
+}
--- a/tests/all/decisions/mod.rs
+++ b/tests/all/decisions/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway's decision logic, with time and random numbers as inputs.
 
 mod balance;
+mod caller_memory;
 mod cold;
 mod connections;
 mod directory;
--- a/tests/all/gateway/template.rs
+++ b/tests/all/gateway/template.rs
@@ -6,6 +6,7 @@
 
 use std::process::Command;
 
+use stallhoist_core::ByteSize;
 use stallhoist_core::LinkRate;
 use stallhoist_settings::GatewaySettings;
 use stallhoist_settings::TimeSpan;
@@ -23,11 +24,16 @@
 const LINK_PLACEHOLDER: &str =
     "{{#limits.link_mbps}}, \"link\": \"{{limits.link_mbps}} Mbit/s\"{{/limits.link_mbps}}";
 
+/// The same of the memory.
+const MEMORY_PLACEHOLDER: &str =
+    "{{#limits.memory_mb}}, \"memory\": \"{{limits.memory_mb}} MB\"{{/limits.memory_mb}}";
+
 /// The values of a usual deployment. The addresses are the test's own.
-const PLACEHOLDERS: [(&str, &str); 36] = [
+const PLACEHOLDERS: [(&str, &str); 37] = [
     ("{{node|json}}", "\"front-a-1\""),
     ("{{zone|json}}", "\"a\""),
     (LINK_PLACEHOLDER, ", \"link\": \"10 Mbit/s\""),
+    (MEMORY_PLACEHOLDER, ", \"memory\": \"260 MB\""),
     ("{{listen.front|json}}", "\"127.0.0.1:0\""),
     ("{{listen.ready|json}}", "\"127.0.0.1:0\""),
     ("{{ip}}", "127.0.0.1"),
@@ -92,6 +98,7 @@
     let expected = (TimeSpan::from_secs(8), TimeSpan::from_secs(5));
     assert_eq!((settings.stop.grace, settings.session), expected);
     assert_eq!(settings.host.link, LinkRate::from_mbit_per_s(10));
+    assert_eq!(settings.host.memory, Some(ByteSize::from_mb(260)));
     let (zone, region) = settings.regions.first_key_value().expect("a zone");
     assert_eq!((zone.as_str(), region.as_str()), ("a", "r"));
     assert_eq!(settings.rollouts.max_exposure, 0.0975);
--- a/tests/crowds/gateway.rs
+++ b/tests/crowds/gateway.rs
@@ -20,6 +20,9 @@
 
 pub(crate) const KEY: &str = "key-of-workspace-1";
 
+/// The key of a workspace that no crowd belongs to.
+pub(crate) const OTHER_KEY: &str = "key-of-workspace-2";
+
 /// The memory of the host.
 const MEMORY_BYTES: usize = 64_000_000;
 
@@ -54,7 +57,7 @@
         let upstream = upstream.expect("the upstream starts");
         store.put("servers", "i-0", upstream.entry("plain", "zone-1", "v1", "ready"));
         let settings = json!({
-            "host": { "id": "entry-1", "zone": "zone-1" },
+            "host": { "id": "entry-1", "zone": "zone-1", "memory": format!("{MEMORY_BYTES} B") },
             "callers_addr": "127.0.0.1:0",
             "readiness_addr": "127.0.0.1:0",
             "readiness_path": "/ready",
@@ -82,10 +85,19 @@
 
     /// The status of the response to a request on a connection of its own; none without a response.
     pub(crate) async fn status_of(&self, body: impl Into<reqwest::Body>) -> Option<u16> {
+        self.status_with(KEY, body).await
+    }
+
+    /// The same with this key.
+    pub(crate) async fn status_with(
+        &self,
+        key: &str,
+        body: impl Into<reqwest::Body>,
+    ) -> Option<u16> {
         let url = format!("http://{}/safe/x", self.callers_addr());
         let request = self.http.post(url).header("Host", "test.example");
         let request = request.header("Request-Id", uuid::Uuid::new_v4().to_string());
-        let response = request.bearer_auth(KEY).body(body).send().await.ok()?;
+        let response = request.bearer_auth(key).body(body).send().await.ok()?;
         let status = response.status().as_u16();
         response.bytes().await.ok().map(|_| status)
     }
@@ -113,6 +125,9 @@
             "max_header_bytes": 16_384, "max_body_bytes": MAX_BODY_BYTES,
             "header_timeout_ms": 60_000, "idle_timeout_ms": 60_000,
         },
-        "tenants": [{ "name": "workspace-1", "api_keys": [KEY], "priority": 1 }],
+        "tenants": [
+            { "name": "workspace-1", "api_keys": [KEY], "priority": 1 },
+            { "name": "workspace-2", "api_keys": [OTHER_KEY], "priority": 1 },
+        ],
     })
 }
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -9,5 +9,6 @@
 mod gateway;
 #[expect(dead_code, reason = "the crowds need a part of it")]
 mod harness;
+mod large_bodies;
 mod process;
 mod small_chunks;
