Unfinished request heads share the memory of the host

Callers saw: a gateway whose memory grew with each connection that sent a head without an end.

Cause: the buffer of a connection grows to 128 KiB while a head of up to 64 KiB is read. Nothing bounded all of them together: the claims on the memory of the host began with the body.

Why this works: what a connection reads before a request is there is claimed by the room of its buffer. A head that has to give way is no request, so its connection is closed. The request takes the claim over and holds it to its response; it counts the body on top.

--- a/crates/gateway/src/caller_memory.rs
+++ b/crates/gateway/src/caller_memory.rs
@@ -45,18 +45,11 @@
         Self { claims: Mutex::new(claims), closed: Notify::new(), clock }
     }
 
-    /// Opens a claim of a request that is being read.
-    pub(crate) fn open_request(self: &Arc<Self>) -> Claim {
-        self.open(|ledger, clock| ledger.open_request(clock.now()))
-    }
-
-    fn open(
-        self: &Arc<Self>,
-        open: impl FnOnce(&mut MemoryLedger, &ProcessClock) -> ClaimId,
-    ) -> Claim {
-        let given_up = CancellationToken::new();
+    /// Opens a claim of a request that is being read. `given_up` is cancelled when it has to give way.
+    pub(crate) fn open_request(self: &Arc<Self>, given_up: CancellationToken) -> Claim {
+        let now = self.clock.now();
         let mut claims = self.claims.lock();
-        let id = open(&mut claims.ledger, &self.clock);
+        let id = claims.ledger.open_request(now);
         claims.signals.insert(id, given_up.clone());
         Claim { memory: Arc::clone(self), id, given_up }
     }
@@ -91,6 +84,33 @@
         self.memory.claims.lock().ledger.set_workspace(self.id, workspace);
     }
 
+    /// Signals in another way from now on when it has to give way.
+    pub(crate) fn renew(mut self) -> Self {
+        self.given_up = CancellationToken::new();
+        self.memory.claims.lock().signals.insert(self.id, self.given_up.clone());
+        self
+    }
+
+    /// Memory that it holds.
+    pub(crate) fn bytes(&self) -> usize {
+        self.memory.claims.lock().ledger.bytes_of(self.id)
+    }
+
+    /// Grows to this size, also while others give way.
+    ///
+    /// # Errors
+    /// Fails when there is no room, or this claim has to give way.
+    pub(crate) fn grow_now(&self, bytes: usize) -> Result<(), NoMemory> {
+        match self.memory.grow(self.id, bytes) {
+            Growth::Granted => Ok(()),
+            Growth::Pending { .. } => {
+                self.memory.claims.lock().ledger.record_growth(self.id, bytes);
+                Ok(())
+            }
+            Growth::Refused => Err(NoMemory),
+        }
+    }
+
     /// Grows to this size, and waits while others give way.
     ///
     /// # Errors
--- a/crates/gateway/src/callers/accept.rs
+++ b/crates/gateway/src/callers/accept.rs
@@ -20,6 +20,8 @@
 use tokio::task::JoinSet;
 
 use super::handler::handle;
+use super::head_io::HeadIo;
+use super::head_io::RequestHead;
 use crate::routing::CallerBounds;
 use crate::state::GatewayState;
 use crate::tcp::TcpTimeouts;
@@ -138,32 +140,44 @@
         log::debug!(error:% = error; "failed to set socket options of a caller's connection");
     }
     let bounds = state.config().map_or_else(CallerBounds::default, |c| c.bounds.clone());
+    let head = Arc::new(RequestHead::new(Arc::clone(&state.memory)));
     let service = service_fn(|request| {
         counted.record_request();
-        let state = Arc::clone(&state);
-        async move { Ok::<_, Infallible>(handle(state, request).await) }
+        let (state, head, claim) = (Arc::clone(&state), Arc::clone(&head), head.take());
+        async move {
+            let response = handle(state, request, claim).await;
+            head.expect_next();
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(bounds.idle_timeout)
         .max_buf_size(MAX_BUFFER_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(HeadIo::new(stream, Arc::clone(&head))), service);
     let mut connection = std::pin::pin!(connection);
     // The value that `wait_for` returns holds a lock on the channel and must be dropped.
     let close_requested = async { closing.wait_for(|is_closing| *is_closing).await.is_ok() };
-    let result = tokio::select! {
-        result = connection.as_mut() => result,
-        _ = close_requested => {
-            // On a new connection the first request may be in transit, and hyper would close the connection
-            // without reading it. The response to that request closes the connection.
-            if counted.is_used() {
-                connection.as_mut().graceful_shutdown();
+    let served = async {
+        tokio::select! {
+            result = connection.as_mut() => result,
+            _ = close_requested => {
+                // On a new connection the first request may be in transit, and hyper would close the connection
+                // without reading it. The response to that request closes the connection.
+                if counted.is_used() {
+                    connection.as_mut().graceful_shutdown();
+                }
+                connection.await
             }
-            connection.await
         }
     };
-    if let Err(error) = result {
-        log::debug!(error:% = error; "a caller's connection closed with an error");
+    tokio::select! {
+        result = served => if let Err(error) = result {
+            log::debug!(error:% = error; "a caller's connection closed with an error");
+        },
+        () = head.given_up() => {
+            log::debug!("a caller's connection closed: its memory is needed for others");
+        }
     }
 }
 
--- a/crates/gateway/src/callers/body.rs
+++ b/crates/gateway/src/callers/body.rs
@@ -23,9 +23,6 @@
     if body.size_hint().lower() > max_bytes as u64 {
         return Err(Rejection::BodyTooLarge);
     }
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
     let bytes = tokio::select! {
         bytes = read_into_buffer(body, max_bytes, &claim) => bytes?,
         () = claim.given_up() => return Err(Rejection::NoMemory),
@@ -40,6 +37,7 @@
 ) -> Result<Vec<u8>, Rejection> {
     let announced = body.size_hint().exact().and_then(|bytes| usize::try_from(bytes).ok());
     let max_buffer_bytes = announced.unwrap_or(max_bytes);
+    let head_bytes = claim.bytes();
     let mut bytes = Vec::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| Rejection::BodyIncomplete)?;
@@ -54,7 +52,7 @@
             // The announced length is not trusted: the buffer grows with what comes.
             let doubled = (bytes.capacity() * 2).max(MIN_BUFFER_BYTES).min(max_buffer_bytes);
             let capacity = doubled.max(size);
-            claim.grow(capacity).await.map_err(|_| Rejection::NoMemory)?;
+            claim.grow(head_bytes + capacity).await.map_err(|_| Rejection::NoMemory)?;
             bytes.reserve_exact(capacity - bytes.len());
         }
         bytes.extend_from_slice(part);
--- a/crates/gateway/src/callers/handler.rs
+++ b/crates/gateway/src/callers/handler.rs
@@ -18,6 +18,7 @@
 use super::rejection::abandoned_response;
 use super::response;
 use super::response::ResponseBody;
+use crate::caller_memory::Claim;
 use crate::dialect::CallHead;
 use crate::metrics::RequestOutcome;
 use crate::request::AbandonReason;
@@ -40,14 +41,15 @@
 /// The lowest priority, which has the largest number: a larger one in the configuration counts as this one.
 const LOWEST_PRIORITY: u8 = 5;
 
-/// Handles one request.
+/// Handles one request, whose head holds `claim`.
 pub(crate) async fn handle(
     state: Arc<GatewayState>,
     request: Request<Incoming>,
+    claim: Claim,
 ) -> Response<ResponseBody> {
     let counted = InProgressGuard::count(&state);
     let id = state.dialect.call_id(request.headers()).unwrap_or_default().to_owned();
-    let mut response = match accept(&state, request).await {
+    let mut response = match accept(&state, request, claim).await {
         Ok(call) => execute(&state, call, counted).await,
         Err(rejection) => {
             state.metrics.record_request(RequestOutcome::Rejected);
@@ -67,7 +69,11 @@
 ///
 /// # Errors
 /// Fails when the request must not be forwarded, or its body cannot be read.
-async fn accept(state: &GatewayState, request: Request<Incoming>) -> Result<Call, Rejection> {
+async fn accept(
+    state: &GatewayState,
+    request: Request<Incoming>,
+    claim: Claim,
+) -> Result<Call, Rejection> {
     let arrived = state.now();
     wait_until_synced(state).await?;
     let config = state.config().ok_or(Rejection::ConfigUnknown)?;
@@ -78,7 +84,6 @@
     let route = Arc::clone(find_route(&config, &parts).ok_or(Rejection::NoRoute)?);
     let head = state.dialect.read_call(&parts).map_err(Rejection::Unreadable)?;
     let workspace = find_workspace(&config, &route, &head)?;
-    let claim = state.memory.open_request();
     claim.set_workspace(workspace.map(|workspace| workspace.name.clone()));
     let body = read_body(body, config.bounds.max_body_bytes, claim).await?;
     // The configuration may have changed while the body was read: the newest one decides.
--- /dev/null
+++ b/crates/gateway/src/callers/head_io.rs
@@ -0,0 +1,134 @@
+//! A caller's connection whose request heads are counted: a head takes memory before there is a request.
+
+use std::io;
+use std::io::IoSlice;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+
+use parking_lot::Mutex;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
+
+use crate::caller_memory::CallerMemory;
+use crate::caller_memory::Claim;
+
+#[derive(Debug, Default)]
+struct Reading {
+    /// The claim of the head that is being read.
+    claim: Option<Claim>,
+    head_bytes: usize,
+    /// Whether a request is in progress.
+    has_request: bool,
+}
+
+/// The head that a connection reads, shared by its I/O and its handler.
+#[derive(Debug)]
+pub(super) struct RequestHead {
+    memory: Arc<CallerMemory>,
+    reading: Mutex<Reading>,
+    given_up: CancellationToken,
+}
+
+impl RequestHead {
+    pub(super) fn new(memory: Arc<CallerMemory>) -> Self {
+        Self { memory, reading: Mutex::default(), given_up: CancellationToken::new() }
+    }
+
+    /// The claim of a request whose head was read.
+    pub(super) fn take(&self) -> Claim {
+        let mut reading = self.reading.lock();
+        reading.has_request = true;
+        reading.head_bytes = 0;
+        let claim = reading.claim.take().map(Claim::renew);
+        claim.unwrap_or_else(|| self.memory.open_request(CancellationToken::new()))
+    }
+
+    /// What is read from now on belongs to the next request.
+    pub(super) fn expect_next(&self) {
+        self.reading.lock().has_request = false;
+    }
+
+    /// Waits until an unfinished head has to give way.
+    pub(super) async fn given_up(&self) {
+        self.given_up.cancelled().await;
+    }
+
+    /// Records that a part of a head was read into a buffer with so much room.
+    ///
+    /// # Errors
+    /// Fails when there is no memory for the head.
+    fn record(&self, bytes: usize, room_bytes: usize) -> io::Result<()> {
+        let mut reading = self.reading.lock();
+        if reading.has_request || bytes == 0 {
+            return Ok(());
+        }
+        let buffer_bytes = reading.head_bytes + room_bytes;
+        reading.head_bytes += bytes;
+        let open = || self.memory.open_request(self.given_up.clone());
+        let claim = reading.claim.get_or_insert_with(open);
+        claim
+            .grow_now(buffer_bytes)
+            .map_err(|error| io::Error::new(io::ErrorKind::OutOfMemory, error))
+    }
+}
+
+/// A caller's connection whose request heads are counted.
+#[derive(Debug)]
+pub(super) struct HeadIo {
+    io: TcpStream,
+    head: Arc<RequestHead>,
+}
+
+impl HeadIo {
+    pub(super) fn new(io: TcpStream, head: Arc<RequestHead>) -> Self {
+        Self { io, head }
+    }
+}
+
+impl AsyncRead for HeadIo {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let room_bytes = buffer.remaining();
+        ready!(Pin::new(&mut self.io).poll_read(context, buffer))?;
+        Poll::Ready(self.head.record(room_bytes - buffer.remaining(), room_bytes))
+    }
+}
+
+impl AsyncWrite for HeadIo {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write_vectored(context, buffers)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.io.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_shutdown(context)
+    }
+}
--- a/crates/gateway/src/callers/mod.rs
+++ b/crates/gateway/src/callers/mod.rs
@@ -1,13 +1,14 @@
 //! The HTTP interface to callers.
 //!
-//! Read `handler` first, which checks and executes one request; `accept` serves the connections, `body` reads bodies,
-//! `response` and `rejection` build the responses.
+//! Read `handler` first, which checks and executes one request; `accept` serves the connections, `head_io` counts
+//! what they read, `body` reads bodies, `response` and `rejection` build the responses.
 //!
 //! Invariant: a request that is rejected here has reached no upstream.
 
 mod accept;
 mod body;
 mod handler;
+mod head_io;
 mod rejection;
 mod response;
 
--- a/crates/policy/src/memory/ledger.rs
+++ b/crates/policy/src/memory/ledger.rs
@@ -112,11 +112,17 @@
         if excess > 0 {
             return self.make_room(now, id, bytes, excess, only_own);
         }
-        self.used_bytes += added;
+        self.record_growth(id, bytes);
+        Growth::Granted
+    }
+
+    /// Records that a claim has grown to this size, which it may while others give way.
+    pub fn record_growth(&mut self, id: ClaimId, bytes: usize) {
         if let Some(claim) = self.claims.get_mut(&id) {
+            let added = bytes.saturating_sub(claim.bytes);
             claim.bytes += added;
+            self.used_bytes += added;
         }
-        Growth::Granted
     }
 
     /// Gives up claims so that `excess` bytes become free, of the claim's own workspace only or of any that holds as much.
@@ -206,6 +212,11 @@
         }
     }
 
+    /// Memory that a claim holds.
+    pub fn bytes_of(&self, id: ClaimId) -> usize {
+        self.claims.get(&id).map_or(0, |claim| claim.bytes)
+    }
+
     /// Memory that the claims hold.
     pub fn used_bytes(&self) -> usize {
         self.used_bytes
--- a/tests/all/decisions/caller_memory.rs
+++ b/tests/all/decisions/caller_memory.rs
@@ -108,3 +108,15 @@
     let new = request(&mut ledger, 0, "a");
     assert_eq!(ledger.grow(at(0), new, 65 << 10), Growth::Refused);
 }
+
+#[test]
+fn a_claim_that_grows_while_others_give_way_counts_at_once() {
+    let mut ledger = ledger();
+    let first = granted(&mut ledger, 0, "a", 13 * MB);
+    let new = request(&mut ledger, 1, "a");
+    assert_eq!(ledger.grow(at(1), new, MB), Growth::Pending { given_up: vec![first] });
+    ledger.record_growth(new, MB);
+    assert_eq!(ledger.used_bytes(), 14 * MB);
+    ledger.close(first);
+    assert_eq!((ledger.used_bytes(), ledger.bytes_of(new)), (MB, MB));
+}
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -9,6 +9,7 @@
 mod gateway;
 #[expect(dead_code, reason = "the crowds need a part of it")]
 mod harness;
+mod heads;
 mod large_bodies;
 mod process;
 mod small_chunks;
