Responses that are passed on whole share the memory of the host

Callers saw: a gateway whose memory grew with each caller that does not read a large response.

Nothing bounded all of them together, and slow readers never gave way.

Why this works: the buffer of a response has a claim as that of a request has, until its last byte is written. While the caller reads it may give way: the connection is closed.

--- a/crates/gateway/src/callers/accept.rs
+++ b/crates/gateway/src/callers/accept.rs
@@ -145,7 +145,7 @@
         counted.record_request();
         let (state, head, claim) = (Arc::clone(&state), Arc::clone(&head), head.take());
         async move {
-            let response = handle(state, request, claim).await;
+            let response = handle(state, request, claim, head.given_up_signal()).await;
             head.expect_next();
             Ok::<_, Infallible>(response)
         }
--- a/crates/gateway/src/callers/body.rs
+++ b/crates/gateway/src/callers/body.rs
@@ -6,10 +6,9 @@
 use hyper::body::Incoming;
 
 use super::rejection::Rejection;
+use crate::caller_memory::BufferError;
 use crate::caller_memory::Claim;
-
-/// The smallest buffer of a body.
-const MIN_BUFFER_BYTES: usize = 4 << 10;
+use crate::caller_memory::ClaimedBuffer;
 
 /// Reads a whole body into one buffer: a part by itself keeps the buffer of the connection that it was cut from.
 ///
@@ -20,42 +19,31 @@
     max_bytes: usize,
     claim: Claim,
 ) -> Result<Bytes, Rejection> {
-    if body.size_hint().lower() > max_bytes as u64 {
+    let hint = body.size_hint();
+    if hint.lower() > max_bytes as u64 {
         return Err(Rejection::BodyTooLarge);
     }
-    let bytes = tokio::select! {
-        bytes = read_into_buffer(body, max_bytes, &claim) => bytes?,
-        () = claim.given_up() => return Err(Rejection::NoMemory),
+    let given_up = claim.given_up_signal();
+    let buffer = ClaimedBuffer::new(claim, max_bytes, hint.exact());
+    let buffer = tokio::select! {
+        buffer = read_into(body, buffer) => buffer?,
+        () = given_up.cancelled() => return Err(Rejection::NoMemory),
     };
-    claim.keep(bytes).map_err(|_| Rejection::NoMemory)
+    Ok(buffer.finish().map_err(|_| Rejection::NoMemory)?.into_bytes())
 }
 
-async fn read_into_buffer(
+async fn read_into(
     mut body: Incoming,
-    max_bytes: usize,
-    claim: &Claim,
-) -> Result<Vec<u8>, Rejection> {
-    let announced = body.size_hint().exact().and_then(|bytes| usize::try_from(bytes).ok());
-    let max_buffer_bytes = announced.unwrap_or(max_bytes);
-    let head_bytes = claim.bytes();
-    let mut bytes = Vec::new();
+    mut buffer: ClaimedBuffer,
+) -> Result<ClaimedBuffer, Rejection> {
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| Rejection::BodyIncomplete)?;
-        let Some(part) = frame.data_ref() else {
-            continue;
-        };
-        let size = bytes.len() + part.len();
-        if size > max_bytes {
-            return Err(Rejection::BodyTooLarge);
-        }
-        if size > bytes.capacity() {
-            // The announced length is not trusted: the buffer grows with what comes.
-            let doubled = (bytes.capacity() * 2).max(MIN_BUFFER_BYTES).min(max_buffer_bytes);
-            let capacity = doubled.max(size);
-            claim.grow(head_bytes + capacity).await.map_err(|_| Rejection::NoMemory)?;
-            bytes.reserve_exact(capacity - bytes.len());
+        if let Some(part) = frame.data_ref() {
+            buffer.push(part).await.map_err(|error| match error {
+                BufferError::TooLong => Rejection::BodyTooLarge,
+                BufferError::NoMemory(_) => Rejection::NoMemory,
+            })?;
         }
-        bytes.extend_from_slice(part);
     }
-    Ok(bytes)
+    Ok(buffer)
 }
--- a/crates/gateway/src/callers/handler.rs
+++ b/crates/gateway/src/callers/handler.rs
@@ -12,6 +12,7 @@
 use http::header::HOST;
 use http::request;
 use hyper::body::Incoming;
+use tokio_util::sync::CancellationToken;
 
 use super::body::read_body;
 use super::rejection::Rejection;
@@ -41,16 +42,18 @@
 /// The lowest priority, which has the largest number: a larger one in the configuration counts as this one.
 const LOWEST_PRIORITY: u8 = 5;
 
-/// Handles one request, whose head holds `claim`.
+/// Handles one request, whose head holds `claim`. `given_up` is cancelled if the caller does not read the response and its
+/// memory is needed for others.
 pub(crate) async fn handle(
     state: Arc<GatewayState>,
     request: Request<Incoming>,
     claim: Claim,
+    given_up: CancellationToken,
 ) -> Response<ResponseBody> {
     let counted = InProgressGuard::count(&state);
     let id = state.dialect.call_id(request.headers()).unwrap_or_default().to_owned();
     let mut response = match accept(&state, request, claim).await {
-        Ok(call) => execute(&state, call, counted).await,
+        Ok(call) => execute(&state, call, counted, given_up).await,
         Err(rejection) => {
             state.metrics.record_request(RequestOutcome::Rejected);
             if state.decisions.admits(state.now()) {
@@ -167,6 +170,7 @@
     state: &Arc<GatewayState>,
     call: Call,
     counted: InProgressGuard,
+    given_up: CancellationToken,
 ) -> Response<ResponseBody> {
     let execution = Execution::new(Arc::clone(state), call);
     let (outcome, execution) = execution.run().await;
@@ -174,7 +178,7 @@
         record_outcome(state, execution, &outcome);
     }
     match outcome {
-        Outcome::Whole(reply) => response::complete(reply),
+        Outcome::Whole(reply) => response::complete(reply, given_up),
         Outcome::Stream(relay) => response::stream(relay, counted),
         Outcome::NoResponse(abandon_reason) => abandoned_response(abandon_reason),
     }
--- a/crates/gateway/src/callers/head_io.rs
+++ b/crates/gateway/src/callers/head_io.rs
@@ -45,8 +45,16 @@
         let mut reading = self.reading.lock();
         reading.has_request = true;
         reading.head_bytes = 0;
-        let claim = reading.claim.take().map(Claim::renew);
-        claim.unwrap_or_else(|| self.memory.open_request(CancellationToken::new()))
+        let given_up = CancellationToken::new();
+        match reading.claim.take() {
+            Some(claim) => claim.signal(given_up),
+            None => self.memory.open_request(given_up),
+        }
+    }
+
+    /// Cancelled when the connection has to be closed.
+    pub(super) fn given_up_signal(&self) -> CancellationToken {
+        self.given_up.clone()
     }
 
     /// What is read from now on belongs to the next request.
--- a/crates/gateway/src/callers/response.rs
+++ b/crates/gateway/src/callers/response.rs
@@ -8,6 +8,7 @@
 use http_body_util::Full;
 use http_body_util::StreamBody;
 use http_body_util::combinators::UnsyncBoxBody;
+use tokio_util::sync::CancellationToken;
 
 use crate::request::CompleteResponse;
 use crate::request::Relay;
@@ -17,9 +18,13 @@
 /// Body of a response to a caller.
 pub(crate) type ResponseBody = UnsyncBoxBody<Bytes, RelayError>;
 
-/// Forwards an upstream's complete response unchanged.
-pub(crate) fn complete(reply: CompleteResponse) -> Response<ResponseBody> {
-    let body = Full::new(reply.body).map_err(|never| match never {});
+/// Forwards an upstream's complete response unchanged. If the caller does not read it and its memory is needed for others,
+/// `given_up` is cancelled.
+pub(crate) fn complete(
+    reply: CompleteResponse,
+    given_up: CancellationToken,
+) -> Response<ResponseBody> {
+    let body = Full::new(reply.body.offer(given_up)).map_err(|never| match never {});
     let mut response = Response::new(body.boxed_unsync());
     *response.status_mut() = reply.status;
     *response.headers_mut() = reply.headers;
--- a/crates/gateway/src/metrics/labels.rs
+++ b/crates/gateway/src/metrics/labels.rs
@@ -45,6 +45,8 @@
     TimedOut,
     /// This process ended before the response.
     Stopped,
+    /// This gateway had no memory for the response.
+    NoMemory,
     /// The response was dropped and a better model requested.
     SteppedUp,
 }
--- a/crates/gateway/src/request/attempt_record.rs
+++ b/crates/gateway/src/request/attempt_record.rs
@@ -8,6 +8,7 @@
 use stallhoist_policy::balance::Evidence;
 use stallhoist_policy::rollout::Observation;
 
+use super::BrokenResponse;
 use super::attempt::Attempt;
 use super::attempt::AttemptOutcome;
 use crate::dialect::RequestedModel;
@@ -54,11 +55,15 @@
             Observation::Answered(elapsed)
         };
         let (result, evidence, observation) = match outcome {
-            // It says nothing about the upstream.
+            // These say nothing about the upstream.
             AttemptOutcome::Stopped => {
                 self.state.metrics.record_attempt(AttemptResult::Stopped);
                 return;
             }
+            AttemptOutcome::Broken(BrokenResponse::NoMemory, _) => {
+                self.state.metrics.record_attempt(AttemptResult::NoMemory);
+                return;
+            }
             AttemptOutcome::NotSent(_) => (AttemptResult::NotSent, Evidence::Refused, None),
             AttemptOutcome::NotRun(status) => {
                 (AttemptResult::NotRun, self.rejection_signal(*status), None)
--- a/crates/gateway/src/request/broken_response.rs
+++ b/crates/gateway/src/request/broken_response.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use displaydoc::Display;
-use http_body_util::LengthLimitError;
 use stallhoist_core::UpstreamIncarnation;
 use tokio::net::TcpStream;
 
+use crate::caller_memory::BufferError;
 use crate::state::GatewayState;
 use crate::upstream::ReadError;
 use crate::upstream::StreamError;
@@ -25,6 +25,8 @@
     IncompleteEvent,
     /// the response is too long
     TooLong,
+    /// this gateway has no memory for it
+    NoMemory,
     /// nothing came for too long
     IdleTimeout,
     /// the reply is to another request
@@ -92,10 +94,10 @@
 
 impl From<ReadError> for BrokenResponse {
     fn from(error: ReadError) -> Self {
-        if error.is::<LengthLimitError>() {
-            Self::TooLong
-        } else {
-            Self::connection(error.as_ref())
+        match error {
+            ReadError::Broken(error) => Self::connection(&error),
+            ReadError::NotKept(BufferError::TooLong) => Self::TooLong,
+            ReadError::NotKept(BufferError::NoMemory(_)) => Self::NoMemory,
         }
     }
 }
--- a/crates/gateway/src/request/outcome.rs
+++ b/crates/gateway/src/request/outcome.rs
@@ -2,19 +2,19 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use displaydoc::Display;
 use http::HeaderMap;
 use http::StatusCode;
 
 use super::Relay;
+use crate::caller_memory::ClaimedBytes;
 
 /// A complete response of an upstream, forwarded unchanged.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub(crate) struct CompleteResponse {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: ClaimedBytes,
 }
 
 /// Why a request was abandoned. The text is the body of the response to its caller.
--- a/crates/gateway/src/upstream/call.rs
+++ b/crates/gateway/src/upstream/call.rs
@@ -11,12 +11,16 @@
 use http::response;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
+use hyper::body::Body;
 use hyper::body::Incoming;
 
 use super::SendError;
 use super::connection::Connection;
 use super::connection::Driver;
+use crate::caller_memory::BufferError;
+use crate::caller_memory::Claim;
+use crate::caller_memory::ClaimedBuffer;
+use crate::caller_memory::ClaimedBytes;
 use crate::event_frames::EventBuffer;
 use crate::event_frames::EventFrames;
 use crate::event_frames::EventTooLong;
@@ -83,20 +87,34 @@
     /// Reads the whole body.
     ///
     /// # Errors
-    /// Fails when the connection breaks or the body is longer than `max_bytes`.
+    /// Fails when the connection breaks, the body is longer than `max_bytes`, or there is no memory for it.
     pub(crate) async fn read_to_end(
         self,
         max_bytes: usize,
-    ) -> Result<(response::Parts, Bytes), ReadError> {
-        let Self { head, body, driver, .. } = self;
-        let collected = Limited::new(body, max_bytes).collect().await?;
+        claim: Claim,
+    ) -> Result<(response::Parts, ClaimedBytes), ReadError> {
+        let Self { head, mut body, driver, .. } = self;
+        let mut buffer = ClaimedBuffer::new(claim, max_bytes, body.size_hint().exact());
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(ReadError::Broken)?;
+            if let Some(part) = frame.data_ref() {
+                buffer.push_response(part).await.map_err(ReadError::NotKept)?;
+            }
+        }
         drop(driver);
-        Ok((head, collected.to_bytes()))
+        let body = buffer.finish().map_err(|error| ReadError::NotKept(error.into()))?;
+        Ok((head, body))
     }
 }
 
-/// Why a body could not be read: the connection broke, or the body exceeds the limit.
-pub(crate) type ReadError = Box<dyn std::error::Error + Send + Sync>;
+/// Why a body could not be read.
+#[derive(Debug, Display, thiserror::Error)]
+pub(crate) enum ReadError {
+    /// the connection broke: {0}
+    Broken(hyper::Error),
+    /// {0}
+    NotKept(BufferError),
+}
 
 /// Why an event stream is incomplete.
 #[derive(Debug, Display, thiserror::Error)]
--- a/crates/policy/src/memory/ledger.rs
+++ b/crates/policy/src/memory/ledger.rs
@@ -205,6 +205,13 @@
         })
     }
 
+    /// Lets a claim give way again.
+    pub fn offer(&mut self, id: ClaimId) {
+        if let Some(claim) = self.claims.get_mut(&id) {
+            claim.is_optional = true;
+        }
+    }
+
     /// Ends a claim.
     pub fn close(&mut self, id: ClaimId) {
         if let Some(claim) = self.claims.remove(&id) {
--- a/tests/all/decisions/caller_memory.rs
+++ b/tests/all/decisions/caller_memory.rs
@@ -120,3 +120,15 @@
     ledger.close(first);
     assert_eq!((ledger.used_bytes(), ledger.bytes_of(new)), (MB, MB));
 }
+
+#[test]
+fn a_response_gives_way_only_while_its_caller_reads_it() {
+    let mut ledger = ledger();
+    let response = ledger.open_response(at(0), None);
+    assert!(ledger.keep(response));
+    assert_eq!(ledger.grow(at(0), response, 17 * MB), Growth::Granted);
+    let new = ledger.open_request(at(5));
+    assert_eq!(ledger.grow(at(5), new, 2 * MB), Growth::Refused);
+    ledger.offer(response);
+    assert_eq!(ledger.grow(at(5), new, 2 * MB), Growth::Pending { given_up: vec![response] });
+}
--- a/tests/crowds/gateway.rs
+++ b/tests/crowds/gateway.rs
@@ -83,6 +83,11 @@
         self.process.addr("callers_addr")
     }
 
+    /// Waits until the upstream has run this many requests.
+    pub(crate) async fn has_run(&self, requests: usize) {
+        wait_until("the requests run", async || self.upstream.runs() >= requests).await;
+    }
+
     /// The status of the response to a request on a connection of its own; none without a response.
     pub(crate) async fn status_of(&self, body: impl Into<reqwest::Body>) -> Option<u16> {
         self.status_with(KEY, body).await
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -12,4 +12,5 @@
 mod heads;
 mod large_bodies;
 mod process;
+mod responses;
 mod small_chunks;
