A request body has to come in the time of its request

Callers saw: connections with a body that stops or trickles stayed open for ever, with their memory and descriptors.

Cause: the deadline of a request applied from when its body was there. Nothing limited the time of the body itself: the HTTP library limits that of heads alone.

Evidence: gateway::slow_bodies, three tests, failed before (no response within 20 s), pass now: 408, which states that the request has not run, and the connection is closed.

Why this works: the time limit, the caller's or the route's if that is less, counts from the arrival of the head, as it does for the rest of the request. After it the caller has left.

--- a/crates/gateway/src/callers/handler.rs
+++ b/crates/gateway/src/callers/handler.rs
@@ -91,14 +91,15 @@
     let head = state.dialect.read_call(&parts).map_err(Rejection::Unreadable)?;
     let workspace = find_workspace(&config, &route, &head)?;
     claim.set_workspace(workspace.map(|workspace| workspace.name.clone()));
-    let body = read_body(body, config.bounds.max_body_bytes, claim).await?;
+    let left = arrived.after(time_limit(&route, &head)).since(state.now());
+    let body = read_body(body, config.bounds.max_body_bytes, claim);
+    let body = tokio::time::timeout(left, body).await.map_err(|_| Rejection::BodyLate)??;
     let owed = caller.owe_response().ok_or(Rejection::NoMemory)?;
     // The configuration may have changed while the body was read: the newest one decides.
     let config = state.config().unwrap_or(config);
     let route = Arc::clone(find_route(&config, &parts).ok_or(Rejection::NoRoute)?);
     let workspace = find_workspace(&config, &route, &head)?;
-    let wait = head.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
-    let deadline = arrived.after(wait);
+    let deadline = arrived.after(time_limit(&route, &head));
     if !state.accepts(deadline) {
         return Err(Rejection::Stopping);
     }
@@ -138,6 +139,11 @@
     Err(Rejection::ConfigUnknown)
 }
 
+/// The time that a request has from its arrival, its body included.
+fn time_limit(route: &Route, head: &CallHead) -> Duration {
+    head.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout))
+}
+
 fn head_bytes(parts: &request::Parts) -> usize {
     let headers = parts.headers.iter();
     let lines =
--- a/crates/gateway/src/callers/rejection.rs
+++ b/crates/gateway/src/callers/rejection.rs
@@ -27,6 +27,8 @@
     BodyTooLarge,
     /// the body of the request did not come whole
     BodyIncomplete,
+    /// the body of the request did not come in its time
+    BodyLate,
     /// no route fits the host and the path
     NoRoute,
     /// the key is missing or not known
@@ -56,6 +58,7 @@
             Self::Unreadable(_) | Self::BodyIncomplete => StatusCode::BAD_REQUEST,
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyLate => StatusCode::REQUEST_TIMEOUT,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::ConfigUnknown | Self::Stopping | Self::NoMemory => {
@@ -74,7 +77,8 @@
             Self::Unreadable(_)
             | Self::HeadTooLarge
             | Self::BodyTooLarge
-            | Self::BodyIncomplete => {
+            | Self::BodyIncomplete
+            | Self::BodyLate => {
                 set_close(&mut response);
             }
             Self::NoRoute | Self::NoKey => {}
--- a/tests/all/gateway/mod.rs
+++ b/tests/all/gateway/mod.rs
@@ -33,6 +33,7 @@
 mod rollout_loads;
 mod rollouts;
 mod silent_streams;
+mod slow_bodies;
 mod slow_links;
 mod stops;
 mod store_returns;
