Request bodies at the entry share the memory of the host

Callers saw: the same at the entry of the product's own interface: many bodies that stop short of their end took all memory.

Cause: as in the gateway: a limit for each body, none for all, and no time limit.

Why this works: the claims of the gateway moved to stallhoist-http and serve both. The least memory for callers is 9 MB in place of 24 MB, as at the entry on a host of 64 MB; that of the gateway there is 24 MB as before. A body has to come before the request's deadline.

--- a/crates/entry/src/callers/call.rs
+++ b/crates/entry/src/callers/call.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use bytes::BytesMut;
 use rocket::data::Data;
 use rocket::data::ToByteUnit;
 use stallhoist_coordination::ClaimError;
@@ -12,10 +14,15 @@
 use stallhoist_core::NotRunReason;
 use stallhoist_core::Target;
 use stallhoist_core::WorkspaceName;
+use stallhoist_http::caller_memory::BufferError;
+use stallhoist_http::caller_memory::ClaimedBuffer;
 use stallhoist_table::Table;
+use tokio::io::AsyncReadExt;
+use tokio_util::sync::CancellationToken;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::headers::CallHeaders;
+use super::headers::RawHeaders;
 use super::problem::Problem;
 use crate::claiming;
 use crate::request::Order;
@@ -24,24 +31,68 @@
 
 /// The retry delay given to the caller while no table is active.
 const RETRY_AFTER_TABLE: Duration = Duration::from_secs(1);
+/// The retry delay given to the caller while there is no memory for its request.
+const RETRY_AFTER_MEMORY: Duration = Duration::from_secs(1);
+/// The part of a body that is read at once.
+const PART_BYTES: usize = 8 << 10;
 /// The retry delay given to the caller while the store does not respond.
 const RETRY_AFTER_STORE: Duration = Duration::from_secs(2);
 
 /// Reads the whole body.
 ///
 /// # Errors
-/// Fails if the body exceeds the limit of the settings or its connection breaks.
-pub(crate) async fn read_body(shared: &Shared, data: Data<'_>) -> Result<Vec<u8>, Problem> {
-    let max_bytes = shared.settings.callers.max_body_bytes;
-    let read = data.open(max_bytes.bytes()).into_bytes().await;
-    let body = read.map_err(|error| {
-        Problem::not_routed(400, "body-broken-off", format!("the body broke off: {error}"))
-    })?;
-    if !body.is_complete() {
-        let detail = format!("the body has more than {max_bytes} bytes");
-        return Err(Problem::not_routed(413, "body-too-large", detail));
+/// Fails if the body exceeds the limit of the settings, does not come before the deadline, its connection breaks, or there
+/// is no memory for it.
+pub(crate) async fn read_body(
+    shared: &Shared,
+    workspace: &WorkspaceName,
+    headers: &RawHeaders,
+    data: Data<'_>,
+) -> Result<Bytes, Problem> {
+    let callers = &shared.settings.callers;
+    let stated_ms = headers.check().ok().and_then(|headers| headers.deadline_ms);
+    let time_limit = Duration::from_millis(stated_ms.unwrap_or(callers.default_deadline_ms));
+    let given_up = CancellationToken::new();
+    let claim = shared.memory.open_request(given_up.clone());
+    claim.set_workspace(Some(workspace.clone()));
+    let buffer = ClaimedBuffer::new(claim, callers.max_body_bytes, None);
+    let body = tokio::select! {
+        buffer = read_into(buffer, data, callers.max_body_bytes) => buffer?,
+        () = given_up.cancelled() => return Err(no_memory()),
+        () = tokio::time::sleep(time_limit) => {
+            return Err(Problem::not_run(NotRunReason::DeadlinePassed, RETRY_AFTER_MEMORY));
+        }
+    };
+    Ok(body.finish().map_err(|_| no_memory())?.into_bytes())
+}
+
+async fn read_into(
+    mut buffer: ClaimedBuffer,
+    data: Data<'_>,
+    max_bytes: usize,
+) -> Result<ClaimedBuffer, Problem> {
+    let mut body = data.open((max_bytes + 1).bytes());
+    let mut part = BytesMut::with_capacity(PART_BYTES);
+    loop {
+        let read = body.read_buf(&mut part).await.map_err(|error| {
+            Problem::not_routed(400, "body-broken-off", format!("the body broke off: {error}"))
+        })?;
+        if read == 0 {
+            return Ok(buffer);
+        }
+        buffer.push(&part).await.map_err(|error| match error {
+            BufferError::TooLong => {
+                let detail = format!("the body has more than {max_bytes} bytes");
+                Problem::not_routed(413, "body-too-large", detail)
+            }
+            BufferError::NoMemory(_) => no_memory(),
+        })?;
+        part.clear();
     }
-    Ok(body.into_inner())
+}
+
+fn no_memory() -> Problem {
+    Problem::not_run(NotRunReason::Overloaded, RETRY_AFTER_MEMORY)
 }
 
 /// The key that identifies a request when it is retried: a hash of workspace, target and body.
--- a/crates/entry/src/callers/routes.rs
+++ b/crates/entry/src/callers/routes.rs
@@ -68,7 +68,7 @@
         return run::too_many_requests();
     };
     let parsed = async {
-        let body = call::read_body(entry, data).await?;
+        let body = call::read_body(entry, &caller.workspace, &headers, data).await?;
         chat::order(entry, &caller, headers.check()?, &body)
     };
     match parsed.await {
@@ -116,7 +116,7 @@
         return run::too_many_requests();
     };
     let parsed = async {
-        let body = call::read_body(entry, data).await?;
+        let body = call::read_body(entry, &caller.workspace, headers, data).await?;
         let (service, path) = service_and_path(request.uri());
         let service_call = ServiceCall {
             service,
--- a/crates/entry/src/callers/services.rs
+++ b/crates/entry/src/callers/services.rs
@@ -25,7 +25,7 @@
     /// The path and query that are sent to the service.
     pub(crate) path: String,
     pub(crate) content_type: String,
-    pub(crate) body: Vec<u8>,
+    pub(crate) body: Bytes,
 }
 
 /// Checks a call and makes an order of it.
@@ -66,7 +66,7 @@
         method: service_call.method.to_owned(),
         path: service_call.path,
         content_type: service_call.content_type,
-        body: Bytes::from(service_call.body),
+        body: service_call.body,
         prompt_tokens: 0,
         completion_tokens: 0,
         prefix: None,
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,6 +1,7 @@
 //! The state that all tasks of an entry share.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -13,13 +14,17 @@
 use stallhoist_coordination::PendingClaim;
 use stallhoist_coordination::ProcessClock;
 use stallhoist_coordination::TableStore;
+use stallhoist_core::ByteSize;
 use stallhoist_core::HostId;
 use stallhoist_core::IncarnationId;
 use stallhoist_core::MonoTime;
 use stallhoist_core::Revision;
+use stallhoist_http::caller_memory::CallerMemory;
+use stallhoist_http::caller_memory::system_memory_bytes;
 use stallhoist_platform::PlatformClient;
 use stallhoist_policy::guard::Guard;
 use stallhoist_policy::guard::GuardConfig;
+use stallhoist_policy::memory::MemoryLimits;
 use stallhoist_policy::retry::Ejection;
 use stallhoist_policy::retry::EjectionConfig;
 use stallhoist_policy::retry::RetryBudget;
@@ -36,6 +41,9 @@
 use crate::metrics::Metrics;
 use crate::session::SessionKeys;
 
+/// Memory of the process without request bodies: its HTTP library buffers what it reads of each connection.
+const PROCESS_BYTES: usize = 52_000_000;
+
 /// The state that all tasks of an entry share. The lock order is documented at the crate.
 #[derive(Debug)]
 pub(crate) struct Shared {
@@ -62,6 +70,8 @@
     pub(crate) unreleased: Mutex<Vec<PendingClaim>>,
     pub(crate) metrics: Metrics,
     pub(crate) in_flight: AtomicUsize,
+    /// The memory that request bodies hold.
+    pub(crate) memory: Arc<CallerMemory>,
     is_leaving: AtomicBool,
 }
 
@@ -75,6 +85,9 @@
             zone: settings.host.zone.clone(),
             incarnation: IncarnationId::generate(),
         };
+        let clock = ProcessClock::start();
+        let memory = settings.callers.host_memory;
+        let memory_bytes = memory.map_or_else(system_memory_bytes, ByteSize::as_bytes);
         let batch_time = Duration::from_millis(settings.claims.batch_ms);
         let max_batch = settings.claims.max_batch;
         let retries = &settings.retries;
@@ -87,7 +100,7 @@
             fleet_key: FleetKey::new(settings.host.fleet_key.reveal()),
             session_keys: SessionKeys::new(&settings.session_keys),
             identity,
-            clock: ProcessClock::start(),
+            clock: clock.clone(),
             table: ActiveTable::default(),
             table_store: TableStore::new(platform.clone()),
             claims: ClaimStore::start(platform.clone(), batch_time, max_batch),
@@ -104,6 +117,10 @@
             unreleased: Mutex::default(),
             metrics: Metrics::default(),
             in_flight: AtomicUsize::new(0),
+            memory: Arc::new(CallerMemory::new(
+                MemoryLimits::of_host(memory_bytes, PROCESS_BYTES),
+                clock,
+            )),
             is_leaving: AtomicBool::new(false),
             settings,
         }
--- a/crates/gateway/src/callers/body.rs
+++ b/crates/gateway/src/callers/body.rs
@@ -6,9 +6,9 @@
 use hyper::body::Incoming;
 
 use super::rejection::Rejection;
-use crate::caller_memory::BufferError;
-use crate::caller_memory::Claim;
-use crate::caller_memory::ClaimedBuffer;
+use stallhoist_http::caller_memory::BufferError;
+use stallhoist_http::caller_memory::Claim;
+use stallhoist_http::caller_memory::ClaimedBuffer;
 
 /// Reads a whole body into one buffer: a part by itself keeps the buffer of the connection that it was cut from.
 ///
--- a/crates/gateway/src/callers/handler.rs
+++ b/crates/gateway/src/callers/handler.rs
@@ -22,7 +22,6 @@
 use super::response;
 use super::response::ResponseBody;
 use super::response::ResponseGuards;
-use crate::caller_memory::Claim;
 use crate::dialect::CallHead;
 use crate::metrics::RequestOutcome;
 use crate::request::AbandonReason;
@@ -34,6 +33,7 @@
 use crate::routing::Workspace;
 use crate::state::GatewayState;
 use crate::state::InProgressGuard;
+use stallhoist_http::caller_memory::Claim;
 
 /// Bytes of a header line besides its name and value: `: ` and the line end.
 const HEADER_OVERHEAD_BYTES: usize = 4;
--- a/crates/gateway/src/callers/head_io.rs
+++ b/crates/gateway/src/callers/head_io.rs
@@ -15,8 +15,8 @@
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 
-use crate::caller_memory::CallerMemory;
-use crate::caller_memory::Claim;
+use stallhoist_http::caller_memory::CallerMemory;
+use stallhoist_http::caller_memory::Claim;
 
 #[derive(Debug, Default)]
 struct Reading {
--- a/crates/gateway/src/host_limits.rs
+++ b/crates/gateway/src/host_limits.rs
@@ -2,10 +2,13 @@
 
 use rustix::process::Resource;
 use rustix::process::getrlimit;
-use rustix::system::sysinfo;
+use stallhoist_http::caller_memory::system_memory_bytes;
 use stallhoist_policy::memory::MemoryLimits;
 use stallhoist_settings::GatewayHost;
 
+/// Memory of the process without callers.
+const PROCESS_BYTES: usize = 32_000_000;
+
 /// Descriptors that are not for callers and their requests.
 const RESERVED_DESCRIPTORS: usize = 200;
 
@@ -27,7 +30,7 @@
     pub(crate) fn of(host: &GatewayHost) -> Self {
         let memory_bytes = host.memory.map_or_else(system_memory_bytes, |size| size.as_bytes());
         let descriptors = host.descriptors.map_or_else(system_descriptors, usize_of);
-        Self { memory: MemoryLimits::of_host(memory_bytes), descriptors }
+        Self { memory: MemoryLimits::of_host(memory_bytes, PROCESS_BYTES), descriptors }
     }
 
     /// The most connections of callers.
@@ -38,11 +41,6 @@
     }
 }
 
-fn system_memory_bytes() -> usize {
-    let system = sysinfo();
-    usize_of(system.totalram).saturating_mul(usize_of(system.mem_unit))
-}
-
 fn system_descriptors() -> usize {
     getrlimit(Resource::Nofile).current.map_or(usize::MAX, usize_of)
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,7 +17,6 @@
 //! - [`era_tracker`]: the store era that the known state belongs to
 //! - [`planned_stop`]: which requests a stopping gateway accepts
 //! - [`log_limit`]: rate limit of log lines that others can cause
-//! - `caller_memory`: the memory that requests and responses of callers hold
 //! - `fatal`: requests that crash the upstreams that run them
 //! - `follow`: the tasks that follow the store
 //! - `state`: the state shared by all tasks
@@ -28,7 +27,6 @@
 
 mod admission;
 mod attempt_times;
-mod caller_memory;
 mod callers;
 pub mod control_store;
 mod decision_log;
--- a/crates/gateway/src/request/broken_response.rs
+++ b/crates/gateway/src/request/broken_response.rs
@@ -9,10 +9,10 @@
 use stallhoist_core::UpstreamIncarnation;
 use tokio::net::TcpStream;
 
-use crate::caller_memory::BufferError;
 use crate::state::GatewayState;
 use crate::upstream::ReadError;
 use crate::upstream::StreamError;
+use stallhoist_http::caller_memory::BufferError;
 
 /// Why a response was not received completely, or is not valid.
 #[derive(Debug, Display)]
--- a/crates/gateway/src/request/outcome.rs
+++ b/crates/gateway/src/request/outcome.rs
@@ -7,7 +7,7 @@
 use http::StatusCode;
 
 use super::Relay;
-use crate::caller_memory::ClaimedBytes;
+use stallhoist_http::caller_memory::ClaimedBytes;
 
 /// A complete response of an upstream, forwarded unchanged.
 #[derive(Debug)]
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -31,7 +31,6 @@
 use crate::admission::Admission;
 use crate::admission::RunningRequest;
 use crate::attempt_times::AttemptTimes;
-use crate::caller_memory::CallerMemory;
 use crate::control_store::Feed;
 use crate::control_store::ListedEntry;
 use crate::decision_log::DecisionLog;
@@ -52,6 +51,7 @@
 use crate::sessions::Sessions;
 use crate::suspend_recovery::SuspendRecovery;
 use crate::upstreams::Upstreams;
+use stallhoist_http::caller_memory::CallerMemory;
 
 pub(crate) use in_progress::InProgressGuard;
 
--- a/crates/gateway/src/upstream/call.rs
+++ b/crates/gateway/src/upstream/call.rs
@@ -17,13 +17,13 @@
 use super::SendError;
 use super::connection::Connection;
 use super::connection::Driver;
-use crate::caller_memory::BufferError;
-use crate::caller_memory::Claim;
-use crate::caller_memory::ClaimedBuffer;
-use crate::caller_memory::ClaimedBytes;
 use crate::event_frames::EventBuffer;
 use crate::event_frames::EventFrames;
 use crate::event_frames::EventTooLong;
+use stallhoist_http::caller_memory::BufferError;
+use stallhoist_http::caller_memory::Claim;
+use stallhoist_http::caller_memory::ClaimedBuffer;
+use stallhoist_http::caller_memory::ClaimedBytes;
 
 /// A request to an upstream.
 #[derive(Debug)]
--- a/crates/gateway/src/caller_memory/buffer.rs
+++ b/crates/http/src/caller_memory/buffer.rs
@@ -16,7 +16,7 @@
 
 /// Why a part of a body cannot be kept.
 #[derive(Debug, Display, thiserror::Error)]
-pub(crate) enum BufferError {
+pub enum BufferError {
     /// the body is too long
     TooLong,
     /// {0}
@@ -25,7 +25,7 @@
 
 /// A buffer whose capacity is claimed.
 #[derive(Debug)]
-pub(crate) struct ClaimedBuffer {
+pub struct ClaimedBuffer {
     bytes: Vec<u8>,
     claim: Claim,
     /// What the claim held before.
@@ -37,7 +37,7 @@
 
 impl ClaimedBuffer {
     /// A buffer for up to `max_bytes`, of which `announced` are expected. They are not trusted: it grows with what comes.
-    pub(crate) fn new(claim: Claim, max_bytes: usize, announced: Option<u64>) -> Self {
+    pub fn new(claim: Claim, max_bytes: usize, announced: Option<u64>) -> Self {
         let announced = announced.and_then(|bytes| usize::try_from(bytes).ok());
         Self {
             bytes: Vec::new(),
@@ -52,7 +52,7 @@
     ///
     /// # Errors
     /// Fails when the body is too long, or there is no room for it.
-    pub(crate) async fn push(&mut self, part: &[u8]) -> Result<(), BufferError> {
+    pub async fn push(&mut self, part: &[u8]) -> Result<(), BufferError> {
         if let Some(capacity) = self.capacity_for(part)? {
             self.claim.grow(self.other_bytes + capacity).await?;
             self.bytes.reserve_exact(capacity - self.bytes.len());
@@ -65,7 +65,7 @@
     ///
     /// # Errors
     /// As [`push`](Self::push).
-    pub(crate) async fn push_response(&mut self, part: &[u8]) -> Result<(), BufferError> {
+    pub async fn push_response(&mut self, part: &[u8]) -> Result<(), BufferError> {
         let waits = tokio::time::Instant::now() + RESPONSE_WAIT_LIMIT;
         loop {
             match self.push(part).await {
@@ -92,7 +92,7 @@
     ///
     /// # Errors
     /// Fails when it had to give way before.
-    pub(crate) fn finish(self) -> Result<ClaimedBytes, NoMemory> {
+    pub fn finish(self) -> Result<ClaimedBytes, NoMemory> {
         self.claim.keep()?;
         Ok(ClaimedBytes::new(self.bytes, self.claim))
     }
--- a/crates/gateway/src/caller_memory/claim.rs
+++ b/crates/http/src/caller_memory/claim.rs
@@ -14,7 +14,7 @@
 
 /// A claim on the memory for callers, until it is dropped.
 #[derive(Debug)]
-pub(crate) struct Claim {
+pub struct Claim {
     memory: Arc<CallerMemory>,
     id: ClaimId,
     given_up: CancellationToken,
@@ -26,12 +26,12 @@
     }
 
     /// Records the workspace that the request belongs to.
-    pub(crate) fn set_workspace(&self, workspace: Option<WorkspaceName>) {
+    pub fn set_workspace(&self, workspace: Option<WorkspaceName>) {
         self.memory.claims.lock().ledger.set_workspace(self.id, workspace);
     }
 
     /// Signals in another way from now on when it has to give way.
-    pub(crate) fn signal(mut self, given_up: CancellationToken) -> Self {
+    pub fn signal(mut self, given_up: CancellationToken) -> Self {
         self.memory.claims.lock().signals.insert(self.id, given_up.clone());
         self.given_up = given_up;
         self
@@ -46,7 +46,7 @@
     ///
     /// # Errors
     /// Fails when there is no room, or this claim has to give way.
-    pub(crate) fn grow_now(&self, bytes: usize) -> Result<(), NoMemory> {
+    pub fn grow_now(&self, bytes: usize) -> Result<(), NoMemory> {
         match self.memory.grow(self.id, bytes) {
             Growth::Granted => Ok(()),
             Growth::Pending { .. } => {
@@ -74,7 +74,7 @@
     }
 
     /// Cancelled when this claim has to give way.
-    pub(crate) fn given_up_signal(&self) -> CancellationToken {
+    pub fn given_up_signal(&self) -> CancellationToken {
         self.given_up.clone()
     }
 
@@ -92,7 +92,7 @@
     }
 
     /// Lets it give way from now on, which `given_up` signals.
-    pub(crate) fn offer(self, given_up: CancellationToken) -> Self {
+    pub fn offer(self, given_up: CancellationToken) -> Self {
         self.memory.claims.lock().ledger.offer(self.id);
         self.signal(given_up)
     }
@@ -110,7 +110,7 @@
 
 /// Bytes and the claim on their memory.
 #[derive(Debug)]
-pub(crate) struct ClaimedBytes {
+pub struct ClaimedBytes {
     bytes: Vec<u8>,
     claim: Claim,
 }
@@ -121,12 +121,12 @@
     }
 
     /// The claim lasts for as long as the bytes are used.
-    pub(crate) fn into_bytes(self) -> Bytes {
+    pub fn into_bytes(self) -> Bytes {
         Bytes::from_owner(self)
     }
 
     /// The same. From now on it may have to give way, which `given_up` signals.
-    pub(crate) fn offer(self, given_up: CancellationToken) -> Bytes {
+    pub fn offer(self, given_up: CancellationToken) -> Bytes {
         let Self { bytes, claim } = self;
         Self { bytes, claim: claim.offer(given_up) }.into_bytes()
     }
--- a/crates/gateway/src/caller_memory/mod.rs
+++ b/crates/http/src/caller_memory/mod.rs
@@ -21,14 +21,21 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
-pub(crate) use buffer::BufferError;
-pub(crate) use buffer::ClaimedBuffer;
-pub(crate) use claim::Claim;
-pub(crate) use claim::ClaimedBytes;
+pub use buffer::BufferError;
+pub use buffer::ClaimedBuffer;
+pub use claim::Claim;
+pub use claim::ClaimedBytes;
+
+/// Memory of the host, as the system tells it.
+pub fn system_memory_bytes() -> usize {
+    let system = rustix::system::sysinfo();
+    let unit_bytes = usize::try_from(system.mem_unit).unwrap_or(1);
+    usize::try_from(system.totalram).unwrap_or(usize::MAX).saturating_mul(unit_bytes)
+}
 
 /// the host has no memory left for it
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, thiserror::Error)]
-pub(crate) struct NoMemory;
+pub struct NoMemory;
 
 #[derive(Debug)]
 struct Claims {
@@ -39,20 +46,21 @@
 
 /// The memory that requests and responses of callers hold.
 #[derive(Debug)]
-pub(crate) struct CallerMemory {
+pub struct CallerMemory {
     claims: Mutex<Claims>,
     closed: Notify,
     clock: ProcessClock,
 }
 
 impl CallerMemory {
-    pub(crate) fn new(limits: MemoryLimits, clock: ProcessClock) -> Self {
+    /// Creates the memory of callers, of which nothing is in use.
+    pub fn new(limits: MemoryLimits, clock: ProcessClock) -> Self {
         let claims = Claims { ledger: MemoryLedger::new(limits), signals: HashMap::new() };
         Self { claims: Mutex::new(claims), closed: Notify::new(), clock }
     }
 
     /// Opens a claim of a request that is being read. `given_up` is cancelled when it has to give way.
-    pub(crate) fn open_request(self: &Arc<Self>, given_up: CancellationToken) -> Claim {
+    pub fn open_request(self: &Arc<Self>, given_up: CancellationToken) -> Claim {
         let now = self.clock.now();
         let mut claims = self.claims.lock();
         let id = claims.ledger.open_request(now);
@@ -61,7 +69,7 @@
     }
 
     /// Opens a claim of a response to a request of a workspace. It does not give way while it is received.
-    pub(crate) fn open_response(self: &Arc<Self>, workspace: Option<WorkspaceName>) -> Claim {
+    pub fn open_response(self: &Arc<Self>, workspace: Option<WorkspaceName>) -> Claim {
         let now = self.clock.now();
         let mut claims = self.claims.lock();
         let id = claims.ledger.open_response(now, workspace);
@@ -70,7 +78,7 @@
     }
 
     /// Memory that the claims hold.
-    pub(crate) fn used_bytes(&self) -> usize {
+    pub fn used_bytes(&self) -> usize {
         self.claims.lock().ledger.used_bytes()
     }
 
--- a/crates/policy/src/memory/limits.rs
+++ b/crates/policy/src/memory/limits.rs
@@ -1,10 +1,7 @@
 //! Limits of the memory for callers' requests and responses.
 
-/// Memory of the process besides what it holds for callers.
-const PROCESS_BYTES: usize = 32_000_000;
-
-/// The least memory for callers: a few of the largest bodies.
-const MIN_CALLER_BYTES: usize = 24_000_000;
+/// The least memory for callers: one of the largest bodies, and small ones.
+const MIN_CALLER_BYTES: usize = 9_000_000;
 
 /// Memory that a connection needs besides the claims of its requests.
 const CONNECTION_BYTES: usize = 16 << 10;
@@ -23,10 +20,10 @@
 }
 
 impl MemoryLimits {
-    /// The limits at a host with this memory. A quarter of what the process itself does not need is left to connections
-    /// and the allocator.
-    pub fn of_host(memory_bytes: usize) -> Self {
-        let caller_bytes = memory_bytes.saturating_sub(PROCESS_BYTES);
+    /// The limits at a host with this memory, of which the process needs a part without callers. A quarter of the rest is
+    /// left to connections and the allocator.
+    pub fn of_host(memory_bytes: usize, process_bytes: usize) -> Self {
+        let caller_bytes = memory_bytes.saturating_sub(process_bytes);
         let total_bytes = (caller_bytes / 4 * 3).max(MIN_CALLER_BYTES);
         let large_bytes = total_bytes / 4 * 3;
         Self {
--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -2,6 +2,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use stallhoist_core::ByteSize;
 
 use crate::BillSettings;
 use crate::ClaimSettings;
@@ -22,6 +23,9 @@
 pub struct CallerLimits {
     /// Maximum size of a request body.
     pub max_body_bytes: usize,
+    /// Memory of the host, of which a part is for request bodies; what the system tells if absent.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub host_memory: Option<ByteSize>,
     /// Maximum number of requests in progress; requests beyond it are rejected, to be retried later.
     pub max_in_flight_requests: usize,
     /// Deadline of a request that specifies none.
@@ -36,6 +40,7 @@
     fn default() -> Self {
         Self {
             max_body_bytes: 4 << 20,
+            host_memory: None,
             max_in_flight_requests: 2_000,
             default_deadline_ms: 60_000,
             max_deadline_ms: 600_000,
--- a/tests/all/decisions/caller_memory.rs
+++ b/tests/all/decisions/caller_memory.rs
@@ -10,9 +10,11 @@
 
 const MB: usize = 1_000_000;
 
+const PROCESS_BYTES: usize = 32 * MB;
+
 /// A host of 64 MB: 24 MB in all, 18 for large claims, 13.5 for those of one workspace.
 fn ledger() -> MemoryLedger {
-    MemoryLedger::new(MemoryLimits::of_host(64 * MB))
+    MemoryLedger::new(MemoryLimits::of_host(64 * MB, PROCESS_BYTES))
 }
 
 fn at(second: u64) -> MonoTime {
@@ -33,9 +35,9 @@
 
 #[test]
 fn the_limits_follow_the_hosts_memory() {
-    let large = MemoryLimits::of_host(260 * MB);
+    let large = MemoryLimits::of_host(260 * MB, PROCESS_BYTES);
     assert_eq!((large.total_bytes, large.large_bytes), (171 * MB, 128_250_000));
-    let least = MemoryLimits::of_host(0);
+    let least = MemoryLimits::of_host(0, PROCESS_BYTES);
     assert!(least.workspace_bytes > 4 << 20, "a body of the largest size finds room");
 }
 
--- a/tests/crowds/crowd.rs
+++ b/tests/crowds/crowd.rs
@@ -36,7 +36,16 @@
         start: String,
         parts: Vec<Bytes>,
     ) -> Self {
-        let addr = gateway.callers_addr();
+        Self::send_to(gateway.callers_addr(), size, start, parts).await
+    }
+
+    /// The same to an address.
+    pub(crate) async fn send_to(
+        addr: SocketAddr,
+        size: usize,
+        start: String,
+        parts: Vec<Bytes>,
+    ) -> Self {
         let mut sending = JoinSet::new();
         for _ in 0..size {
             sending.spawn(send(addr, start.clone(), parts.clone()));
--- a/tests/crowds/gateway.rs
+++ b/tests/crowds/gateway.rs
@@ -24,7 +24,7 @@
 pub(crate) const OTHER_KEY: &str = "key-of-workspace-2";
 
 /// The memory of the host.
-const MEMORY_BYTES: usize = 64_000_000;
+pub(crate) const MEMORY_BYTES: usize = 64_000_000;
 
 /// The descriptors of the host.
 const DESCRIPTORS: usize = 4_096;
@@ -36,7 +36,7 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// One crowd plays at a time.
-static TURN: Mutex<()> = Mutex::const_new(());
+pub(crate) static TURN: Mutex<()> = Mutex::const_new(());
 
 /// A gateway's process with a store and an upstream.
 pub(crate) struct Gateway {
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -7,8 +7,10 @@
 mod case;
 mod crowd;
 mod descriptors;
+mod entry;
 mod gateway;
-#[expect(dead_code, reason = "the crowds need a part of it")]
+#[allow(dead_code, unused_imports, reason = "the crowds need a part of it")]
+#[path = "../all/harness/mod.rs"]
 mod harness;
 mod heads;
 mod large_bodies;
