A response with status 101 is no final response

Callers saw: an upstream in trouble that responds with status 101 ends the request: the caller got 101 with the upstream's seal.

Cause: found while checking for status 000. 000, 001, 099, 20, 2000, -01 and abc do not pass the HTTP library: 502, or another upstream where the request may be repeated, also when a stream is resumed. Of the interim responses, which it passes over, it takes 101 for final, for a protocol that the gateway never asks for.

Evidence: gateway::odd_statuses, three of four tests failed at 101 before (status 101 passed on; a stream cut after its first event), pass now.

Why this works: an informational status is a broken response, like one that cannot be parsed.

--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -266,6 +266,11 @@
         };
         let mut progress = ResponseProgress::default();
         progress.record_head(self.state.now());
+        // The HTTP library passes over other interim responses, and takes this one for final.
+        if reply.head.status.is_informational() {
+            let cause = BrokenResponse::NotFinal(reply.head.status);
+            return AttemptOutcome::Broken(cause, progress.phase());
+        }
         let head = self.state.dialect.read_reply(&reply.head);
         if self.is_from_selected(&reply.head, &head) {
             let (upstreams, incarnation) = (&self.state.upstreams, &self.chosen.start);
--- a/crates/gateway/src/request/broken_response.rs
+++ b/crates/gateway/src/request/broken_response.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use displaydoc::Display;
+use http::StatusCode;
 use stallhoist_core::UpstreamIncarnation;
 use tokio::net::TcpStream;
 
@@ -23,6 +24,8 @@
     HostUnresponsive(String),
     /// the stream ended inside an event, or without any
     IncompleteEvent,
+    /// the reply has status {0}, which ends no request
+    NotFinal(StatusCode),
     /// the response is too long
     TooLong,
     /// this gateway has no memory for it
--- a/tests/all/gateway/mod.rs
+++ b/tests/all/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod lost_answers;
 mod members;
 mod named_limits;
+mod odd_statuses;
 mod peers;
 mod relay_changes;
 mod requested_backoffs;
