--- a/crates/entry/src/callers/call.rs
+++ b/crates/entry/src/callers/call.rs
@@ -15,7 +15,7 @@
 use stallhoist_core::Target;
 use stallhoist_core::WorkspaceName;
 use stallhoist_http::caller_memory::BufferError;
-use stallhoist_http::caller_memory::ClaimedBuffer;
+use stallhoist_http::caller_memory::ReservedBuffer;
 use stallhoist_table::Table;
 use tokio::io::AsyncReadExt;
 use tokio_util::sync::CancellationToken;
@@ -52,13 +52,13 @@
     let callers = &shared.settings.callers;
     let stated_ms = headers.check().ok().and_then(|headers| headers.deadline_ms);
     let time_limit = Duration::from_millis(stated_ms.unwrap_or(callers.default_deadline_ms));
-    let given_up = CancellationToken::new();
-    let claim = shared.memory.open_request(given_up.clone());
-    claim.set_workspace(Some(workspace.clone()));
-    let buffer = ClaimedBuffer::new(claim, callers.max_body_bytes, None);
+    let evicted = CancellationToken::new();
+    let reservation = shared.memory.open_request(evicted.clone());
+    reservation.set_workspace(Some(workspace.clone()));
+    let buffer = ReservedBuffer::new(reservation, callers.max_body_bytes, None);
     let body = tokio::select! {
         buffer = read_into(buffer, data, callers.max_body_bytes) => buffer?,
-        () = given_up.cancelled() => return Err(no_memory()),
+        () = evicted.cancelled() => return Err(no_memory()),
         () = tokio::time::sleep(time_limit) => {
             return Err(Problem::not_run(NotRunReason::DeadlinePassed, RETRY_AFTER_MEMORY));
         }
@@ -67,10 +67,10 @@
 }
 
 async fn read_into(
-    mut buffer: ClaimedBuffer,
+    mut buffer: ReservedBuffer,
     data: Data<'_>,
     max_bytes: usize,
-) -> Result<ClaimedBuffer, Problem> {
+) -> Result<ReservedBuffer, Problem> {
     let mut body = data.open((max_bytes + 1).bytes());
     let mut part = BytesMut::with_capacity(PART_BYTES);
     loop {
--- a/crates/gateway/src/callers/accept.rs
+++ b/crates/gateway/src/callers/accept.rs
@@ -144,9 +144,10 @@
     let io = HeadIo::new(stream, Arc::clone(&caller.head));
     let service = service_fn(|request| {
         caller.record_request();
-        let (state, caller, claim) = (Arc::clone(&state), Arc::clone(&caller), caller.head.take());
+        let (state, caller, reservation) =
+            (Arc::clone(&state), Arc::clone(&caller), caller.head.take());
         async move {
-            let response = handle(state, request, claim, &caller).await;
+            let response = handle(state, request, reservation, &caller).await;
             caller.head.expect_next();
             Ok::<_, Infallible>(response)
         }
@@ -176,7 +177,7 @@
         result = served => if let Err(error) = result {
             log::debug!(error:% = error; "a caller's connection closed with an error");
         },
-        () = caller.given_up.cancelled() => {
+        () = caller.evicted.cancelled() => {
             log::debug!("a caller's connection closed: it is needed for others");
         }
     }
--- a/crates/gateway/src/callers/body.rs
+++ b/crates/gateway/src/callers/body.rs
@@ -4,11 +4,11 @@
 use http_body_util::BodyExt;
 use hyper::body::Body;
 use hyper::body::Incoming;
+use stallhoist_http::caller_memory::BufferError;
+use stallhoist_http::caller_memory::Reservation;
+use stallhoist_http::caller_memory::ReservedBuffer;
 
 use super::rejection::Rejection;
-use stallhoist_http::caller_memory::BufferError;
-use stallhoist_http::caller_memory::Claim;
-use stallhoist_http::caller_memory::ClaimedBuffer;
 
 /// Reads a whole body into one buffer: a part by itself keeps the buffer of the connection that it was cut from.
 ///
@@ -17,25 +17,25 @@
 pub(super) async fn read_body(
     body: Incoming,
     max_bytes: usize,
-    claim: Claim,
+    reservation: Reservation,
 ) -> Result<Bytes, Rejection> {
     let hint = body.size_hint();
     if hint.lower() > max_bytes as u64 {
         return Err(Rejection::BodyTooLarge);
     }
-    let given_up = claim.given_up_signal();
-    let buffer = ClaimedBuffer::new(claim, max_bytes, hint.exact());
+    let evicted = reservation.eviction_signal();
+    let buffer = ReservedBuffer::new(reservation, max_bytes, hint.exact());
     let buffer = tokio::select! {
         buffer = read_into(body, buffer) => buffer?,
-        () = given_up.cancelled() => return Err(Rejection::NoMemory),
+        () = evicted.cancelled() => return Err(Rejection::NoMemory),
     };
     Ok(buffer.finish().map_err(|_| Rejection::NoMemory)?.into_bytes())
 }
 
 async fn read_into(
     mut body: Incoming,
-    mut buffer: ClaimedBuffer,
-) -> Result<ClaimedBuffer, Rejection> {
+    mut buffer: ReservedBuffer,
+) -> Result<ReservedBuffer, Rejection> {
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| Rejection::BodyIncomplete)?;
         if let Some(part) = frame.data_ref() {
--- a/crates/gateway/src/callers/connections.rs
+++ b/crates/gateway/src/callers/connections.rs
@@ -52,23 +52,23 @@
 
     /// Adds a connection, for which another may be closed; none if all others stay.
     pub(super) fn accept(self: &Arc<Self>) -> Option<Connection> {
-        let given_up = CancellationToken::new();
+        let evicted = CancellationToken::new();
         let mut table = self.table.lock();
         let accepted = table.connections.accept(self.state.now())?;
         if let Some(closed) = accepted.closed.and_then(|id| table.signals.remove(&id)) {
             closed.cancel();
             self.state.metrics.caller_connections_closed.inc();
         }
-        table.signals.insert(accepted.id, given_up.clone());
+        table.signals.insert(accepted.id, evicted.clone());
         drop(table);
         self.open.fetch_add(1, Ordering::SeqCst);
-        let head = RequestHead::new(Arc::clone(&self.state.memory), given_up.clone());
+        let head = RequestHead::new(Arc::clone(&self.state.memory), evicted.clone());
         Some(Connection {
             connections: Arc::clone(self),
             id: accepted.id,
             is_used: AtomicBool::new(false),
             head: Arc::new(head),
-            given_up,
+            evicted,
         })
     }
 }
@@ -82,7 +82,7 @@
     /// What it reads of its next request.
     pub(super) head: Arc<RequestHead>,
     /// Cancelled when it has to be closed.
-    pub(super) given_up: CancellationToken,
+    pub(super) evicted: CancellationToken,
 }
 
 impl Connection {
@@ -98,9 +98,9 @@
     }
 
     /// Keeps it open for a response to a request that was read in full; none if it is about to be closed.
-    pub(super) fn owe_response(self: &Arc<Self>) -> Option<OwedResponse> {
+    pub(super) fn pin(self: &Arc<Self>) -> Option<PinnedConnection> {
         let is_open = self.connections.table.lock().connections.request_read(self.id);
-        is_open.then(|| OwedResponse(Arc::clone(self)))
+        is_open.then(|| PinnedConnection(Arc::clone(self)))
     }
 }
 
@@ -119,9 +119,9 @@
 
 /// Keeps a connection from being closed for another until the response is made.
 #[derive(Debug)]
-pub(super) struct OwedResponse(Arc<Connection>);
+pub(super) struct PinnedConnection(Arc<Connection>);
 
-impl Drop for OwedResponse {
+impl Drop for PinnedConnection {
     fn drop(&mut self) {
         let Connection { connections, id, .. } = &*self.0;
         let now = connections.state.now();
--- a/crates/gateway/src/callers/handler.rs
+++ b/crates/gateway/src/callers/handler.rs
@@ -12,11 +12,12 @@
 use http::header::HOST;
 use http::request;
 use hyper::body::Incoming;
+use stallhoist_http::caller_memory::Reservation;
 use tokio_util::sync::CancellationToken;
 
 use super::body::read_body;
 use super::connections::Connection;
-use super::connections::OwedResponse;
+use super::connections::PinnedConnection;
 use super::rejection::Rejection;
 use super::rejection::abandoned_response;
 use super::response;
@@ -33,7 +34,6 @@
 use crate::routing::Workspace;
 use crate::state::GatewayState;
 use crate::state::InProgressGuard;
-use stallhoist_http::caller_memory::Claim;
 
 /// Bytes of a header line besides its name and value: `: ` and the line end.
 const HEADER_OVERHEAD_BYTES: usize = 4;
@@ -45,17 +45,19 @@
 /// The lowest priority, which has the largest number: a larger one in the configuration counts as this one.
 const LOWEST_PRIORITY: u8 = 5;
 
-/// Handles one request, whose head holds `claim`.
+/// Handles one request, whose head holds `reservation`.
 pub(crate) async fn handle(
     state: Arc<GatewayState>,
     request: Request<Incoming>,
-    claim: Claim,
+    reservation: Reservation,
     caller: &Arc<Connection>,
 ) -> Response<ResponseBody> {
     let counted = InProgressGuard::count(&state);
     let id = state.dialect.call_id(request.headers()).unwrap_or_default().to_owned();
-    let mut response = match accept(&state, request, claim, caller).await {
-        Ok((call, owed)) => execute(&state, call, (counted, owed), caller.given_up.clone()).await,
+    let mut response = match accept(&state, request, reservation, caller).await {
+        Ok((call, pinned)) => {
+            execute(&state, call, (counted, pinned), caller.evicted.clone()).await
+        }
         Err(rejection) => {
             state.metrics.record_request(RequestOutcome::Rejected);
             if state.decisions.admits(state.now()) {
@@ -77,9 +79,9 @@
 async fn accept(
     state: &GatewayState,
     request: Request<Incoming>,
-    claim: Claim,
+    reservation: Reservation,
     caller: &Arc<Connection>,
-) -> Result<(Call, OwedResponse), Rejection> {
+) -> Result<(Call, PinnedConnection), Rejection> {
     let arrived = state.now();
     wait_until_synced(state).await?;
     let config = state.config().ok_or(Rejection::ConfigUnknown)?;
@@ -90,11 +92,11 @@
     let route = Arc::clone(find_route(&config, &parts).ok_or(Rejection::NoRoute)?);
     let head = state.dialect.read_call(&parts).map_err(Rejection::Unreadable)?;
     let workspace = find_workspace(&config, &route, &head)?;
-    claim.set_workspace(workspace.map(|workspace| workspace.name.clone()));
+    reservation.set_workspace(workspace.map(|workspace| workspace.name.clone()));
     let left = arrived.after(time_limit(&route, &head)).since(state.now());
-    let body = read_body(body, config.bounds.max_body_bytes, claim);
+    let body = read_body(body, config.bounds.max_body_bytes, reservation);
     let body = tokio::time::timeout(left, body).await.map_err(|_| Rejection::BodyLate)??;
-    let owed = caller.owe_response().ok_or(Rejection::NoMemory)?;
+    let pinned = caller.pin().ok_or(Rejection::NoMemory)?;
     // The configuration may have changed while the body was read: the newest one decides.
     let config = state.config().unwrap_or(config);
     let route = Arc::clone(find_route(&config, &parts).ok_or(Rejection::NoRoute)?);
@@ -124,7 +126,7 @@
         fingerprint: OnceLock::new(),
         parts: OnceLock::new(),
     };
-    Ok((call, owed))
+    Ok((call, pinned))
 }
 
 /// Waits until the configuration is known. A process that is stopping rejects requests at once, as it may exit
@@ -181,7 +183,7 @@
     state: &Arc<GatewayState>,
     call: Call,
     guards: ResponseGuards,
-    given_up: CancellationToken,
+    evicted: CancellationToken,
 ) -> Response<ResponseBody> {
     let execution = Execution::new(Arc::clone(state), call);
     let (outcome, execution) = execution.run().await;
@@ -189,7 +191,7 @@
         record_outcome(state, execution, &outcome);
     }
     match outcome {
-        Outcome::Whole(reply) => response::complete(reply, given_up),
+        Outcome::Whole(reply) => response::complete(reply, evicted),
         Outcome::Stream(relay) => response::stream(relay, guards),
         Outcome::NoResponse(abandon_reason) => abandoned_response(abandon_reason),
     }
--- a/crates/gateway/src/callers/head_io.rs
+++ b/crates/gateway/src/callers/head_io.rs
@@ -9,19 +9,18 @@
 use std::task::ready;
 
 use parking_lot::Mutex;
+use stallhoist_http::caller_memory::CallerMemory;
+use stallhoist_http::caller_memory::Reservation;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 
-use stallhoist_http::caller_memory::CallerMemory;
-use stallhoist_http::caller_memory::Claim;
-
 #[derive(Debug, Default)]
 struct Reading {
-    /// The claim of the head that is being read.
-    claim: Option<Claim>,
+    /// The reservation of the head that is being read.
+    reservation: Option<Reservation>,
     head_bytes: usize,
     /// Whether a request is in progress.
     has_request: bool,
@@ -32,24 +31,24 @@
 pub(super) struct RequestHead {
     memory: Arc<CallerMemory>,
     reading: Mutex<Reading>,
-    given_up: CancellationToken,
+    evicted: CancellationToken,
 }
 
 impl RequestHead {
-    /// `given_up` is cancelled when the head has to give way.
-    pub(super) fn new(memory: Arc<CallerMemory>, given_up: CancellationToken) -> Self {
-        Self { memory, reading: Mutex::default(), given_up }
+    /// `evicted` is cancelled when the head is evicted.
+    pub(super) fn new(memory: Arc<CallerMemory>, evicted: CancellationToken) -> Self {
+        Self { memory, reading: Mutex::default(), evicted }
     }
 
-    /// The claim of a request whose head was read.
-    pub(super) fn take(&self) -> Claim {
+    /// The reservation of a request whose head was read.
+    pub(super) fn take(&self) -> Reservation {
         let mut reading = self.reading.lock();
         reading.has_request = true;
         reading.head_bytes = 0;
-        let given_up = CancellationToken::new();
-        match reading.claim.take() {
-            Some(claim) => claim.signal(given_up),
-            None => self.memory.open_request(given_up),
+        let evicted = CancellationToken::new();
+        match reading.reservation.take() {
+            Some(reservation) => reservation.signal(evicted),
+            None => self.memory.open_request(evicted),
         }
     }
 
@@ -69,9 +68,9 @@
         }
         let buffer_bytes = reading.head_bytes + room_bytes;
         reading.head_bytes += bytes;
-        let open = || self.memory.open_request(self.given_up.clone());
-        let claim = reading.claim.get_or_insert_with(open);
-        claim
+        let open = || self.memory.open_request(self.evicted.clone());
+        let reservation = reading.reservation.get_or_insert_with(open);
+        reservation
             .grow_now(buffer_bytes)
             .map_err(|error| io::Error::new(io::ErrorKind::OutOfMemory, error))
     }
--- a/crates/gateway/src/callers/response.rs
+++ b/crates/gateway/src/callers/response.rs
@@ -10,7 +10,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use tokio_util::sync::CancellationToken;
 
-use super::connections::OwedResponse;
+use super::connections::PinnedConnection;
 use crate::request::CompleteResponse;
 use crate::request::Relay;
 use crate::request::RelayError;
@@ -20,15 +20,15 @@
 pub(crate) type ResponseBody = UnsyncBoxBody<Bytes, RelayError>;
 
 /// What lasts until a response is made: the request is in progress, and the connection stays open.
-pub(super) type ResponseGuards = (InProgressGuard, OwedResponse);
+pub(super) type ResponseGuards = (InProgressGuard, PinnedConnection);
 
 /// Forwards an upstream's complete response unchanged. If the caller does not read it and its memory is needed for others,
-/// `given_up` is cancelled.
+/// `evicted` is cancelled.
 pub(crate) fn complete(
     reply: CompleteResponse,
-    given_up: CancellationToken,
+    evicted: CancellationToken,
 ) -> Response<ResponseBody> {
-    let body = Full::new(reply.body.offer(given_up)).map_err(|never| match never {});
+    let body = Full::new(reply.body.unprotect(evicted)).map_err(|never| match never {});
     let mut response = Response::new(body.boxed_unsync());
     *response.status_mut() = reply.status;
     *response.headers_mut() = reply.headers;
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -300,8 +300,8 @@
         if is_success && self.call.route.is_stream {
             return self.open_stream(reply, head, progress, work, meter).await;
         }
-        let claim = self.state.memory.open_response(self.call.workspace.clone());
-        match reply.read_to_end(MAX_BUFFERED_BYTES, claim).await {
+        let reservation = self.state.memory.open_response(self.call.workspace.clone());
+        match reply.read_to_end(MAX_BUFFERED_BYTES, reservation).await {
             Ok((head, body)) => AttemptOutcome::Whole(CompleteResponse {
                 status: head.status,
                 headers: self.state.dialect.caller_headers(&head.headers),
--- a/crates/gateway/src/request/broken_response.rs
+++ b/crates/gateway/src/request/broken_response.rs
@@ -8,12 +8,12 @@
 use displaydoc::Display;
 use http::StatusCode;
 use stallhoist_core::UpstreamIncarnation;
+use stallhoist_http::caller_memory::BufferError;
 use tokio::net::TcpStream;
 
 use crate::state::GatewayState;
 use crate::upstream::ReadError;
 use crate::upstream::StreamError;
-use stallhoist_http::caller_memory::BufferError;
 
 /// Why a response was not received completely, or is not valid.
 #[derive(Debug, Display)]
--- a/crates/gateway/src/request/outcome.rs
+++ b/crates/gateway/src/request/outcome.rs
@@ -5,16 +5,16 @@
 use displaydoc::Display;
 use http::HeaderMap;
 use http::StatusCode;
+use stallhoist_http::caller_memory::ReservedBytes;
 
 use super::Relay;
-use stallhoist_http::caller_memory::ClaimedBytes;
 
 /// A complete response of an upstream, forwarded unchanged.
 #[derive(Debug)]
 pub(crate) struct CompleteResponse {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: ClaimedBytes,
+    pub(crate) body: ReservedBytes,
 }
 
 /// Why a request was abandoned. The text is the body of the response to its caller.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -21,6 +21,7 @@
 use stallhoist_core::StoreEra;
 use stallhoist_core::UpstreamIncarnation;
 use stallhoist_core::WorkspaceName;
+use stallhoist_http::caller_memory::CallerMemory;
 use stallhoist_policy::cascade::StepUpConfig;
 use stallhoist_policy::retry::RetryBudget;
 use stallhoist_policy::rollout::RolloutConfig;
@@ -51,7 +52,6 @@
 use crate::sessions::Sessions;
 use crate::suspend_recovery::SuspendRecovery;
 use crate::upstreams::Upstreams;
-use stallhoist_http::caller_memory::CallerMemory;
 
 pub(crate) use in_progress::InProgressGuard;
 
--- a/crates/gateway/src/upstream/call.rs
+++ b/crates/gateway/src/upstream/call.rs
@@ -13,6 +13,10 @@
 use http_body_util::Full;
 use hyper::body::Body;
 use hyper::body::Incoming;
+use stallhoist_http::caller_memory::BufferError;
+use stallhoist_http::caller_memory::Reservation;
+use stallhoist_http::caller_memory::ReservedBuffer;
+use stallhoist_http::caller_memory::ReservedBytes;
 
 use super::SendError;
 use super::connection::Connection;
@@ -20,10 +24,6 @@
 use crate::event_frames::EventBuffer;
 use crate::event_frames::EventFrames;
 use crate::event_frames::EventTooLong;
-use stallhoist_http::caller_memory::BufferError;
-use stallhoist_http::caller_memory::Claim;
-use stallhoist_http::caller_memory::ClaimedBuffer;
-use stallhoist_http::caller_memory::ClaimedBytes;
 
 /// A request to an upstream.
 #[derive(Debug)]
@@ -91,10 +91,10 @@
     pub(crate) async fn read_to_end(
         self,
         max_bytes: usize,
-        claim: Claim,
-    ) -> Result<(response::Parts, ClaimedBytes), ReadError> {
+        reservation: Reservation,
+    ) -> Result<(response::Parts, ReservedBytes), ReadError> {
         let Self { head, mut body, driver, .. } = self;
-        let mut buffer = ClaimedBuffer::new(claim, max_bytes, body.size_hint().exact());
+        let mut buffer = ReservedBuffer::new(reservation, max_bytes, body.size_hint().exact());
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(ReadError::Broken)?;
             if let Some(part) = frame.data_ref() {
--- a/crates/http/src/caller_memory/buffer.rs
+++ b/crates/http/src/caller_memory/buffer.rs
@@ -4,9 +4,9 @@
 
 use displaydoc::Display;
 
-use super::Claim;
-use super::ClaimedBytes;
 use super::NoMemory;
+use super::Reservation;
+use super::ReservedBytes;
 
 /// The smallest buffer.
 const MIN_BUFFER_BYTES: usize = 4 << 10;
@@ -23,26 +23,26 @@
     NoMemory(#[from] NoMemory),
 }
 
-/// A buffer whose capacity is claimed.
+/// A buffer whose capacity is reserved.
 #[derive(Debug)]
-pub struct ClaimedBuffer {
+pub struct ReservedBuffer {
     bytes: Vec<u8>,
-    claim: Claim,
-    /// What the claim held before.
+    reservation: Reservation,
+    /// What the reservation held before.
     other_bytes: usize,
     max_bytes: usize,
     /// The capacity is not doubled beyond this.
     expected_bytes: usize,
 }
 
-impl ClaimedBuffer {
+impl ReservedBuffer {
     /// A buffer for up to `max_bytes`, of which `announced` are expected. They are not trusted: it grows with what comes.
-    pub fn new(claim: Claim, max_bytes: usize, announced: Option<u64>) -> Self {
+    pub fn new(reservation: Reservation, max_bytes: usize, announced: Option<u64>) -> Self {
         let announced = announced.and_then(|bytes| usize::try_from(bytes).ok());
         Self {
             bytes: Vec::new(),
-            other_bytes: claim.bytes(),
-            claim,
+            other_bytes: reservation.bytes(),
+            reservation,
             max_bytes,
             expected_bytes: announced.unwrap_or(max_bytes),
         }
@@ -54,7 +54,7 @@
     /// Fails when the body is too long, or there is no room for it.
     pub async fn push(&mut self, part: &[u8]) -> Result<(), BufferError> {
         if let Some(capacity) = self.capacity_for(part)? {
-            self.claim.grow(self.other_bytes + capacity).await?;
+            self.reservation.grow(self.other_bytes + capacity).await?;
             self.bytes.reserve_exact(capacity - self.bytes.len());
         }
         self.bytes.extend_from_slice(part);
@@ -70,7 +70,7 @@
         loop {
             match self.push(part).await {
                 Err(BufferError::NoMemory(_)) if tokio::time::Instant::now() < waits => {
-                    let _ = tokio::time::timeout_at(waits, self.claim.another_ended()).await;
+                    let _ = tokio::time::timeout_at(waits, self.reservation.another_ended()).await;
                 }
                 pushed => return pushed,
             }
@@ -88,12 +88,12 @@
         Ok((size > capacity).then(|| doubled.max(size)))
     }
 
-    /// The bytes of a whole body, which does not give way.
+    /// The bytes of a whole body, which is not evicted.
     ///
     /// # Errors
-    /// Fails when it had to give way before.
-    pub fn finish(self) -> Result<ClaimedBytes, NoMemory> {
-        self.claim.keep()?;
-        Ok(ClaimedBytes::new(self.bytes, self.claim))
+    /// Fails when it was evicted before.
+    pub fn finish(self) -> Result<ReservedBytes, NoMemory> {
+        self.reservation.protect()?;
+        Ok(ReservedBytes::new(self.bytes, self.reservation))
     }
 }
--- a/crates/http/src/caller_memory/mod.rs
+++ b/crates/http/src/caller_memory/mod.rs
@@ -1,11 +1,11 @@
 //! The memory that requests and responses of callers hold.
 //!
-//! `policy::memory` decides who gets it. A claim is closed when its holder is dropped.
+//! `policy::memory` decides who gets it. A reservation is closed when its holder is dropped.
 //!
 //! Lock order: the lock is never held together with another.
 
 mod buffer;
-mod claim;
+mod reservation;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -14,17 +14,17 @@
 use parking_lot::Mutex;
 use stallhoist_coordination::ProcessClock;
 use stallhoist_core::WorkspaceName;
-use stallhoist_policy::memory::ClaimId;
 use stallhoist_policy::memory::Growth;
 use stallhoist_policy::memory::MemoryLedger;
 use stallhoist_policy::memory::MemoryLimits;
+use stallhoist_policy::memory::ReservationId;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 pub use buffer::BufferError;
-pub use buffer::ClaimedBuffer;
-pub use claim::Claim;
-pub use claim::ClaimedBytes;
+pub use buffer::ReservedBuffer;
+pub use reservation::Reservation;
+pub use reservation::ReservedBytes;
 
 /// Memory of the host, as the system tells it.
 pub fn system_memory_bytes() -> usize {
@@ -38,16 +38,16 @@
 pub struct NoMemory;
 
 #[derive(Debug)]
-struct Claims {
+struct Reservations {
     ledger: MemoryLedger,
-    /// Cancelled when the claim has to give way.
-    signals: HashMap<ClaimId, CancellationToken>,
+    /// Cancelled when the reservation is evicted.
+    signals: HashMap<ReservationId, CancellationToken>,
 }
 
 /// The memory that requests and responses of callers hold.
 #[derive(Debug)]
 pub struct CallerMemory {
-    claims: Mutex<Claims>,
+    reservations: Mutex<Reservations>,
     closed: Notify,
     clock: ProcessClock,
 }
@@ -55,39 +55,40 @@
 impl CallerMemory {
     /// Creates the memory of callers, of which nothing is in use.
     pub fn new(limits: MemoryLimits, clock: ProcessClock) -> Self {
-        let claims = Claims { ledger: MemoryLedger::new(limits), signals: HashMap::new() };
-        Self { claims: Mutex::new(claims), closed: Notify::new(), clock }
+        let reservations =
+            Reservations { ledger: MemoryLedger::new(limits), signals: HashMap::new() };
+        Self { reservations: Mutex::new(reservations), closed: Notify::new(), clock }
     }
 
-    /// Opens a claim of a request that is being read. `given_up` is cancelled when it has to give way.
-    pub fn open_request(self: &Arc<Self>, given_up: CancellationToken) -> Claim {
+    /// Opens a reservation of a request that is being read. `evicted` is cancelled when it is evicted.
+    pub fn open_request(self: &Arc<Self>, evicted: CancellationToken) -> Reservation {
         let now = self.clock.now();
-        let mut claims = self.claims.lock();
-        let id = claims.ledger.open_request(now);
-        claims.signals.insert(id, given_up.clone());
-        Claim::new(Arc::clone(self), id, given_up)
+        let mut reservations = self.reservations.lock();
+        let id = reservations.ledger.open_request(now);
+        reservations.signals.insert(id, evicted.clone());
+        Reservation::new(Arc::clone(self), id, evicted)
     }
 
-    /// Opens a claim of a response to a request of a workspace. It does not give way while it is received.
-    pub fn open_response(self: &Arc<Self>, workspace: Option<WorkspaceName>) -> Claim {
+    /// Opens a reservation of a response to a request of a workspace. It is not evicted while it is received.
+    pub fn open_response(self: &Arc<Self>, workspace: Option<WorkspaceName>) -> Reservation {
         let now = self.clock.now();
-        let mut claims = self.claims.lock();
-        let id = claims.ledger.open_response(now, workspace);
-        claims.ledger.keep(id);
-        Claim::new(Arc::clone(self), id, CancellationToken::new())
+        let mut reservations = self.reservations.lock();
+        let id = reservations.ledger.open_response(now, workspace);
+        reservations.ledger.protect(id);
+        Reservation::new(Arc::clone(self), id, CancellationToken::new())
     }
 
-    /// Memory that the claims hold.
+    /// Memory that the reservations hold.
     pub fn used_bytes(&self) -> usize {
-        self.claims.lock().ledger.used_bytes()
+        self.reservations.lock().ledger.used_bytes()
     }
 
-    fn grow(&self, id: ClaimId, bytes: usize) -> Growth {
+    fn grow(&self, id: ReservationId, bytes: usize) -> Growth {
         let now = self.clock.now();
-        let mut claims = self.claims.lock();
-        let growth = claims.ledger.grow(now, id, bytes);
-        if let Growth::Pending { given_up } = &growth {
-            given_up.iter().filter_map(|id| claims.signals.get(id)).for_each(|s| s.cancel());
+        let mut reservations = self.reservations.lock();
+        let growth = reservations.ledger.grow(now, id, bytes);
+        if let Growth::Pending { evicted } = &growth {
+            evicted.iter().filter_map(|id| reservations.signals.get(id)).for_each(|s| s.cancel());
         }
         growth
     }
--- a/crates/policy/src/memory/limits.rs
+++ b/crates/policy/src/memory/limits.rs
@@ -3,15 +3,15 @@
 /// The least memory for callers: one of the largest bodies, and small ones.
 const MIN_CALLER_BYTES: usize = 9_000_000;
 
-/// Memory that a connection needs besides the claims of its requests.
+/// Memory that a connection needs besides the reservations of its requests.
 const CONNECTION_BYTES: usize = 16 << 10;
 
 /// Limits of the memory for callers' requests and responses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MemoryLimits {
-    /// All claims together.
+    /// All reservations together.
     pub total_bytes: usize,
-    /// All claims together when a large one grows: small ones find room beside large ones.
+    /// All reservations together when a large one grows: small ones find room beside large ones.
     pub large_bytes: usize,
     /// The requests of one workspace together when a large one grows: other workspaces find room as well.
     pub workspace_bytes: usize,
--- a/tests/all/decisions/caller_memory.rs
+++ b/tests/all/decisions/caller_memory.rs
@@ -1,18 +1,18 @@
-//! Who gets the memory for requests and responses, and who gives way.
+//! Who gets the memory for requests and responses, and who is evicted.
 
 use stallhoist_core::MonoTime;
 use stallhoist_core::WorkspaceName;
 use stallhoist_policy::memory::CallerConnections;
-use stallhoist_policy::memory::ClaimId;
 use stallhoist_policy::memory::Growth;
 use stallhoist_policy::memory::MemoryLedger;
 use stallhoist_policy::memory::MemoryLimits;
+use stallhoist_policy::memory::ReservationId;
 
 const MB: usize = 1_000_000;
 
 const PROCESS_BYTES: usize = 32 * MB;
 
-/// A host of 64 MB: 24 MB in all, 18 for large claims, 13.5 for those of one workspace.
+/// A host of 64 MB: 24 MB in all, 18 for large reservations, 13.5 for those of one workspace.
 fn ledger() -> MemoryLedger {
     MemoryLedger::new(MemoryLimits::of_host(64 * MB, PROCESS_BYTES))
 }
@@ -21,13 +21,13 @@
     MonoTime(second * 1_000_000)
 }
 
-fn request(ledger: &mut MemoryLedger, second: u64, workspace: &str) -> ClaimId {
+fn request(ledger: &mut MemoryLedger, second: u64, workspace: &str) -> ReservationId {
     let id = ledger.open_request(at(second));
     ledger.set_workspace(id, Some(workspace.parse::<WorkspaceName>().expect("a name")));
     id
 }
 
-fn granted(ledger: &mut MemoryLedger, second: u64, workspace: &str, bytes: usize) -> ClaimId {
+fn granted(ledger: &mut MemoryLedger, second: u64, workspace: &str, bytes: usize) -> ReservationId {
     let id = request(ledger, second, workspace);
     assert_eq!(ledger.grow(at(second), id, bytes), Growth::Granted);
     id
@@ -48,12 +48,12 @@
     let small = granted(&mut ledger, 0, "a", 4_000);
     let recent = granted(&mut ledger, 9, "a", 8 * MB);
     let new = request(&mut ledger, 10, "a");
-    let given_up = vec![stalled];
-    assert_eq!(ledger.grow(at(10), new, 2 * MB), Growth::Pending { given_up });
+    let evicted = vec![stalled];
+    assert_eq!(ledger.grow(at(10), new, 2 * MB), Growth::Pending { evicted });
     assert_eq!(ledger.grow(at(10), stalled, 5 * MB), Growth::Refused);
     ledger.close(stalled);
     assert_eq!(ledger.grow(at(10), new, 2 * MB), Growth::Granted);
-    assert!(ledger.keep(recent) && ledger.keep(small));
+    assert!(ledger.protect(recent) && ledger.protect(small));
     assert_eq!(ledger.used_bytes(), 10 * MB + 4_000);
 }
 
@@ -62,7 +62,7 @@
     let mut ledger = ledger();
     for _ in 0..3 {
         let id = granted(&mut ledger, 0, "a", 4 * MB);
-        assert!(ledger.keep(id));
+        assert!(ledger.protect(id));
     }
     let large = request(&mut ledger, 1, "a");
     assert_eq!(ledger.grow(at(1), large, 4 * MB), Growth::Refused);
@@ -76,23 +76,23 @@
     let first = granted(&mut ledger, 0, "a", 12 * MB);
     let other = granted(&mut ledger, 0, "b", 5 * MB);
     let new = request(&mut ledger, 1, "b");
-    let given_up = vec![first];
-    assert_eq!(ledger.grow(at(1), new, 2 * MB), Growth::Pending { given_up });
+    let evicted = vec![first];
+    assert_eq!(ledger.grow(at(1), new, 2 * MB), Growth::Pending { evicted });
     ledger.close(first);
     assert_eq!(ledger.grow(at(1), new, 2 * MB), Growth::Granted);
-    // A workspace with less never gives way to one with more.
+    // Nothing of a workspace with less is evicted for one with more.
     let least = granted(&mut ledger, 2, "c", 2 * MB);
-    assert!(ledger.keep(other) && ledger.keep(new));
+    assert!(ledger.protect(other) && ledger.protect(new));
     let more = request(&mut ledger, 3, "b");
     assert_eq!(ledger.grow(at(3), more, 10 * MB), Growth::Refused);
-    assert!(ledger.keep(least));
+    assert!(ledger.protect(least));
 }
 
 #[test]
 fn nobody_gives_way_in_vain() {
     let mut ledger = ledger();
     let kept = granted(&mut ledger, 0, "a", 13 * MB);
-    assert!(ledger.keep(kept));
+    assert!(ledger.protect(kept));
     let optional = granted(&mut ledger, 0, "b", 2 * MB);
     let new = request(&mut ledger, 1, "c");
     assert_eq!(ledger.grow(at(1), new, 8 * MB), Growth::Refused);
@@ -104,7 +104,7 @@
     let mut ledger = ledger();
     let response = ledger.open_response(at(0), None);
     assert_eq!(ledger.grow(at(0), response, 18 * MB), Growth::Granted);
-    assert!(ledger.keep(response));
+    assert!(ledger.protect(response));
     for _ in 0..93 {
         granted(&mut ledger, 0, "a", 64_000);
     }
@@ -117,7 +117,7 @@
     let mut ledger = ledger();
     let first = granted(&mut ledger, 0, "a", 13 * MB);
     let new = request(&mut ledger, 1, "a");
-    assert_eq!(ledger.grow(at(1), new, MB), Growth::Pending { given_up: vec![first] });
+    assert_eq!(ledger.grow(at(1), new, MB), Growth::Pending { evicted: vec![first] });
     ledger.record_growth(new, MB);
     assert_eq!(ledger.used_bytes(), 14 * MB);
     ledger.close(first);
@@ -128,12 +128,12 @@
 fn a_response_gives_way_only_while_its_caller_reads_it() {
     let mut ledger = ledger();
     let response = ledger.open_response(at(0), None);
-    assert!(ledger.keep(response));
+    assert!(ledger.protect(response));
     assert_eq!(ledger.grow(at(0), response, 17 * MB), Growth::Granted);
     let new = ledger.open_request(at(5));
     assert_eq!(ledger.grow(at(5), new, 2 * MB), Growth::Refused);
-    ledger.offer(response);
-    assert_eq!(ledger.grow(at(5), new, 2 * MB), Growth::Pending { given_up: vec![response] });
+    ledger.unprotect(response);
+    assert_eq!(ledger.grow(at(5), new, 2 * MB), Growth::Pending { evicted: vec![response] });
 }
 
 #[test]
