One observed connection serves callers and upstreams; twins of this change are one piece

Written twice: a wrapper of a connection for callers beside that for upstreams (now ObservedIo with an observer each), a gateway's settings in two tests, the checks around a crowd. More than needed: a response's reservation was opened evictable and protected at once; a filter function with one caller; the entry checked a request's headers twice. Words: what is evicted no longer gives way; a module's header was broken in its middle.

Found by reading and listed: the descriptors kept from callers do not grow with the fleet.

No behaviour changes, and the tests keep their assertions.

--- a/crates/entry/src/callers/call.rs
+++ b/crates/entry/src/callers/call.rs
@@ -22,7 +22,6 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::headers::CallHeaders;
-use super::headers::RawHeaders;
 use super::problem::Problem;
 use crate::claiming;
 use crate::request::Order;
@@ -33,10 +32,10 @@
 const RETRY_AFTER_TABLE: Duration = Duration::from_secs(1);
 /// The retry delay given to the caller while there is no memory for its request.
 const RETRY_AFTER_MEMORY: Duration = Duration::from_secs(1);
-/// The part of a body that is read at once.
-const PART_BYTES: usize = 8 << 10;
 /// The retry delay given to the caller while the store does not respond.
 const RETRY_AFTER_STORE: Duration = Duration::from_secs(2);
+/// The part of a body that is read at once.
+const PART_BYTES: usize = 8 << 10;
 
 /// Reads the whole body.
 ///
@@ -46,12 +45,11 @@
 pub(crate) async fn read_body(
     shared: &Shared,
     workspace: &WorkspaceName,
-    headers: &RawHeaders,
+    deadline_ms: Option<u64>,
     data: Data<'_>,
 ) -> Result<Bytes, Problem> {
     let callers = &shared.settings.callers;
-    let stated_ms = headers.check().ok().and_then(|headers| headers.deadline_ms);
-    let time_limit = Duration::from_millis(stated_ms.unwrap_or(callers.default_deadline_ms));
+    let time_limit = Duration::from_millis(deadline_ms.unwrap_or(callers.default_deadline_ms));
     let evicted = CancellationToken::new();
     let reservation = shared.memory.open_request(evicted.clone());
     reservation.set_workspace(Some(workspace.clone()));
--- a/crates/entry/src/callers/routes.rs
+++ b/crates/entry/src/callers/routes.rs
@@ -68,8 +68,10 @@
         return run::too_many_requests();
     };
     let parsed = async {
-        let body = call::read_body(entry, &caller.workspace, &headers, data).await?;
-        chat::order(entry, &caller, headers.check()?, &body)
+        let headers = headers.check();
+        let deadline_ms = headers.as_ref().ok().and_then(|headers| headers.deadline_ms);
+        let body = call::read_body(entry, &caller.workspace, deadline_ms, data).await?;
+        chat::order(entry, &caller, headers?, &body)
     };
     match parsed.await {
         Ok(ChatOrder::Single(order)) => run::run(entry, *order, place).await,
@@ -116,7 +118,9 @@
         return run::too_many_requests();
     };
     let parsed = async {
-        let body = call::read_body(entry, &caller.workspace, headers, data).await?;
+        let checked = headers.check();
+        let deadline_ms = checked.as_ref().ok().and_then(|headers| headers.deadline_ms);
+        let body = call::read_body(entry, &caller.workspace, deadline_ms, data).await?;
         let (service, path) = service_and_path(request.uri());
         let service_call = ServiceCall {
             service,
@@ -125,7 +129,7 @@
             content_type: headers.content_type.clone(),
             body,
         };
-        services::order(entry, caller, headers.check()?, service_call)
+        services::order(entry, caller, checked?, service_call)
     };
     match parsed.await {
         Ok(order) => run::run(entry, order, place).await,
--- a/crates/gateway/src/callers/accept.rs
+++ b/crates/gateway/src/callers/accept.rs
@@ -19,7 +19,7 @@
 use super::connections::Connection;
 use super::connections::Connections;
 use super::handler::handle;
-use super::head_io::HeadIo;
+use crate::observed_io::ObservedIo;
 use crate::routing::CallerBounds;
 use crate::state::GatewayState;
 use crate::tcp::TcpTimeouts;
@@ -141,7 +141,7 @@
     }
     let bounds = state.config().map_or_else(CallerBounds::default, |c| c.bounds.clone());
     let caller = Arc::new(caller);
-    let io = HeadIo::new(stream, Arc::clone(&caller.head));
+    let io = ObservedIo::new(stream, Arc::clone(&caller.head));
     let service = service_fn(|request| {
         caller.record_request();
         let (state, caller, reservation) =
--- a/crates/gateway/src/callers/connections.rs
+++ b/crates/gateway/src/callers/connections.rs
@@ -13,7 +13,7 @@
 use stallhoist_policy::memory::ConnectionId;
 use tokio_util::sync::CancellationToken;
 
-use super::head_io::RequestHead;
+use super::request_head::RequestHead;
 use crate::state::GatewayState;
 
 #[derive(Debug)]
--- a/crates/gateway/src/callers/head_io.rs
+++ b/crates/gateway/src/callers/request_head.rs
@@ -1,22 +1,15 @@
-//! A caller's connection whose request heads are counted: a head takes memory before there is a request.
+//! Counts the request heads that a caller's connection reads: a head takes memory before there is a request.
 
 use std::io;
-use std::io::IoSlice;
-use std::pin::Pin;
 use std::sync::Arc;
-use std::task::Context;
-use std::task::Poll;
-use std::task::ready;
 
 use parking_lot::Mutex;
 use stallhoist_http::caller_memory::CallerMemory;
 use stallhoist_http::caller_memory::Reservation;
-use tokio::io::AsyncRead;
-use tokio::io::AsyncWrite;
-use tokio::io::ReadBuf;
-use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 
+use crate::observed_io::Observer;
+
 #[derive(Debug, Default)]
 struct Reading {
     /// The reservation of the head that is being read.
@@ -76,57 +69,8 @@
     }
 }
 
-/// A caller's connection whose request heads are counted.
-#[derive(Debug)]
-pub(super) struct HeadIo {
-    io: TcpStream,
-    head: Arc<RequestHead>,
-}
-
-impl HeadIo {
-    pub(super) fn new(io: TcpStream, head: Arc<RequestHead>) -> Self {
-        Self { io, head }
-    }
-}
-
-impl AsyncRead for HeadIo {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let room_bytes = buffer.remaining();
-        ready!(Pin::new(&mut self.io).poll_read(context, buffer))?;
-        Poll::Ready(self.head.record(room_bytes - buffer.remaining(), room_bytes))
-    }
-}
-
-impl AsyncWrite for HeadIo {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write(context, bytes)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffers: &[IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write_vectored(context, buffers)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.io.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_shutdown(context)
+impl Observer for Arc<RequestHead> {
+    fn read(&mut self, bytes: usize, room_bytes: usize) -> io::Result<()> {
+        self.record(bytes, room_bytes)
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod log_limit;
 pub mod members;
 mod metrics;
+mod observed_io;
 mod operators;
 pub mod peers;
 pub mod planned_stop;
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -13,9 +13,10 @@
 use tokio::task::JoinHandle;
 
 use super::ConnectError;
-use super::counted_io::CountedIo;
-use super::counted_io::HeadLimit;
-use super::counted_io::WrittenBytes;
+use super::head_bytes::HeadBytes;
+use super::head_bytes::HeadLimit;
+use super::head_bytes::WrittenBytes;
+use crate::observed_io::ObservedIo;
 use crate::tcp::TcpTimeouts;
 use crate::tcp::set_socket_options;
 
@@ -97,7 +98,7 @@
     set_socket_options(&stream, limits).map_err(ConnectError::Refused)?;
     let written_bytes = WrittenBytes::default();
     let head_limit = HeadLimit::default();
-    let io = CountedIo::new(stream, written_bytes.clone(), head_limit.clone());
+    let io = ObservedIo::new(stream, HeadBytes::new(written_bytes.clone(), head_limit.clone()));
     let handshake = http1::handshake(TokioIo::new(io)).await;
     let (sender, connection) = handshake.map_err(ConnectError::Handshake)?;
     let driver = tokio::spawn(async move {
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -9,8 +9,8 @@
 
 mod call;
 mod connection;
-mod counted_io;
 mod error;
+mod head_bytes;
 
 pub(crate) use call::OpenResponse;
 pub(crate) use call::Outgoing;
--- a/crates/http/src/caller_memory/mod.rs
+++ b/crates/http/src/caller_memory/mod.rs
@@ -74,7 +74,6 @@
         let now = self.clock.now();
         let mut reservations = self.reservations.lock();
         let id = reservations.ledger.open_response(now, workspace);
-        reservations.ledger.protect(id);
         Reservation::new(Arc::clone(self), id, CancellationToken::new())
     }
 
--- a/crates/policy/src/memory/ledger.rs
+++ b/crates/policy/src/memory/ledger.rs
@@ -61,7 +61,7 @@
         self.open(now, None, false)
     }
 
-    /// Opens a reservation of a response to a request of a workspace.
+    /// Opens a reservation of a response to a request of a workspace, which is protected while it is received.
     pub fn open_response(
         &mut self,
         now: MonoTime,
@@ -83,7 +83,7 @@
             bytes: 0,
             since: now,
             is_response,
-            is_evictable: true,
+            is_evictable: !is_response,
             is_evicted: false,
         };
         self.reservations.insert(id, reservation);
@@ -110,7 +110,7 @@
         let mut excess = (self.used_bytes + added).saturating_sub(limit);
         let mut only_own = false;
         if is_large && !reservation.is_response {
-            let used = self.used_by(&reservation.workspace, |reservation| !reservation.is_response);
+            let used = self.request_bytes_of(&reservation.workspace);
             let of_workspace = (used + added).saturating_sub(self.limits.workspace_bytes);
             only_own = of_workspace > excess;
             excess = excess.max(of_workspace);
@@ -209,18 +209,15 @@
         candidates.into_iter().map(|(_, _, id)| id).collect()
     }
 
-    fn used_by(
-        &self,
-        workspace: &Option<WorkspaceName>,
-        is_counted: fn(&Reservation) -> bool,
-    ) -> usize {
+    /// Memory that the requests of a workspace hold.
+    fn request_bytes_of(&self, workspace: &Option<WorkspaceName>) -> usize {
         let reservations = self.reservations.values();
-        let counted = reservations.filter(|reservation| {
+        let requests = reservations.filter(|reservation| {
             !reservation.is_evicted
+                && !reservation.is_response
                 && reservation.workspace == *workspace
-                && is_counted(reservation)
         });
-        counted.map(|reservation| reservation.bytes).sum()
+        requests.map(|reservation| reservation.bytes).sum()
     }
 
     /// Protects a reservation from eviction. Returns false if it was evicted before.
--- a/tests/all/decisions/caller_memory.rs
+++ b/tests/all/decisions/caller_memory.rs
@@ -100,7 +100,7 @@
 }
 
 #[test]
-fn small_claims_find_room_beside_large_ones() {
+fn small_reservations_find_room_beside_large_ones() {
     let mut ledger = ledger();
     let response = ledger.open_response(at(0), None);
     assert_eq!(ledger.grow(at(0), response, 18 * MB), Growth::Granted);
--- a/tests/all/gateway/daemon.rs
+++ b/tests/all/gateway/daemon.rs
@@ -1,7 +1,6 @@
 //! The gateway's daemon as a real process.
 
 use reqwest::Method;
-use serde_json::json;
 use stallhoist_standins::users_platform::Behaviour;
 use stallhoist_standins::users_platform::StoreStandin;
 use stallhoist_standins::users_platform::UpstreamStandin;
@@ -13,6 +12,7 @@
 use super::world::send;
 use crate::case::case;
 use crate::harness::Process;
+use crate::harness::gateway_settings;
 use crate::harness::wait_until;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_stallhoist-gateway");
@@ -31,16 +31,7 @@
         let upstream = UpstreamStandin::start("i-0", Behaviour::answer("done")).await;
         let upstream = upstream.expect("the upstream starts");
         store.put("servers", "i-0", upstream.entry(PLAIN, "zone-1", "v1", "ready"));
-        let settings = json!({
-            "host": { "id": "entry-1", "zone": "zone-1" },
-            "callers_addr": "127.0.0.1:0",
-            "readiness_addr": "127.0.0.1:0",
-            "readiness_path": "/ready",
-            "operators_addr": "127.0.0.1:0",
-            "peers_addr": "127.0.0.1:0",
-            "store": { "addr": store.addr().to_string() },
-        });
-        let process = Process::start(PROGRAM, &settings.to_string());
+        let process = Process::start(PROGRAM, &gateway_settings(store.addr()).to_string());
         let http = reqwest::Client::builder().no_proxy().build().expect("a client");
         let running = Self { process, http, _store: store, _upstream: upstream };
         let ready_addr = running.process.addr("readiness_addr").to_string();
--- a/tests/all/harness/mod.rs
+++ b/tests/all/harness/mod.rs
@@ -19,5 +19,6 @@
 pub(crate) use fleet::Plan;
 pub(crate) use fleet::edit_of;
 pub(crate) use process::Process;
+pub(crate) use settings::gateway as gateway_settings;
 pub(crate) use settings::operators_key;
 pub(crate) use wait::wait_until;
--- a/tests/all/harness/settings.rs
+++ b/tests/all/harness/settings.rs
@@ -1,5 +1,7 @@
 //! Settings of the daemons under test, with shorter intervals than in production.
 
+use std::net::SocketAddr;
+
 use serde_json::Value;
 use serde_json::json;
 
@@ -56,3 +58,16 @@
         "bill": { "flush_ms": 50, "orphan_ms": 1000 },
     })
 }
+
+/// Settings of a gateway that listens on free ports of the loopback interface.
+pub(crate) fn gateway(store: SocketAddr) -> Value {
+    json!({
+        "host": { "id": "entry-1", "zone": "zone-1" },
+        "callers_addr": "127.0.0.1:0",
+        "readiness_addr": "127.0.0.1:0",
+        "readiness_path": "/ready",
+        "operators_addr": "127.0.0.1:0",
+        "peers_addr": "127.0.0.1:0",
+        "store": { "addr": store.to_string() },
+    })
+}
--- a/tests/crowds/crowd.rs
+++ b/tests/crowds/crowd.rs
@@ -53,6 +53,13 @@
         Self { connections: sending.join_all().await.into_iter().flatten().collect() }
     }
 
+    /// Checks that the gateway is well beside the crowd, and after it has left.
+    pub(crate) async fn check_and_leave(self, gateway: &Gateway) {
+        gateway.is_well().await;
+        drop(self);
+        gateway.is_well().await;
+    }
+
     /// Sends a part on each connection that is still open.
     pub(crate) async fn send_all(&mut self, part: &[u8]) {
         for connection in &mut self.connections {
--- a/tests/crowds/descriptors.rs
+++ b/tests/crowds/descriptors.rs
@@ -24,9 +24,7 @@
     let mut crowd = Crowd::send(&gateway, CROWD, start, parts).await;
     gateway.is_well().await;
     crowd.send_all(b"a").await;
-    gateway.is_well().await;
-    drop(crowd);
-    gateway.is_well().await;
+    crowd.check_and_leave(&gateway).await;
 }
 
 case!(bodies_that_stop, async {
--- a/tests/crowds/gateway.rs
+++ b/tests/crowds/gateway.rs
@@ -12,6 +12,7 @@
 use tokio::sync::MutexGuard;
 
 use crate::harness::Process;
+use crate::harness::gateway_settings;
 use crate::harness::wait_until;
 use crate::process::descriptors;
 use crate::process::peak_bytes;
@@ -62,18 +63,9 @@
         let upstream = UpstreamStandin::start("i-0", Behaviour::answer("done")).await;
         let upstream = upstream.expect("the upstream starts");
         store.put("servers", "i-0", upstream.entry("plain", "zone-1", "v1", "ready"));
-        let settings = json!({
-            "host": {
-                "id": "entry-1", "zone": "zone-1", "memory": format!("{MEMORY_BYTES} B"),
-                "descriptors": descriptors,
-            },
-            "callers_addr": "127.0.0.1:0",
-            "readiness_addr": "127.0.0.1:0",
-            "readiness_path": "/ready",
-            "operators_addr": "127.0.0.1:0",
-            "peers_addr": "127.0.0.1:0",
-            "store": { "addr": store.addr().to_string() },
-        });
+        let mut settings = gateway_settings(store.addr());
+        settings["host"]["memory"] = format!("{MEMORY_BYTES} B").into();
+        settings["host"]["descriptors"] = descriptors.into();
         let process = Process::start(PROGRAM, &settings.to_string());
         let http = Client::builder().no_proxy().pool_max_idle_per_host(0).timeout(ANSWER_TIMEOUT);
         let http = http.build().expect("a client");
--- a/tests/crowds/heads.rs
+++ b/tests/crowds/heads.rs
@@ -16,9 +16,7 @@
     let gateway = Gateway::start().await;
     let start = "POST /safe/x HTTP/1.1\r\nHost: test.example\r\n".to_owned();
     let crowd = Crowd::send(&gateway, CROWD, start, parts).await;
-    gateway.is_well().await;
-    drop(crowd);
-    gateway.is_well().await;
+    crowd.check_and_leave(&gateway).await;
 }
 
 case!(a_field_without_an_end, async {
@@ -37,7 +35,5 @@
     let body = format!("1\r\na\r\n0\r\n{}", "a: b\r\n".repeat(HEAD_BYTES / 6));
     let start = head("Transfer-Encoding: chunked");
     let crowd = Crowd::send(&gateway, CROWD, start, vec![body.into()]).await;
-    gateway.is_well().await;
-    drop(crowd);
-    gateway.is_well().await;
+    crowd.check_and_leave(&gateway).await;
 });
--- a/tests/crowds/responses.rs
+++ b/tests/crowds/responses.rs
@@ -22,9 +22,7 @@
     let crowd = Crowd::send(&gateway, CROWD, head("Content-Length: 0"), Vec::new()).await;
     gateway.has_run(CROWD).await;
     gateway.upstream.clear_queued_behaviours();
-    gateway.is_well().await;
-    drop(crowd);
-    gateway.is_well().await;
+    crowd.check_and_leave(&gateway).await;
     gateway.upstream.then([large]);
     assert_eq!(gateway.status_of("a request").await, Some(200));
 });
@@ -33,7 +31,5 @@
     let gateway = Gateway::start().await;
     let start = head("Content-Length: 0").repeat(REQUESTS);
     let crowd = Crowd::send(&gateway, CROWD, start, Vec::<Bytes>::new()).await;
-    gateway.is_well().await;
-    drop(crowd);
-    gateway.is_well().await;
+    crowd.check_and_leave(&gateway).await;
 });
--- a/tests/crowds/small_chunks.rs
+++ b/tests/crowds/small_chunks.rs
@@ -33,9 +33,7 @@
     let packets = vec![packet; MAX_BODY_BYTES / PACKED_CHUNKS];
     let start = head("Transfer-Encoding: chunked");
     let crowd = Crowd::send(&gateway, PACKED_CROWD, start, packets).await;
-    gateway.is_well().await;
-    drop(crowd);
-    gateway.is_well().await;
+    crowd.check_and_leave(&gateway).await;
 });
 
 case!(one_by_one, async {
@@ -47,9 +45,7 @@
         rounds.tick().await;
         crowd.send_all(CHUNK.as_bytes()).await;
     }
-    gateway.is_well().await;
-    drop(crowd);
-    gateway.is_well().await;
+    crowd.check_and_leave(&gateway).await;
 });
 
 case!(a_body_of_one_byte_chunks_is_served, async {
